Simulation in virtual time with checkers, planted bugs, and the first fault it found

Cause: a repeatable request whose first attempt was lost (it may have run) was tried again, refused, given up and answered not-run. Ruled out: the server model (the first attempt did run, rightly) and the retry itself. Change: a request remembers that an attempt may have run; from then on a refusal of the router's own is unknown.

--- /dev/null
+++ b/src/command-line/simulate-command.ts
@@ -0,0 +1,146 @@
+/**
+ * `fennelferry simulate`: runs scenarios in virtual time and checks the promises.
+ */
+import { Command, Option } from 'clipanion';
+import { MUTATIONS, type Mutation } from '../simulation/mutations.js';
+import { runScenario, type RunResult, type Scenario } from '../simulation/run.js';
+import { findScenario, pairedFaultScenarios, singleFaultScenarios } from '../simulation/scenarios.js';
+import { SYSTEMS } from '../emulator/systems.js';
+import { EXIT_BAD_INPUT, EXIT_FAILED, EXIT_OK } from './exit-codes.js';
+
+interface SeedRange {
+  readonly first: number;
+  readonly last: number;
+}
+
+function parseSeeds(text: string): SeedRange | null {
+  const match = /^(\d+)(?:\.\.(\d+))?$/.exec(text);
+  if (match === null) {
+    return null;
+  }
+  const first = Number(match[1]);
+  return { first, last: Number(match[2] ?? first) };
+}
+
+/** Runs scenarios, or checks that planted bugs are noticed. */
+export class SimulateCommand extends Command {
+  static override paths = [['simulate']];
+  static override usage = Command.Usage({
+    description: 'Run the system in virtual time under faults and check the promises',
+    details: 'Exits 1 when a promise is broken (or, with --mutation, when a planted bug goes unseen).',
+    examples: [
+      ['Each fault alone', 'fennelferry simulate --scenario singles --seeds 1..5'],
+      ['A pair of faults', 'fennelferry simulate --scenario leader-crash+server-freeze --seeds 1..20'],
+      ['What happened in one seed', 'fennelferry simulate --scenario partition --replay 7'],
+      ['All planted bugs', 'fennelferry simulate --mutation all'],
+    ],
+  });
+  readonly seeds = Option.String('--seeds', '1..5', { description: 'One seed or a range, A..B' });
+  readonly scenario = Option.String('--scenario', 'singles', {
+    description: 'calm, all, singles, pairs, a fault, or faults joined by +',
+  });
+  readonly system = Option.String('--system', 'klang-valley', {
+    description: `One of ${SYSTEMS.map((system) => system.name).join(', ')}`,
+  });
+  readonly replay = Option.String('--replay', { description: 'Print what happened in this seed' });
+  readonly mutation = Option.String('--mutation', {
+    description: `all, or one of ${MUTATIONS.map((mutation) => mutation.name).join(', ')}`,
+  });
+  readonly json = Option.Boolean('--json', false, { description: 'One JSON object a run' });
+
+  override execute(): Promise<number> {
+    if (this.mutation !== undefined) {
+      return Promise.resolve(this.#runMutations(this.mutation));
+    }
+    const scenarios = this.#scenarios();
+    const seeds = parseSeeds(this.replay ?? this.seeds);
+    const systemKnown = SYSTEMS.some((system) => system.name === this.system);
+    if (scenarios === null || seeds === null || !systemKnown) {
+      this.context.stderr.write('unknown --scenario, --seeds, --replay or --system; see --help\n');
+      return Promise.resolve(EXIT_BAD_INPUT);
+    }
+    return Promise.resolve(this.#runAll(scenarios, seeds));
+  }
+
+  #scenarios(): readonly Scenario[] | null {
+    if (this.scenario === 'singles') {
+      return singleFaultScenarios();
+    }
+    if (this.scenario === 'pairs') {
+      return pairedFaultScenarios();
+    }
+    const scenario = findScenario(this.scenario);
+    return scenario === undefined ? null : [scenario];
+  }
+
+  #runAll(scenarios: readonly Scenario[], seeds: SeedRange): number {
+    let events = 0;
+    let violations = 0;
+    let slowest = 0;
+    let runs = 0;
+    for (const scenario of scenarios) {
+      for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
+        const keepTimeline = this.replay !== undefined;
+        const result = runScenario({ scenario, seed, system: this.system, keepTimeline });
+        this.#print(result);
+        runs += 1;
+        events += result.events;
+        violations += result.violations.length;
+        slowest = Math.max(slowest, result.longestOutage);
+      }
+    }
+    const summary = {
+      runs,
+      seeds: `${seeds.first}..${seeds.last}`,
+      events,
+      violations,
+      slowestRecovery: slowest,
+    };
+    this.context.stdout.write(
+      this.json
+        ? `${JSON.stringify(summary)}\n`
+        : `runs ${runs}, seeds ${summary.seeds}, events ${events}, violations ${violations}, longest unavailable time ${slowest} ms\n`,
+    );
+    return violations === 0 ? EXIT_OK : EXIT_FAILED;
+  }
+
+  #print(result: RunResult): void {
+    const { timeline, ...rest } = result;
+    const { stdout } = this.context;
+    if (this.replay !== undefined) {
+      stdout.write(`${timeline.join('\n')}\n`);
+    }
+    if (this.json) {
+      stdout.write(`${JSON.stringify(rest)}\n`);
+      return;
+    }
+    for (const { promise, at, detail } of result.violations) {
+      stdout.write(`${result.scenario} seed ${result.seed}: ${promise} at ${Math.round(at)} ms: ${detail}\n`);
+    }
+  }
+
+  #runMutations(name: string): number {
+    const chosen = MUTATIONS.filter((mutation) => name === 'all' || mutation.name === name);
+    if (chosen.length === 0) {
+      this.context.stderr.write(`--mutation: found ${name}; see --help\n`);
+      return EXIT_BAD_INPUT;
+    }
+    const unseen = chosen.filter((mutation) => !this.#isNoticed(mutation));
+    this.context.stdout.write(`planted bugs ${chosen.length}, noticed ${chosen.length - unseen.length}\n`);
+    return unseen.length === 0 ? EXIT_OK : EXIT_FAILED;
+  }
+
+  #isNoticed(mutation: Mutation): boolean {
+    const { name, faults, rules } = mutation;
+    for (let seed = 1; seed <= mutation.seeds; seed += 1) {
+      const { violations } = runScenario({ scenario: { name, faults }, seed, rules, system: this.system });
+      const [first] = violations;
+      if (first !== undefined) {
+        this.context.stdout.write(`${name}: noticed in seed ${seed} (${first.promise})\n`);
+        return true;
+      }
+    }
+    this.context.stdout.write(`${name}: NOT noticed within ${mutation.seeds} seeds\n`);
+    return false;
+  }
+}
--- a/src/core/request/request-reducer.ts
+++ b/src/core/request/request-reducer.ts
@@ -40,12 +40,14 @@
   context: ReducerContext,
   request: ActiveRequest,
   status: number,
-  outcome: Outcome,
+  claimed: Outcome,
   title: string,
   retryAfterSeconds: number | null,
 ): void {
-  const { counters } = context.state;
+  const { counters, rules } = context.state;
   finish(context, request);
+  const provenNotRun = !request.mayHaveRun || !rules.sayUnknownAfterLoss;
+  const outcome = claimed === 'not-run' && !provenNotRun ? 'unknown' : claimed;
   if (outcome === 'unknown') {
     counters.requests_unknown += 1;
   } else {
@@ -109,6 +111,7 @@
     unit: null,
     retryAt: 0,
     holdUntil: 0,
+    mayHaveRun: false,
     lastReason: '',
   };
   requests.active.set(request.id, request);
@@ -281,6 +284,7 @@
 
 function concludeLost(context: ReducerContext, request: ActiveRequest, answerStarted: boolean): void {
   const { requests, counters, rules } = context.state;
+  request.mayHaveRun = true;
   const repeatable = request.route.repeatable || !rules.neverRepeatUnrepeatable;
   if (repeatable && !answerStarted && request.replayable && requests.retryBudget >= 1) {
     requests.retryBudget -= 1;
--- a/src/core/request/request-state.ts
+++ b/src/core/request/request-state.ts
@@ -23,6 +23,8 @@
   /** When a held request is tried again, and when it is given up. */
   retryAt: Milliseconds;
   holdUntil: Milliseconds;
+  /** An attempt was lost after bytes had left: `not-run` can no longer be said. */
+  mayHaveRun: boolean;
   /** Why the last try did not run. */
   lastReason: string;
 }
--- a/src/emulator/server-model.ts
+++ b/src/emulator/server-model.ts
@@ -92,11 +92,20 @@
     }
   }
 
-  /** Units held under a valid lease at a time on the server's own clock. */
+  /** Units held under a valid lease at a time on the server's own clock, those being given up included. */
   ownedUnits(clock: Milliseconds): UnitEpoch[] {
-    return [...this.#shards.values()]
-      .filter((hold) => clock < hold.leaseEnd)
-      .flatMap((hold) => inventoryOf(hold).filter(({ unit }) => hold.held.get(unit)?.draining === false));
+    return [...this.#shards.values()].filter((hold) => clock < hold.leaseEnd).flatMap(inventoryOf);
+  }
+
+  /** The epoch at which a unit is held under a valid lease, or undefined. */
+  ownedEpoch(unit: UnitNumber, clock: Milliseconds): Epoch | undefined {
+    for (const hold of this.#shards.values()) {
+      const held = hold.held.get(unit);
+      if (held !== undefined && clock < hold.leaseEnd) {
+        return held.epoch;
+      }
+    }
+    return undefined;
   }
 
   #holdOf(shard: ShardId): ShardHold {
--- /dev/null
+++ b/src/simulation/availability.ts
@@ -0,0 +1,91 @@
+/**
+ * How long units cannot be served, sampled on the ground truth: a unit is served when a working server
+ * holds it under a valid lease and most working daemons route to that server at that epoch.
+ */
+import type { Milliseconds, UnitNumber } from '../core/identifiers.js';
+import { shardOfUnit } from '../core/configuration/shard-layout.js';
+import type { GroupConfiguration } from '../core/configuration/routing-configuration.js';
+import type { SimulatedDaemon } from './simulated-daemon.js';
+import type { SimulatedServer } from './simulated-server.js';
+
+/** Between two samples; the figures are exact to this. */
+export const SAMPLE_INTERVAL: Milliseconds = 20;
+
+/** Samples the units of one keyed group. */
+export class AvailabilitySampler {
+  readonly #group: GroupConfiguration;
+  readonly #down = new Map<UnitNumber, Milliseconds>();
+  readonly #longest = new Map<UnitNumber, Milliseconds>();
+  readonly #owners = new Map<UnitNumber, string>();
+  ownerChanges = 0;
+
+  constructor(group: GroupConfiguration) {
+    this.#group = group;
+  }
+
+  /** Forgets what came before: the figures count from here. */
+  reset(): void {
+    this.#down.clear();
+    this.#longest.clear();
+    this.ownerChanges = 0;
+  }
+
+  /** Takes one sample. */
+  sample(
+    daemons: readonly SimulatedDaemon[],
+    servers: ReadonlyMap<string, SimulatedServer>,
+    now: Milliseconds,
+  ): void {
+    const working = daemons.filter((daemon) => daemon.working);
+    for (let unit = 0; unit < this.#group.slots; unit += 1) {
+      const served = this.#isServed(unit, working, servers);
+      if (served) {
+        this.#down.delete(unit);
+        continue;
+      }
+      const since = this.#down.get(unit) ?? now;
+      this.#down.set(unit, since);
+      const length = now - since + SAMPLE_INTERVAL;
+      this.#longest.set(unit, Math.max(length, this.#longest.get(unit) ?? 0));
+    }
+  }
+
+  /** Longest unavailable time of each unit that had one, in ascending order. */
+  outages(): Milliseconds[] {
+    return [...this.#longest.values()].sort((left, right) => left - right);
+  }
+
+  /** Units that are unavailable now. */
+  get unavailable(): number {
+    return this.#down.size;
+  }
+
+  #isServed(
+    unit: UnitNumber,
+    working: readonly SimulatedDaemon[],
+    servers: ReadonlyMap<string, SimulatedServer>,
+  ): boolean {
+    const shard = shardOfUnit(this.#group, unit);
+    let agreeing = 0;
+    for (const daemon of working) {
+      const record = daemon.state.tables.shards.get(shard)?.table.records.get(unit);
+      const server = record === undefined ? undefined : servers.get(record.server);
+      if (record === undefined || record.target !== null || server?.working !== true) {
+        continue;
+      }
+      if (server.model.ownedEpoch(unit, server.clock) === record.epoch) {
+        agreeing += 1;
+        this.#noteOwner(unit, record.server);
+      }
+    }
+    return agreeing * 2 > working.length;
+  }
+
+  #noteOwner(unit: UnitNumber, owner: string): void {
+    const before = this.#owners.get(unit);
+    if (before !== undefined && before !== owner) {
+      this.ownerChanges += 1;
+    }
+    this.#owners.set(unit, owner);
+  }
+}
--- /dev/null
+++ b/src/simulation/checkers.ts
@@ -0,0 +1,195 @@
+/**
+ * Checks the promises on a run while it goes on. They look at the ground truth of servers and daemons,
+ * not at what the product says of itself.
+ */
+import type { Epoch, Milliseconds, ServerId, ShardId, UnitNumber } from '../core/identifiers.js';
+import type { History } from './history.js';
+import type { SimulatedDaemon } from './simulated-daemon.js';
+import type { SimulatedServer } from './simulated-server.js';
+
+/** At most one server owns a unit: a valid lease on its own clock, and the unit held. */
+export class SingleOwnerChecker {
+  readonly #history: History;
+  readonly #groups: readonly (readonly SimulatedServer[])[];
+  readonly #reported = new Set<string>();
+
+  /** @param groups the servers of each keyed group: units of two groups never meet */
+  constructor(history: History, groups: readonly (readonly SimulatedServer[])[]) {
+    this.#history = history;
+    this.#groups = groups;
+  }
+
+  /** Called after each control call that a server took. */
+  afterControl(server: SimulatedServer, now: Milliseconds): void {
+    const peers = this.#groups.find((group) => group.includes(server)) ?? [];
+    for (const { unit, epoch } of server.model.ownedUnits(server.clock)) {
+      for (const other of peers) {
+        const otherEpoch =
+          other === server || !other.alive ? undefined : other.model.ownedEpoch(unit, other.clock);
+        if (otherEpoch !== undefined) {
+          this.#report(now, unit, [server.endpoint.name, epoch], [other.endpoint.name, otherEpoch]);
+        }
+      }
+    }
+  }
+
+  #report(now: Milliseconds, unit: UnitNumber, one: [ServerId, Epoch], two: [ServerId, Epoch]): void {
+    const key = `${unit}:${[one[0], two[0]].sort().join()}`;
+    if (!this.#reported.has(key)) {
+      this.#reported.add(key);
+      const detail = `unit ${unit} is owned by ${one[0]} at ${one[1]} and by ${two[0]} at ${two[1]}`;
+      this.#history.violate('single-owner', now, detail);
+    }
+  }
+}
+
+interface Acknowledged {
+  readonly epoch: Epoch;
+  readonly server: ServerId;
+}
+
+/** What a leader has acknowledged is in the table of every later leader, or something newer is. */
+export class AcknowledgedChecker {
+  readonly #history: History;
+  readonly #acknowledged = new Map<ShardId, Map<UnitNumber, Acknowledged>>();
+  readonly #seen = new Map<string, number>();
+  #reported = false;
+
+  constructor(history: History) {
+    this.#history = history;
+  }
+
+  /** Called after each event of a daemon. */
+  observe(daemon: SimulatedDaemon, now: Milliseconds): void {
+    for (const [shard, leadership] of daemon.state.leaderships) {
+      const { replica, ready } = leadership;
+      const seenKey = `${daemon.id}#${daemon.life}:${shard}:${replica.term}`;
+      if (ready && this.#seen.get(seenKey) !== replica.appliedIndex) {
+        this.#seen.set(seenKey, replica.appliedIndex);
+        this.#compare(daemon, shard, now);
+      }
+    }
+  }
+
+  #compare(daemon: SimulatedDaemon, shard: ShardId, now: Milliseconds): void {
+    const known = this.#acknowledged.get(shard) ?? new Map<UnitNumber, Acknowledged>();
+    this.#acknowledged.set(shard, known);
+    const records = daemon.state.leaderships.get(shard)?.replica.table.records ?? new Map();
+    for (const [unit, before] of known) {
+      const record = records.get(unit);
+      const same = record?.epoch === before.epoch && record.server === before.server;
+      const lost =
+        record === undefined || record.epoch < before.epoch || (record.epoch === before.epoch && !same);
+      if (lost && !this.#isDeposed(daemon, shard) && !this.#reported) {
+        this.#reported = true;
+        const found = record === undefined ? 'nothing' : `${record.server} at ${record.epoch}`;
+        const detail = `${shard} unit ${unit}: ${before.server} at ${before.epoch} was acknowledged, ${daemon.id} has ${found}`;
+        this.#history.violate('acknowledged-survives', now, detail);
+      }
+    }
+    for (const [unit, { epoch, server }] of records) {
+      if (epoch >= (known.get(unit)?.epoch ?? 0)) {
+        known.set(unit, { epoch, server });
+      }
+    }
+  }
+
+  /** A leader that has been replaced and does not know it yet may be behind: it can acknowledge nothing. */
+  #isDeposed(daemon: SimulatedDaemon, shard: ShardId): boolean {
+    const replica = daemon.state.leaderships.get(shard)?.replica;
+    const newest = this.#newestTerm.get(shard) ?? 0;
+    return replica !== undefined && replica.term < newest;
+  }
+
+  readonly #newestTerm = new Map<ShardId, number>();
+
+  /** Notes the newest term that has a leader. */
+  noteTerms(daemon: SimulatedDaemon): void {
+    for (const [shard, { replica }] of daemon.state.leaderships) {
+      this.#newestTerm.set(shard, Math.max(this.#newestTerm.get(shard) ?? 0, replica.term));
+    }
+  }
+}
+
+/** A configuration never reverts on a daemon, and what was accepted is in force everywhere in the end. */
+export class ConfigurationChecker {
+  readonly #history: History;
+  readonly #versions = new Map<string, number>();
+  #accepted = 0;
+
+  constructor(history: History) {
+    this.#history = history;
+  }
+
+  /** Called after each event of a daemon. */
+  observe(daemon: SimulatedDaemon, now: Milliseconds): void {
+    const key = `${daemon.id}#${daemon.life}`;
+    const { version } = daemon.state.configuration;
+    const before = this.#versions.get(key) ?? 0;
+    if (version === before) {
+      return;
+    }
+    this.#versions.set(key, version);
+    if (version < before) {
+      this.#history.violate(
+        'configuration-in-force',
+        now,
+        `${daemon.id} went from ${before} back to ${version}`,
+      );
+    }
+  }
+
+  /** An operator was told that a version is accepted. */
+  accepted(version: number): void {
+    this.#accepted = Math.max(this.#accepted, version);
+  }
+
+  /** Called when everything has been whole for longer than a configuration may take. */
+  atEnd(daemons: readonly SimulatedDaemon[], storeVersion: number, now: Milliseconds): void {
+    if (storeVersion < this.#accepted) {
+      this.#history.violate(
+        'configuration-in-force',
+        now,
+        `version ${this.#accepted} was accepted and is gone`,
+      );
+    }
+    for (const daemon of daemons) {
+      const { version } = daemon.state.configuration;
+      if (daemon.working && version < this.#accepted) {
+        const detail = `${daemon.id} has ${version} in force, ${this.#accepted} was accepted`;
+        this.#history.violate('configuration-in-force', now, detail);
+      }
+    }
+  }
+}
+
+/** After a drain was accepted, and a few seconds more, a server is given no new work. */
+export class DrainChecker {
+  readonly #history: History;
+  readonly #drainedAt = new Map<ServerId, Milliseconds>();
+  readonly #grace: Milliseconds;
+
+  constructor(history: History, grace: Milliseconds) {
+    this.#history = history;
+    this.#grace = grace;
+  }
+
+  /** A drain, or its end, was accepted. */
+  changed(server: ServerId, draining: boolean, now: Milliseconds): void {
+    if (draining) {
+      this.#drainedAt.set(server, now);
+    } else {
+      this.#drainedAt.delete(server);
+    }
+  }
+
+  /** A server admitted a request. */
+  admitted(server: ServerId, now: Milliseconds): void {
+    const since = this.#drainedAt.get(server);
+    if (since !== undefined && now > since + this.#grace) {
+      this.#drainedAt.delete(server);
+      const detail = `${server} took a request ${Math.round(now - since)} ms after its drain was accepted`;
+      this.#history.violate('leaving-gets-no-work', now, detail);
+    }
+  }
+}
--- /dev/null
+++ b/src/simulation/mutations.ts
@@ -0,0 +1,62 @@
+/**
+ * Planted bugs: one safety rule switched off at a time. Each must be noticed by some checker within a
+ * stated number of seeds, which proves that the checkers check.
+ */
+import { ALL_RULES, type SafetyRules } from '../core/safety-rules.js';
+import type { FaultKind } from './faults.js';
+
+/** A planted bug and the scenario that provokes it. */
+export interface Mutation {
+  readonly name: string;
+  readonly rules: SafetyRules;
+  readonly faults: readonly FaultKind[];
+  /** Noticed within this many seeds, from seed 1 on. */
+  readonly seeds: number;
+}
+
+function without(rule: keyof SafetyRules): SafetyRules {
+  return { ...ALL_RULES, [rule]: false };
+}
+
+/** Every planted bug. */
+export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'skip-lease-wait',
+    rules: without('waitForLease'),
+    faults: ['server-freeze', 'partition'],
+    seeds: 10,
+  },
+  {
+    name: 'skip-election-wait',
+    rules: without('waitAfterElection'),
+    faults: ['partition', 'leader-crash'],
+    seeds: 40,
+  },
+  {
+    name: 'renew-unconfirmed',
+    rules: without('confirmStampByQuorum'),
+    faults: ['leader-cut', 'partition'],
+    seeds: 40,
+  },
+  {
+    name: 'skip-revocation',
+    rules: without('waitForRevocation'),
+    faults: ['operator-race', 'drain'],
+    seeds: 10,
+  },
+  { name: 'commit-alone', rules: without('commitByQuorum'), faults: ['leader-cut', 'partition'], seeds: 40 },
+  {
+    name: 'older-configuration',
+    rules: without('configurationOnlyForward'),
+    faults: ['operator-race', 'network-bad'],
+    seeds: 20,
+  },
+  {
+    name: 'repeat-unrepeatable',
+    rules: without('neverRepeatUnrepeatable'),
+    faults: ['network-bad'],
+    seeds: 10,
+  },
+  { name: 'claim-not-run', rules: without('sayUnknownAfterLoss'), faults: ['network-bad'], seeds: 10 },
+  { name: 'ignore-drain', rules: without('respectDraining'), faults: ['drain'], seeds: 10 },
+];
--- /dev/null
+++ b/src/simulation/run.ts
@@ -0,0 +1,142 @@
+/**
+ * One run of one scenario from one seed.
+ */
+import { configurationOf, findSystem, type SystemShape } from '../emulator/systems.js';
+import type { Milliseconds } from '../core/identifiers.js';
+import type { SafetyRules } from '../core/safety-rules.js';
+import { beginFault, type FaultKind } from './faults.js';
+import type { Violation } from './history.js';
+import { startWorkload } from './workload.js';
+import { World } from './world.js';
+
+const SETTLED_AT: Milliseconds = 5_000;
+const FAULTS_UNTIL: Milliseconds = 14_000;
+const QUIET_UNTIL: Milliseconds = 34_000;
+const REQUESTS_PER_SECOND = 60;
+const DAEMONS = 5;
+const MOST_FAULTS_OF_A_KIND = 2;
+/** A second crash before the first is repaired would be more than a minority: outside the claim. */
+const CRASHES_OF_A_RUN = 1;
+
+/** A scenario: which faults may come. */
+export interface Scenario {
+  readonly name: string;
+  readonly faults: readonly FaultKind[];
+}
+
+/** What a run showed. */
+export interface RunResult {
+  readonly seed: number;
+  readonly scenario: string;
+  readonly events: number;
+  readonly violations: readonly Violation[];
+  /** Longest unavailable time of any unit. */
+  readonly longestOutage: Milliseconds;
+  readonly ownerChanges: number;
+  readonly calls: {
+    readonly answered: number;
+    readonly notRun: number;
+    readonly unknown: number;
+    readonly broken: number;
+  };
+  readonly timeline: readonly string[];
+}
+
+/** How to run. */
+export interface RunOptions {
+  readonly scenario: Scenario;
+  readonly seed: number;
+  readonly system?: string;
+  readonly rules?: SafetyRules;
+  readonly keepTimeline?: boolean;
+}
+
+/** The world of a system with five daemons over its zones. */
+export function createWorld(
+  system: SystemShape,
+  options: Omit<RunOptions, 'scenario' | 'system'>,
+  daemons = DAEMONS,
+): World {
+  const configuration = configurationOf(system, (position) => `127.0.0.1:${20_000 + position}`);
+  return new World({
+    seed: options.seed,
+    configuration,
+    daemonZones: Array.from(
+      { length: daemons },
+      (_, index) => system.zones[index % system.zones.length] ?? '',
+    ),
+    zoneDelay: system.zoneDelayMilliseconds,
+    ...(options.rules === undefined ? {} : { rules: options.rules }),
+    ...(options.keepTimeline === undefined ? {} : { keepTimeline: options.keepTimeline }),
+  });
+}
+
+/** The system of a name; the device lab when none is given. */
+export function systemNamed(name = 'klang-valley'): SystemShape {
+  const system = findSystem(name);
+  if (system === undefined) {
+    throw new Error(`no system ${name}`);
+  }
+  return system;
+}
+
+function planFaults(world: World, scenario: Scenario): void {
+  const { random, scheduler } = world;
+  let crashes = 0;
+  for (const kind of scenario.faults) {
+    const isCrash = kind === 'daemon-crash' || kind === 'leader-crash' || kind === 'planned-stop';
+    const wanted = 1 + random.below(MOST_FAULTS_OF_A_KIND);
+    const count = isCrash ? Math.min(wanted, CRASHES_OF_A_RUN - crashes) : wanted;
+    crashes += isCrash ? Math.max(0, count) : 0;
+    for (let index = 0; index < count; index += 1) {
+      const at = SETTLED_AT + random.fraction() * (FAULTS_UNTIL - SETTLED_AT - 4_000);
+      const duration = 200 + random.fraction() * 3_800;
+      scheduler.after(at, () => beginFault(world, kind, duration));
+    }
+  }
+}
+
+function checkEnd(world: World): void {
+  world.configurationChecker.atEnd(world.daemons, world.store.model.read('routing').version, world.now);
+  const { unavailable } = world.availability;
+  if (unavailable > 0) {
+    const detail = `${unavailable} units have no owner ${Math.round(world.now - FAULTS_UNTIL)} ms after the last fault`;
+    world.history.violate('served-again-in-time', world.now, detail);
+  }
+  const lateCalls = [...world.history.calls.values()].filter((call) => call.startedAt > world.now - 3_000);
+  const failed = lateCalls.filter((call) => call.outcome !== 'answered').length;
+  if (failed * 20 > lateCalls.length) {
+    const detail = `${failed} of the last ${lateCalls.length} requests were not answered`;
+    world.history.violate('whole-own-answer', world.now, detail);
+  }
+}
+
+/** Runs a scenario. The same options give the same result. */
+export function runScenario(options: RunOptions): RunResult {
+  const system = systemNamed(options.system);
+  const world = createWorld(system, options);
+  const configuration = configurationOf(system, (position) => `127.0.0.1:${20_000 + position}`);
+  startWorkload(world, configuration, REQUESTS_PER_SECOND, QUIET_UNTIL - 1_000);
+  planFaults(world, options.scenario);
+  world.scheduler.runUntil(SETTLED_AT);
+  world.availability.reset();
+  world.scheduler.runUntil(QUIET_UNTIL);
+  checkEnd(world);
+  const count = (outcome: string): number =>
+    [...world.history.calls.values()].filter((call) => call.outcome === outcome).length;
+  return {
+    seed: options.seed,
+    scenario: options.scenario.name,
+    events: world.scheduler.executed,
+    violations: world.history.violations,
+    longestOutage: world.availability.outages().at(-1) ?? 0,
+    ownerChanges: world.availability.ownerChanges,
+    calls: {
+      answered: count('answered'),
+      notRun: count('not-run'),
+      unknown: count('unknown'),
+      broken: count('broken'),
+    },
+    timeline: world.history.timeline,
+  };
+}
--- /dev/null
+++ b/src/simulation/simulated-daemon.ts
@@ -0,0 +1,88 @@
+/**
+ * A daemon in virtual time: the reducer that ships, with the simulation behind its effects.
+ */
+import { createDaemonState, type DaemonState } from '../core/daemon-state.js';
+import type { Effect } from '../core/effects.js';
+import type { DaemonEvent } from '../core/events.js';
+import type { DaemonId, Milliseconds } from '../core/identifiers.js';
+import { reduce } from '../core/reducer.js';
+import type { SafetyRules } from '../core/safety-rules.js';
+import { DEFAULT_TIMING } from '../core/timing.js';
+import type { Endpoint } from './network.js';
+import type { Scheduler } from './scheduler.js';
+import { SimulatedProcess } from './simulated-process.js';
+
+/** Performs the effects of a daemon. */
+export type EffectHandler = (daemon: SimulatedDaemon, effect: Effect) => void;
+/** Looks at a daemon after each event. */
+export type DaemonObserver = (daemon: SimulatedDaemon) => void;
+
+/** What a simulated daemon is made of. */
+export interface SimulatedDaemonOptions {
+  readonly endpoint: Endpoint;
+  readonly scheduler: Scheduler;
+  readonly clockRate: number;
+  readonly clockOffset: Milliseconds;
+  readonly rules: SafetyRules;
+  readonly seed: number;
+  readonly seeds: readonly string[];
+  readonly perform: EffectHandler;
+  readonly observe: DaemonObserver;
+}
+
+/** A simulated daemon. */
+export class SimulatedDaemon extends SimulatedProcess {
+  state: DaemonState;
+  /** Takes no new requests: a planned stop is under way. */
+  stopping = false;
+  readonly #options: SimulatedDaemonOptions;
+
+  constructor(options: SimulatedDaemonOptions) {
+    super(options.endpoint, options.scheduler, options.clockRate, options.clockOffset);
+    this.#options = options;
+    this.state = this.#newState();
+    this.#scheduleTick();
+  }
+
+  /** The daemon's name, which is its address too. */
+  get id(): DaemonId {
+    return this.endpoint.name;
+  }
+
+  /** Takes one event in, when the daemon gets to it. */
+  dispatch(event: DaemonEvent): void {
+    this.within(() => {
+      const effects = reduce(this.state, { now: this.clock, event });
+      this.#options.observe(this);
+      for (const effect of effects) {
+        this.#options.perform(this, effect);
+      }
+    });
+  }
+
+  protected override onStart(): void {
+    this.stopping = false;
+    this.state = this.#newState();
+    this.#scheduleTick();
+  }
+
+  #newState(): DaemonState {
+    const { endpoint, seed, seeds, rules } = this.#options;
+    const identity = {
+      id: endpoint.name,
+      incarnation: this.life,
+      address: endpoint.name,
+      zone: endpoint.zone,
+      seeds,
+      randomSeed: seed * 1_000 + this.life,
+    };
+    return createDaemonState(identity, rules);
+  }
+
+  #scheduleTick(): void {
+    this.later(DEFAULT_TIMING.tick, () => {
+      this.dispatch({ kind: 'tick' });
+      this.#scheduleTick();
+    });
+  }
+}
--- /dev/null
+++ b/src/simulation/simulated-server.ts
@@ -0,0 +1,74 @@
+/**
+ * A server in virtual time: the same model of grants and leases as the emulated process, with slots and
+ * service times.
+ */
+import type { FencingToken } from '../core/effects.js';
+import type { Milliseconds } from '../core/identifiers.js';
+import type { ControlReply, ControlRequest } from '../core/server-control.js';
+import { ServerModel, type RequestRefusal } from '../emulator/server-model.js';
+import { SimulatedProcess } from './simulated-process.js';
+
+const SERVICE_TIME: Milliseconds = 2;
+const LONGEST_QUEUE = 64;
+
+/** How a request ended at a server. */
+export type ServiceResult =
+  { readonly kind: 'ran' } | { readonly kind: 'refused'; readonly reason: RequestRefusal };
+
+/** A simulated server. */
+export class SimulatedServer extends SimulatedProcess {
+  model = new ServerModel(1);
+  slots = 2;
+  /** Called for every request that takes effect. */
+  onRun: (callId: number) => void = () => undefined;
+  /** Called for every request that is admitted. */
+  onAdmit: () => void = () => undefined;
+  #running = 0;
+  #queue: (() => void)[] = [];
+
+  /** Answers a leader's call. */
+  control(request: ControlRequest): ControlReply {
+    return this.model.control(request, this.clock);
+  }
+
+  /** Takes a request; `done` is called when it ends, unless the server's life ends first. */
+  serve(callId: number, token: FencingToken | null, done: (result: ServiceResult) => void): void {
+    const refusal = this.#queue.length >= LONGEST_QUEUE ? 'overloaded' : this.model.admit(token, this.clock);
+    if (refusal !== null) {
+      done({ kind: 'refused', reason: refusal });
+      return;
+    }
+    this.onAdmit();
+    this.#queue.push(() => this.#run(callId, token, done));
+    this.#startNext();
+  }
+
+  protected override onStart(): void {
+    this.model = new ServerModel(this.model.incarnation + 1);
+    this.#running = 0;
+    this.#queue = [];
+  }
+
+  #startNext(): void {
+    if (this.#running < this.slots) {
+      const next = this.#queue.shift();
+      if (next !== undefined) {
+        this.#running += 1;
+        next();
+      }
+    }
+  }
+
+  #run(callId: number, token: FencingToken | null, done: (result: ServiceResult) => void): void {
+    this.later(SERVICE_TIME, () => {
+      const mayRun = this.model.mayTakeEffect(token, this.clock);
+      this.model.finish(token);
+      this.#running -= 1;
+      if (mayRun) {
+        this.onRun(callId);
+      }
+      done(mayRun ? { kind: 'ran' } : { kind: 'refused', reason: 'lease-lapsed' });
+      this.#startNext();
+    });
+  }
+}
--- /dev/null
+++ b/src/simulation/simulated-store.ts
@@ -0,0 +1,128 @@
+/**
+ * The platform's store in virtual time, with the faults of the emulated one.
+ */
+import type { ReadObjectEffect, WriteObjectEffect } from '../core/effects.js';
+import type { ObjectReadEvent, ObjectWrittenEvent } from '../core/events.js';
+import type { Milliseconds } from '../core/identifiers.js';
+import { StoreModel, type StoreFault } from '../emulator/store-model.js';
+import type { Endpoint, Network } from './network.js';
+import type { Scheduler } from './scheduler.js';
+import type { SimulatedDaemon } from './simulated-daemon.js';
+
+const SLOW_DELAY: Milliseconds = 2_000;
+const CALL_TIMEOUT: Milliseconds = 3_000;
+const WATCH_TIME: Milliseconds = 8_000;
+const REFUSAL_DELAY: Milliseconds = 5;
+
+/** The simulated store. */
+export class SimulatedStore {
+  readonly endpoint: Endpoint = { name: 'store', zone: 'platform' };
+  readonly model = new StoreModel();
+  fault: StoreFault = 'none';
+  readonly #scheduler: Scheduler;
+  readonly #network: Network;
+
+  constructor(scheduler: Scheduler, network: Network) {
+    this.#scheduler = scheduler;
+    this.#network = network;
+  }
+
+  /** Reads for a daemon; the answer, or its absence, becomes an event of that daemon. */
+  read(daemon: SimulatedDaemon, effect: ReadObjectEffect): void {
+    const { name, afterVersion } = effect;
+    const event = (result: ObjectReadEvent['result']): ObjectReadEvent => ({
+      kind: 'objectRead',
+      name,
+      result,
+    });
+    const patience = CALL_TIMEOUT + (afterVersion === null ? 0 : WATCH_TIME);
+    const conclude = this.#once(daemon, event, patience);
+    const answer = (): void => {
+      const object = this.model.read(name);
+      this.#network.deliverOnce(
+        this.endpoint,
+        daemon.endpoint,
+        () => conclude(object),
+        () => undefined,
+      );
+    };
+    this.#arrive(
+      daemon,
+      () => conclude(null),
+      () => {
+        if (afterVersion === null || this.model.read(name).version > afterVersion) {
+          answer();
+          return;
+        }
+        const cancel = this.model.waitForNewer(name, afterVersion, answer);
+        this.#scheduler.after(WATCH_TIME, () => {
+          cancel();
+          answer();
+        });
+      },
+    );
+  }
+
+  /** Writes for a daemon by compare-and-swap. */
+  write(daemon: SimulatedDaemon, effect: WriteObjectEffect): void {
+    const { name, expectedVersion, writeId, value } = effect;
+    type Fate = Pick<ObjectWrittenEvent, 'result' | 'version'>;
+    const event = (fate: Fate | null): ObjectWrittenEvent => ({
+      kind: 'objectWritten',
+      name,
+      writeId,
+      ...(fate ?? { result: 'unknown', version: 0 }),
+    });
+    const conclude = this.#once(daemon, event, CALL_TIMEOUT);
+    const refused: Fate = { result: 'refused', version: 0 };
+    this.#arrive(
+      daemon,
+      () => conclude(refused),
+      () => {
+        const outcome = this.model.write(name, expectedVersion, writeId, value);
+        if (this.fault === 'lose-answers') {
+          return;
+        }
+        const fate: Fate =
+          outcome.kind === 'written'
+            ? { result: 'written', version: outcome.version }
+            : { result: 'conflict', version: 0 };
+        this.#network.deliverOnce(
+          this.endpoint,
+          daemon.endpoint,
+          () => conclude(fate),
+          () => undefined,
+        );
+      },
+    );
+  }
+
+  /** Makes a call end once: with an answer or, after its patience, without. */
+  #once<Answer, Event extends ObjectReadEvent | ObjectWrittenEvent>(
+    daemon: SimulatedDaemon,
+    event: (answer: Answer | null) => Event,
+    patience: Milliseconds,
+  ): (answer: Answer | null) => void {
+    const { life } = daemon;
+    let open = true;
+    const conclude = (answer: Answer | null): void => {
+      if (open && daemon.life === life) {
+        open = false;
+        daemon.dispatch(event(answer));
+      }
+    };
+    this.#scheduler.after(patience, () => conclude(null));
+    return conclude;
+  }
+
+  #arrive(daemon: SimulatedDaemon, refuse: () => void, act: () => void): void {
+    const arrive = (): void => {
+      if (this.fault === 'down') {
+        this.#scheduler.after(REFUSAL_DELAY, refuse);
+      } else {
+        this.#scheduler.after(this.fault === 'slow' ? SLOW_DELAY : 0, act);
+      }
+    };
+    this.#network.deliverOnce(daemon.endpoint, this.endpoint, arrive, () => undefined);
+  }
+}
--- /dev/null
+++ b/test/core/request/test-request-reducer.ts
@@ -0,0 +1,92 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import type { AttemptResult } from '../../../src/core/events.js';
+import { DaemonFixture, ofKind } from '../../support/daemon-fixture.js';
+
+const LOST: AttemptResult = { kind: 'lost', reason: 'reset', answerStarted: false };
+const REFUSED: AttemptResult = { kind: 'refused', reason: 'not-owner' };
+
+function end(
+  daemon: DaemonFixture,
+  attempt: number,
+  result: AttemptResult,
+): ReturnType<DaemonFixture['dispatch']> {
+  return daemon.dispatch({ kind: 'attemptEnded', requestId: 1, attempt, result });
+}
+
+describe('request reducer', () => {
+  it('forwards a keyed request to the owner with its fencing token', () => {
+    const [forward] = ofKind(new DaemonFixture().request(1, 'GET', '/k/a'), 'forward');
+    expect(forward?.server).toEqual('keyed-1');
+    expect(forward?.token?.epoch).toEqual(7);
+  });
+
+  for (const [name, method, path, extra, status] of [
+    ['an unknown path', 'GET', '/nowhere', {}, 404],
+    ['a missing key', 'GET', '/h', {}, 400],
+    ['too many hops', 'GET', '/k/a', { headers: { 'fennelferry-hops': '2' } }, 508],
+  ] as const) {
+    it(`refuses ${name} with ${status}, not run`, () => {
+      const [answer] = ofKind(new DaemonFixture().request(1, method, path, extra), 'answer');
+      expect(answer?.status).toEqual(status);
+      expect(answer?.outcome).toEqual('not-run');
+    });
+  }
+
+  it('never sends an unrepeatable request again once it may have run', () => {
+    const daemon = new DaemonFixture();
+    daemon.request(1, 'POST', '/k/a');
+    const effects = [...end(daemon, 1, LOST), ...daemon.pass(500)];
+    expect(ofKind(effects, 'forward')).toEqual([]);
+    expect(ofKind(effects, 'answer').map((answer) => answer.outcome)).toEqual(['unknown']);
+  });
+
+  it('sends a refused unrepeatable request again: it was not run', () => {
+    const daemon = new DaemonFixture();
+    daemon.request(1, 'POST', '/k/a');
+    const effects = [...end(daemon, 1, REFUSED), ...daemon.pass(100)];
+    expect(ofKind(effects, 'forward').map((forward) => forward.attempt)).toEqual([2]);
+  });
+
+  it('does not say not-run of a request that an earlier attempt may have run', () => {
+    const daemon = new DaemonFixture();
+    daemon.request(1, 'GET', '/k/a');
+    const effects = [...end(daemon, 1, LOST), ...daemon.pass(60)];
+    expect(ofKind(effects, 'forward').length).toEqual(1);
+    effects.push(...end(daemon, 2, REFUSED));
+    for (let attempt = 3; attempt < 40; attempt += 1) {
+      daemon.pass(200);
+      effects.push(...end(daemon, attempt, REFUSED), ...daemon.pass(20));
+    }
+    expect(ofKind(effects, 'answer').map((answer) => answer.outcome)).toEqual(['unknown']);
+  });
+
+  it('gives a held request up at once when its time does not suffice, and says when to come back', () => {
+    const daemon = new DaemonFixture();
+    daemon.state.tables.shards.clear();
+    const effects = [...daemon.request(1, 'GET', '/k/a'), ...daemon.pass(2_100)];
+    const [answer] = ofKind(effects, 'answer');
+    expect(answer?.outcome).toEqual('not-run');
+    expect(answer?.retryAfterSeconds).toEqual(1);
+  });
+
+  it('frees the slot of a caller that left and cancels its attempt', () => {
+    const daemon = new DaemonFixture();
+    daemon.request(1, 'GET', '/k/a');
+    const effects = daemon.dispatch({ kind: 'callerLeft', requestId: 1 });
+    expect(ofKind(effects, 'cancel').length).toEqual(1);
+    expect(daemon.state.requests.servers.get('keyed-1')?.inFlight).toEqual(0);
+  });
+
+  it('sheds the least urgent request first when a server is overloaded', () => {
+    const daemon = new DaemonFixture();
+    const answers = [];
+    for (let id = 1; id <= 60; id += 1) {
+      answers.push(...ofKind(daemon.request(id, 'GET', '/k/a'), 'answer'));
+    }
+    expect(answers.length > 0).toEqual(true);
+    expect(answers.every((answer) => answer.outcome === 'not-run' && answer.retryAfterSeconds === 1)).toEqual(
+      true,
+    );
+  });
+});
