--- a/src/simulation/faults.ts
+++ b/src/simulation/faults.ts
@@ -25,6 +25,7 @@
   'store-lose-answers',
   'network-bad',
   'operator-race',
+  'configuration-burst',
   'drain',
   'planned-stop',
 ] as const;
@@ -32,6 +33,8 @@
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
 const DRAIN_POLL: Milliseconds = 20;
+const BURST_CHANGES = 30;
+const BURST_SPACING: Milliseconds = 100;
 const PLANNED_STOP_PATIENCE: Milliseconds = 10_000;
 
 function between(random: SeededRandom, least: Milliseconds, most: Milliseconds): Milliseconds {
@@ -210,6 +213,19 @@
   });
 }
 
+/** Changes of configuration in quick succession, each through another daemon. */
+function configurationBurst(world: World): void {
+  for (let change = 0; change < BURST_CHANGES; change += 1) {
+    world.scheduler.after(change * BURST_SPACING, () => {
+      const daemon = world.random.pick(world.daemons.filter((candidate) => candidate.working));
+      const server = world.random.pick([...world.servers.keys()]);
+      if (daemon !== undefined && server !== undefined) {
+        configure(world, daemon, server, 'weight', 1);
+      }
+    });
+  }
+}
+
 /** A daemon is stopped as planned: it takes no new requests, finishes what it has, and is replaced. */
 function plannedStop(world: World): void {
   const daemon = world.random.pick(
@@ -278,6 +294,8 @@
       return badNetwork(world, duration);
     case 'operator-race':
       return operatorRace(world);
+    case 'configuration-burst':
+      return configurationBurst(world);
     case 'drain':
       return drain(world, duration);
     case 'planned-stop':
--- a/src/simulation/mutations.ts
+++ b/src/simulation/mutations.ts
@@ -48,7 +48,7 @@
   {
     name: 'older-configuration',
     rules: without('configurationOnlyForward'),
-    faults: ['operator-race', 'network-bad'],
+    faults: ['configuration-burst', 'network-bad'],
     seeds: 20,
   },
   {
