The demonstration, and what it found: requests waiting on a frozen owner, a cancelled attempt ending the next

Cause 1: a request already at a server that froze waited for its deadline although its unit had a new owner; the longest time without an answer for a key was 2574 ms (the freeze plus the way back). Change: a repeatable request follows its unit; an unrepeatable one stays, since it may be running. Cause 2: one abort signal served all attempts of a request, so a retry after a cancelled attempt failed at once and was told unknown (16 requests). Change: a signal for each attempt. Ruled out: the lease (the unit had its new owner after 1.1 s). Both tests failed first.

--- a/src/core/request/request-reducer.ts
+++ b/src/core/request/request-reducer.ts
@@ -109,6 +109,7 @@
     attempt: 0,
     server: null,
     unit: null,
+    epoch: null,
     retryAt: 0,
     holdUntil: 0,
     mayHaveRun: false,
@@ -195,6 +196,7 @@
   request.phase = 'running';
   request.attempt += 1;
   request.server = server.id;
+  request.epoch = token?.epoch ?? null;
   loadOf(requests, server.id).inFlight += 1;
   counters.attempts += 1;
   context.emit({
@@ -305,14 +307,18 @@
 }
 
 function abandon(context: ReducerContext, request: ActiveRequest): void {
-  const { requests } = context.state;
-  const { server, phase } = request;
   finish(context, request);
+  leaveServer(context, request);
+}
+
+/** Takes a request out of a server's queue, or cancels its attempt there. */
+function leaveServer(context: ReducerContext, request: ActiveRequest): void {
+  const { server, phase } = request;
   if (server === null) {
     return;
   }
   if (phase === 'queued') {
-    const { queue } = loadOf(requests, server);
+    const { queue } = loadOf(context.state.requests, server);
     queue.splice(queue.indexOf(request), 1);
     return;
   }
@@ -320,6 +326,25 @@
   releaseSlot(context, server);
 }
 
+function ownerHasChanged(context: ReducerContext, request: ActiveRequest): boolean {
+  const { unit, epoch, group } = request;
+  if (unit === null || epoch === null || request.phase !== 'running') {
+    return false;
+  }
+  const shard = context.state.tables.shards.get(shardOfUnit(group, unit));
+  return (shard?.table.records.get(unit)?.epoch ?? epoch) > epoch;
+}
+
+/** A repeatable request does not wait for a server that lost its unit, perhaps because it is frozen. */
+function followOwner(context: ReducerContext, request: ActiveRequest): void {
+  if (!request.route.repeatable || !request.replayable || !ownerHasChanged(context, request)) {
+    return;
+  }
+  leaveServer(context, request);
+  request.lastReason = `server ${request.server ?? ''} lost the unit while the request was there`;
+  concludeLost(context, request, false);
+}
+
 function checkDeadline(context: ReducerContext, request: ActiveRequest): void {
   if (context.now < request.deadlineAt || request.phase === 'answering') {
     return;
@@ -342,6 +367,7 @@
   if (context.now >= requests.nextDeadlineCheckAt) {
     requests.nextDeadlineCheckAt = context.now + DEADLINE_CHECK_INTERVAL;
     for (const request of [...requests.active.values()]) {
+      followOwner(context, request);
       checkDeadline(context, request);
     }
   }
--- a/src/core/request/request-state.ts
+++ b/src/core/request/request-state.ts
@@ -2,7 +2,7 @@
  * The requests that a router has under way, and what it sees of each server's load.
  */
 import type { GroupConfiguration, RouteConfiguration } from '../configuration/routing-configuration.js';
-import type { Milliseconds, ServerId, UnitNumber } from '../identifiers.js';
+import type { Epoch, Milliseconds, ServerId, UnitNumber } from '../identifiers.js';
 
 export type RequestPhase = 'held' | 'queued' | 'running' | 'answering';
 
@@ -20,6 +20,8 @@
   attempt: number;
   server: ServerId | null;
   unit: UnitNumber | null;
+  /** Epoch of the unit in the present attempt's fencing token. */
+  epoch: Epoch | null;
   /** When a held request is tried again, and when it is given up. */
   retryAt: Milliseconds;
   holdUntil: Milliseconds;
--- /dev/null
+++ b/src/demo/processes.ts
@@ -0,0 +1,73 @@
+/**
+ * The processes of a demonstration: started here, ended here, each by its own id.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createServer } from 'node:net';
+import { fileURLToPath } from 'node:url';
+
+const PROGRAM = fileURLToPath(new URL('../main.js', import.meta.url));
+const END_PATIENCE_MILLISECONDS = 3_000;
+const FIRST_PORT = 17_000;
+const PORT_STEP = 100;
+const PORT_TRIES = 50;
+
+/** Processes by name. */
+export class ProcessGroup {
+  readonly #children = new Map<string, ChildProcess>();
+
+  /** Starts the program with arguments under a name. What it writes to its error output is shown. */
+  start(name: string, commandLine: readonly string[]): void {
+    const child = spawn(process.execPath, [PROGRAM, ...commandLine], {
+      stdio: ['ignore', 'ignore', 'inherit'],
+    });
+    this.#children.set(name, child);
+    child.once('exit', () => this.#children.delete(name));
+  }
+
+  /** Sends a signal to one process. */
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#children.get(name)?.kill(signal);
+  }
+
+  /** How many run. */
+  get count(): number {
+    return this.#children.size;
+  }
+
+  /** Ends all of them: asked first, made to after a few seconds. Frozen ones go on first. */
+  async end(): Promise<void> {
+    const children = [...this.#children.values()];
+    const gone = children.map((child) => new Promise<void>((resolve) => child.once('exit', () => resolve())));
+    for (const child of children) {
+      child.kill('SIGCONT');
+      child.kill('SIGTERM');
+    }
+    const timer = setTimeout(
+      () => children.forEach((child) => child.kill('SIGKILL')),
+      END_PATIENCE_MILLISECONDS,
+    );
+    await Promise.all(gone);
+    clearTimeout(timer);
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const probe = createServer();
+    probe.once('error', () => resolve(false));
+    probe.listen(port, '127.0.0.1', () => probe.close(() => resolve(true)));
+  });
+}
+
+/** The first of `count` ports in a row that are free. */
+export async function findFreePorts(count: number): Promise<number> {
+  for (let attempt = 0; attempt < PORT_TRIES; attempt += 1) {
+    const base = FIRST_PORT + attempt * PORT_STEP;
+    const ports = Array.from({ length: count }, (_, index) => base + index);
+    const free = await Promise.all(ports.map(isFree));
+    if (free.every(Boolean)) {
+      return base;
+    }
+  }
+  throw new Error(`no ${count} free ports in a row from ${FIRST_PORT} on`);
+}
--- a/src/emulator/systems.ts
+++ b/src/emulator/systems.ts
@@ -115,3 +115,12 @@
 export function findSystem(name: string): SystemShape | undefined {
   return SYSTEMS.find((system) => system.name === name);
 }
+
+/** The system of a name; the device lab when none is given. */
+export function systemNamed(name = 'klang-valley'): SystemShape {
+  const system = findSystem(name);
+  if (system === undefined) {
+    throw new Error(`no system ${name}`);
+  }
+  return system;
+}
--- a/src/runtime/request-bridge.ts
+++ b/src/runtime/request-bridge.ts
@@ -30,7 +30,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer | null;
-  readonly abort: AbortController;
+  /** Ends the attempt under way. */
+  abort: AbortController;
 }
 
 /** Feeds events to the reducer. */
@@ -133,7 +134,9 @@
   }
 
   async #attempt(exchange: Exchange, effect: ForwardEffect): Promise<AttemptResult> {
-    const { request, response, abort } = exchange;
+    const { request, response } = exchange;
+    const abort = new AbortController();
+    exchange.abort = abort;
     const server = this.#state.configuration.servers.get(effect.server);
     const daemons = this.#state.membership.members.size;
     const connections = server === undefined ? 1 : inFlightLimit(server, daemons);
--- a/src/simulation/run.ts
+++ b/src/simulation/run.ts
@@ -1,7 +1,7 @@
 /**
  * One run of one scenario from one seed.
  */
-import { configurationOf, findSystem, type SystemShape } from '../emulator/systems.js';
+import { configurationOf, systemNamed, type SystemShape } from '../emulator/systems.js';
 import type { Milliseconds } from '../core/identifiers.js';
 import type { SafetyRules } from '../core/safety-rules.js';
 import { beginFault, type FaultKind } from './faults.js';
@@ -71,15 +71,6 @@
   });
 }
 
-/** The system of a name; the device lab when none is given. */
-export function systemNamed(name = 'klang-valley'): SystemShape {
-  const system = findSystem(name);
-  if (system === undefined) {
-    throw new Error(`no system ${name}`);
-  }
-  return system;
-}
-
 function planFaults(world: World, scenario: Scenario): void {
   const { random, scheduler } = world;
   let crashes = 0;
--- a/test/core/request/test-request-reducer.ts
+++ b/test/core/request/test-request-reducer.ts
@@ -1,6 +1,11 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 import type { AttemptResult } from '../../../src/core/events.js';
+import {
+  applyChange,
+  assignmentChange,
+  createOwnershipTable,
+} from '../../../src/core/ownership/ownership-table.js';
 import { DaemonFixture, ofKind } from '../../support/daemon-fixture.js';
 
 const LOST: AttemptResult = { kind: 'lost', reason: 'reset', answerStarted: false };
@@ -70,6 +75,26 @@
     expect(answer?.retryAfterSeconds).toEqual(1);
   });
 
+  function moveAway(daemon: DaemonFixture): ReturnType<DaemonFixture['pass']> {
+    const change = assignmentChange([0, 1, 2, 3].map((unit) => ({ unit, server: 'keyed-2', epoch: 8 })));
+    applyChange(daemon.state.tables.shards.get('keyed/0')?.table ?? createOwnershipTable(), change);
+    return daemon.pass(60);
+  }
+
+  it('does not wait for a frozen server once its unit has another owner', () => {
+    const daemon = new DaemonFixture();
+    daemon.request(1, 'GET', '/k/a');
+    const effects = moveAway(daemon);
+    expect(ofKind(effects, 'cancel').length).toEqual(1);
+    expect(ofKind(effects, 'forward').map((forward) => forward.server)).toEqual(['keyed-2']);
+  });
+
+  it('leaves an unrepeatable request with the server that may be running it', () => {
+    const daemon = new DaemonFixture();
+    daemon.request(1, 'POST', '/k/a');
+    expect(ofKind(moveAway(daemon), 'forward')).toEqual([]);
+  });
+
   it('frees the slot of a caller that left and cancels its attempt', () => {
     const daemon = new DaemonFixture();
     daemon.request(1, 'GET', '/k/a');
--- /dev/null
+++ b/test/runtime/test-request-bridge.ts
@@ -0,0 +1,171 @@
+import { expect } from 'earl';
+import { afterEach, describe, it } from 'node:test';
+import { request } from 'undici';
+import type { ForwardEffect } from '../../src/core/effects.js';
+import type { AttemptEndedEvent, DaemonEvent, RequestArrivedEvent } from '../../src/core/events.js';
+import { RequestBridge } from '../../src/runtime/request-bridge.js';
+import { ServerClient } from '../../src/runtime/server-client.js';
+import { DaemonFixture } from '../support/daemon-fixture.js';
+import { startServer, stopServers, type TestServer } from '../support/http-servers.js';
+
+const open: TestServer[] = [];
+const clients: ServerClient[] = [];
+
+async function server(...parameters: Parameters<typeof startServer>): Promise<TestServer> {
+  const started = await startServer(...parameters);
+  open.push(started);
+  return started;
+}
+
+/** A bridge behind a front, with what it tells the reducer. */
+async function createBridge(): Promise<{
+  bridge: RequestBridge;
+  front: TestServer;
+  next: <Kind extends DaemonEvent['kind']>(kind: Kind) => Promise<Extract<DaemonEvent, { kind: Kind }>>;
+}> {
+  const events: DaemonEvent[] = [];
+  const waiting = new Set<() => void>();
+  const client = new ServerClient();
+  clients.push(client);
+  const dispatch = (event: DaemonEvent): void => {
+    events.push(event);
+    waiting.forEach((wake) => wake());
+  };
+  const bridge = new RequestBridge(new DaemonFixture().state, client, dispatch, () => 0);
+  const front = await server((incoming, outgoing) => void bridge.receive(incoming, outgoing, 1_000_000));
+  const next = async <Kind extends DaemonEvent['kind']>(
+    kind: Kind,
+  ): Promise<Extract<DaemonEvent, { kind: Kind }>> => {
+    for (;;) {
+      const index = events.findIndex((event) => event.kind === kind);
+      if (index >= 0) {
+        return events.splice(index, 1)[0] as Extract<DaemonEvent, { kind: Kind }>;
+      }
+      await new Promise<void>((resolve) => {
+        const wake = (): void => {
+          waiting.delete(wake);
+          resolve();
+        };
+        waiting.add(wake);
+      });
+    }
+  };
+  return { bridge, front, next };
+}
+
+function forwardTo(arrived: RequestArrivedEvent, attempt: number, address: string): ForwardEffect {
+  const token = { group: 'keyed', unit: 1, epoch: 7 };
+  const { requestId } = arrived;
+  return { kind: 'forward', requestId, attempt, server: 'keyed-1', address, token, deadlineAt: 1_000 };
+}
+
+describe('request bridge', () => {
+  afterEach(() => {
+    stopServers(...open.splice(0));
+    clients.splice(0).forEach((client) => client.close());
+  });
+
+  it('can send a request again after an attempt was cancelled', async () => {
+    const { bridge, front, next } = await createBridge();
+    const frozen = await server(() => undefined);
+    const good = await server((_, response) => response.end('whole'));
+    const answer = request(`http://${front.address}/k/a`, { method: 'GET' });
+    answer.catch(() => undefined);
+    const arrived = await next('requestArrived');
+    void bridge.forward(forwardTo(arrived, 1, frozen.address));
+    bridge.cancel({ kind: 'cancel', requestId: arrived.requestId, attempt: 1 });
+    expect((await next('attemptEnded')).result.kind).toEqual('lost');
+    void bridge.forward(forwardTo(arrived, 2, good.address));
+    expect((await next('attemptEnded')).result.kind).toEqual('answered');
+    expect(await (await answer).body.text()).toEqual('whole');
+  });
+
+  it('passes the fencing token on and lets no caller forge one', async () => {
+    const { bridge, front, next } = await createBridge();
+    let seen: unknown;
+    const good = await server((incoming, response) => {
+      seen = [
+        incoming.headers['fennelferry-epoch'],
+        incoming.headers['fennelferry-unit'],
+        incoming.headers['x-own'],
+      ];
+      response.end();
+    });
+    const headers = { 'fennelferry-epoch': '99', 'fennelferry-extra': '1', 'x-own': 'kept' };
+    const answer = request(`http://${front.address}/k/a`, { method: 'GET', headers });
+    void bridge.forward(forwardTo(await next('requestArrived'), 1, good.address));
+    await (await answer).body.dump();
+    expect(seen).toEqual(['7', '1', 'kept']);
+  });
+
+  it('breaks the connection of a truncated answer', async () => {
+    const { bridge, front, next } = await createBridge();
+    const cutting = await server((_, response) => {
+      response.writeHead(200, { 'content-length': '100' });
+      response.write('half', () => response.destroy());
+    });
+    const answer = request(`http://${front.address}/k/a`, { method: 'GET' });
+    void bridge.forward(forwardTo(await next('requestArrived'), 1, cutting.address));
+    const ended: AttemptEndedEvent = await next('attemptEnded');
+    expect(ended.result).toEqual({ kind: 'lost', reason: expect.a(String), answerStarted: true });
+    const text = await (await answer).body.text().catch(() => 'broken');
+    expect(text).toEqual('broken');
+  });
+
+  for (const [name, listener, expected] of [
+    [
+      'a reset before the answer',
+      (request: { socket: { resetAndDestroy(): void } }) => request.socket.resetAndDestroy(),
+      'lost',
+    ],
+    [
+      'a refusal by the server',
+      (_: unknown, response: { writeHead(status: number, headers: object): { end(): void } }) =>
+        response.writeHead(409, { 'fennelferry-refused': 'not-owner' }).end(),
+      'refused',
+    ],
+  ] as const) {
+    it(`says ${expected} after ${name}`, async () => {
+      const { bridge, front, next } = await createBridge();
+      const failing = await server(listener as Parameters<typeof startServer>[0]);
+      const answer = request(`http://${front.address}/k/a`, { method: 'GET' }).catch(() => undefined);
+      const arrived = await next('requestArrived');
+      void bridge.forward(forwardTo(arrived, 1, failing.address));
+      expect((await next('attemptEnded')).result.kind).toEqual(expected);
+      const { requestId } = arrived;
+      bridge.answer({
+        kind: 'answer',
+        requestId,
+        status: 503,
+        outcome: 'not-run',
+        title: 't',
+        detail: 'd',
+        retryAfterSeconds: 1,
+      });
+      expect((await answer)?.headers['retry-after']).toEqual('1');
+    });
+  }
+
+  it('says notSent when no connection stood', async () => {
+    const { bridge, front, next } = await createBridge();
+    const gone = await startServer(() => undefined);
+    stopServers(gone);
+    const answer = request(`http://${front.address}/k/a`, { method: 'GET' }).catch(() => undefined);
+    void bridge.forward(forwardTo(await next('requestArrived'), 1, gone.address));
+    expect((await next('attemptEnded')).result.kind).toEqual('notSent');
+    stopServers(front);
+    await answer;
+  });
+
+  it('tells the reducer when the caller goes away', async () => {
+    const { front, next } = await createBridge();
+    const abort = new AbortController();
+    const answer = request(`http://${front.address}/k/a`, { method: 'GET', signal: abort.signal }).catch(
+      () => undefined,
+    );
+    const { requestId } = await next('requestArrived');
+    abort.abort();
+    expect((await next('callerLeft')).requestId).toEqual(requestId);
+    await answer;
+  });
+});
