Membership: a ping carries its sender, and peers that see other members exchange all they know

Cause: at 160 hollow daemons a shard stayed without a leader, because its three replicas did not know each other's addresses. A member that did not know the sender of a ping could not answer it, so the sender took it for dead; and news that was passed on while few members were known never reached all. Ruled out: elections (all three stood, at term 0) and lost forming messages (all three held replicas). Change: the sender's own record in each ping; a digest of the living members on pings, and a whole exchange when it differs after news has had time to spread, or at once within 15 s of a start.

--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -3,6 +3,7 @@
  */
 import type { DaemonState } from './daemon-state.js';
 import { sendMissingTables, tableDigest, versionsOf } from './dissemination/table-spread.js';
+import { compareMembers, memberDigest } from './membership/membership.js';
 import type { Effect } from './effects.js';
 import {
   daemonOfReplica,
@@ -57,13 +58,18 @@
 
   /** What this daemon knows, in short. */
   digest(): Digest {
-    const { configuration, tables } = this.state;
-    return { configurationVersion: configuration.version, tableDigest: tableDigest(tables) };
+    const { configuration, tables, membership } = this.state;
+    return {
+      configurationVersion: configuration.version,
+      tableDigest: tableDigest(tables),
+      memberDigest: memberDigest(membership),
+    };
   }
 
   /** Sees from a peer's digest what either lacks, and asks for it. */
   compareDigest(peer: DaemonId, digest: Digest): void {
     const { configuration, tables, counters } = this.state;
+    compareMembers(this, peer, digest.memberDigest);
     tables.peerVersions.set(peer, digest.configurationVersion);
     if (digest.configurationVersion > configuration.version) {
       this.send(peer, { kind: 'configurationPull' });
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -5,6 +5,7 @@
  * Cost for a daemon does not grow with the number of daemons.
  */
 import type { ReducerContext } from '../context.js';
+import { hash32 } from '../hashing.js';
 import type { DaemonId, Milliseconds } from '../identifiers.js';
 import type { Digest, Member, MemberStatus, MemberSync, Ping, PingAck, PingRequest } from '../messages.js';
 import type { SeededRandom } from '../random.js';
@@ -14,6 +15,12 @@
 const INDIRECT_PROBES = 2;
 /** A lost or parted member is tried again this often, so that a healed partition joins up. */
 const REJOIN_INTERVAL: Milliseconds = 3_000;
+/** News has had its time to spread when a daemon has heard none for this long. */
+const QUIET_BEFORE_SYNC: Milliseconds = 5_000;
+/** A daemon that has just started exchanges at once: many may be joining with it. */
+const YOUNG_FOR: Milliseconds = 15_000;
+/** A daemon starts a whole exchange with a peer at most this often. */
+const SYNC_INTERVAL: Milliseconds = 2_000;
 /** A dead member is forgotten after this long. */
 const FORGET_AFTER: Milliseconds = 600_000;
 
@@ -46,6 +53,9 @@
   nextRejoinAt: Milliseconds;
   /** Alive members by name, made anew after a change. */
   aliveCache: Member[] | null;
+  digestCache: number | null;
+  nextSyncAt: Milliseconds;
+  lastChangeAt: Milliseconds;
 }
 
 /** The membership of a daemon that has just started. */
@@ -63,6 +73,9 @@
     nextPingAt: 0,
     nextRejoinAt: 0,
     aliveCache: null,
+    digestCache: null,
+    nextSyncAt: 0,
+    lastChangeAt: 0,
   };
 }
 
@@ -74,6 +87,30 @@
   return state.aliveCache;
 }
 
+/** A short statement of which lives of which members are believed to run. */
+export function memberDigest(state: MembershipState): number {
+  state.digestCache ??= aliveMembers(state).reduce(
+    (sum, { id, incarnation }) => (sum + hash32(`${id}#${incarnation}`)) >>> 0,
+    0,
+  );
+  return state.digestCache;
+}
+
+/**
+ * News that is passed on a few times may miss a member, above all while many join at once. When a peer
+ * still sees other members after the news has been passed on, both exchange all they know.
+ */
+export function compareMembers(context: ReducerContext, peer: DaemonId, theirDigest: number): void {
+  const { membership } = context.state;
+  const quiet = context.now - membership.lastChangeAt >= QUIET_BEFORE_SYNC;
+  const young = context.now - context.state.startedAt < YOUNG_FOR;
+  const due = (quiet || young) && context.now >= membership.nextSyncAt;
+  if (due && theirDigest !== memberDigest(membership)) {
+    membership.nextSyncAt = context.now + SYNC_INTERVAL;
+    context.send(peer, { kind: 'memberSync', members: [...membership.members.values()], reply: false });
+  }
+}
+
 /** A member that is believed to run, in that very life if an incarnation is given. */
 export function isAlive(state: MembershipState, id: DaemonId, incarnation?: number): boolean {
   const member = state.members.get(id);
@@ -102,6 +139,8 @@
   membership.members.set(member.id, member);
   membership.news.set(member.id, retransmissions(membership));
   membership.aliveCache = null;
+  membership.digestCache = null;
+  membership.lastChangeAt = context.now;
   membership.deadlines.delete(member.id);
   if (member.status === 'suspect') {
     counters.members_suspected += 1;
@@ -183,12 +222,9 @@
   const { membership } = context.state;
   membership.sequence += 1;
   const sequence = membership.sequence;
-  context.send(target.id, {
-    kind: 'ping',
-    sequence,
-    digest: context.digest(),
-    updates: takeNews(membership),
-  });
+  // The receiver may not know us yet: without our address it could not answer, and we would take it for dead.
+  const updates = [membership.self, ...takeNews(membership)];
+  context.send(target.id, { kind: 'ping', sequence, digest: context.digest(), updates });
   return sequence;
 }
 
@@ -335,14 +371,18 @@
   }
 }
 
+/** A returning member sends itself and at most the one it took for dead. */
+const REJOIN_CLAIM_LENGTH = 2;
+
 /** A joining or returning member: it gets all that we know, unless we already hold it alive. */
 export function receiveMemberSync(context: ReducerContext, sender: DaemonId, message: MemberSync): void {
   const { membership } = context.state;
   const claimed = message.members.find((member) => member.id === sender);
   const known = isAlive(membership, sender, claimed?.incarnation);
+  const wholeExchange = message.members.length > REJOIN_CLAIM_LENGTH;
   learnAll(context, message.members);
   if (!message.reply) {
-    const members = known ? [membership.self] : [...membership.members.values()];
+    const members = known && !wholeExchange ? [membership.self] : [...membership.members.values()];
     context.send(sender, { kind: 'memberSync', members, reply: true });
   }
 }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -25,6 +25,8 @@
   readonly configurationVersion: number;
   /** Sum of one hash for each shard's (generation, version), modulo 2^32. */
   readonly tableDigest: number;
+  /** Sum of one hash for each member that is alive, modulo 2^32. */
+  readonly memberDigest: number;
 }
 
 /** Units that one server owns, with the epoch of each at the same position. */
