--- a/src/capacity/hollow-worker.ts
+++ b/src/capacity/hollow-worker.ts
@@ -51,6 +51,7 @@
   readonly #bytes = new Map<number, number>();
   readonly #network: HollowNetwork;
   readonly #versions = new Map<number, number>();
+  readonly #timeScale: number;
   #cpuAtBegin = process.cpuUsage();
 
   constructor(start: Extract<ToWorker, { kind: 'start' }>) {
@@ -58,6 +59,7 @@
     this.#network = new HollowNetwork(own, processes, (type, target, payload) =>
       this.#receive(type, target, payload),
     );
+    this.#timeScale = shape.timeScale;
     const seeds = Array.from({ length: SEEDS }, (_, index) => nameOf(index));
     for (let index = own; index < shape.daemons; index += processes) {
       const identity = {
@@ -78,7 +80,7 @@
 
   run(ports: readonly number[]): void {
     this.#network.connect(ports);
-    const { tick } = DEFAULT_TIMING;
+    const tick = DEFAULT_TIMING.tick * this.#timeScale;
     for (const index of this.#daemons.keys()) {
       // Spread over the tick, as separate processes would be.
       const offset = (index * tick) / Math.max(1, this.#daemons.size) / ports.length;
@@ -144,7 +146,7 @@
     }
     const label = event.kind === 'peerMessage' ? `receive:${event.envelope.message.kind}` : event.kind;
     const begin = performance.now();
-    const effects = reduce(state, { now: begin, event });
+    const effects = reduce(state, { now: this.#now(), event });
     this.#count(label, 0, 0, performance.now() - begin);
     for (const effect of effects) {
       this.#perform(index, state, effect);
@@ -206,12 +208,16 @@
   #serveControl(serverIndex: number, call: ControlCall): void {
     const model = this.#servers.get(serverIndex) ?? new ServerModel(1);
     this.#servers.set(serverIndex, model);
-    const reply = model.control(call.request, performance.now());
+    const reply = model.control(call.request, this.#now());
     const { shard, term } = call.request;
     const answer: ControlAnswer = { server: call.server, shard, term, reply };
     this.#network.send(FRAME_CONTROL_REPLY, call.daemon, Buffer.from(JSON.stringify(answer)));
   }
 
+  #now(): number {
+    return performance.now() / this.#timeScale;
+  }
+
   #addBytes(index: number, bytes: number): void {
     this.#bytes.set(index, (this.#bytes.get(index) ?? 0) + bytes);
   }
--- a/src/capacity/protocol.ts
+++ b/src/capacity/protocol.ts
@@ -10,6 +10,8 @@
   readonly shards: number;
   readonly units: number;
   readonly servers: number;
+  /** Real seconds for each second of the daemons' clocks: above 1 where one machine is too slow for all. */
+  readonly timeScale: number;
   /** Configuration changes a second during the measurement. */
   readonly configurationChangesPerSecond: number;
   /** Moves of units a second during the measurement. */
--- a/src/core/configuration/configuration-state.ts
+++ b/src/core/configuration/configuration-state.ts
@@ -22,7 +22,7 @@
   serversOfShards: Map<ShardId, readonly ServerConfiguration[]>;
   matcher: RouteMatcher;
   /** Whether this daemon reads the store, and the membership for which that was worked out. */
-  watcherChoice: { readonly members: readonly Member[]; readonly own: boolean };
+  watcherChoice: { readonly members: readonly Member[]; readonly own: boolean; readonly until: Milliseconds };
   /** A read of the store is under way. */
   watching: boolean;
   nextWatchAt: Milliseconds;
@@ -41,7 +41,7 @@
     servers: new Map(),
     serversOfShards: new Map(),
     matcher: new RouteMatcher([]),
-    watcherChoice: { members: [], own: false },
+    watcherChoice: { members: [], own: false, until: 0 },
     watching: false,
     nextWatchAt: 0,
     storeReachable: false,
--- a/src/core/dissemination/configuration-spread.ts
+++ b/src/core/dissemination/configuration-spread.ts
@@ -7,7 +7,7 @@
 import type { ReducerContext } from '../context.js';
 import type { ObjectReadEvent } from '../events.js';
 import { rendezvousOrder } from '../hashing.js';
-import type { DaemonId } from '../identifiers.js';
+import type { DaemonId, Milliseconds } from '../identifiers.js';
 import { aliveMembers } from '../membership/membership.js';
 import type { ConfigurationPush } from '../messages.js';
 import { spread } from './spread-tree.js';
@@ -15,22 +15,31 @@
 /** How many daemons of a side read the store. */
 const WATCHERS = 2;
 
-/** Whether this daemon is one of the few that read the store. Worked out once for each membership. */
+/** A daemon joins the others first: they hold the configuration, and the store bears only a few readers. */
+const JOIN_FIRST: Milliseconds = 500;
+
+/** Who reads the store is worked out at most this often. */
+const CHOICE_KEPT: Milliseconds = 500;
+
+/** Whether this daemon is one of the few that read the store. Worked out anew when the members change, now and then. */
 export function isWatcher(context: ReducerContext): boolean {
   const { membership, configuration } = context.state;
   const members = aliveMembers(membership);
-  if (configuration.watcherChoice.members !== members) {
+  const { watcherChoice } = configuration;
+  if (watcherChoice.members !== members && context.now >= watcherChoice.until) {
     const names = members.map((member) => member.id);
     const chosen = rendezvousOrder(CONFIGURATION_OBJECT, names).slice(0, WATCHERS);
-    configuration.watcherChoice = { members, own: chosen.includes(membership.self.id) };
+    const until = context.now + CHOICE_KEPT;
+    configuration.watcherChoice = { members, own: chosen.includes(membership.self.id), until };
   }
   return configuration.watcherChoice.own;
 }
 
 /** Starts the next wait for a newer configuration. */
 export function tickConfiguration(context: ReducerContext): void {
-  const { configuration } = context.state;
-  if (configuration.watching || context.now < configuration.nextWatchAt || !isWatcher(context)) {
+  const { configuration, startedAt } = context.state;
+  const young = context.now - startedAt < JOIN_FIRST;
+  if (young || configuration.watching || context.now < configuration.nextWatchAt || !isWatcher(context)) {
     return;
   }
   configuration.watching = true;
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -53,7 +53,8 @@
   nextRejoinAt: Milliseconds;
   /** Alive members by name, made anew after a change. */
   aliveCache: Member[] | null;
-  digestCache: number | null;
+  /** Sum of a hash of each life that is believed to run, modulo 2^32. */
+  digest: number;
   nextSyncAt: Milliseconds;
   lastChangeAt: Milliseconds;
 }
@@ -73,7 +74,7 @@
     nextPingAt: 0,
     nextRejoinAt: 0,
     aliveCache: null,
-    digestCache: null,
+    digest: digestShare(self),
     nextSyncAt: 0,
     lastChangeAt: 0,
   };
@@ -89,11 +90,12 @@
 
 /** A short statement of which lives of which members are believed to run. */
 export function memberDigest(state: MembershipState): number {
-  state.digestCache ??= aliveMembers(state).reduce(
-    (sum, { id, incarnation }) => (sum + hash32(`${id}#${incarnation}`)) >>> 0,
-    0,
-  );
-  return state.digestCache;
+  return state.digest;
+}
+
+function digestShare(member: Member | undefined): number {
+  const runs = member?.status === 'alive' || member?.status === 'suspect';
+  return runs ? hash32(`${member.id}#${member.incarnation}`) : 0;
 }
 
 /**
@@ -136,10 +138,11 @@
 
 function record(context: ReducerContext, member: Member): void {
   const { membership, timing, counters } = context.state;
+  const known = membership.members.get(member.id);
   membership.members.set(member.id, member);
   membership.news.set(member.id, retransmissions(membership));
   membership.aliveCache = null;
-  membership.digestCache = null;
+  membership.digest = (membership.digest - digestShare(known) + digestShare(member)) >>> 0;
   membership.lastChangeAt = context.now;
   membership.deadlines.delete(member.id);
   if (member.status === 'suspect') {
@@ -177,17 +180,19 @@
   }
 }
 
+/** Takes the news that has waited longest; what is to be passed on again goes to the end. */
 function takeNews(state: MembershipState): Member[] {
   const updates: Member[] = [];
-  const mostWanted = [...state.news].sort((left, right) => right[1] - left[1]).slice(0, UPDATES_PER_MESSAGE);
-  for (const [id, remaining] of mostWanted) {
+  for (const [id, remaining] of state.news) {
+    if (updates.length === UPDATES_PER_MESSAGE) {
+      break;
+    }
     const member = state.members.get(id);
     if (member !== undefined) {
       updates.push(member);
     }
-    if (remaining <= 1) {
-      state.news.delete(id);
-    } else {
+    state.news.delete(id);
+    if (remaining > 1) {
       state.news.set(id, remaining - 1);
     }
   }
--- a/src/core/ownership/shard-plan.ts
+++ b/src/core/ownership/shard-plan.ts
@@ -22,6 +22,8 @@
 
 /** Units on the way at once, for drains and for balance. */
 const MOVES_AT_ONCE = 8;
+/** The first assignment waits this many times longer when some servers have not answered. */
+const SILENT_SERVERS_FACTOR = 4;
 const BALANCE_MOVES_AT_ONCE = 4;
 /** Each generation of a shard has epochs of its own, above those of every earlier one. */
 const EPOCHS_PER_GENERATION = 1_000_000_000;
@@ -186,8 +188,14 @@
   load: UnitLoad,
 ): void {
   const { table, shard, generation } = leadership.replica;
-  const waited = context.now - leadership.electedAt >= context.state.timing.firstAssignment;
-  if (!waited || table.records.size >= group.slots / group.shards) {
+  const waited = context.now - leadership.electedAt;
+  const { firstAssignment } = context.state.timing;
+  const silent = [...leadership.sessions.values()].some((session) => session.incarnation === 0);
+  // With all servers heard the first assignment is balanced, and none of its units has to move again.
+  if (
+    waited < (silent ? firstAssignment * SILENT_SERVERS_FACTOR : firstAssignment) ||
+    table.records.size >= group.slots / group.shards
+  ) {
     return;
   }
   const missing = unitsOfShard(group, shard).filter(
