--- a/src/capacity/hollow-worker.ts
+++ b/src/capacity/hollow-worker.ts
@@ -7,27 +7,30 @@
 import type { DaemonEvent } from '../core/events.js';
 import { reduce } from '../core/reducer.js';
 import { ALL_RULES } from '../core/safety-rules.js';
-import type { ControlReply, ControlRequest } from '../core/server-control.js';
 import { DEFAULT_TIMING } from '../core/timing.js';
 import { ServerModel } from '../emulator/server-model.js';
 import { decodeEnvelope, encodeEnvelope } from '../wire/codec.js';
+import {
+  decodeControlReply,
+  decodeControlRequest,
+  encodeControlReply,
+  encodeControlRequest,
+} from '../wire/control-codec.js';
 import { FRAME_CONTROL_CALL, FRAME_CONTROL_REPLY, FRAME_ENVELOPE, HollowNetwork } from './hollow-network.js';
 import type { FromWorker, KindFigures, ToWorker } from './protocol.js';
 
 const ZONES = 5;
 const SEEDS = 3;
 
-interface ControlCall {
-  readonly daemon: number;
-  readonly server: string;
-  readonly request: ControlRequest;
-}
+/** In front of a call and its answer: the daemon, the server, and the call's shard and term. */
+const CONTROL_HEADER_BYTES = 8;
 
-interface ControlAnswer {
-  readonly server: string;
-  readonly shard: string;
-  readonly term: number;
-  readonly reply: ControlReply;
+function withHeader(daemon: number, server: number, text: string): Buffer {
+  const bytes = Buffer.allocUnsafe(CONTROL_HEADER_BYTES + Buffer.byteLength(text));
+  bytes.writeUInt32BE(daemon, 0);
+  bytes.writeUInt32BE(server, 4);
+  bytes.write(text, CONTROL_HEADER_BYTES);
+  return bytes;
 }
 
 function tell(message: FromWorker): void {
@@ -51,6 +54,7 @@
   readonly #bytes = new Map<number, number>();
   readonly #network: HollowNetwork;
   readonly #versions = new Map<number, number>();
+  readonly #calls = new Map<string, { readonly shard: string; readonly term: number }>();
   readonly #timeScale: number;
   #cpuAtBegin = process.cpuUsage();
 
@@ -64,7 +68,8 @@
     for (let index = own; index < shape.daemons; index += processes) {
       const identity = {
         id: nameOf(index),
-        incarnation: 1,
+        // As long as a real one, which is a time of start.
+        incarnation: Date.now(),
         address: nameOf(index),
         zone: `zone-${index % ZONES}`,
         seeds,
@@ -168,9 +173,11 @@
       this.#addBytes(index, bytes.length);
       this.#count(message.kind, 1, bytes.length, performance.now() - begin);
     } else if (effect.kind === 'controlServer') {
-      const call: ControlCall = { daemon: index, server: effect.server, request: effect.request };
-      const bytes = Buffer.from(JSON.stringify(call));
-      this.#network.send(FRAME_CONTROL_CALL, indexOf(effect.server), bytes);
+      const server = indexOf(effect.server);
+      const { shard, term, sequence } = effect.request;
+      this.#calls.set(`${index}:${server}:${sequence}`, { shard, term });
+      const bytes = withHeader(index, server, encodeControlRequest(effect.request));
+      this.#network.send(FRAME_CONTROL_CALL, server, bytes);
       this.#addBytes(index, bytes.length);
       this.#count('controlCall', 1, bytes.length, performance.now() - begin);
     } else if (effect.kind === 'readObject') {
@@ -194,24 +201,35 @@
       return;
     }
     if (type === FRAME_CONTROL_CALL) {
-      this.#serveControl(target, JSON.parse(payload.toString()) as ControlCall);
+      this.#serveControl(payload);
       return;
     }
     if (type === FRAME_CONTROL_REPLY) {
       this.#addBytes(target, payload.length);
-      const answer = JSON.parse(payload.toString()) as ControlAnswer;
-      this.#count('controlReply', 1, payload.length, performance.now() - begin);
-      this.#dispatch(target, { kind: 'controlReply', ...answer });
+      this.#takeReply(target, payload, begin);
     }
   }
 
-  #serveControl(serverIndex: number, call: ControlCall): void {
-    const model = this.#servers.get(serverIndex) ?? new ServerModel(1);
-    this.#servers.set(serverIndex, model);
-    const reply = model.control(call.request, this.#now());
-    const { shard, term } = call.request;
-    const answer: ControlAnswer = { server: call.server, shard, term, reply };
-    this.#network.send(FRAME_CONTROL_REPLY, call.daemon, Buffer.from(JSON.stringify(answer)));
+  #serveControl(payload: Buffer): void {
+    const daemon = payload.readUInt32BE(0);
+    const server = payload.readUInt32BE(4);
+    const request = decodeControlRequest(payload.toString('utf8', CONTROL_HEADER_BYTES));
+    const model = this.#servers.get(server) ?? new ServerModel(1);
+    this.#servers.set(server, model);
+    const reply = encodeControlReply(model.control(request, this.#now()));
+    this.#network.send(FRAME_CONTROL_REPLY, daemon, withHeader(daemon, server, reply));
+  }
+
+  #takeReply(daemon: number, payload: Buffer, begin: number): void {
+    const server = payload.readUInt32BE(4);
+    const reply = decodeControlReply(payload.toString('utf8', CONTROL_HEADER_BYTES));
+    this.#count('controlReply', 1, payload.length, performance.now() - begin);
+    const key = `${daemon}:${server}:${reply.sequence}`;
+    const call = this.#calls.get(key);
+    this.#calls.delete(key);
+    if (call !== undefined) {
+      this.#dispatch(daemon, { kind: 'controlReply', server: `s-${server}`, ...call, reply });
+    }
   }
 
   #now(): number {
--- a/src/emulator/server-process.ts
+++ b/src/emulator/server-process.ts
@@ -10,7 +10,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { z } from 'zod';
 import type { FencingToken } from '../core/effects.js';
-import type { ControlRequest } from '../core/server-control.js';
+import { decodeControlRequest, encodeControlReply } from '../wire/control-codec.js';
 import { EPOCH_HEADER, GROUP_HEADER, REFUSAL_HEADER, UNIT_HEADER } from '../wire/headers.js';
 import { splitAddress } from '../settings/address.js';
 import { ServerModel, type RequestRefusal } from './server-model.js';
@@ -99,8 +99,7 @@
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = (request.url ?? '/').split('?')[0];
     if (path === '/fennelferry/control') {
-      const call = JSON.parse(await readText(request)) as ControlRequest;
-      sendJson(response, 200, this.#model.control(call, performance.now()));
+      this.#control(await readText(request), response);
     } else if (path === '/emulator/behaviour') {
       this.#changeBehaviour(await readText(request), response);
     } else if (path === '/emulator/runs') {
@@ -116,6 +115,12 @@
     }
   }
 
+  #control(text: string, response: ServerResponse): void {
+    const reply = this.#model.control(decodeControlRequest(text), performance.now());
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end(encodeControlReply(reply));
+  }
+
   #changeBehaviour(text: string, response: ServerResponse): void {
     const parsed = behaviourSchema.safeParse(JSON.parse(text));
     if (!parsed.success) {
--- a/src/runtime/server-client.ts
+++ b/src/runtime/server-client.ts
@@ -2,27 +2,13 @@
  * Connections to back-end servers: one for control calls, a bounded pool for requests.
  */
 import { Pool, type Dispatcher } from 'undici';
-import { z } from 'zod';
 import type { ControlReply, ControlRequest } from '../core/server-control.js';
+import { decodeControlReply, encodeControlRequest } from '../wire/control-codec.js';
 
 const CONTROL_PATH = '/fennelferry/control';
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 const KEEP_ALIVE_MILLISECONDS = 30_000;
 
-const unitEpochSchema = z.object({ unit: z.number(), epoch: z.number() });
-const replySchema = z.object({
-  sequence: z.number(),
-  serverIncarnation: z.number(),
-  clock: z.number(),
-  refusal: z.enum(['older-leader', 'other-incarnation']).nullable(),
-  lapseCount: z.number(),
-  granted: z.array(unitEpochSchema),
-  staleGrants: z.array(unitEpochSchema),
-  revoked: z.array(unitEpochSchema),
-  inventory: z.array(unitEpochSchema).nullable(),
-  draining: z.boolean(),
-});
-
 /** Calls servers by address. */
 export class ServerClient {
   readonly #control = new Map<string, Pool>();
@@ -35,11 +21,10 @@
         method: 'POST',
         path: CONTROL_PATH,
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(request),
+        body: encodeControlRequest(request),
         signal: AbortSignal.timeout(timeout),
       });
-      const parsed = replySchema.safeParse(await answer.body.json());
-      return parsed.success ? parsed.data : null;
+      return decodeControlReply(await answer.body.text());
     } catch {
       return null;
     }
--- /dev/null
+++ b/src/simulation/figures.ts
@@ -0,0 +1,140 @@
+/**
+ * Figures of the ownership policy: what one event costs in unavailable time, moved units and imbalance.
+ * Deterministic: virtual time and fixed seeds; test/simulation/test-figures.ts holds the bounds.
+ */
+import type { Milliseconds } from '../core/identifiers.js';
+import { systemNamed } from '../emulator/systems.js';
+import { createWorld } from './run.js';
+import type { World } from './world.js';
+
+const SETTLED_AT: Milliseconds = 6_000;
+const MEASURED_FOR: Milliseconds = 12_000;
+
+/** An event that takes something away. */
+export const LOSSES = [
+  'server',
+  'leader',
+  'server-and-leader',
+  'zone',
+  'server-with-store-down',
+  'drain',
+] as const;
+export type Loss = (typeof LOSSES)[number];
+
+/** What one event cost. Times in milliseconds. */
+export interface LossFigures {
+  readonly loss: Loss;
+  readonly seeds: number;
+  readonly unitsUnavailable: number;
+  readonly medianOutage: Milliseconds;
+  readonly p99Outage: Milliseconds;
+  readonly longestOutage: Milliseconds;
+  /** Owner changes, and those of units whose owner was neither lost nor draining. */
+  readonly ownerChanges: number;
+  readonly needlessChanges: number;
+  /** Most units on a server over the mean, after the event. */
+  readonly imbalance: number;
+}
+
+function keyedServers(world: World): string[] {
+  const [first] = world.daemons;
+  const group = first?.state.configuration.configuration?.groups.find(
+    (candidate) => candidate.kind === 'keyed',
+  );
+  return (group?.servers ?? []).map((server) => server.id);
+}
+
+function ownersOf(world: World): Map<number, string> {
+  const working = world.daemons.find((daemon) => daemon.working);
+  const tables = [...(working?.state.tables.shards.values() ?? [])];
+  return new Map(
+    tables.flatMap(({ table }) =>
+      [...table.records.values()].map((record) => [record.unit, record.server] as const),
+    ),
+  );
+}
+
+function leader(world: World): World['daemons'][number] | undefined {
+  return world.daemons.find((daemon) => daemon.state.leaderships.size > 0);
+}
+
+/** Makes the event happen. Returns the servers whose units must move. */
+function lose(world: World, loss: Loss): Set<string> {
+  const servers = keyedServers(world);
+  const victim = world.random.pick(servers) ?? '';
+  switch (loss) {
+    case 'server':
+      world.server(victim).crash();
+      return new Set([victim]);
+    case 'leader':
+      leader(world)?.crash();
+      return new Set();
+    case 'server-and-leader':
+      world.server(victim).crash();
+      leader(world)?.crash();
+      return new Set([victim]);
+    case 'server-with-store-down':
+      world.store.fault = 'down';
+      world.server(victim).crash();
+      return new Set([victim]);
+    case 'zone':
+      return loseZone(world, servers);
+    case 'drain':
+      world.server(victim).model.leaving = true;
+      return new Set([victim]);
+  }
+}
+
+function loseZone(world: World, servers: readonly string[]): Set<string> {
+  const zone = leader(world)?.endpoint.zone ?? '';
+  world.daemons.filter((daemon) => daemon.endpoint.zone === zone).forEach((daemon) => daemon.crash());
+  const lost = servers.filter((id) => world.server(id).endpoint.zone === zone);
+  lost.forEach((id) => world.server(id).crash());
+  return new Set(lost);
+}
+
+function percentile(sorted: readonly number[], share: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+}
+
+function imbalanceOf(owners: ReadonlyMap<number, string>, servers: number): number {
+  const counts = new Map<string, number>();
+  for (const owner of owners.values()) {
+    counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  }
+  return Math.max(...counts.values()) / (owners.size / servers);
+}
+
+/** Measures one kind of event over seeds 1 to `seeds`. */
+export function measureLoss(loss: Loss, seeds: number): LossFigures {
+  const outages: number[] = [];
+  let ownerChanges = 0;
+  let needlessChanges = 0;
+  let imbalance = 0;
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const world = createWorld(systemNamed(), { seed }, 6);
+    world.scheduler.runUntil(SETTLED_AT);
+    const before = ownersOf(world);
+    world.availability.reset();
+    const lost = lose(world, loss);
+    world.scheduler.runUntil(SETTLED_AT + MEASURED_FOR);
+    const after = ownersOf(world);
+    outages.push(...world.availability.outages());
+    const changed = [...after].filter(([unit, owner]) => before.get(unit) !== owner);
+    ownerChanges += changed.length;
+    needlessChanges += changed.filter(([unit]) => !lost.has(before.get(unit) ?? '')).length;
+    imbalance = Math.max(imbalance, imbalanceOf(after, keyedServers(world).length - lost.size));
+  }
+  outages.sort((left, right) => left - right);
+  return {
+    loss,
+    seeds,
+    unitsUnavailable: outages.length,
+    medianOutage: percentile(outages, 0.5),
+    p99Outage: percentile(outages, 0.99),
+    longestOutage: outages.at(-1) ?? 0,
+    ownerChanges,
+    needlessChanges,
+    imbalance,
+  };
+}
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -4,8 +4,13 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Envelope, PeerMessage } from '../core/messages.js';
 import { WireError } from '../errors.js';
+import protobuf from 'protobufjs/minimal.js';
 import { fennelferry } from './generated/messages.js';
 
+// Without the Long type the library reads 64-bit numbers as plain ones, exact up to 2^53, which is all we use.
+(protobuf.util as { Long: unknown }).Long = undefined;
+protobuf.configure();
+
 const TO_OBJECT = { defaults: true, arrays: true, oneofs: true } as const;
 
 /** The bytes of an envelope. */
