--- a/src/admin/admin-app.ts
+++ b/src/admin/admin-app.ts
@@ -50,12 +50,13 @@
   statement: Exclude<Statement, QueryStatement>,
   operator: string,
 ): Promise<CommandAnswer> {
-  if (statement.kind === 'move') {
-    const { reference, group, target } = statement;
+  if (statement.kind === 'move' || statement.kind === 'handOver') {
+    const { kind: action, reference, group } = statement;
+    const target = statement.kind === 'move' ? statement.target : statement.side;
     const unit = resolveUnit(admin.state, group, reference);
     return unit.isErr()
       ? { accepted: false, detail: unit.error.message }
-      : admin.run({ action: 'move', group, unit: unit.value, target });
+      : admin.run({ action, group, unit: unit.value, target });
   }
   if (statement.kind === 'pin') {
     const { key, group, target } = statement;
--- a/src/admin/language/parser.ts
+++ b/src/admin/language/parser.ts
@@ -19,6 +19,7 @@
       { ALT: () => this.SUBRULE(this.showStatement) },
       { ALT: () => this.SUBRULE(this.moveStatement) },
       { ALT: () => this.SUBRULE(this.pinStatement) },
+      { ALT: () => this.SUBRULE(this.handOverStatement) },
       { ALT: () => this.SUBRULE(this.drainStatement) },
       { ALT: () => this.SUBRULE(this.setStatement) },
       { ALT: () => this.SUBRULE(this.removeStatement) },
@@ -75,6 +76,18 @@
     return { kind: 'pin', key, group, target };
   });
 
+  readonly handOverStatement = this.RULE('handOverStatement', (): Statement => {
+    this.CONSUME(K.hand);
+    this.CONSUME(K.over);
+    const reference = this.SUBRULE(this.unitReference);
+    this.CONSUME(K.in);
+    const group = this.CONSUME(Name).image;
+    this.CONSUME(K.to);
+    this.CONSUME(K.side);
+    const side = this.CONSUME2(Name).image;
+    return { kind: 'handOver', reference, group, side };
+  });
+
   readonly drainStatement = this.RULE('drainStatement', (): Statement => {
     const draining = this.OR([
       { ALT: () => this.#yields(K.drain, true, 1) },
--- a/src/admin/language/statements.ts
+++ b/src/admin/language/statements.ts
@@ -37,6 +37,12 @@
       readonly group: string;
       readonly target: string;
     }
+  | {
+      readonly kind: 'handOver';
+      readonly reference: UnitReference;
+      readonly group: string;
+      readonly side: string;
+    }
   | { readonly kind: 'pin'; readonly key: string; readonly group: string; readonly target: string }
   | { readonly kind: 'drain'; readonly server: string; readonly draining: boolean }
   | {
--- a/src/capacity/hollow-worker.ts
+++ b/src/capacity/hollow-worker.ts
@@ -72,6 +72,7 @@
         incarnation: Date.now(),
         address: nameOf(index),
         zone: `zone-${index % ZONES}`,
+        side: 'hollow',
         seeds,
         randomSeed: index + 1,
       };
--- a/src/command-line/emulate-command.ts
+++ b/src/command-line/emulate-command.ts
@@ -4,7 +4,7 @@
  */
 import { Command, Option } from 'clipanion';
 import { isNumber } from 'typanion';
-import { ServerProcess } from '../emulator/server-process.js';
+import { INSTANT_BEHAVIOUR, ServerProcess } from '../emulator/server-process.js';
 import { startStoreProcess } from '../emulator/store-process.js';
 import { configurationOf, findSystem, SYSTEMS, type SystemShape } from '../emulator/systems.js';
 import { EXIT_BAD_INPUT, EXIT_OK } from './exit-codes.js';
@@ -85,6 +85,9 @@
     ],
   });
   readonly only = Option.String('--only', { description: 'Run just these, by comma' });
+  readonly instant = Option.Boolean('--instant', false, {
+    description: 'Answer at once: for load on a daemon',
+  });
   readonly except = Option.String('--except', { description: 'Run all but these, by comma' });
 
   async execute(): Promise<number> {
@@ -101,7 +104,8 @@
       this.context.stderr.write(`no such servers in ${system.name}: ${unknown.join(', ')}\n`);
       return EXIT_BAD_INPUT;
     }
-    const running = wanted.map((server) => new ServerProcess(server.id, system.behaviour));
+    const behaviour = this.instant ? INSTANT_BEHAVIOUR : system.behaviour;
+    const running = wanted.map((server) => new ServerProcess(server.id, behaviour));
     await Promise.all(running.map((server, index) => server.start(wanted[index]?.address ?? '')));
     this.context.stdout.write(`${running.length} servers of ${system.name} run\n`);
     await untilStopped();
--- /dev/null
+++ b/src/command-line/load-command.ts
@@ -0,0 +1,113 @@
+/**
+ * `fennelferry load`: open-loop load on daemons, with the mix of a user's system.
+ */
+import { Command, Option } from 'clipanion';
+import { isNumber } from 'typanion';
+import { configurationOf, findSystem, SYSTEMS } from '../emulator/systems.js';
+import { LoadRun, type LoadFigures } from '../load/load-run.js';
+import { EXIT_BAD_INPUT, EXIT_OK } from './exit-codes.js';
+import { formatRows } from './table-format.js';
+
+const MOST_REQUESTS_PER_SECOND = 20_000;
+const LONGEST_SECONDS = 600;
+
+function isLoopback(address: string): boolean {
+  return /^(127\.\d+\.\d+\.\d+|\[::1\]):\d+$/.test(address);
+}
+
+/** Sends load and prints what came of it. */
+export class LoadCommand extends Command {
+  static override paths = [['load']];
+  static override usage = Command.Usage({
+    description: 'Send load to daemons on this machine',
+    details: 'Arrivals do not wait for answers; latency counts from when a request was due.',
+    examples: [
+      [
+        '500 requests a second for 10 s',
+        'fennelferry load --targets 127.0.0.1:7001,127.0.0.1:7002 --rate 500 --seconds 10',
+      ],
+    ],
+  });
+  readonly targets = Option.String('--targets', '127.0.0.1:7001', {
+    description: 'Daemons, by comma; loopback only',
+  });
+  readonly system = Option.String('--system', 'klang-valley', {
+    description: `Whose mix of routes: ${SYSTEMS.map((system) => system.name).join(' or ')}`,
+  });
+  readonly rate = Option.String('--rate', '200', { validator: isNumber(), description: 'Requests a second' });
+  readonly seconds = Option.String('--seconds', '10', { validator: isNumber(), description: 'How long' });
+  readonly keys = Option.String('--keys', '1000', { validator: isNumber(), description: 'Number of keys' });
+  readonly exponent = Option.String('--zipf', '1', {
+    validator: isNumber(),
+    description: 'Exponent of the popularity',
+  });
+  readonly hot = Option.String('--hot-seconds', '0', {
+    validator: isNumber(),
+    description: 'Hot keys change this often; 0: never',
+  });
+  readonly connections = Option.String('--connections', '64', {
+    validator: isNumber(),
+    description: 'Connections to each daemon',
+  });
+  readonly seed = Option.String('--seed', '1', {
+    validator: isNumber(),
+    description: 'Seed of the random choices',
+  });
+  readonly json = Option.Boolean('--json', false, { description: 'Print JSON' });
+
+  async execute(): Promise<number> {
+    const fault = this.#fault();
+    const system = findSystem(this.system);
+    if (fault !== null || system === undefined) {
+      this.context.stderr.write(`${fault ?? `--system: found ${this.system}`}\n`);
+      return EXIT_BAD_INPUT;
+    }
+    const { routes } = configurationOf(system, () => '127.0.0.1:1');
+    const figures = await new LoadRun({
+      targets: this.targets.split(','),
+      routes,
+      requestsPerSecond: this.rate,
+      seconds: this.seconds,
+      keys: this.keys,
+      exponent: this.exponent,
+      hotKeySeconds: this.hot,
+      connections: this.connections,
+      seed: this.seed,
+    }).run();
+    this.context.stdout.write(this.json ? `${JSON.stringify(figures)}\n` : this.#format(figures));
+    return EXIT_OK;
+  }
+
+  #fault(): string | null {
+    const strangers = this.targets.split(',').filter((target) => !isLoopback(target));
+    if (strangers.length > 0) {
+      return `--targets: found ${strangers.join(', ')}; allowed: loopback addresses with a port`;
+    }
+    if (!(this.rate > 0 && this.rate <= MOST_REQUESTS_PER_SECOND)) {
+      return `--rate: found ${this.rate}; allowed: up to ${MOST_REQUESTS_PER_SECOND}`;
+    }
+    if (!(this.seconds > 0 && this.seconds <= LONGEST_SECONDS)) {
+      return `--seconds: found ${this.seconds}; allowed: up to ${LONGEST_SECONDS}`;
+    }
+    return this.keys >= 1 ? null : `--keys: found ${this.keys}; allowed: at least 1`;
+  }
+
+  #format(figures: LoadFigures): string {
+    const rows = Object.entries(figures.classes).map(([name, entry]) => ({
+      class: name,
+      requests: entry.requests,
+      answered: entry.outcomes['answered'] ?? 0,
+      notRun: entry.outcomes['not-run'] ?? 0,
+      unknown: entry.outcomes['unknown'] ?? 0,
+      broken: entry.outcomes['broken'] ?? 0,
+      p50: entry.p50.toFixed(2),
+      p99: entry.p99.toFixed(2),
+      p999: entry.p999.toFixed(2),
+      longest: entry.longest.toFixed(2),
+    }));
+    const imbalance = Object.entries(figures.imbalance).map(
+      ([group, value]) => `${group} ${value.toFixed(2)}`,
+    );
+    return `${formatRows(rows)}latencies in ms; busiest server over the mean: ${imbalance.join(', ')}; longest without an answer for a hot key: ${Math.round(figures.longestWithoutAnswer)} ms\n`;
+  }
+}
--- a/src/command-line/simulate-command.ts
+++ b/src/command-line/simulate-command.ts
@@ -37,7 +37,7 @@
   });
   readonly seeds = Option.String('--seeds', '1..5', { description: 'One seed or a range, A..B' });
   readonly scenario = Option.String('--scenario', 'singles', {
-    description: 'calm, all, singles, pairs, a fault, or faults joined by +',
+    description: 'calm, all, singles, pairs, a fault, or faults joined by +; two-sides+... on two sides',
   });
   readonly system = Option.String('--system', 'klang-valley', {
     description: `One of ${SYSTEMS.map((system) => system.name).join(', ')}`,
@@ -131,9 +131,9 @@
   }
 
   #isNoticed(mutation: Mutation): boolean {
-    const { name, faults, rules } = mutation;
+    const { name, faults, rules, twoSides = false } = mutation;
     for (let seed = 1; seed <= mutation.seeds; seed += 1) {
-      const run = { scenario: { name, faults }, seed, system: this.system };
+      const run = { scenario: { name, faults, twoSides }, seed, system: this.system };
       const [first] = runScenario({ ...run, rules }).violations;
       // What is broken with every rule in force says nothing about the planted bug.
       if (first !== undefined && runScenario(run).violations.length === 0) {
--- a/src/core/commands/operator-commands.ts
+++ b/src/core/commands/operator-commands.ts
@@ -14,7 +14,7 @@
 } from '../events.js';
 import type { DaemonId, Milliseconds } from '../identifiers.js';
 import type { ShardCommand, ShardCommandReply } from '../messages.js';
-import { startMove, startPin } from '../ownership/shard-orders.js';
+import { startHandOver, startMove, startPin } from '../ownership/shard-orders.js';
 import { slotOfKey } from '../routing/key-unit.js';
 
 const COMMAND_TIMEOUT: Milliseconds = 3_000;
@@ -57,7 +57,7 @@
     conclude(context, commandId, false, `no keyed group ${command.group}`);
     return;
   }
-  const unit = command.action === 'move' ? command.unit : slotOfKey(group, command.key);
+  const unit = command.action === 'pin' ? slotOfKey(group, command.key) : command.unit;
   const key = command.action === 'pin' ? command.key : '';
   const shard = shardOfUnit(group, unit);
   const { action, target } = command;
@@ -82,6 +82,8 @@
     refusal = `${context.state.identity.id} does not lead shard ${shard}; try again`;
   } else if (action === 'move') {
     refusal = startMove(context, leadership, unit, target);
+  } else if (action === 'handOver') {
+    refusal = startHandOver(context, leadership, unit, target);
   } else {
     refusal = startPin(context, leadership, key, unit, target);
   }
--- a/src/core/configuration/routing-configuration.ts
+++ b/src/core/configuration/routing-configuration.ts
@@ -46,6 +46,8 @@
      * balance. A larger value means fewer moves.
      */
     balanceTolerancePercent: z.number().min(1).max(1_000).default(10),
+    /** The side that owns every unit at first; this side when absent. The others get units by hand-over. */
+    home: NAME.optional(),
     servers: z.array(serverSchema).min(1),
   })
   .refine((group) => group.shards <= group.slots, { path: ['shards'], message: 'allowed: at most slots' });
@@ -65,13 +67,24 @@
   timeoutMilliseconds: z.number().int().min(10).max(600_000).default(5_000),
 });
 
+/** Another side, with its own store and daemons. */
+const sideSchema = z.strictObject({
+  name: NAME,
+  /** Internal addresses of some of its daemons: hand-overs go there. */
+  daemons: z.array(ADDRESS).min(1),
+  /** Where some of its daemons serve callers: requests for its units go there. */
+  gateways: z.array(ADDRESS).min(1),
+});
+
 const configurationSchema = z.strictObject({
+  sides: z.array(sideSchema).default([]),
   groups: z.array(groupSchema).min(1),
   routes: z.array(routeSchema),
 });
 
 export type ServerConfiguration = z.infer<typeof serverSchema>;
 export type GroupConfiguration = z.infer<typeof groupSchema>;
+export type SideConfiguration = z.infer<typeof sideSchema>;
 export type RouteConfiguration = z.infer<typeof routeSchema>;
 export type RoutingConfiguration = z.infer<typeof configurationSchema>;
 
--- a/src/core/daemon-state.ts
+++ b/src/core/daemon-state.ts
@@ -25,6 +25,8 @@
   /** `ip:port` of the internal port. */
   readonly address: string;
   readonly zone: string;
+  /** The side the daemon belongs to. */
+  readonly side: string;
   readonly seeds: readonly string[];
   readonly randomSeed: number;
 }
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -45,8 +45,14 @@
   readonly attempt: number;
   readonly server: ServerId;
   readonly address: string;
-  /** Null for a balanced group. */
+  /** Null for a balanced group, and for a request that goes to another side. */
   readonly token: FencingToken | null;
+  /** Connections this daemon may hold to the address. */
+  readonly connections: number;
+  /** Daemons the request has passed, this one included. */
+  readonly hops: number;
+  /** The address is a daemon of another side: its outcome header tells what became of the request. */
+  readonly toOtherSide: boolean;
   readonly deadlineAt: Milliseconds;
 }
 /** What a server needs to check that it owns the key of a request. */
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -79,6 +79,12 @@
 /** An operator's command that changes something. */
 export type OperatorCommand =
   | { readonly action: 'move'; readonly group: string; readonly unit: UnitNumber; readonly target: ServerId }
+  | {
+      readonly action: 'handOver';
+      readonly group: string;
+      readonly unit: UnitNumber;
+      readonly target: string;
+    }
   | { readonly action: 'pin'; readonly group: string; readonly key: string; readonly target: ServerId }
   | {
       readonly action: 'configure';
--- a/src/core/identifiers.ts
+++ b/src/core/identifiers.ts
@@ -46,3 +46,15 @@
 export function indexOfShard(shard: ShardId): number {
   return Number(shard.slice(shard.lastIndexOf('/') + 1));
 }
+
+const SIDE_PREFIX = 'side:';
+
+/** How a table names another side as the owner of a unit. */
+export function sideAsOwner(side: string): ServerId {
+  return `${SIDE_PREFIX}${side}`;
+}
+
+/** The other side that owns a unit, or null when a server of this side does. */
+export function ownerSide(owner: ServerId): string | null {
+  return owner.startsWith(SIDE_PREFIX) ? owner.slice(SIDE_PREFIX.length) : null;
+}
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -174,7 +174,7 @@
   readonly kind: 'shardCommand';
   readonly commandId: number;
   readonly shard: ShardId;
-  readonly action: 'move' | 'pin';
+  readonly action: 'move' | 'pin' | 'handOver';
   readonly unit: UnitNumber;
   readonly key: string;
   readonly target: ServerId;
@@ -186,6 +186,24 @@
   readonly reason: string;
 }
 
+/** Units that the sender's side gave up for good; sent until the other side says that it has them. */
+export interface HandOver {
+  readonly kind: 'handOver';
+  readonly group: string;
+  readonly units: UnitNumber[];
+  /** The epoch at which each unit was given up: the other side grants above it. */
+  readonly epochs: Epoch[];
+  /** Internal address of the leader that hands over. */
+  readonly replyAddress: string;
+}
+/** Units that the other side has committed as its own, at the epochs of the hand-over. */
+export interface HandOverReply {
+  readonly kind: 'handOverReply';
+  readonly group: string;
+  readonly units: UnitNumber[];
+  readonly epochs: Epoch[];
+}
+
 /** Any message of consensus within a formed shard. */
 export type ConsensusMessage = VoteRequest | VoteReply | Append | AppendReply | Snapshot;
 
@@ -202,7 +220,9 @@
   | ConfigurationPush
   | ConfigurationPull
   | ShardCommand
-  | ShardCommandReply;
+  | ShardCommandReply
+  | HandOver
+  | HandOverReply;
 
 /** A message with its sender. */
 export interface Envelope {
--- /dev/null
+++ b/src/core/ownership/hand-over.ts
@@ -0,0 +1,137 @@
+/**
+ * Hand-over of units between two sides, each with its own store and daemons. Ownership crosses once: the
+ * source commits that the unit belongs to the other side after its server gave it up, and says so until
+ * the other side has committed it as its own. A cut between the two leaves the unit without an owner,
+ * never with two. See docs/design/hand-over.md.
+ */
+import { shardOfUnit } from '../configuration/shard-layout.js';
+import type { ReducerContext } from '../context.js';
+import { groupOfShard, ownerSide, type Epoch, type Milliseconds, type UnitNumber } from '../identifiers.js';
+import type { HandOver, HandOverReply } from '../messages.js';
+import type { OwnershipRecord } from './ownership-table.js';
+import { UnitLoad } from './placement.js';
+import type { ShardLeadership } from './shard-leadership.js';
+import { nextEpoch, placementServers, proposeAssignments } from './shard-plan.js';
+
+/** Unconfirmed hand-overs are sent again this often. */
+const RESEND_INTERVAL: Milliseconds = 300;
+const UNITS_PER_MESSAGE = 512;
+
+function nameOf(unit: UnitNumber, epoch: Epoch): string {
+  return `${unit}@${epoch}`;
+}
+
+function unconfirmedBySide(leadership: ShardLeadership): Map<string, OwnershipRecord[]> {
+  const bySide = new Map<string, OwnershipRecord[]>();
+  for (const record of leadership.replica.table.records.values()) {
+    const side = ownerSide(record.server);
+    const confirmed = leadership.confirmedHandOvers.has(nameOf(record.unit, record.epoch));
+    if (side !== null && !confirmed) {
+      bySide.set(side, [...(bySide.get(side) ?? []), record]);
+    }
+  }
+  return bySide;
+}
+
+/** Tells other sides of the units that are theirs now, until they confirm. */
+export function tickHandOver(context: ReducerContext, leadership: ShardLeadership): void {
+  if (!leadership.ready || context.now < leadership.nextHandOverAt) {
+    return;
+  }
+  leadership.nextHandOverAt = context.now + RESEND_INTERVAL;
+  const { configuration, random, identity } = context.state;
+  for (const [side, records] of unconfirmedBySide(leadership)) {
+    const known = configuration.configuration?.sides.find((candidate) => candidate.name === side);
+    const address = random.pick(known?.daemons ?? []);
+    const sent = records.slice(0, UNITS_PER_MESSAGE);
+    if (address !== undefined) {
+      context.sendToAddress(address, {
+        kind: 'handOver',
+        group: groupOfShard(leadership.replica.shard),
+        units: sent.map((record) => record.unit),
+        epochs: sent.map((record) => record.epoch),
+        replyAddress: identity.address,
+      });
+    }
+  }
+}
+
+/** A unit and the epoch at which the other side gave it up. */
+interface HandedUnit {
+  readonly unit: UnitNumber;
+  readonly epoch: Epoch;
+}
+
+/** Takes hand-overs in, or passes each on to the leader of its shard. */
+export function receiveHandOver(context: ReducerContext, message: HandOver): void {
+  const { configuration, leaderships, tables } = context.state;
+  const group = configuration.groups.get(message.group);
+  if (group === undefined) {
+    return;
+  }
+  const byShard = new Map<string, HandedUnit[]>();
+  message.units.forEach((unit, index) => {
+    const shard = shardOfUnit(group, unit);
+    byShard.set(shard, [...(byShard.get(shard) ?? []), { unit, epoch: message.epochs[index] ?? 0 }]);
+  });
+  for (const [shard, handed] of byShard) {
+    const leadership = leaderships.get(shard);
+    const leader = tables.shards.get(shard)?.leader ?? '';
+    if (leadership?.ready === true) {
+      acceptUnits(context, leadership, handed, message);
+    } else if (leader !== '' && leader !== context.state.identity.id) {
+      const units = handed.map(({ unit }) => unit);
+      context.send(leader, { ...message, units, epochs: handed.map(({ epoch }) => epoch) });
+    }
+  }
+}
+
+function acceptUnits(
+  context: ReducerContext,
+  leadership: ShardLeadership,
+  handed: readonly HandedUnit[],
+  message: HandOver,
+): void {
+  const { table, generation, shard } = leadership.replica;
+  const servers = context.state.configuration.serversOfShards.get(shard) ?? [];
+  const load = new UnitLoad(placementServers(context, leadership, servers), table.records.values());
+  const accepted: HandedUnit[] = [];
+  const assignments: Pick<OwnershipRecord, 'unit' | 'server' | 'epoch'>[] = [];
+  for (const { unit, epoch } of handed) {
+    const record = table.records.get(unit);
+    const server = load.lightest();
+    if (record !== undefined && record.epoch > epoch) {
+      accepted.push({ unit, epoch });
+    } else if (record !== undefined && ownerSide(record.server) === null) {
+      context.log(
+        'error',
+        `a hand-over of unit ${unit} at ${epoch} is refused: it is on ${record.server} here`,
+      );
+    } else if (server !== undefined && !leadership.proposed.has(unit)) {
+      load.add(server.id, 1);
+      const above = { unit, server: server.id, epoch, target: null };
+      assignments.push({ unit, server: server.id, epoch: nextEpoch(above, generation) });
+    }
+  }
+  proposeAssignments(context, leadership, assignments);
+  if (accepted.length > 0) {
+    context.sendToAddress(message.replyAddress, {
+      kind: 'handOverReply',
+      group: message.group,
+      units: accepted.map(({ unit }) => unit),
+      epochs: accepted.map(({ epoch }) => epoch),
+    });
+  }
+}
+
+/** The other side has committed units as its own: they need not be sent again. */
+export function receiveHandOverReply(context: ReducerContext, message: HandOverReply): void {
+  const group = context.state.configuration.groups.get(message.group);
+  if (group === undefined) {
+    return;
+  }
+  message.units.forEach((unit, index) => {
+    const leadership = context.state.leaderships.get(shardOfUnit(group, unit));
+    leadership?.confirmedHandOvers.add(nameOf(unit, message.epochs[index] ?? 0));
+  });
+}
--- a/src/core/ownership/shard-leadership.ts
+++ b/src/core/ownership/shard-leadership.ts
@@ -7,7 +7,13 @@
 import type { ShardReplica } from '../consensus/shard-replica.js';
 import type { ReducerContext } from '../context.js';
 import { publishLeadership, publishTableChange } from '../dissemination/table-spread.js';
-import { groupOfShard, type Milliseconds, type ServerId, type UnitNumber } from '../identifiers.js';
+import {
+  groupOfShard,
+  ownerSide,
+  type Milliseconds,
+  type ServerId,
+  type UnitNumber,
+} from '../identifiers.js';
 import type { LogEntry } from '../messages.js';
 import { callServer, takeControlReply, timeOutCall } from './control-calls.js';
 import type { OwnershipRecord } from './ownership-table.js';
@@ -29,6 +35,9 @@
   /** Units of entries that are proposed and not yet committed. */
   readonly proposed: Set<UnitNumber>;
   readonly pendingPins: PendingPin[];
+  /** Hand-overs that the other side has confirmed, as `<unit>@<epoch>`. */
+  readonly confirmedHandOvers: Set<string>;
+  nextHandOverAt: Milliseconds;
   /** The first entry of this term is committed, so the table is complete. */
   ready: boolean;
   dirty: boolean;
@@ -45,6 +54,8 @@
     sessions: new Map(),
     proposed: new Set(),
     pendingPins: [],
+    confirmedHandOvers: new Set(),
+    nextHandOverAt: context.now,
     ready: false,
     dirty: true,
     nextBalanceAt: context.now + context.state.timing.rebalanceInterval,
@@ -73,6 +84,9 @@
   for (const unit of [...holdings.flatMap((holding) => holding.units), ...moves.map((move) => move.unit)]) {
     leadership.proposed.delete(unit);
     const server = replica.table.records.get(unit)?.server;
+    if (server !== undefined && ownerSide(server) !== null) {
+      leadership.nextHandOverAt = context.now;
+    }
     const session = server === undefined ? undefined : leadership.sessions.get(server);
     if (session !== undefined) {
       session.nextContactAt = context.now;
--- a/src/core/ownership/shard-orders.ts
+++ b/src/core/ownership/shard-orders.ts
@@ -2,7 +2,7 @@
  * Operators' orders to a shard leader: move a unit, give a single key a unit of its own.
  */
 import type { ReducerContext } from '../context.js';
-import type { ServerId, UnitNumber } from '../identifiers.js';
+import { ownerSide, sideAsOwner, type ServerId, type UnitNumber } from '../identifiers.js';
 import type { ShardLeadership } from './shard-leadership.js';
 import { placementServers, proposeMoves } from './shard-plan.js';
 
@@ -13,14 +13,23 @@
   unit: UnitNumber,
   target: ServerId,
 ): string | null {
-  const refusal = refuseTarget(context, leadership, target);
+  return refuseTarget(context, leadership, target) ?? startMoveTo(context, leadership, unit, target);
+}
+
+function startMoveTo(
+  context: ReducerContext,
+  leadership: ShardLeadership,
+  unit: UnitNumber,
+  target: ServerId,
+): string | null {
   const record = leadership.replica.table.records.get(unit);
-  if (refusal !== null) {
-    return refusal;
-  }
   if (record === undefined) {
     return `unit ${unit} has no owner yet`;
   }
+  const otherSide = ownerSide(record.server);
+  if (otherSide !== null) {
+    return `unit ${unit} belongs to side ${otherSide}: ask there`;
+  }
   if (record.target !== null || leadership.proposed.has(unit)) {
     return `unit ${unit} is already on its way from ${record.server} to ${record.target ?? 'another server'}`;
   }
@@ -31,6 +40,21 @@
   return null;
 }
 
+/** Starts to hand a unit over to another side. */
+export function startHandOver(
+  context: ReducerContext,
+  leadership: ShardLeadership,
+  unit: UnitNumber,
+  side: string,
+): string | null {
+  const { configuration } = context.state.configuration;
+  const sides = configuration?.sides.map((known) => known.name) ?? [];
+  if (!sides.includes(side)) {
+    return `no side ${side} in the configuration; there are: ${sides.join(', ') || 'none'}`;
+  }
+  return startMoveTo(context, leadership, unit, sideAsOwner(side));
+}
+
 /** Starts to give a single key a unit of its own. */
 export function startPin(
   context: ReducerContext,
@@ -49,8 +73,9 @@
   if (refusal !== null) {
     return refusal;
   }
-  if (record === undefined || record.target !== null || leadership.proposed.has(baseUnit)) {
-    return `the slot of key ${key} is on its way or has no owner yet`;
+  const here = record !== undefined && ownerSide(record.server) === null;
+  if (!here || record.target !== null || leadership.proposed.has(baseUnit)) {
+    return `the slot of key ${key} is on its way, on another side, or has no owner yet`;
   }
   leadership.pendingPins.push({ key, baseUnit, target });
   proposeMoves(context, leadership, [{ unit: baseUnit, server: record.server }]);
--- a/src/core/ownership/shard-plan.ts
+++ b/src/core/ownership/shard-plan.ts
@@ -6,7 +6,7 @@
 import { unitsOfShard } from '../configuration/shard-layout.js';
 import { propose } from '../consensus/replication.js';
 import type { ReducerContext } from '../context.js';
-import type { Epoch, UnitNumber } from '../identifiers.js';
+import { ownerSide, type Epoch, type UnitNumber } from '../identifiers.js';
 import { emptyChange, type Pin } from '../messages.js';
 import { assignmentChange, type OwnershipRecord } from './ownership-table.js';
 import {
@@ -90,7 +90,9 @@
 
 function isReleased(context: ReducerContext, leadership: ShardLeadership, record: OwnershipRecord): boolean {
   const session = sessionFor(context, leadership, record.server);
-  if (record.target !== null && !context.state.rules.waitForRevocation) {
+  const { rules } = context.state;
+  const leavesSide = record.target !== null && ownerSide(record.target) !== null;
+  if (record.target !== null && (!rules.waitForRevocation || (leavesSide && !rules.releaseBeforeHandOver))) {
     return true;
   }
   if (!context.state.rules.waitForLease && !isAnswering(context, session)) {
@@ -108,7 +110,9 @@
   balanceDue: boolean,
 ): void {
   const { replica, proposed } = leadership;
-  const records = [...replica.table.records.values()].filter((record) => !proposed.has(record.unit));
+  const records = [...replica.table.records.values()].filter(
+    (record) => !proposed.has(record.unit) && ownerSide(record.server) === null,
+  );
   const candidates = placementServers(context, leadership, servers);
   const load = new UnitLoad(candidates, replica.table.records.values());
   const pinned = completePins(context, leadership, records, group);
@@ -145,7 +149,8 @@
     const wanted = servers.find((server) => server.id === record.target && server.eligible);
     const server = wanted ?? load.lightest();
     const epoch = nextEpoch(record, leadership.replica.generation);
-    return { unit: record.unit, server: server?.id ?? record.server, epoch };
+    const otherSide = record.target !== null && ownerSide(record.target) !== null ? record.target : undefined;
+    return { unit: record.unit, server: otherSide ?? server?.id ?? record.server, epoch };
   });
   proposeAssignments(context, leadership, assigned);
 }
@@ -188,6 +193,9 @@
   load: UnitLoad,
 ): void {
   const { table, shard, generation } = leadership.replica;
+  if (group.home !== undefined && group.home !== context.state.identity.side) {
+    return;
+  }
   const waited = context.now - leadership.electedAt;
   const { firstAssignment } = context.state.timing;
   const silent = [...leadership.sessions.values()].some((session) => session.incarnation === 0);
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -22,6 +22,7 @@
 import { replicaId, type ReplicaId } from './identifiers.js';
 import * as membership from './membership/membership.js';
 import { emptyChange, type ConsensusMessage, type Envelope } from './messages.js';
+import * as handOver from './ownership/hand-over.js';
 import * as formation from './ownership/shard-formation.js';
 import { tickReplicaRepair } from './ownership/replica-repair.js';
 import { receiveControlReply, tickLeadership } from './ownership/shard-leadership.js';
@@ -83,6 +84,7 @@
   for (const leadership of [...context.state.leaderships.values()]) {
     tickLeadership(context, leadership);
     tickReplicaRepair(context, leadership.replica);
+    handOver.tickHandOver(context, leadership);
   }
   commands.tickCommands(context);
   requests.tickRequests(context);
@@ -135,6 +137,10 @@
       return commands.receiveShardCommand(context, sender, message);
     case 'shardCommandReply':
       return commands.receiveShardCommandReply(context, message);
+    case 'handOver':
+      return handOver.receiveHandOver(context, message);
+    case 'handOverReply':
+      return handOver.receiveHandOverReply(context, message);
     default:
       return receiveConsensus(context, replicaId(sender, envelope.senderIncarnation), message);
   }
--- a/src/core/request/request-reducer.ts
+++ b/src/core/request/request-reducer.ts
@@ -7,7 +7,7 @@
 import type { ReducerContext } from '../context.js';
 import type { FencingToken, Outcome } from '../effects.js';
 import type { AttemptEndedEvent, AttemptResult, RequestArrivedEvent } from '../events.js';
-import type { Milliseconds, ServerId } from '../identifiers.js';
+import { ownerSide, sideAsOwner, type Milliseconds, type ServerId } from '../identifiers.js';
 import { aliveMembers } from '../membership/membership.js';
 import { keyOfRequest, unitOfKey } from '../routing/key-unit.js';
 import { enqueue, inFlightLimit } from './admission.js';
@@ -21,6 +21,8 @@
 const LONGEST_HOLD: Milliseconds = 2_000;
 /** Requests held at once by one router. */
 const MOST_HELD = 4_096;
+/** Requests one daemon may have at daemons of another side at once. */
+const IN_FLIGHT_TO_OTHER_SIDE = 256;
 /** A held request is tried again after this long, doubled with each try up to the longest. */
 const FIRST_RETRY_DELAY: Milliseconds = 20;
 const LONGEST_RETRY_DELAY: Milliseconds = 160;
@@ -73,7 +75,8 @@
 export function receiveRequest(context: ReducerContext, event: RequestArrivedEvent): void {
   const { configuration, counters, requests } = context.state;
   counters.requests += 1;
-  if (Number(event.headers[HOP_HEADER] ?? 0) >= HOP_LIMIT) {
+  const hops = Number(event.headers[HOP_HEADER] ?? 0);
+  if (hops >= HOP_LIMIT) {
     refuse(context, event.requestId, 508, 'Loop detected', `the request has passed ${HOP_LIMIT} daemons`);
     return;
   }
@@ -103,6 +106,7 @@
     group,
     key: group.kind === 'keyed' ? key : null,
     replayable: event.replayable,
+    hops,
     arrivedAt: context.now,
     deadlineAt: context.now + route.timeoutMilliseconds,
     phase: 'held',
@@ -120,16 +124,50 @@
 }
 
 interface Destination {
-  readonly server: ServerConfiguration;
+  readonly id: ServerId;
+  readonly address: string;
+  /** Requests this daemon may have there at once. */
+  readonly limit: number;
   readonly token: FencingToken | null;
+  readonly toOtherSide: boolean;
+}
+
+function serverDestination(
+  context: ReducerContext,
+  server: ServerConfiguration,
+  token: FencingToken | null,
+): Destination {
+  const limit = inFlightLimit(server, aliveMembers(context.state.membership).length);
+  return { id: server.id, address: server.address, limit, token, toOtherSide: false };
+}
+
+function otherSideDestination(
+  context: ReducerContext,
+  request: ActiveRequest,
+  side: string,
+): Destination | string {
+  const { configuration, random } = context.state;
+  if (request.hops > 0) {
+    return `the unit is on its way between two sides`;
+  }
+  const known = configuration.configuration?.sides.find((candidate) => candidate.name === side);
+  const address = random.pick(known?.gateways ?? []);
+  if (address === undefined) {
+    return `side ${side} is not in the configuration`;
+  }
+  return { id: sideAsOwner(side), address, limit: IN_FLIGHT_TO_OTHER_SIDE, token: null, toOtherSide: true };
 }
 
 function ownerOf(context: ReducerContext, request: ActiveRequest, key: string): Destination | string {
-  const { tables, configuration } = context.state;
+  const { tables, configuration, identity } = context.state;
   const { group } = request;
   const unit = unitOfKey(tables, group, key);
   request.unit = unit;
   const record = tables.shards.get(shardOfUnit(group, unit))?.table.records.get(unit);
+  const side = record === undefined ? group.home : (ownerSide(record.server) ?? undefined);
+  if (side !== undefined && side !== identity.side) {
+    return otherSideDestination(context, request, side);
+  }
   if (record === undefined) {
     return `unit ${unit} of ${group.name} has no owner yet`;
   }
@@ -140,7 +178,7 @@
   if (server === undefined) {
     return `the owner of unit ${unit} is no longer configured`;
   }
-  return { server, token: { group: group.name, unit, epoch: record.epoch } };
+  return serverDestination(context, server, { group: group.name, unit, epoch: record.epoch });
 }
 
 function lighterOfTwo(context: ReducerContext, group: GroupConfiguration): Destination | string {
@@ -157,11 +195,11 @@
   }
   const lighter =
     loadOf(requests, first.id).inFlight <= loadOf(requests, second.id).inFlight ? first : second;
-  return { server: lighter, token: null };
+  return serverDestination(context, lighter, null);
 }
 
 function dispatch(context: ReducerContext, request: ActiveRequest): void {
-  const { requests, membership } = context.state;
+  const { requests } = context.state;
   requests.held.delete(request);
   if (context.now + LEAST_TIME_TO_RUN > request.deadlineAt) {
     answer(context, request, 503, 'not-run', 'Not run in time', 1);
@@ -173,39 +211,42 @@
     hold(context, request, destination);
     return;
   }
-  const load = loadOf(requests, destination.server.id);
-  const limit = inFlightLimit(destination.server, aliveMembers(membership).length);
+  const { id, limit } = destination;
+  const load = loadOf(requests, id);
   if (load.inFlight < limit) {
     forward(context, request, destination);
     return;
   }
   request.phase = 'queued';
-  request.server = destination.server.id;
+  request.server = id;
   context.state.counters.requests_queued += 1;
   const shed = enqueue(load, request, limit);
   if (shed !== undefined) {
     context.state.counters.requests_shed += 1;
-    shed.lastReason = `server ${destination.server.id} is overloaded`;
+    shed.lastReason = `server ${id} is overloaded`;
     answer(context, shed, 503, 'not-run', 'Overloaded', 1);
   }
 }
 
 function forward(context: ReducerContext, request: ActiveRequest, destination: Destination): void {
   const { requests, counters } = context.state;
-  const { server, token } = destination;
+  const { id, address, limit, token, toOtherSide } = destination;
   request.phase = 'running';
   request.attempt += 1;
-  request.server = server.id;
+  request.server = id;
   request.epoch = token?.epoch ?? null;
-  loadOf(requests, server.id).inFlight += 1;
+  loadOf(requests, id).inFlight += 1;
   counters.attempts += 1;
   context.emit({
     kind: 'forward',
     requestId: request.id,
     attempt: request.attempt,
-    server: server.id,
-    address: server.address,
+    server: id,
+    address,
     token,
+    connections: limit,
+    hops: request.hops + 1,
+    toOtherSide,
     deadlineAt: request.deadlineAt,
   });
 }
--- a/src/core/request/request-state.ts
+++ b/src/core/request/request-state.ts
@@ -14,6 +14,8 @@
   /** Null for a balanced group. */
   readonly key: string | null;
   readonly replayable: boolean;
+  /** Daemons the request passed before this one. */
+  readonly hops: number;
   readonly arrivedAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
   phase: RequestPhase;
--- a/src/core/safety-rules.ts
+++ b/src/core/safety-rules.ts
@@ -13,6 +13,8 @@
   readonly confirmStampByQuorum: boolean;
   /** A unit moves only after its owner acknowledged the revocation. */
   readonly waitForRevocation: boolean;
+  /** A unit goes to another side only after its owner on this side gave it up. */
+  readonly releaseBeforeHandOver: boolean;
   /** A change counts as committed only when a majority of replicas holds it. */
   readonly commitByQuorum: boolean;
   /** A message for another life of a daemon is dropped; a restarted daemon is a new replica. */
@@ -37,6 +39,7 @@
   waitAfterElection: true,
   confirmStampByQuorum: true,
   waitForRevocation: true,
+  releaseBeforeHandOver: true,
   commitByQuorum: true,
   checkIncarnation: true,
   voteOncePerTerm: true,
--- a/src/emulator/server-process.ts
+++ b/src/emulator/server-process.ts
@@ -46,6 +46,15 @@
   leaving: false,
 };
 
+/** Answers at once and never sheds: what is measured is the router. */
+export const INSTANT_BEHAVIOUR: ServerBehaviour = {
+  ...DEFAULT_BEHAVIOUR,
+  concurrency: 1_000,
+  queue: 1_000,
+  serviceMilliseconds: 0,
+  coldStartMilliseconds: 0,
+};
+
 const behaviourSchema = z
   .strictObject({
     concurrency: z.number().int().min(1),
@@ -149,7 +158,12 @@
         return;
       }
       this.#running += 1;
-      setTimeout(() => this.#complete(request, response, token), this.#serviceTime());
+      const serviceTime = this.#serviceTime();
+      if (serviceTime === 0) {
+        this.#complete(request, response, token);
+      } else {
+        setTimeout(() => this.#complete(request, response, token), serviceTime);
+      }
     };
     if (this.#running < this.#behaviour.concurrency) {
       start();
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,7 @@
 import { EmulateServersCommand, EmulateStoreCommand } from './command-line/emulate-command.js';
 import { QueryCommand } from './command-line/query-command.js';
 import { CheckSettingsCommand, ServeCommand } from './command-line/serve-command.js';
+import { LoadCommand } from './command-line/load-command.js';
 import { SimulateCommand } from './command-line/simulate-command.js';
 import { programVersion } from './command-line/version.js';
 
@@ -26,4 +27,5 @@
 cli.register(EmulateStoreCommand);
 cli.register(EmulateServersCommand);
 cli.register(SimulateCommand);
+cli.register(LoadCommand);
 await cli.runExit(process.argv.slice(2));
--- a/src/runtime/daemon.ts
+++ b/src/runtime/daemon.ts
@@ -54,13 +54,14 @@
   constructor(settings: DaemonSettings, log: ConsolaInstance) {
     this.#settings = settings;
     this.#log = log;
-    const { id, zone, seeds, listen: ports } = settings;
+    const { id, zone, side, seeds, listen: ports } = settings;
     const incarnation = Date.now();
     const identity = {
       id,
       incarnation,
       address: ports.internal,
       zone,
+      side,
       seeds,
       randomSeed: incarnation ^ process.pid,
     };
@@ -71,7 +72,7 @@
     });
     this.#store = new StoreClient(settings.store);
     const dispatch = (event: DaemonEvent): void => this.dispatch(event);
-    this.#bridge = new RequestBridge(this.state, this.#servers, dispatch, () => performance.now());
+    this.#bridge = new RequestBridge(this.#servers, dispatch, () => performance.now());
     this.#front = this.#createFront();
     this.#admin = createAdaptorServer({ fetch: this.#createAdmin().fetch }) as Server;
   }
--- a/src/runtime/request-bridge.ts
+++ b/src/runtime/request-bridge.ts
@@ -5,11 +5,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
 import type { Dispatcher } from 'undici';
-import { inFlightLimit } from '../core/request/admission.js';
 import { HOP_HEADER } from '../core/request/request-reducer.js';
 import type { AnswerEffect, CancelEffect, ForwardEffect } from '../core/effects.js';
 import type { AttemptResult, DaemonEvent } from '../core/events.js';
-import type { DaemonState } from '../core/daemon-state.js';
 import {
   DEADLINE_HEADER,
   EPOCH_HEADER,
@@ -42,12 +40,10 @@
   readonly #exchanges = new Map<number, Exchange>();
   readonly #dispatch: Dispatch;
   readonly #client: ServerClient;
-  readonly #state: DaemonState;
   readonly #now: () => number;
   #nextId = 1;
 
-  constructor(state: DaemonState, client: ServerClient, dispatch: Dispatch, now: () => number) {
-    this.#state = state;
+  constructor(client: ServerClient, dispatch: Dispatch, now: () => number) {
     this.#client = client;
     this.#dispatch = dispatch;
     this.#now = now;
@@ -137,12 +133,9 @@
     const { request, response } = exchange;
     const abort = new AbortController();
     exchange.abort = abort;
-    const server = this.#state.configuration.servers.get(effect.server);
-    const daemons = this.#state.membership.members.size;
-    const connections = server === undefined ? 1 : inFlightLimit(server, daemons);
     let answer: Dispatcher.ResponseData;
     try {
-      answer = await this.#client.request(effect.address, connections, {
+      answer = await this.#client.request(effect.address, effect.connections, {
         method: (request.method ?? 'GET') as Dispatcher.HttpMethod,
         path: request.url ?? '/',
         headers: requestHeaders(request, effect, this.#now()),
@@ -152,11 +145,11 @@
     } catch (cause) {
       return classifyFailure(cause);
     }
-    const refusal = answer.headers[REFUSAL_HEADER];
-    if (refusal !== undefined) {
+    const rejection = effect.toOtherSide ? rejectionByOtherSide(answer) : rejectionByServer(answer);
+    if (rejection !== null) {
       answer.body.on('error', () => undefined);
       answer.body.resume();
-      return { kind: 'refused', reason: String(refusal) };
+      return rejection;
     }
     this.#dispatch({ kind: 'answerStarted', requestId: effect.requestId, attempt: effect.attempt });
     response.writeHead(answer.statusCode, answerHeaders(answer));
@@ -178,6 +171,23 @@
   }
 }
 
+function rejectionByServer(answer: Dispatcher.ResponseData): AttemptResult | null {
+  const refusal = answer.headers[REFUSAL_HEADER];
+  return refusal === undefined ? null : { kind: 'refused', reason: String(refusal) };
+}
+
+/** A daemon of another side says itself what became of the request. */
+function rejectionByOtherSide(answer: Dispatcher.ResponseData): AttemptResult | null {
+  switch (answer.headers[OUTCOME_HEADER]) {
+    case 'answered':
+      return null;
+    case 'not-run':
+      return { kind: 'refused', reason: 'not run by the other side' };
+    default:
+      return { kind: 'lost', reason: 'unknown to the other side', answerStarted: false };
+  }
+}
+
 function splitTarget(target: string): [string, string] {
   const mark = target.indexOf('?');
   return mark < 0 ? [target, ''] : [target.slice(0, mark), target.slice(mark + 1)];
@@ -213,7 +223,7 @@
     }
   }
   headers[DEADLINE_HEADER] = String(Math.max(0, Math.round(effect.deadlineAt - now)));
-  headers[HOP_HEADER] = '1';
+  headers[HOP_HEADER] = String(effect.hops);
   if (effect.token !== null) {
     headers[GROUP_HEADER] = effect.token.group;
     headers[UNIT_HEADER] = String(effect.token.unit);
--- a/src/simulation/availability.ts
+++ b/src/simulation/availability.ts
@@ -1,6 +1,6 @@
 /**
  * How long units cannot be served, sampled on the ground truth: a unit is served when a working server
- * holds it under a valid lease and most working daemons route to that server at that epoch.
+ * holds it under a valid lease and most working daemons of a side route to that server at that epoch.
  */
 import type { Milliseconds, UnitNumber } from '../core/identifiers.js';
 import { shardOfUnit } from '../core/configuration/shard-layout.js';
@@ -36,8 +36,10 @@
     now: Milliseconds,
   ): void {
     const working = daemons.filter((daemon) => daemon.working);
+    const sides = [...new Set(working.map((daemon) => daemon.side))];
+    const daemonsOfSides = sides.map((side) => working.filter((daemon) => daemon.side === side));
     for (let unit = 0; unit < this.#group.slots; unit += 1) {
-      const served = this.#isServed(unit, working, servers);
+      const served = daemonsOfSides.some((ofSide) => this.#isServed(unit, ofSide, servers));
       if (served) {
         this.#down.delete(unit);
         continue;
--- a/src/simulation/checkers.ts
+++ b/src/simulation/checkers.ts
@@ -48,10 +48,15 @@
   readonly server: ServerId;
 }
 
+/** Two sides may have shards of the same name. */
+function scopeOf(daemon: SimulatedDaemon, shard: ShardId): string {
+  return `${daemon.side}:${shard}`;
+}
+
 /** What a leader has acknowledged is in the table of every later leader, or something newer is. */
 export class AcknowledgedChecker {
   readonly #history: History;
-  readonly #acknowledged = new Map<ShardId, Map<UnitNumber, Acknowledged>>();
+  readonly #acknowledged = new Map<string, Map<UnitNumber, Acknowledged>>();
   readonly #seen = new Map<string, number>();
   #reported = false;
 
@@ -72,8 +77,9 @@
   }
 
   #compare(daemon: SimulatedDaemon, shard: ShardId, now: Milliseconds): void {
-    const known = this.#acknowledged.get(shard) ?? new Map<UnitNumber, Acknowledged>();
-    this.#acknowledged.set(shard, known);
+    const scope = scopeOf(daemon, shard);
+    const known = this.#acknowledged.get(scope) ?? new Map<UnitNumber, Acknowledged>();
+    this.#acknowledged.set(scope, known);
     const records = daemon.state.leaderships.get(shard)?.replica.table.records ?? new Map();
     for (const [unit, before] of known) {
       const record = records.get(unit);
@@ -97,16 +103,17 @@
   /** A leader that has been replaced and does not know it yet may be behind: it can acknowledge nothing. */
   #isDeposed(daemon: SimulatedDaemon, shard: ShardId): boolean {
     const replica = daemon.state.leaderships.get(shard)?.replica;
-    const newest = this.#newestTerm.get(shard) ?? 0;
+    const newest = this.#newestTerm.get(scopeOf(daemon, shard)) ?? 0;
     return replica !== undefined && replica.term < newest;
   }
 
-  readonly #newestTerm = new Map<ShardId, number>();
+  readonly #newestTerm = new Map<string, number>();
 
   /** Notes the newest term that has a leader. */
   noteTerms(daemon: SimulatedDaemon): void {
     for (const [shard, { replica }] of daemon.state.leaderships) {
-      this.#newestTerm.set(shard, Math.max(this.#newestTerm.get(shard) ?? 0, replica.term));
+      const scope = scopeOf(daemon, shard);
+      this.#newestTerm.set(scope, Math.max(this.#newestTerm.get(scope) ?? 0, replica.term));
     }
   }
 }
--- a/src/simulation/faults.ts
+++ b/src/simulation/faults.ts
@@ -28,6 +28,7 @@
   'configuration-burst',
   'drain',
   'planned-stop',
+  'side-cut',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -106,6 +107,15 @@
   });
 }
 
+/** Cuts the link between two sides. With one side there is nothing to cut. */
+function cutSides(world: World, duration: Milliseconds): void {
+  const sideOf = new Map(world.daemons.map((daemon) => [daemon.id, daemon.side]));
+  cutFor(world, duration, 'the link between the sides is cut', (from, to) => {
+    const [one, two] = [sideOf.get(from.name), sideOf.get(to.name)];
+    return one !== undefined && two !== undefined && one !== two;
+  });
+}
+
 /** Cuts a leader off from the other daemons but not from the servers: it goes on believing that it leads. */
 function cutLeader(world: World, duration: Milliseconds): void {
   const leader = leaderOrAny(world);
@@ -282,6 +292,8 @@
       return partition(world, duration, false);
     case 'one-way-cut':
       return partition(world, duration, true);
+    case 'side-cut':
+      return cutSides(world, duration);
     case 'leader-cut':
       return cutLeader(world, duration);
     case 'store-down':
--- a/src/simulation/mutations.ts
+++ b/src/simulation/mutations.ts
@@ -10,6 +10,7 @@
   readonly name: string;
   readonly rules: SafetyRules;
   readonly faults: readonly FaultKind[];
+  readonly twoSides?: boolean;
   /** Noticed within this many seeds, from seed 1 on. */
   readonly seeds: number;
 }
@@ -44,6 +45,13 @@
     faults: ['operator-race', 'drain'],
     seeds: 10,
   },
+  {
+    name: 'hand-over-both',
+    rules: without('releaseBeforeHandOver'),
+    faults: ['server-freeze'],
+    twoSides: true,
+    seeds: 10,
+  },
   { name: 'commit-alone', rules: without('commitByQuorum'), faults: ['leader-cut', 'partition'], seeds: 40 },
   {
     name: 'older-configuration',
--- /dev/null
+++ b/src/simulation/request-carrier.ts
@@ -0,0 +1,211 @@
+/**
+ * Carries requests in the simulation: from callers to daemons, on to servers or to daemons of another
+ * side, and the answers back.
+ */
+import type { ForwardEffect, Outcome } from '../core/effects.js';
+import type { AttemptResult } from '../core/events.js';
+import type { Milliseconds } from '../core/identifiers.js';
+import { HOP_HEADER } from '../core/request/request-reducer.js';
+import type { History } from './history.js';
+import type { Endpoint, Network } from './network.js';
+import type { Scheduler } from './scheduler.js';
+import type { SimulatedDaemon } from './simulated-daemon.js';
+import type { SimulatedServer } from './simulated-server.js';
+
+/** A connection whose other end is gone is noticed after this long. */
+const BROKEN_CONNECTION_DELAY: Milliseconds = 300;
+const REFUSED_CONNECTION_DELAY: Milliseconds = 1;
+const CALLER_PATIENCE: Milliseconds = 12_000;
+const CALLERS: Endpoint = { name: 'callers', zone: 'outside' };
+
+/** A caller's request as the simulation makes it. */
+export interface SimulatedCall {
+  readonly method: string;
+  readonly path: string;
+  readonly repeatable: boolean;
+}
+
+/** What the carrier reaches. */
+export interface CarrierSurroundings {
+  readonly scheduler: Scheduler;
+  readonly network: Network;
+  readonly history: History;
+  server(id: string): SimulatedServer;
+  daemonAt(address: string): SimulatedDaemon | undefined;
+}
+
+/** One request at one daemon. */
+interface OpenRequest {
+  readonly call: SimulatedCall;
+  readonly callId: number;
+  /** Takes the daemon's answer back to where the request came from. */
+  readonly answer: (outcome: Outcome) => void;
+}
+
+/** The requests under way. */
+export class RequestCarrier {
+  readonly #world: CarrierSurroundings;
+  readonly #open = new Map<number, OpenRequest>();
+  #nextRequest = 1;
+  #nextCall = 1;
+
+  constructor(world: CarrierSurroundings) {
+    this.#world = world;
+  }
+
+  /** Sends a caller's request to a daemon; without one the caller's connection is broken. */
+  call(call: SimulatedCall, daemon: SimulatedDaemon | undefined): void {
+    const { scheduler, network, history } = this.#world;
+    const callId = this.#nextCall;
+    this.#nextCall += 1;
+    const { repeatable } = call;
+    const startedAt = scheduler.now;
+    history.calls.set(callId, { id: callId, repeatable, startedAt, endedAt: 0, outcome: null, runs: 0 });
+    const broken = (): void => history.ended(callId, 'broken', scheduler.now);
+    if (daemon === undefined) {
+      broken();
+      return;
+    }
+    scheduler.after(CALLER_PATIENCE, broken);
+    const brokenLater = (): void => scheduler.after(BROKEN_CONNECTION_DELAY, broken);
+    const answer = (outcome: Outcome): void => {
+      const told = (): void => history.ended(callId, outcome, scheduler.now);
+      network.deliverOnce(daemon.endpoint, CALLERS, told, brokenLater);
+    };
+    network.deliverOnce(
+      CALLERS,
+      daemon.endpoint,
+      () => this.#arrive(daemon, { call, callId, answer }, 0),
+      brokenLater,
+    );
+  }
+
+  /** A daemon answers a request itself. */
+  answer(requestId: number, outcome: Outcome): void {
+    const request = this.#open.get(requestId);
+    this.#open.delete(requestId);
+    request?.answer(outcome);
+  }
+
+  /** A daemon sends a request on. */
+  forward(daemon: SimulatedDaemon, effect: ForwardEffect): void {
+    const { scheduler } = this.#world;
+    const { requestId, attempt } = effect;
+    const { life } = daemon;
+    const request = this.#open.get(requestId);
+    if (request === undefined) {
+      return;
+    }
+    const conclude = (result: AttemptResult): void => {
+      if (daemon.life !== life) {
+        return;
+      }
+      if (result.kind === 'answered') {
+        daemon.dispatch({ kind: 'answerStarted', requestId, attempt });
+        this.answer(requestId, 'answered');
+      }
+      daemon.dispatch({ kind: 'attemptEnded', requestId, attempt, result });
+    };
+    const lost = (): void =>
+      scheduler.after(BROKEN_CONNECTION_DELAY, () =>
+        conclude({ kind: 'lost', reason: 'connection broken', answerStarted: false }),
+      );
+    const refuse = (): void =>
+      scheduler.after(REFUSED_CONNECTION_DELAY, () =>
+        conclude({ kind: 'notSent', reason: 'connection refused' }),
+      );
+    if (effect.toOtherSide) {
+      this.#toOtherSide(daemon, effect, request, { conclude, lost, refuse });
+    } else {
+      this.#toServer(daemon, effect, request.callId, { conclude, lost, refuse });
+    }
+  }
+
+  #arrive(daemon: SimulatedDaemon, request: OpenRequest, hops: number): void {
+    const requestId = this.#nextRequest;
+    this.#nextRequest += 1;
+    this.#open.set(requestId, request);
+    const { method, path } = request.call;
+    const headers = hops === 0 ? {} : { [HOP_HEADER]: String(hops) };
+    const place = { host: '', query: '' };
+    daemon.dispatch({ kind: 'requestArrived', requestId, method, path, headers, replayable: true, ...place });
+  }
+
+  #toOtherSide(
+    daemon: SimulatedDaemon,
+    effect: ForwardEffect,
+    request: OpenRequest,
+    ends: AttemptEnds,
+  ): void {
+    const { network } = this.#world;
+    const gateway = this.#world.daemonAt(effect.address);
+    if (gateway?.alive !== true) {
+      ends.refuse();
+      return;
+    }
+    const { life } = gateway;
+    const answer = (outcome: Outcome): void => {
+      const result = resultOfOtherSide(outcome);
+      network.deliverOnce(gateway.endpoint, daemon.endpoint, () => ends.conclude(result), ends.lost);
+    };
+    const { call, callId } = request;
+    const arrive = (): void => {
+      if (gateway.life === life) {
+        this.#arrive(gateway, { call, callId, answer }, effect.hops);
+      } else {
+        ends.lost();
+      }
+    };
+    network.deliverOnce(daemon.endpoint, gateway.endpoint, arrive, ends.lost);
+    this.#breakOnCrash(gateway, life, ends.lost);
+  }
+
+  #toServer(daemon: SimulatedDaemon, effect: ForwardEffect, callId: number, ends: AttemptEnds): void {
+    const { network } = this.#world;
+    const server = this.#world.server(effect.server);
+    if (!server.alive) {
+      ends.refuse();
+      return;
+    }
+    const { life } = server;
+    const serve = (): void =>
+      server.serve(callId, effect.token, (result) => {
+        const answer: AttemptResult =
+          result.kind === 'ran' ? { kind: 'answered' } : { kind: 'refused', reason: result.reason };
+        network.deliverOnce(server.endpoint, daemon.endpoint, () => ends.conclude(answer), ends.lost);
+      });
+    const arrive = (): void => {
+      if (server.life === life) {
+        server.within(serve);
+      } else {
+        ends.lost();
+      }
+    };
+    network.deliverOnce(daemon.endpoint, server.endpoint, arrive, ends.lost);
+    this.#breakOnCrash(server, life, ends.lost);
+  }
+
+  /** A crash breaks connections; the other end learns of it a little later. */
+  #breakOnCrash(process: { readonly life: number }, life: number, lost: () => void): void {
+    this.#world.scheduler.after(BROKEN_CONNECTION_DELAY, () => {
+      if (process.life !== life) {
+        lost();
+      }
+    });
+  }
+}
+
+interface AttemptEnds {
+  readonly conclude: (result: AttemptResult) => void;
+  readonly lost: () => void;
+  readonly refuse: () => void;
+}
+
+function resultOfOtherSide(outcome: Outcome): AttemptResult {
+  if (outcome === 'answered') {
+    return { kind: 'answered' };
+  }
+  return outcome === 'not-run'
+    ? { kind: 'refused', reason: 'not run by the other side' }
+    : { kind: 'lost', reason: 'unknown to the other side', answerStarted: false };
+}
--- /dev/null
+++ b/test/core/ownership/test-hand-over.ts
@@ -0,0 +1,76 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { createTwoSides, startHandOvers } from '../../../src/simulation/two-sides.js';
+import type { World } from '../../../src/simulation/world.js';
+
+const UNIT = 5;
+
+function ownersOn(world: World, side: string): Set<string | undefined> {
+  const daemons = world.daemons.filter((daemon) => daemon.side === side);
+  return new Set(
+    daemons.map((daemon) => daemon.state.tables.shards.get('rakstatus/0')?.table.records.get(UNIT)?.server),
+  );
+}
+
+function handOver(world: World, side: string, target: string): void {
+  const daemon = world.daemons.find((candidate) => candidate.side === side);
+  if (daemon !== undefined) {
+    world.command(daemon, { action: 'handOver', group: 'rakstatus', unit: UNIT, target });
+  }
+}
+
+describe('hand-over', () => {
+  it('moves a unit across and back, each time at a higher epoch', () => {
+    const world = createTwoSides({ seed: 1 });
+    world.scheduler.runUntil(5_000);
+    handOver(world, 'klang-valley', 'kota-tinggi');
+    world.scheduler.runUntil(7_000);
+    expect(ownersOn(world, 'klang-valley')).toEqual(new Set(['side:kota-tinggi']));
+    expect([...ownersOn(world, 'kota-tinggi')][0]?.startsWith('kota-')).toEqual(true);
+    handOver(world, 'kota-tinggi', 'klang-valley');
+    world.scheduler.runUntil(9_000);
+    expect(ownersOn(world, 'kota-tinggi')).toEqual(new Set(['side:klang-valley']));
+    expect([...ownersOn(world, 'klang-valley')][0]?.startsWith('rakstatus-')).toEqual(true);
+  });
+
+  it('waits out a cut of the link: the unit has no owner, then one', () => {
+    const world = createTwoSides({ seed: 2 });
+    world.scheduler.runUntil(5_000);
+    const sideOf = new Map(world.daemons.map((daemon) => [daemon.id, daemon.side]));
+    const heal = world.network.cut((from, to) => sideOf.get(from.name) !== sideOf.get(to.name));
+    handOver(world, 'klang-valley', 'kota-tinggi');
+    world.scheduler.runUntil(8_000);
+    expect(ownersOn(world, 'kota-tinggi')).toEqual(new Set([undefined]));
+    heal();
+    world.scheduler.runUntil(10_000);
+    expect([...ownersOn(world, 'kota-tinggi')][0]?.startsWith('kota-')).toEqual(true);
+    expect(world.history.violations).toEqual([]);
+  });
+
+  it('refuses a side that is not configured, and a unit that is already there', () => {
+    const world = createTwoSides({ seed: 3 });
+    world.scheduler.runUntil(5_000);
+    const told: string[] = [];
+    const [daemon] = world.daemons;
+    const order = (target: string): void => {
+      if (daemon !== undefined) {
+        const command = { action: 'handOver', group: 'rakstatus', unit: UNIT, target } as const;
+        world.command(daemon, command, (_, detail) => told.push(detail));
+      }
+    };
+    order('nowhere');
+    order('kota-tinggi');
+    world.scheduler.runUntil(7_000);
+    order('kota-tinggi');
+    world.scheduler.runUntil(8_000);
+    expect(told[0]).toEqual('no side nowhere in the configuration; there are: kota-tinggi');
+    expect(told[2]).toEqual('unit 5 belongs to side kota-tinggi: ask there');
+  });
+
+  it('keeps one owner while units cross all the time', () => {
+    const world = createTwoSides({ seed: 4 });
+    startHandOvers(world, 12_000);
+    world.scheduler.runUntil(14_000);
+    expect(world.history.violations).toEqual([]);
+  });
+});
--- a/test/core/request/test-request-reducer.ts
+++ b/test/core/request/test-request-reducer.ts
@@ -95,6 +95,16 @@
     expect(ofKind(moveAway(daemon), 'forward')).toEqual([]);
   });
 
+  it('sends a request for a unit of the other side there once, and then no further', () => {
+    const daemon = new DaemonFixture();
+    const change = assignmentChange([0, 1, 2, 3].map((unit) => ({ unit, server: 'side:right', epoch: 8 })));
+    applyChange(daemon.state.tables.shards.get('keyed/0')?.table ?? createOwnershipTable(), change);
+    const [forward] = ofKind(daemon.request(1, 'GET', '/k/a'), 'forward');
+    expect([forward?.address, forward?.toOtherSide, forward?.hops]).toEqual(['10.0.0.9:1', true, 1]);
+    const crossed = daemon.request(2, 'GET', '/k/a', { headers: { 'fennelferry-hops': '1' } });
+    expect(ofKind(crossed, 'forward')).toEqual([]);
+  });
+
   it('frees the slot of a caller that left and cancels its attempt', () => {
     const daemon = new DaemonFixture();
     daemon.request(1, 'GET', '/k/a');
--- /dev/null
+++ b/test/load/test-popularity.ts
@@ -0,0 +1,22 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { SeededRandom } from '../../src/core/random.js';
+import { KeyPopularity } from '../../src/load/popularity.js';
+
+function mostPopular(popularity: KeyPopularity): string {
+  const counts = new Map<string, number>();
+  for (let draw = 0; draw < 5_000; draw += 1) {
+    const key = popularity.next();
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return [...counts].sort((left, right) => right[1] - left[1])[0]?.[0] ?? '';
+}
+
+describe('key popularity', () => {
+  it('favours few keys, and others after a change', () => {
+    const popularity = new KeyPopularity(100, 1, new SeededRandom(4));
+    expect(mostPopular(popularity)).toEqual('key-0');
+    popularity.changeHotKeys();
+    expect(mostPopular(popularity) === 'key-0').toEqual(false);
+  });
+});
--- a/test/simulation/test-scenarios.ts
+++ b/test/simulation/test-scenarios.ts
@@ -26,6 +26,13 @@
     });
   }
 
+  for (const name of ['two-sides+side-cut', 'two-sides+leader-crash', 'two-sides+network-bad']) {
+    it(`hold under ${name}: hand-overs in both directions all the while`, () => {
+      const scenario = findScenario(name);
+      expect(scenario && runScenario({ scenario, seed: 103 }).violations).toEqual([]);
+    });
+  }
+
   for (const [name, seed] of FORMER_FAILURES) {
     it(`hold in ${name}, seed ${seed}, which once broke one`, () => {
       const scenario = findScenario(name);
