A planned stop hands leadership on and says that it leaves

Change: a stopping leader asks the furthest follower to stand at once, the daemon says that it left, stands in no election, and closes each connection with its next answer.

--- a/src/core/consensus/election.ts
+++ b/src/core/consensus/election.ts
@@ -4,7 +4,7 @@
  */
 import type { ReducerContext } from '../context.js';
 import type { ReplicaId } from '../identifiers.js';
-import type { VoteReply, VoteRequest } from '../messages.js';
+import type { Campaign, VoteReply, VoteRequest } from '../messages.js';
 import { startLeading, stopLeading } from './replication.js';
 import { majorityOf, otherReplicas, type ShardReplica } from './shard-replica.js';
 
@@ -82,12 +82,31 @@
     deferElection(context, replica);
   }
   const inSet = replica.log.replicas.includes(replica.self);
-  const mayStand = replica.role !== 'leader' && inSet && !replica.dormant;
+  const mayStand = replica.role !== 'leader' && inSet && !replica.dormant && !context.state.stopping;
   if (mayStand && context.now >= replica.electionDeadline) {
     startPreVote(context, replica);
   }
 }
 
+/** The leader stops as planned and has chosen this replica: no pre-vote, since others still hear the leader. */
+export function receiveCampaign(context: ReducerContext, replica: ShardReplica, message: Campaign): void {
+  if (message.term === replica.term && replica.role === 'follower' && !context.state.stopping) {
+    startElection(context, replica);
+  }
+}
+
+/** Gives leadership to the follower that has come furthest. */
+export function handLeadershipOn(context: ReducerContext, replica: ShardReplica): void {
+  const { shard, generation, term, progress } = replica;
+  const [furthest] = otherReplicas(replica).sort(
+    (left, right) => (progress.get(right)?.matchIndex ?? 0) - (progress.get(left)?.matchIndex ?? 0),
+  );
+  stopLeading(context, replica, 'a planned stop');
+  if (furthest !== undefined) {
+    context.sendToReplica(furthest, { kind: 'campaign', shard, generation, term });
+  }
+}
+
 function isUpToDate(replica: ShardReplica, message: VoteRequest): boolean {
   const { lastIndex, lastTerm } = replica.log;
   return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= lastIndex);
--- a/src/core/daemon-state.ts
+++ b/src/core/daemon-state.ts
@@ -46,6 +46,8 @@
   readonly requests: RequestState;
   readonly commands: CommandState;
   startedAt: Milliseconds;
+  /** A planned stop is under way. */
+  stopping: boolean;
 }
 
 /** A daemon that has just started and knows only itself. */
@@ -71,5 +73,6 @@
     requests: createRequestState(),
     commands: createCommandState(),
     startedAt: -1,
+    stopping: false,
   };
 }
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -50,6 +50,10 @@
   /** The body is held whole (or there is none), so another attempt can send it again. */
   readonly replayable: boolean;
 }
+/** The process is to stop as planned: it gives up its roles. */
+export interface StoppingEvent {
+  readonly kind: 'stopping';
+}
 /** How one attempt to have a server run a request ended. */
 export type AttemptResult =
   | { readonly kind: 'answered' }
@@ -103,6 +107,7 @@
 /** Any event. */
 export type DaemonEvent =
   | TickEvent
+  | StoppingEvent
   | PeerMessageEvent
   | ControlReplyEvent
   | ObjectReadEvent
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -19,6 +19,8 @@
 const QUIET_BEFORE_SYNC: Milliseconds = 5_000;
 /** A daemon that has just started exchanges at once: many may be joining with it. */
 const YOUNG_FOR: Milliseconds = 15_000;
+/** Members that a leaving daemon tells itself. */
+const TOLD_OF_LEAVING = 5;
 /** A daemon starts a whole exchange with a peer at most this often. */
 const SYNC_INTERVAL: Milliseconds = 2_000;
 /** A dead member is forgotten after this long. */
@@ -156,7 +158,8 @@
 
 function refute(context: ReducerContext, claim: Member): void {
   const { membership } = context.state;
-  if (claim.incarnation !== membership.self.incarnation || claim.status === 'alive') {
+  const leaving = membership.self.status === 'left';
+  if (claim.incarnation !== membership.self.incarnation || claim.status === 'alive' || leaving) {
     return;
   }
   membership.self = { ...membership.self, revision: Math.max(claim.revision, membership.self.revision) + 1 };
@@ -299,6 +302,20 @@
   }
 }
 
+/** Tells some members that this daemon leaves; they pass it on. */
+export function leave(context: ReducerContext): void {
+  const { membership, random } = context.state;
+  const others = aliveMembers(membership).filter((member) => member.id !== membership.self.id);
+  membership.self = { ...membership.self, revision: membership.self.revision + 1, status: 'left' };
+  record(context, membership.self);
+  for (let count = 0; count < TOLD_OF_LEAVING; count += 1) {
+    const other = random.pick(others);
+    if (other !== undefined) {
+      sendPing(context, other);
+    }
+  }
+}
+
 /** Does what is due. */
 export function tickMembership(context: ReducerContext): void {
   const { membership, timing } = context.state;
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -204,8 +204,13 @@
   readonly epochs: Epoch[];
 }
 
+/** A leader that stops as planned asks a follower to stand for election at once. */
+export interface Campaign extends ShardScope {
+  readonly kind: 'campaign';
+}
+
 /** Any message of consensus within a formed shard. */
-export type ConsensusMessage = VoteRequest | VoteReply | Append | AppendReply | Snapshot;
+export type ConsensusMessage = VoteRequest | VoteReply | Append | AppendReply | Snapshot | Campaign;
 
 /** Any message between daemons. */
 export type PeerMessage =
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -4,7 +4,13 @@
  */
 import * as commands from './commands/operator-commands.js';
 import { CONFIGURATION_OBJECT } from './configuration/routing-configuration.js';
-import { receiveVoteReply, receiveVoteRequest, tickElection } from './consensus/election.js';
+import {
+  handLeadershipOn,
+  receiveCampaign,
+  receiveVoteReply,
+  receiveVoteRequest,
+  tickElection,
+} from './consensus/election.js';
 import {
   askForSnapshot,
   receiveAppend,
@@ -47,6 +53,8 @@
   switch (event.kind) {
     case 'tick':
       return tick(context);
+    case 'stopping':
+      return stop(context);
     case 'peerMessage':
       return receiveEnvelope(context, event.envelope);
     case 'controlReply': {
@@ -90,6 +98,15 @@
   requests.tickRequests(context);
 }
 
+/** Gives up every role; requests under way go on. */
+function stop(context: ReducerContext): void {
+  context.state.stopping = true;
+  for (const { replica } of [...context.state.leaderships.values()]) {
+    handLeadershipOn(context, replica);
+  }
+  membership.leave(context);
+}
+
 function receiveObject(context: ReducerContext, event: ObjectReadEvent): void {
   if (formation.isShardObject(event.name)) {
     formation.receiveShardObject(context, event);
@@ -183,6 +200,8 @@
       return receiveAppend(context, replica, sender, message);
     case 'appendReply':
       return receiveAppendReply(context, replica, sender, message);
+    case 'campaign':
+      return receiveCampaign(context, replica, message);
     case 'snapshot':
       return receiveSnapshot(context, replica, sender, message);
   }
--- a/src/runtime/daemon.ts
+++ b/src/runtime/daemon.ts
@@ -22,6 +22,8 @@
 import { StoreClient } from './store-client.js';
 
 const STOP_POLL_MILLISECONDS = 20;
+/** What is said on leaving has time to go out. */
+const LEAST_STOP_MILLISECONDS = 200;
 
 interface HttpBindings {
   readonly incoming: IncomingMessage;
@@ -97,8 +99,11 @@
 
   /** Stops accepting, finishes what is in flight up to the configured time, then closes. */
   async stop(): Promise<void> {
+    this.dispatch({ kind: 'stopping' });
+    this.#bridge.closing = true;
     this.#front.close();
     const giveUpAt = performance.now() + this.#settings.limits.drainMilliseconds;
+    await new Promise((resolve) => setTimeout(resolve, LEAST_STOP_MILLISECONDS));
     while (this.#bridge.inFlight > 0 && performance.now() < giveUpAt) {
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MILLISECONDS));
     }
--- a/src/runtime/readiness.ts
+++ b/src/runtime/readiness.ts
@@ -6,6 +6,9 @@
 
 /** What is still missing, one line each; none when the daemon is ready. */
 export function missingForReadiness(state: DaemonState): string[] {
+  if (state.stopping) {
+    return ['a planned stop is under way'];
+  }
   const { configuration } = state.configuration;
   if (configuration === null) {
     return ['no configuration is in force'];
--- a/src/runtime/request-bridge.ts
+++ b/src/runtime/request-bridge.ts
@@ -41,6 +41,8 @@
   readonly #dispatch: Dispatch;
   readonly #client: ServerClient;
   readonly #now: () => number;
+  /** The daemon stops: each connection closes with its next answer. */
+  closing = false;
   #nextId = 1;
 
   constructor(client: ServerClient, dispatch: Dispatch, now: () => number) {
@@ -100,6 +102,7 @@
       return;
     }
     exchange.request.resume();
+    response.shouldKeepAlive &&= !this.closing;
     writeProblem(
       response,
       effect.status,
@@ -152,6 +155,7 @@
       return rejection;
     }
     this.#dispatch({ kind: 'answerStarted', requestId: effect.requestId, attempt: effect.attempt });
+    response.shouldKeepAlive &&= !this.closing;
     response.writeHead(answer.statusCode, answerHeaders(answer));
     try {
       await pipeline(answer.body, response);
--- a/src/simulation/faults.ts
+++ b/src/simulation/faults.ts
@@ -36,6 +36,8 @@
 const DRAIN_POLL: Milliseconds = 20;
 const BURST_CHANGES = 30;
 const BURST_SPACING: Milliseconds = 100;
+/** A stopping process lives at least this long, so that what it said goes out. */
+const LEAST_STOP_TIME: Milliseconds = 200;
 const PLANNED_STOP_PATIENCE: Milliseconds = 10_000;
 
 function between(random: SeededRandom, least: Milliseconds, most: Milliseconds): Milliseconds {
@@ -236,16 +238,22 @@
   }
 }
 
-/** A daemon is stopped as planned: it takes no new requests, finishes what it has, and is replaced. */
+/** Some daemon is stopped as planned. */
 function plannedStop(world: World): void {
   const daemon = world.random.pick(
     world.daemons.filter((candidate) => candidate.working && !candidate.stopping),
   );
+  stopAsPlanned(world, daemon);
+}
+
+/** Stops a daemon as planned: it takes no new requests, finishes what it has, and is replaced. */
+export function stopAsPlanned(world: World, daemon: SimulatedDaemon | undefined): void {
   if (daemon === undefined) {
     return;
   }
   note(world, `${daemon.id} is stopped as planned`);
   daemon.stopping = true;
+  daemon.dispatch({ kind: 'stopping' });
   const { life } = daemon;
   const giveUpAt = world.now + PLANNED_STOP_PATIENCE;
   const poll = (): void => {
@@ -267,7 +275,7 @@
     daemon.crash();
     world.scheduler.after(DRAIN_POLL, () => daemon.restart());
   };
-  world.scheduler.after(DRAIN_POLL, poll);
+  world.scheduler.after(LEAST_STOP_TIME, poll);
 }
 
 /** Lets a fault begin now; it is over after `duration`. */
--- a/src/simulation/figures.ts
+++ b/src/simulation/figures.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from '../core/identifiers.js';
 import { systemNamed } from '../emulator/systems.js';
+import { stopAsPlanned } from './faults.js';
 import { createWorld } from './run.js';
 import type { World } from './world.js';
 
@@ -18,6 +19,7 @@
   'zone',
   'server-with-store-down',
   'drain',
+  'leader-stopped',
 ] as const;
 export type Loss = (typeof LOSSES)[number];
 
@@ -82,6 +84,9 @@
     case 'drain':
       world.server(victim).model.leaving = true;
       return new Set([victim]);
+    case 'leader-stopped':
+      stopAsPlanned(world, leader(world));
+      return new Set();
   }
 }
 
