A stopping leader without followers keeps its shard until it ends

Change: leadership is kept when nobody can take it. Ruled out: the bridge (it waited for all three). The test over real sockets runs with long leases, so that a busy machine cannot make one run out.

--- a/src/core/consensus/election.ts
+++ b/src/core/consensus/election.ts
@@ -101,10 +101,12 @@
   const [furthest] = otherReplicas(replica).sort(
     (left, right) => (progress.get(right)?.matchIndex ?? 0) - (progress.get(left)?.matchIndex ?? 0),
   );
-  stopLeading(context, replica, 'a planned stop');
-  if (furthest !== undefined) {
-    context.sendToReplica(furthest, { kind: 'campaign', shard, generation, term });
+  if (furthest === undefined) {
+    // Nobody else can renew the leases that the requests in flight stand under.
+    return;
   }
+  stopLeading(context, replica, 'a planned stop');
+  context.sendToReplica(furthest, { kind: 'campaign', shard, generation, term });
 }
 
 function isUpToDate(replica: ShardReplica, message: VoteRequest): boolean {
--- a/src/runtime/daemon.ts
+++ b/src/runtime/daemon.ts
@@ -11,6 +11,7 @@
 import type { DaemonEvent } from '../core/events.js';
 import { reduce } from '../core/reducer.js';
 import { ALL_RULES } from '../core/safety-rules.js';
+import { DEFAULT_TIMING, type Timing } from '../core/timing.js';
 import { splitAddress } from '../settings/address.js';
 import type { DaemonSettings } from '../settings/daemon-settings.js';
 import { createAdminApp, type CommandAnswer } from '../admin/admin-app.js';
@@ -53,7 +54,7 @@
   #nextCommandId = 1;
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(settings: DaemonSettings, log: ConsolaInstance) {
+  constructor(settings: DaemonSettings, log: ConsolaInstance, timing: Timing = DEFAULT_TIMING) {
     this.#settings = settings;
     this.#log = log;
     const { id, zone, side, seeds, listen: ports } = settings;
@@ -67,7 +68,7 @@
       seeds,
       randomSeed: incarnation ^ process.pid,
     };
-    this.state = createDaemonState(identity, ALL_RULES);
+    this.state = createDaemonState(identity, ALL_RULES, timing);
     this.#peers = new PeerTransport(this.state.counters, {
       onEnvelope: (envelope) => this.dispatch({ kind: 'peerMessage', envelope }),
       onMalformed: (detail) => this.#log.warn(`a peer's connection is closed: ${detail}`),
