--- a/src/capacity/main.ts
+++ b/src/capacity/main.ts
@@ -14,26 +14,26 @@
 
 /** Growing numbers of daemons, with the same number of shards and servers for each daemon. */
 const SIZES: readonly Shape[] = [
-  { ...CALM, daemons: 10, shards: 8, units: 8_192, servers: 20 },
-  { ...CALM, daemons: 40, shards: 32, units: 8_192, servers: 80 },
-  { ...CALM, daemons: 160, shards: 128, units: 8_192, servers: 320 },
-  // One machine of 8 cores is too slow for 570 in real time: their clocks run five times slower.
-  { ...CALM, daemons: 570, shards: 512, units: 8_192, servers: 1_140, timeScale: 5 },
+  { ...CALM, daemons: 10, shards: 4, units: 8_192, servers: 20 },
+  { ...CALM, daemons: 40, shards: 16, units: 8_192, servers: 80 },
+  { ...CALM, daemons: 160, shards: 64, units: 8_192, servers: 320 },
+  // One machine of 8 cores is too slow for 570 in real time: their clocks run six times slower.
+  { ...CALM, daemons: 570, shards: 256, units: 8_192, servers: 1_140, timeScale: 6 },
 ];
 
 /** Growing numbers of units. */
 const UNITS: readonly Shape[] = [1_024, 65_536].map((units) => ({
   ...CALM,
   daemons: 20,
-  shards: 16,
+  shards: 8,
   units,
   servers: 40,
 }));
 
 /** Rates of change. */
 const RATES: readonly Shape[] = [
-  { ...CALM, daemons: 40, shards: 32, units: 8_192, servers: 80, configurationChangesPerSecond: 1 },
-  { ...CALM, daemons: 40, shards: 32, units: 8_192, servers: 80, movesPerSecond: 8 },
+  { ...CALM, daemons: 40, shards: 16, units: 8_192, servers: 80, configurationChangesPerSecond: 1 },
+  { ...CALM, daemons: 40, shards: 16, units: 8_192, servers: 80, movesPerSecond: 8 },
 ];
 
 /** Everything that was measured. */
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -2,7 +2,7 @@
  * What one step of the reducer works with: the state, the time of the event, and the effects so far.
  */
 import type { DaemonState } from './daemon-state.js';
-import { sendMissingTables, tableDigest, versionsOf } from './dissemination/table-spread.js';
+import { tableDigest, versionsOf } from './dissemination/table-spread.js';
 import { compareMembers, memberDigest } from './membership/membership.js';
 import type { Effect } from './effects.js';
 import {
@@ -80,9 +80,4 @@
       this.send(peer, { kind: 'tablePull', versions: versionsOf(tables) });
     }
   }
-
-  /** Answers a peer that says what it has with what it lacks. */
-  answerPull(peer: DaemonId, versions: Parameters<typeof sendMissingTables>[2]): void {
-    sendMissingTables(this, peer, versions);
-  }
 }
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -22,7 +22,7 @@
 import { ReducerContext } from './context.js';
 import type { DaemonState } from './daemon-state.js';
 import * as configurationSpread from './dissemination/configuration-spread.js';
-import { receiveTableDelta } from './dissemination/table-spread.js';
+import { receiveTableDelta, sendMissingTables } from './dissemination/table-spread.js';
 import type { Effect } from './effects.js';
 import type { DaemonEvent, ObjectReadEvent, ObjectWrittenEvent, TimedEvent } from './events.js';
 import { replicaId, type ReplicaId } from './identifiers.js';
@@ -145,7 +145,7 @@
     case 'tableDelta':
       return receiveTableDelta(context, sender, message);
     case 'tablePull':
-      return context.answerPull(sender, message.versions);
+      return sendMissingTables(context, sender, message.versions);
     case 'configurationPush':
       return configurationSpread.adoptConfiguration(context, message);
     case 'configurationPull':
--- a/src/simulation/checkers.ts
+++ b/src/simulation/checkers.ts
@@ -58,6 +58,7 @@
   readonly #history: History;
   readonly #acknowledged = new Map<string, Map<UnitNumber, Acknowledged>>();
   readonly #seen = new Map<string, number>();
+  readonly #newestTerm = new Map<string, number>();
   #reported = false;
 
   constructor(history: History) {
@@ -107,8 +108,6 @@
     return replica !== undefined && replica.term < newest;
   }
 
-  readonly #newestTerm = new Map<string, number>();
-
   /** Notes the newest term that has a leader. */
   noteTerms(daemon: SimulatedDaemon): void {
     for (const [shard, { replica }] of daemon.state.leaderships) {
