The checker of configurations keeps two sides apart

Ruled out: the spreading (each side was complete). The check was wrong; the new one demands the same of each side's daemons and store.

--- a/src/simulation/faults.ts
+++ b/src/simulation/faults.ts
@@ -201,7 +201,7 @@
   } as const;
   world.command(daemon, command, (accepted, detail) => {
     if (accepted) {
-      world.configurationChecker.accepted(Number(/configuration (\d+)/.exec(detail)?.[1] ?? 0));
+      world.configurationChecker.accepted(daemon.side, Number(/configuration (\d+)/.exec(detail)?.[1] ?? 0));
       if (field === 'draining') {
         world.drainChecker.changed(server, value === 1, world.now);
       }
--- a/src/simulation/run.ts
+++ b/src/simulation/run.ts
@@ -101,7 +101,8 @@
 }
 
 function checkEnd(world: World): void {
-  world.configurationChecker.atEnd(world.daemons, world.store.model.read('routing').version, world.now);
+  const storeVersionOf = (side: string): number => world.stores.get(side)?.model.read('routing').version ?? 0;
+  world.configurationChecker.atEnd(world.daemons, storeVersionOf, world.now);
   const longest = world.availability.outages().at(-1) ?? 0;
   if (longest > SERVED_AGAIN_WITHIN) {
     const detail = `a unit had no owner for ${longest} ms though nothing failed any more`;
