--- a/src/command-line/load-command.ts
+++ b/src/command-line/load-command.ts
@@ -20,7 +20,8 @@
   static override paths = [['load']];
   static override usage = Command.Usage({
     description: 'Send load to daemons on this machine',
-    details: 'Arrivals do not wait for answers; latency counts from when a request was due.',
+    details:
+      "Arrivals do not wait for answers; latency counts from when a request was due; up to 5 ms of it are this tool's steps.",
     examples: [
       [
         '500 requests a second for 10 s',
--- a/src/load/load-run.ts
+++ b/src/load/load-run.ts
@@ -1,6 +1,7 @@
 /**
  * Load on daemons: arrivals at a rate that answers do not slow down (open loop), so that a slow answer
- * cannot hide the wait of those behind it. Latency counts from when a request was due.
+ * cannot hide the wait of those behind it. Latency counts from when a request was due, and requests go out
+ * in steps of 5 ms: up to 5 ms of each latency are this tool's own.
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Pool } from 'undici';
