Dead fields of the capacity protocol go; one way to name a daemon's life as a replica

The workers were sent a configuration that they never read and reported versions that nobody used; the former of a shard named its own replica by a second copy of replicaOf.

--- a/src/capacity/hollow-worker.ts
+++ b/src/capacity/hollow-worker.ts
@@ -119,7 +119,6 @@
         leaders: sum((state) => state.leaderships.size),
         replicas: sum((state) => state.replicas.size),
         ready: sum((state) => this.#unitsKnown(state)),
-        configurationVersions: states.map((state) => state.configuration.version),
       },
     });
   }
--- a/src/capacity/measure.ts
+++ b/src/capacity/measure.ts
@@ -78,12 +78,11 @@
 
   async start(): Promise<void> {
     const processes = Math.min(MOST_PROCESSES, Math.ceil(this.#shape.daemons / DAEMONS_PER_PROCESS));
-    const configuration = configurationFor(this.#shape, 0);
     for (let index = 0; index < processes; index += 1) {
       const child = fork(WORKER, [], { execArgv: ['--expose-gc'] });
       child.on('message', (message: FromWorker) => this.#receive(child, index, message));
       this.#children.push(child);
-      this.#tell(child, { kind: 'start', shape: this.#shape, configuration, process: index, processes });
+      this.#tell(child, { kind: 'start', shape: this.#shape, process: index, processes });
     }
     await this.#until(() => this.#ports.filter((port) => port > 0).length === processes);
     this.#tellAll({ kind: 'ports', ports: this.#ports });
--- a/src/capacity/protocol.ts
+++ b/src/capacity/protocol.ts
@@ -23,7 +23,6 @@
   | {
       readonly kind: 'start';
       readonly shape: Shape;
-      readonly configuration: string;
       readonly process: number;
       readonly processes: number;
     }
@@ -55,7 +54,6 @@
   readonly leaders: number;
   readonly replicas: number;
   readonly ready: number;
-  readonly configurationVersions: readonly number[];
 }
 
 /** Sent by a worker. */
--- a/src/core/ownership/shard-formation.ts
+++ b/src/core/ownership/shard-formation.ts
@@ -12,7 +12,6 @@
   daemonOfReplica,
   groupOfShard,
   incarnationOfReplica,
-  replicaId,
   type Milliseconds,
   type ReplicaId,
   type ShardId,
@@ -102,7 +101,7 @@
 
 /** This life of this daemon, as a replica. */
 export function ownReplicaId(context: ReducerContext): ReplicaId {
-  return replicaId(context.state.identity.id, context.state.identity.incarnation);
+  return replicaOf(context.state.identity);
 }
 
 /** An operator takes a shard's replicas for lost. A new generation is formed from what the store holds. */
