--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist', 'src/wire/generated', 'scripts'] },
+  { ignores: ['dist', 'target', 'src/wire/generated', 'scripts'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -1,8 +1,7 @@
-// Makes the committed codec anew from proto/messages.proto. Only needed after a change of that file.
+// Makes the committed codecs anew from the files under proto/. Only needed after a change of one of them.
 import { execFileSync } from 'node:child_process';
 import { readFileSync, writeFileSync } from 'node:fs';
 
-const output = 'src/wire/generated/messages.js';
 const options = [
   '-t',
   'static-module',
@@ -13,14 +12,24 @@
   '--no-delimited',
   '--no-verify',
 ];
-execFileSync('npx', ['pbjs', ...options, '-o', output, 'proto/messages.proto'], { stdio: 'inherit' });
-execFileSync('npx', ['pbts', '-o', 'src/wire/generated/messages.d.ts', output], { stdio: 'inherit' });
-// The runtime library is CommonJS: as an ES module it has a default export only.
-const code = readFileSync(output, 'utf8');
-writeFileSync(
-  output,
-  code.replace(
-    'import * as $protobuf from "protobufjs/minimal"',
-    'import $protobuf from "protobufjs/minimal.js"',
-  ),
-);
+
+function generate(name) {
+  const output = `src/wire/generated/${name}.js`;
+  execFileSync('npx', ['pbjs', ...options, '-r', name, '-o', output, `proto/${name}.proto`], {
+    stdio: 'inherit',
+  });
+  execFileSync('npx', ['pbts', '-o', `src/wire/generated/${name}.d.ts`, output], { stdio: 'inherit' });
+  // The runtime library is CommonJS: as an ES module it has a default export only.
+  const code = readFileSync(output, 'utf8');
+  writeFileSync(
+    output,
+    code.replace(
+      'import * as $protobuf from "protobufjs/minimal"',
+      'import $protobuf from "protobufjs/minimal.js"',
+    ),
+  );
+}
+
+for (const name of process.argv.length > 2 ? process.argv.slice(2) : ['messages', 'router']) {
+  generate(name);
+}
--- /dev/null
+++ b/src/router-runtime/attempt.ts
@@ -0,0 +1,218 @@
+/**
+ * One attempt at a server: sends the request, reads the answer, and decides what it is: a whole answer of
+ * this request, a rejection, or something that tells nothing. Short answers are kept until they are whole.
+ */
+import type { AttemptResult } from '../router/events.js';
+import type { RequestProtocol } from '../router/ports.js';
+import { headerValue } from './headers.js';
+import type { ServerConnection } from './server-connections.js';
+
+/** Longer answers are passed on as they come. */
+const LARGEST_BUFFERED_BYTES = 256 * 1024;
+const MISDIRECTED = 421;
+const FIRST_FINAL_STATUS = 200;
+const FIRST_FAILURE_STATUS = 300;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** A request as it goes to a server. */
+export interface OutgoingRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer | null;
+  readonly attemptId: string;
+}
+
+/** Where an answer goes. */
+export interface AnswerSink {
+  /** A whole answer. */
+  whole(status: number, rawHeaders: string[], body: Buffer): void;
+  /** The head of a long answer, and its beginning. Returns false when the caller takes no more for now. */
+  begin(status: number, rawHeaders: string[], body: Buffer, onDrain: () => void): boolean;
+  /** More of a long answer. */
+  more(chunk: Buffer): boolean;
+  end(): void;
+  /** A long answer broke off: the caller must see that. */
+  breakOff(): void;
+}
+
+type Finish = (result: AttemptResult, reusable: boolean) => void;
+
+export class Attempt {
+  readonly #request: OutgoingRequest;
+  readonly #protocol: RequestProtocol;
+  readonly #sink: AnswerSink;
+  readonly #connection: ServerConnection;
+  readonly #finish: Finish;
+  #finished = false;
+  #sent = false;
+  #abort: ((reason?: Error) => void) | undefined;
+  #resume: () => void = () => undefined;
+  #status = 0;
+  #rawHeaders: string[] = [];
+  #chunks: Buffer[] = [];
+  #bytes = 0;
+  #streaming = false;
+
+  constructor(
+    request: OutgoingRequest,
+    protocol: RequestProtocol,
+    connection: ServerConnection,
+    sink: AnswerSink,
+    finish: Finish,
+  ) {
+    this.#request = request;
+    this.#protocol = protocol;
+    this.#connection = connection;
+    this.#sink = sink;
+    this.#finish = finish;
+  }
+
+  /** Sends the request. */
+  start(): void {
+    const { method, path, headers, body } = this.#request;
+    this.#connection.dispatch(
+      { method: method as 'GET', path, headers, body },
+      {
+        onConnect: (abort) => this.#onConnect(abort),
+        onHeaders: (status, raw, resume) => this.#onHeaders(status, raw, resume),
+        onData: (chunk) => this.#onData(chunk),
+        onComplete: () => this.#onComplete(),
+        onError: (error) => this.#onError(error),
+      },
+    );
+  }
+
+  /** Gives the attempt up; its connection is closed. */
+  cancel(): void {
+    if (!this.#finished) {
+      this.#finished = true;
+      if (this.#streaming) {
+        this.#sink.breakOff();
+      }
+      this.#abort?.(new Error('cancelled'));
+      this.#finish({ kind: 'lost', reason: 'cancelled', answerBegun: this.#streaming }, false);
+    }
+  }
+
+  #onConnect(abort: (reason?: Error) => void): void {
+    this.#abort = abort;
+    if (this.#finished) {
+      abort(new Error('cancelled'));
+      return;
+    }
+    // From here on the request is written.
+    this.#sent = true;
+  }
+
+  #onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+    if (status < FIRST_FINAL_STATUS || this.#finished) {
+      return true;
+    }
+    this.#status = status;
+    this.#resume = resume;
+    this.#rawHeaders = raw.map((part) => part.toString('latin1'));
+    const echoed = headerValue(this.#rawHeaders, this.#protocol.attemptId);
+    const isForeign = echoed !== null && echoed !== this.#request.attemptId;
+    const needsEcho = status < FIRST_FAILURE_STATUS;
+    if (isForeign || (needsEcho && echoed === null)) {
+      this.#fail(isForeign ? 'an answer to another request' : 'an answer without the id of the request');
+    }
+    return true;
+  }
+
+  #onData(chunk: Buffer): boolean {
+    if (this.#finished) {
+      return true;
+    }
+    if (this.#streaming) {
+      return this.#sink.more(chunk);
+    }
+    this.#chunks.push(Buffer.from(chunk));
+    this.#bytes += chunk.length;
+    if (this.#bytes <= LARGEST_BUFFERED_BYTES) {
+      return true;
+    }
+    this.#streaming = true;
+    const begun = Buffer.concat(this.#chunks.splice(0));
+    return this.#sink.begin(this.#status, this.#rawHeaders, begun, () => this.#resume());
+  }
+
+  #onComplete(): void {
+    if (this.#finished) {
+      return;
+    }
+    const endsWithConnection = this.#endsWithConnection();
+    if (endsWithConnection && this.#connection.failed) {
+      this.#fail('the answer was reset');
+      return;
+    }
+    this.#finished = true;
+    const reusable = !endsWithConnection;
+    if (this.#streaming) {
+      this.#sink.end();
+      this.#finish(this.#answered(), reusable);
+      return;
+    }
+    const result = this.#classify();
+    if (result.kind === 'answered') {
+      this.#sink.whole(this.#status, this.#rawHeaders, Buffer.concat(this.#chunks));
+    }
+    this.#finish(result, reusable);
+  }
+
+  #endsWithConnection(): boolean {
+    return (
+      this.#request.method !== 'HEAD' &&
+      !BODILESS_STATUSES.has(this.#status) &&
+      headerValue(this.#rawHeaders, 'content-length') === null &&
+      headerValue(this.#rawHeaders, 'transfer-encoding') === null
+    );
+  }
+
+  #answered(): AttemptResult {
+    return { kind: 'answered', status: this.#status, load: this.#load() };
+  }
+
+  #load(): ReturnType<RequestProtocol['parseLoad']> {
+    const value = headerValue(this.#rawHeaders, this.#protocol.load);
+    return value === null ? null : this.#protocol.parseLoad(value);
+  }
+
+  #classify(): AttemptResult {
+    const status = this.#status;
+    const misdirected = status === MISDIRECTED;
+    const notRun = headerValue(this.#rawHeaders, this.#protocol.notRun) !== null;
+    if (misdirected || notRun) {
+      return { kind: 'rejected', status, misdirected, load: this.#load() };
+    }
+    if (headerValue(this.#rawHeaders, this.#protocol.seal) === null) {
+      return { kind: 'lost', reason: `an answer ${status} without a seal`, answerBegun: false };
+    }
+    return this.#answered();
+  }
+
+  #onError(error: Error): void {
+    if (this.#finished) {
+      return;
+    }
+    this.#finished = true;
+    if (!this.#sent) {
+      this.#finish({ kind: 'notSent', reason: error.message }, false);
+      return;
+    }
+    if (this.#streaming) {
+      this.#sink.breakOff();
+    }
+    this.#finish({ kind: 'lost', reason: error.message, answerBegun: this.#streaming }, false);
+  }
+
+  #fail(reason: string): void {
+    this.#finished = true;
+    if (this.#streaming) {
+      this.#sink.breakOff();
+    }
+    this.#abort?.(new Error(reason));
+    this.#finish({ kind: 'lost', reason, answerBegun: this.#streaming }, false);
+  }
+}
--- /dev/null
+++ b/src/router-runtime/caller-front.ts
@@ -0,0 +1,269 @@
+/**
+ * The port for callers: reads whole requests, hands them to the reducer, and carries attempts and answers
+ * out. Uses the runtime's own HTTP server: a layer above it would cost more than the work itself.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AnswerEffect, CancelEffect, ForwardEffect } from '../router/effects.js';
+import type { AttemptResult, RouterEvent } from '../router/events.js';
+import type { CallerLimits } from '../router/model/configuration.js';
+import { LAST_KEY } from '../router/model/identifiers.js';
+import type { RequestProtocol } from '../router/ports.js';
+import { splitAddress } from '../settings/address.js';
+import { Attempt, type AnswerSink } from './attempt.js';
+import { forwardedHeaders, headerValue } from './headers.js';
+import type { ServerConnections } from './server-connections.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const CONNECTIONS_CHECK_MILLISECONDS = 1_000;
+const FIRST_HEADER_TIMEOUT_MILLISECONDS = 10_000;
+const FIRST_IDLE_TIMEOUT_MILLISECONDS = 15_000;
+/** Bodies before the first configuration. */
+const FIRST_BODY_BYTES = 1024 * 1024;
+const TOO_LARGE = 413;
+const BAD_REQUEST = 400;
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+/** A caller's request between its arrival and the end of its answer. */
+interface Exchange {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly body: Buffer | null;
+  readonly attemptId: string;
+  attempt: Attempt | null;
+  attemptNumber: number;
+}
+
+export class CallerFront {
+  readonly server: Server;
+  readonly #protocol: RequestProtocol;
+  readonly #connections: ServerConnections;
+  readonly #dispatch: (event: RouterEvent) => void;
+  readonly #exchanges = new Map<number, Exchange>();
+  readonly #notForwarded: ReadonlySet<string>;
+  #nextRequestId = 1;
+  #bodyBytes = FIRST_BODY_BYTES;
+  #closing = false;
+
+  constructor(
+    protocol: RequestProtocol,
+    connections: ServerConnections,
+    dispatch: (event: RouterEvent) => void,
+  ) {
+    this.#protocol = protocol;
+    this.#connections = connections;
+    this.#dispatch = dispatch;
+    this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
+    this.server = createServer(
+      { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
+      (incoming, outgoing) => this.#receive(incoming, outgoing),
+    );
+    this.server.headersTimeout = FIRST_HEADER_TIMEOUT_MILLISECONDS;
+    this.server.requestTimeout = 0;
+    this.server.keepAliveTimeout = FIRST_IDLE_TIMEOUT_MILLISECONDS;
+  }
+
+  /** Requests whose answer has not ended. */
+  get inFlight(): number {
+    return this.#exchanges.size;
+  }
+
+  /** Listens for callers. Rejects when the address is taken. */
+  listen(address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Puts limits in force; those on connections hold from their next request. */
+  applyLimits(limits: CallerLimits): void {
+    this.#bodyBytes = limits.bodyBytes;
+    this.server.headersTimeout = limits.headerTimeout;
+    this.server.keepAliveTimeout = limits.idleTimeout;
+    (this.server as Server & { maxHeaderSize: number }).maxHeaderSize = limits.headerBytes;
+  }
+
+  /** From now on every answer ends its connection. */
+  beginClosing(): void {
+    this.#closing = true;
+  }
+
+  /** Takes no new connections, and ends those at rest. */
+  closeIdle(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Ends every connection. */
+  closeAll(): void {
+    this.server.closeAllConnections();
+  }
+
+  #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    let refused = false;
+    incoming.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > this.#bodyBytes && !refused) {
+        refused = true;
+        outgoing.shouldKeepAlive = false;
+        this.#plainAnswer(outgoing, TOO_LARGE, 'the body is too long', null);
+      }
+      if (!refused) {
+        chunks.push(chunk);
+      }
+    });
+    incoming.on('error', () => undefined);
+    incoming.on('end', () => {
+      if (!refused) {
+        const body = bytes === 0 ? null : chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
+        this.#arrived(incoming, outgoing, body);
+      }
+    });
+  }
+
+  #arrived(incoming: IncomingMessage, outgoing: ServerResponse, body: Buffer | null): void {
+    const { rawHeaders } = incoming;
+    const requestId = this.#nextRequestId;
+    this.#nextRequestId += 1;
+    const attemptId = headerValue(rawHeaders, this.#protocol.attemptId) ?? '';
+    const key = this.#readKey(rawHeaders);
+    if (key !== null && !(key >= 0 && key <= LAST_KEY)) {
+      this.#plainAnswer(outgoing, BAD_REQUEST, `the key must be a whole number from 0 to ${LAST_KEY}`, null);
+      return;
+    }
+    const exchange: Exchange = { incoming, outgoing, body, attemptId, attempt: null, attemptNumber: 0 };
+    this.#exchanges.set(requestId, exchange);
+    outgoing.on('close', () => this.#ended(requestId, outgoing.writableFinished));
+    this.#dispatch({
+      kind: 'requestArrived',
+      requestId,
+      attemptId,
+      method: incoming.method ?? 'GET',
+      host: incoming.headers.host ?? '',
+      target: incoming.url ?? '/',
+      callerPatience: this.#readPatience(rawHeaders),
+      key,
+    });
+  }
+
+  #readKey(rawHeaders: readonly string[]): number | null {
+    const text = headerValue(rawHeaders, this.#protocol.key);
+    return text === null ? null : /^\d+$/.test(text) ? Number(text) : Number.NaN;
+  }
+
+  #readPatience(rawHeaders: readonly string[]): number | null {
+    const patience = Number(headerValue(rawHeaders, this.#protocol.timeLeft) ?? Number.NaN);
+    return Number.isFinite(patience) && patience >= 0 ? patience : null;
+  }
+
+  #ended(requestId: number, answered: boolean): void {
+    const exchange = this.#exchanges.get(requestId);
+    if (exchange === undefined) {
+      return;
+    }
+    this.#exchanges.delete(requestId);
+    if (!answered) {
+      exchange.attempt?.cancel();
+      this.#dispatch({ kind: 'callerLeft', requestId });
+    }
+  }
+
+  /** Sends an attempt to a server. */
+  forward(effect: ForwardEffect): void {
+    const exchange = this.#exchanges.get(effect.requestId);
+    if (exchange === undefined) {
+      this.#attemptEnded(effect, { kind: 'notSent', reason: 'the caller left' });
+      return;
+    }
+    const connection = this.#connections.take(effect.address);
+    if (connection === null) {
+      this.#attemptEnded(effect, { kind: 'notSent', reason: 'too many connections are open' });
+      return;
+    }
+    const { incoming, body, attemptId } = exchange;
+    const headers = forwardedHeaders(incoming.rawHeaders, this.#notForwarded);
+    headers.push(this.#protocol.timeLeft, String(Math.max(1, Math.floor(effect.timeLeft))));
+    headers.push(this.#protocol.expectedServer, effect.server);
+    const request = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers, body, attemptId };
+    const finish = (result: AttemptResult, reusable: boolean): void => {
+      this.#connections.release(effect.address, connection, reusable);
+      if (exchange.attempt === attempt) {
+        exchange.attempt = null;
+      }
+      this.#attemptEnded(effect, result);
+    };
+    const sink = this.#sinkFor(exchange);
+    const attempt = new Attempt(request, this.#protocol, connection, sink, finish);
+    exchange.attempt = attempt;
+    exchange.attemptNumber = effect.attempt;
+    attempt.start();
+  }
+
+  #attemptEnded({ requestId, attempt }: ForwardEffect, result: AttemptResult): void {
+    this.#dispatch({ kind: 'attemptEnded', requestId, attempt, result });
+  }
+
+  #sinkFor({ outgoing }: Exchange): AnswerSink {
+    return {
+      whole: (status, rawHeaders, body) => {
+        this.#writeHead(outgoing, status, rawHeaders, body.length);
+        outgoing.end(body);
+      },
+      begin: (status, rawHeaders, body, onDrain) => {
+        const length = headerValue(rawHeaders, 'content-length');
+        this.#writeHead(outgoing, status, rawHeaders, length === null ? null : Number(length));
+        outgoing.on('drain', onDrain);
+        return outgoing.write(body);
+      },
+      more: (chunk) => outgoing.write(Buffer.from(chunk)),
+      end: () => outgoing.end(),
+      breakOff: () => outgoing.destroy(),
+    };
+  }
+
+  #writeHead(outgoing: ServerResponse, status: number, rawHeaders: string[], length: number | null): void {
+    const headers = forwardedHeaders(rawHeaders, NO_HEADERS);
+    if (length !== null) {
+      headers.push('Content-Length', String(length));
+    }
+    if (this.#closing) {
+      outgoing.shouldKeepAlive = false;
+    }
+    outgoing.writeHead(status, headers);
+  }
+
+  /** Gives an attempt up. */
+  cancel(effect: CancelEffect): void {
+    const exchange = this.#exchanges.get(effect.requestId);
+    if (exchange?.attemptNumber === effect.attempt) {
+      exchange.attempt?.cancel();
+    }
+  }
+
+  /** Answers a caller without a server. */
+  answer(effect: AnswerEffect): void {
+    const exchange = this.#exchanges.get(effect.requestId);
+    if (exchange !== undefined) {
+      this.#plainAnswer(exchange.outgoing, effect.status, effect.reason, effect.retryAfter);
+    }
+  }
+
+  #plainAnswer(outgoing: ServerResponse, status: number, reason: string, retryAfter: number | null): void {
+    if (outgoing.headersSent || outgoing.destroyed) {
+      return;
+    }
+    const body = Buffer.from(`${JSON.stringify({ status, reason })}\n`);
+    const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+    if (retryAfter !== null) {
+      headers.push('Retry-After', (retryAfter / MILLISECONDS_PER_SECOND).toFixed(3));
+    }
+    if (this.#closing) {
+      outgoing.shouldKeepAlive = false;
+    }
+    outgoing.writeHead(status, headers);
+    outgoing.end(body);
+  }
+}
--- /dev/null
+++ b/src/router-runtime/object-feed.ts
@@ -0,0 +1,101 @@
+/** Follows a list in the platform: lists it, watches it, and lists anew when the watch lost its place. */
+import type { FeedChange, FeedSource } from '../router/ports.js';
+
+const WATCH_MILLISECONDS = 20_000;
+const FIRST_RETRY_MILLISECONDS = 100;
+const LONGEST_RETRY_MILLISECONDS = 800;
+/** Changes that come in a burst are fetched by one call. */
+const REARM_MILLISECONDS = 40;
+
+/** What a feed tells its owner. */
+export interface FeedListener<Item> {
+  onList(items: readonly FeedChange<Item>[], revision: number): void;
+  onChanges(changes: readonly FeedChange<Item>[], revision: number): void;
+  /** The store stopped, or began again, to answer. */
+  onHealth(healthy: boolean): void;
+}
+
+export class ObjectFeed<Item> {
+  readonly #source: FeedSource<Item>;
+  readonly #listener: FeedListener<Item>;
+  #revision: number | null = null;
+  #closed = false;
+  #healthy = true;
+  #failures = 0;
+  #refreshWanted = false;
+  #abort = new AbortController();
+
+  constructor(source: FeedSource<Item>, listener: FeedListener<Item>) {
+    this.#source = source;
+    this.#listener = listener;
+  }
+
+  /** Follows the list until it is closed. */
+  async run(): Promise<void> {
+    while (!this.#closed) {
+      this.#abort = new AbortController();
+      this.#refreshWanted = false;
+      const succeeded = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
+      this.#noteHealth(succeeded);
+      await this.#pause(succeeded ? REARM_MILLISECONDS : this.#retryDelay());
+    }
+  }
+
+  /** Lists anew at once: what is known may be old. */
+  refresh(): void {
+    if (!this.#refreshWanted && this.#revision !== null) {
+      this.#refreshWanted = true;
+      this.#revision = null;
+      this.#abort.abort();
+    }
+  }
+
+  /** Ends the feed. */
+  close(): void {
+    this.#closed = true;
+    this.#abort.abort();
+  }
+
+  async #list(): Promise<boolean> {
+    const outcome = await this.#source.list();
+    if (outcome.kind === 'failed') {
+      return false;
+    }
+    this.#revision = outcome.revision;
+    this.#listener.onList(outcome.items, outcome.revision);
+    return true;
+  }
+
+  async #watch(revision: number): Promise<boolean> {
+    const outcome = await this.#source.watch(revision, WATCH_MILLISECONDS, this.#abort.signal);
+    if (this.#refreshWanted || this.#closed) {
+      return true;
+    }
+    if (outcome.kind === 'changes') {
+      this.#revision = Math.max(revision, outcome.revision);
+      if (outcome.changes.length > 0) {
+        this.#listener.onChanges(outcome.changes, outcome.revision);
+      }
+      return true;
+    }
+    // The list says what the watch may have missed.
+    this.#revision = null;
+    return outcome.kind === 'forgotten';
+  }
+
+  #noteHealth(succeeded: boolean): void {
+    this.#failures = succeeded ? 0 : this.#failures + 1;
+    if (succeeded !== this.#healthy) {
+      this.#healthy = succeeded;
+      this.#listener.onHealth(succeeded);
+    }
+  }
+
+  #retryDelay(): number {
+    return Math.min(LONGEST_RETRY_MILLISECONDS, FIRST_RETRY_MILLISECONDS * 2 ** (this.#failures - 1));
+  }
+
+  #pause(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  }
+}
--- /dev/null
+++ b/src/router-runtime/peer-links.ts
@@ -0,0 +1,164 @@
+/**
+ * Connections between daemons: each follower holds one to the leader; messages go both ways on it, as
+ * protobuf frames with a length before each. Delivery is best effort.
+ */
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import type { PeerMessage } from '../router/peers/messages.js';
+import { FrameReader } from '../runtime/peer-transport.js';
+import { splitAddress } from '../settings/address.js';
+import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
+
+const LENGTH_BYTES = 4;
+/** A peer that takes nothing off its connection is cut off at this backlog. */
+const LARGEST_BACKLOG_BYTES = 1024 * 1024;
+const RECONNECT_MILLISECONDS = 150;
+const CONNECT_TIMEOUT_MILLISECONDS = 600;
+/** A connection to a leader that says nothing for this long is made anew. */
+const SILENCE_MILLISECONDS = 1_500;
+
+/** What the links tell their owner. */
+export interface PeerLinksListener {
+  onMessage(link: number, message: PeerMessage): void;
+  /** A follower's connection ended. */
+  onLeft(link: number): void;
+  /** The connection to the leader ended or could not be made. */
+  onLeaderClosed(address: string, refused: boolean): void;
+  onMalformed(peer: string, detail: string): void;
+}
+
+function frame(message: PeerMessage): Buffer {
+  const bytes = encodePeerMessage(message);
+  const framed = Buffer.allocUnsafe(LENGTH_BYTES + bytes.length);
+  framed.writeUInt32BE(bytes.length, 0);
+  framed.set(bytes, LENGTH_BYTES);
+  return framed;
+}
+
+export class PeerLinks {
+  readonly #listener: PeerLinksListener;
+  readonly #server: Server;
+  readonly #followers = new Map<number, Socket>();
+  #nextLink = 1;
+  #leaderAddress: string | null = null;
+  #leader: Socket | null = null;
+  #reconnect: NodeJS.Timeout | undefined;
+  #closed = false;
+
+  constructor(listener: PeerLinksListener) {
+    this.#listener = listener;
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  /** Listens for followers. Rejects when the address is taken. */
+  listen(address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Keeps a connection to the leader at an address; to none when it is null. */
+  follow(address: string | null): void {
+    this.#leaderAddress = address;
+    clearTimeout(this.#reconnect);
+    const former = this.#leader;
+    this.#leader = null;
+    former?.destroy();
+    this.#connect();
+  }
+
+  /** Sends to the leader, if there is a connection. */
+  sendToLeader(message: PeerMessage): void {
+    if (this.#leader !== null) {
+      this.#write(this.#leader, frame(message));
+    }
+  }
+
+  /** Sends to one follower, or to all. */
+  sendToFollowers(link: number | null, message: PeerMessage): void {
+    const bytes = frame(message);
+    if (link !== null) {
+      const socket = this.#followers.get(link);
+      if (socket !== undefined) {
+        this.#write(socket, bytes);
+      }
+      return;
+    }
+    for (const socket of this.#followers.values()) {
+      this.#write(socket, bytes);
+    }
+  }
+
+  /** Closes every connection and the port. */
+  close(): void {
+    this.#closed = true;
+    clearTimeout(this.#reconnect);
+    this.#leader?.destroy();
+    this.#server.close();
+    for (const socket of this.#followers.values()) {
+      socket.destroy();
+    }
+  }
+
+  #write(socket: Socket, bytes: Buffer): void {
+    if (socket.writableLength > LARGEST_BACKLOG_BYTES) {
+      socket.destroy();
+    } else {
+      socket.write(bytes);
+    }
+  }
+
+  #connect(): void {
+    const address = this.#leaderAddress;
+    if (address === null || this.#closed) {
+      return;
+    }
+    const { host, port } = splitAddress(address);
+    const socket = createConnection({ host, port, noDelay: true });
+    this.#leader = socket;
+    let refused = false;
+    socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS, () => socket.destroy());
+    socket.once('connect', () => socket.setTimeout(SILENCE_MILLISECONDS));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      refused = error.code === 'ECONNREFUSED';
+    });
+    socket.on('close', () => {
+      if (this.#leader === socket) {
+        this.#leader = null;
+        this.#reconnect = setTimeout(() => this.#connect(), RECONNECT_MILLISECONDS);
+        this.#listener.onLeaderClosed(address, refused);
+      }
+    });
+    this.#read(socket, 0);
+  }
+
+  #accept(socket: Socket): void {
+    const link = this.#nextLink;
+    this.#nextLink += 1;
+    this.#followers.set(link, socket);
+    socket.setNoDelay(true);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.#followers.delete(link);
+      this.#listener.onLeft(link);
+    });
+    this.#read(socket, link);
+  }
+
+  #read(socket: Socket, link: number): void {
+    const reader = new FrameReader();
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    socket.on('data', (bytes: Buffer) => {
+      for (const part of reader.push(bytes) ?? [Buffer.alloc(0)]) {
+        const message = decodePeerMessage(part, peer);
+        if (message.isErr()) {
+          socket.destroy();
+          this.#listener.onMalformed(peer, message.error.message);
+          return;
+        }
+        this.#listener.onMessage(link, message.value);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/router-runtime/router-daemon.ts
@@ -0,0 +1,201 @@
+/**
+ * One router daemon: the reducer between its sockets. Performs effects, turns what happens into events. One
+ * loop on one thread.
+ */
+import { createServer, type Server } from 'node:http';
+import { randomInt } from 'node:crypto';
+import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
+import type { RouterEvent } from '../router/events.js';
+import type { Configuration } from '../router/model/configuration.js';
+import type { ServerDescription } from '../router/model/server.js';
+import type { FeedChange, FeedSource, Platform } from '../router/ports.js';
+import { reduce } from '../router/reducer.js';
+import type { RouterSettings } from '../router/router-settings.js';
+import { createRouterState, missingForCallers, type RouterState } from '../router/router-state.js';
+import { splitAddress } from '../settings/address.js';
+import { CallerFront } from './caller-front.js';
+import { EventLog } from './event-log.js';
+import { ObjectFeed } from './object-feed.js';
+import { PeerLinks } from './peer-links.js';
+import { ServerConnections } from './server-connections.js';
+
+const TICK_MILLISECONDS = 20;
+const LARGEST_LIFE = 2 ** 47;
+/** Callers are still sent here for this long after readiness has ended. */
+const LINGER_MILLISECONDS = 2_300;
+/** A planned stop ends this long before the grace does. */
+const STOP_MARGIN_MILLISECONDS = 500;
+const STOP_POLL_MILLISECONDS = 20;
+const OK = 200;
+const UNAVAILABLE = 503;
+
+export class RouterDaemon {
+  readonly state: RouterState;
+  readonly #settings: RouterSettings;
+  readonly #platform: Platform;
+  readonly #log: EventLog;
+  readonly #front: CallerFront;
+  readonly #connections = new ServerConnections();
+  readonly #peers: PeerLinks;
+  readonly #readiness: Server;
+  readonly #configurationFeed: ObjectFeed<Configuration>;
+  readonly #serverFeed: ObjectFeed<ServerDescription>;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(settings: RouterSettings, platform: Platform) {
+    this.#settings = settings;
+    this.#platform = platform;
+    const { daemon, zone, listen, timing, retries } = settings;
+    const identity = { daemon, zone, peerAddress: listen.peers, life: randomInt(1, LARGEST_LIFE) };
+    const bounds = { retries, drain: timing.drain, longestLease: timing.longestLease };
+    this.state = createRouterState(identity, bounds, identity.life);
+    this.#log = new EventLog(daemon, this.state.counters);
+    this.#front = new CallerFront(platform.protocol, this.#connections, (event) => this.dispatch(event));
+    this.#peers = new PeerLinks({
+      onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
+      onLeft: (link) => this.dispatch({ kind: 'peerLeft', link }),
+      onLeaderClosed: (address, refused) => this.dispatch({ kind: 'leaderLinkClosed', address, refused }),
+      onMalformed: (peer, detail) => {
+        this.state.counters.malformed_peer_messages += 1;
+        this.#log.event('warn', 'malformed_peer_message', { peer, detail });
+      },
+    });
+    this.#readiness = createServer((request, response) => {
+      const missing = missingForCallers(this.state);
+      const known = request.url === platform.protocol.readinessPath;
+      response.writeHead(known && missing === null ? OK : UNAVAILABLE).end();
+    });
+    this.#configurationFeed = this.#createConfigurationFeed(platform.configuration);
+    this.#serverFeed = this.#createServerFeed(platform.servers);
+  }
+
+  #createConfigurationFeed(source: FeedSource<Configuration>): ObjectFeed<Configuration> {
+    const take = (changes: readonly FeedChange<Configuration>[]): void => {
+      for (const { item } of changes) {
+        if (item !== null) {
+          this.dispatch({ kind: 'configuration', configuration: item });
+          this.#front.applyLimits(this.state.configuration?.limits ?? item.limits);
+        }
+      }
+    };
+    return new ObjectFeed(source, {
+      onList: take,
+      onChanges: take,
+      onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
+    });
+  }
+
+  #createServerFeed(source: FeedSource<ServerDescription>): ObjectFeed<ServerDescription> {
+    return new ObjectFeed(source, {
+      onList: (items, revision) => {
+        const servers = items.map(({ item }) => item).filter((item) => item !== null);
+        this.dispatch({ kind: 'serversListed', servers, revision });
+      },
+      onChanges: (changes, revision) => {
+        for (const { id, item } of changes) {
+          this.dispatch({ kind: 'serverChanged', id, server: item, revision });
+        }
+      },
+      onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
+    });
+  }
+
+  /** Opens every port and starts. Rejects when a port is taken. */
+  async start(): Promise<void> {
+    const { http, readiness, peers } = this.#settings.listen;
+    await this.#front.listen(http);
+    await this.#peers.listen(peers);
+    const { host, port } = splitAddress(readiness);
+    await new Promise<void>((resolve, reject) => {
+      this.#readiness.once('error', reject);
+      this.#readiness.listen(port, host, () => resolve());
+    });
+    const { daemon, life } = this.state.identity;
+    this.#log.event('info', 'started', { daemon, life, http, peers });
+    void this.#configurationFeed.run();
+    void this.#serverFeed.run();
+    this.#timer = setInterval(() => this.dispatch({ kind: 'tick' }), TICK_MILLISECONDS);
+    this.dispatch({ kind: 'tick' });
+  }
+
+  /** Takes one event through the reducer and performs the effects. */
+  dispatch(event: RouterEvent): void {
+    for (const effect of reduce(this.state, performance.now(), event)) {
+      this.#perform(effect);
+    }
+  }
+
+  /** Stops as planned: takes no new callers, finishes what is in flight, and ends within the grace. */
+  async stop(): Promise<void> {
+    const { stopGrace } = this.#settings.timing;
+    const startedAt = performance.now();
+    const elapsed = (): number => performance.now() - startedAt;
+    this.dispatch({ kind: 'stopping' });
+    this.#front.beginClosing();
+    const linger = Math.min(LINGER_MILLISECONDS, stopGrace / 2);
+    await new Promise((resolve) => setTimeout(resolve, linger));
+    this.#front.closeIdle();
+    while (this.#front.inFlight > 0 && elapsed() < stopGrace - STOP_MARGIN_MILLISECONDS) {
+      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MILLISECONDS));
+    }
+    clearInterval(this.#timer);
+    this.#configurationFeed.close();
+    this.#serverFeed.close();
+    this.#front.closeAll();
+    this.#readiness.closeAllConnections();
+    this.#readiness.close();
+    this.#peers.close();
+    this.#connections.close();
+    this.#platform.close();
+    this.#log.event('info', 'stopped', {
+      milliseconds: Math.round(elapsed()),
+      unfinished: this.#front.inFlight,
+    });
+    await this.#log.close();
+  }
+
+  #perform(effect: Effect): void {
+    switch (effect.kind) {
+      case 'forward':
+        return this.#front.forward(effect);
+      case 'cancel':
+        return this.#front.cancel(effect);
+      case 'answer':
+        return this.#front.answer(effect);
+      case 'log':
+        return this.#log.event(effect.level, effect.event, effect.fields);
+      case 'control':
+        return void this.#control(effect);
+      case 'readObject':
+        return void this.#read(effect);
+      case 'writeObject':
+        return void this.#write(effect);
+      case 'refreshFeeds':
+        this.#configurationFeed.refresh();
+        return this.#serverFeed.refresh();
+      case 'follow':
+        return this.#peers.follow(effect.address);
+      case 'sendToLeader':
+        return this.#peers.sendToLeader(effect.message);
+      case 'sendToFollowers':
+        return this.#peers.sendToFollowers(effect.link, effect.message);
+    }
+  }
+
+  async #control(effect: ControlEffect): Promise<void> {
+    const outcome = await this.#platform.control.call(effect);
+    this.dispatch({ kind: 'controlEnded', callId: effect.callId, outcome });
+  }
+
+  async #read({ object }: ReadObjectEffect): Promise<void> {
+    const sentAt = performance.now();
+    const outcome = await this.#platform.store.read(object);
+    this.dispatch({ kind: 'objectRead', object, sentAt, outcome });
+  }
+
+  async #write({ object, value, revision }: WriteObjectEffect): Promise<void> {
+    const sentAt = performance.now();
+    const outcome = await this.#platform.store.write(object, value, revision);
+    this.dispatch({ kind: 'objectWritten', object, sentAt, outcome });
+  }
+}
--- /dev/null
+++ b/src/router-runtime/server-connections.ts
@@ -0,0 +1,112 @@
+/**
+ * Connections to servers, one request at a time on each. The one used last is used first, so that few stay
+ * open; one on which anything was odd is never used again.
+ */
+import { buildConnector, Client, type Dispatcher } from 'undici';
+import type { Socket } from 'node:net';
+
+const CONNECT_TIMEOUT_MILLISECONDS = 700;
+/** Servers close idle connections after a time of their own, which they may state. */
+const IDLE_MILLISECONDS = 6_000;
+const IDLE_THRESHOLD_MILLISECONDS = 1_500;
+const LONGEST_IDLE_MILLISECONDS = 60_000;
+/** Connections of this daemon to one server. */
+const MOST_PER_SERVER = 24;
+
+const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+
+/** One connection to a server. */
+export class ServerConnection {
+  readonly client: Client;
+  /** The socket was reset or failed, as opposed to an orderly end. */
+  failed = false;
+
+  constructor(address: string) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_MILLISECONDS,
+      keepAliveTimeoutThreshold: IDLE_THRESHOLD_MILLISECONDS,
+      keepAliveMaxTimeout: LONGEST_IDLE_MILLISECONDS,
+      connect: (options, callback) => {
+        connector(options, (...result) => {
+          const [error, socket] = result;
+          if (error === null) {
+            this.#watch(socket);
+          }
+          callback(...result);
+        });
+      },
+    });
+    this.client.on('connectionError', () => undefined);
+  }
+
+  #watch(socket: Socket): void {
+    this.failed = false;
+    socket.on('error', () => {
+      this.failed = true;
+    });
+  }
+
+  /** Sends a request. */
+  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.client.dispatch(options, handler);
+  }
+}
+
+/** The connections of one server address. */
+class ServerPool {
+  readonly idle: ServerConnection[] = [];
+  open = 0;
+}
+
+export class ServerConnections {
+  readonly #pools = new Map<string, ServerPool>();
+
+  /** A connection for one request, or null when too many are open. */
+  take(address: string): ServerConnection | null {
+    let pool = this.#pools.get(address);
+    if (pool === undefined) {
+      pool = new ServerPool();
+      this.#pools.set(address, pool);
+    }
+    const idle = pool.idle.pop();
+    if (idle !== undefined) {
+      return idle;
+    }
+    if (pool.open >= MOST_PER_SERVER) {
+      return null;
+    }
+    pool.open += 1;
+    return new ServerConnection(address);
+  }
+
+  /** Gives a connection back; it is closed unless it may be used again. */
+  release(address: string, connection: ServerConnection, reusable: boolean): void {
+    const pool = this.#pools.get(address);
+    if (pool !== undefined && reusable) {
+      pool.idle.push(connection);
+      return;
+    }
+    if (pool !== undefined) {
+      pool.open -= 1;
+    }
+    void connection.client.destroy();
+  }
+
+  /** Closes the idle connections to an address that is no longer used. */
+  forget(address: string): void {
+    const pool = this.#pools.get(address);
+    for (const connection of pool?.idle.splice(0) ?? []) {
+      this.release(address, connection, false);
+    }
+  }
+
+  /** Closes every idle connection. */
+  close(): void {
+    for (const address of this.#pools.keys()) {
+      this.forget(address);
+    }
+  }
+}
--- /dev/null
+++ b/src/router/counters.ts
@@ -0,0 +1,39 @@
+/** Counters by name; the metrics address shows each as `fennelferry_router_<name>_total`. */
+
+/** Every counter of a router daemon. */
+export const ROUTER_COUNTER_NAMES = [
+  'requests',
+  'answered',
+  'refused',
+  'failed',
+  'callers_left',
+  'attempts',
+  'attempts_rejected',
+  'attempts_lost',
+  'attempts_not_sent',
+  'retries',
+  'retries_over_budget',
+  'grants',
+  'releases',
+  'control_unanswered',
+  'control_rejected',
+  'units_moved',
+  'ownership_writes',
+  'ownership_write_failures',
+  'leaderships_won',
+  'leaderships_lost',
+  'configurations_applied',
+  'server_changes',
+  'malformed_answers',
+  'malformed_peer_messages',
+  'malformed_store_objects',
+  'log_lines_dropped',
+] as const;
+
+export type RouterCounterName = (typeof ROUTER_COUNTER_NAMES)[number];
+export type RouterCounters = Record<RouterCounterName, number>;
+
+/** All counters at zero. */
+export function createRouterCounters(): RouterCounters {
+  return Object.fromEntries(ROUTER_COUNTER_NAMES.map((name) => [name, 0])) as RouterCounters;
+}
--- /dev/null
+++ b/src/router/effects.ts
@@ -0,0 +1,97 @@
+/** Everything a daemon can do. The reducer returns these as data; the runtime performs them. */
+import type { StoredName } from './events.js';
+import type { Fence, Key, Milliseconds, ServerId } from './model/identifiers.js';
+import type { PeerMessage } from './peers/messages.js';
+
+export interface ReadObjectEffect {
+  readonly kind: 'readObject';
+  readonly object: StoredName;
+}
+export interface WriteObjectEffect {
+  readonly kind: 'writeObject';
+  readonly object: StoredName;
+  readonly value: unknown;
+  /** The revision that is replaced, or null to create the object. */
+  readonly revision: number | null;
+}
+/** Reads configuration and servers anew: what is believed may be old. */
+export interface RefreshFeedsEffect {
+  readonly kind: 'refreshFeeds';
+}
+/** A grant or a release at a server. */
+export interface ControlEffect {
+  readonly kind: 'control';
+  readonly callId: number;
+  readonly action: 'grant' | 'release';
+  readonly server: ServerId;
+  readonly address: string;
+  readonly from: Key;
+  readonly to: Key;
+  readonly fence: Fence;
+  /** How long the server holds the keys from the arrival of the grant. */
+  readonly hold: Milliseconds;
+  readonly handover: string | null;
+  readonly patience: Milliseconds;
+}
+/** Sends a request to a server. */
+export interface ForwardEffect {
+  readonly kind: 'forward';
+  readonly requestId: number;
+  readonly attempt: number;
+  readonly server: ServerId;
+  readonly address: string;
+  /** Passed on to the server as what is left of the request's time. */
+  readonly timeLeft: Milliseconds;
+  /** An answer is passed on only once it is whole, as far as that is possible. */
+  readonly buffer: boolean;
+}
+/** Gives up an attempt; its connection is closed. */
+export interface CancelEffect {
+  readonly kind: 'cancel';
+  readonly requestId: number;
+  readonly attempt: number;
+}
+/** The daemon's own final answer. */
+export interface AnswerEffect {
+  readonly kind: 'answer';
+  readonly requestId: number;
+  readonly status: number;
+  readonly reason: string;
+  /** When the caller should come back, or null. */
+  readonly retryAfter: Milliseconds | null;
+}
+/** Connects to the leader; a connection to another address is closed. Null: to none. */
+export interface FollowEffect {
+  readonly kind: 'follow';
+  readonly address: string | null;
+}
+export interface SendToLeaderEffect {
+  readonly kind: 'sendToLeader';
+  readonly message: PeerMessage;
+}
+/** Sends to daemons that are connected to this one: all, or one. */
+export interface SendToFollowersEffect {
+  readonly kind: 'sendToFollowers';
+  readonly link: number | null;
+  readonly message: PeerMessage;
+}
+/** A line of the log: an event of the catalogue with its fields. */
+export interface LogEffect {
+  readonly kind: 'log';
+  readonly level: 'info' | 'warn';
+  readonly event: string;
+  readonly fields: Record<string, unknown>;
+}
+
+export type Effect =
+  | ReadObjectEffect
+  | WriteObjectEffect
+  | RefreshFeedsEffect
+  | ControlEffect
+  | ForwardEffect
+  | CancelEffect
+  | AnswerEffect
+  | FollowEffect
+  | SendToLeaderEffect
+  | SendToFollowersEffect
+  | LogEffect;
--- /dev/null
+++ b/src/router/events.ts
@@ -0,0 +1,164 @@
+/** Everything that can happen to a daemon. The reducer knows nothing else of the world. */
+import type { Configuration } from './model/configuration.js';
+import type { Key, Milliseconds, ServerId } from './model/identifiers.js';
+import type { ServerDescription } from './model/server.js';
+import type { PeerMessage } from './peers/messages.js';
+import type { ReportedLoad } from './request/server-load.js';
+
+/** Time passed. */
+export interface TickEvent {
+  readonly kind: 'tick';
+}
+/** A configuration was read; the reducer ignores one that is not newer. */
+export interface ConfigurationEvent {
+  readonly kind: 'configuration';
+  readonly configuration: Configuration;
+}
+/** All servers that are listed. */
+export interface ServersListedEvent {
+  readonly kind: 'serversListed';
+  readonly servers: readonly ServerDescription[];
+  readonly revision: number;
+}
+/** One server was listed, changed, or taken off the list. */
+export interface ServerChangedEvent {
+  readonly kind: 'serverChanged';
+  readonly id: ServerId;
+  /** Null: it is gone from the list. */
+  readonly server: ServerDescription | null;
+  readonly revision: number;
+}
+/** A feed from the store failed or works again. */
+export interface FeedStateEvent {
+  readonly kind: 'feedState';
+  readonly feed: string;
+  readonly healthy: boolean;
+}
+
+/** An object of the daemons' own was read. */
+export interface ObjectReadEvent {
+  readonly kind: 'objectRead';
+  readonly object: StoredName;
+  /** When the call was sent. */
+  readonly sentAt: Milliseconds;
+  readonly outcome: ReadOutcome;
+}
+export type ReadOutcome =
+  | { readonly kind: 'found'; readonly revision: number; readonly value: unknown }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'failed'; readonly reason: string };
+
+/** A write ended. */
+export interface ObjectWrittenEvent {
+  readonly kind: 'objectWritten';
+  readonly object: StoredName;
+  readonly sentAt: Milliseconds;
+  readonly outcome: WriteOutcome;
+}
+export type WriteOutcome =
+  | { readonly kind: 'written'; readonly revision: number }
+  /** Another revision is there: nothing was written by this call. */
+  | { readonly kind: 'conflict'; readonly revision: number; readonly value: unknown }
+  /** Nothing was done. */
+  | { readonly kind: 'refused'; readonly reason: string }
+  /** It may have been written, or may be later. */
+  | { readonly kind: 'unknown'; readonly reason: string };
+
+/** The objects that the daemons keep in the store. */
+export type StoredName = 'leader' | 'ownership';
+
+/** A grant or a release ended. */
+export interface ControlEndedEvent {
+  readonly kind: 'controlEnded';
+  readonly callId: number;
+  readonly outcome: ControlOutcome;
+}
+export type ControlOutcome =
+  | { readonly kind: 'accepted'; readonly handover: string | null }
+  | { readonly kind: 'higherFence' }
+  /** Another life answers at the address. */
+  | { readonly kind: 'otherInstance' }
+  | { readonly kind: 'rejected'; readonly status: number }
+  | { readonly kind: 'unanswered'; readonly reason: string }
+  /** The call never reached the server. */
+  | { readonly kind: 'notSent'; readonly reason: string };
+
+/** A caller's whole request was read. */
+export interface RequestArrivedEvent {
+  readonly kind: 'requestArrived';
+  readonly requestId: number;
+  /** The caller's id of this try, for the logs. */
+  readonly attemptId: string;
+  readonly method: string;
+  readonly host: string;
+  readonly target: string;
+  /** Milliseconds that the caller will wait, or null when it does not say. */
+  readonly callerPatience: Milliseconds | null;
+  readonly key: Key | null;
+}
+/** The caller closed its connection. */
+export interface CallerLeftEvent {
+  readonly kind: 'callerLeft';
+  readonly requestId: number;
+}
+/** An attempt ended. */
+export interface AttemptEndedEvent {
+  readonly kind: 'attemptEnded';
+  readonly requestId: number;
+  readonly attempt: number;
+  readonly result: AttemptResult;
+}
+export type AttemptResult =
+  /** A whole answer, or the head of a long one, went to the caller. */
+  | { readonly kind: 'answered'; readonly status: number; readonly load: ReportedLoad | null }
+  /** The server did not run it, and says so. */
+  | {
+      readonly kind: 'rejected';
+      readonly status: number;
+      readonly misdirected: boolean;
+      readonly load: ReportedLoad | null;
+    }
+  /** It never left this daemon. */
+  | { readonly kind: 'notSent'; readonly reason: string }
+  /** It may have run; `answerBegun` when part of an answer went to the caller. */
+  | { readonly kind: 'lost'; readonly reason: string; readonly answerBegun: boolean };
+
+/** A message from another daemon. */
+export interface PeerMessageEvent {
+  readonly kind: 'peerMessage';
+  readonly link: number;
+  readonly message: PeerMessage;
+}
+/** A connection of another daemon to this one ended. */
+export interface PeerLeftEvent {
+  readonly kind: 'peerLeft';
+  readonly link: number;
+}
+/** The connection to the leader ended or could not be made. */
+export interface LeaderLinkEvent {
+  readonly kind: 'leaderLinkClosed';
+  readonly address: string;
+  /** Nothing listens there. */
+  readonly refused: boolean;
+}
+/** A planned stop begins. */
+export interface StoppingEvent {
+  readonly kind: 'stopping';
+}
+
+export type RouterEvent =
+  | TickEvent
+  | ConfigurationEvent
+  | ServersListedEvent
+  | ServerChangedEvent
+  | FeedStateEvent
+  | ObjectReadEvent
+  | ObjectWrittenEvent
+  | ControlEndedEvent
+  | RequestArrivedEvent
+  | CallerLeftEvent
+  | AttemptEndedEvent
+  | PeerMessageEvent
+  | PeerLeftEvent
+  | LeaderLinkEvent
+  | StoppingEvent;
--- /dev/null
+++ b/src/router/ownership/key-load.ts
@@ -0,0 +1,57 @@
+/** Which keys of a service are asked for, from samples of all daemons; recent ones count more. */
+import type { Key, Milliseconds, ServiceName } from '../model/identifiers.js';
+
+/** A sample's weight falls by e in this time. */
+const MEMORY: Milliseconds = 1_500;
+const LONGEST_KEPT: Milliseconds = 4_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Samples beyond this number make room, the oldest first. */
+const MOST_SAMPLES = 20_000;
+
+interface Sample {
+  readonly at: Milliseconds;
+  readonly key: Key;
+}
+
+/** Requests a second for a key. */
+export interface KeyRate {
+  readonly key: Key;
+  readonly rate: number;
+}
+
+export class KeyLoad {
+  #samples: Sample[] = [];
+
+  /** Takes in keys that were asked for just now. */
+  add(keys: readonly Key[], now: Milliseconds): void {
+    for (const key of keys) {
+      this.#samples.push({ at: now, key });
+    }
+    if (this.#samples.length > MOST_SAMPLES) {
+      this.#samples = this.#samples.slice(-MOST_SAMPLES / 2);
+    }
+  }
+
+  /** Keys that are asked for, in their order, each with its rate. */
+  rates(now: Milliseconds): KeyRate[] {
+    this.#samples = this.#samples.filter((sample) => now - sample.at < LONGEST_KEPT);
+    const weights = new Map<Key, number>();
+    for (const { at, key } of this.#samples) {
+      weights.set(key, (weights.get(key) ?? 0) + Math.exp((at - now) / MEMORY));
+    }
+    const scale = MILLISECONDS_PER_SECOND / MEMORY;
+    return [...weights]
+      .map(([key, weight]) => ({ key, rate: weight * scale }))
+      .sort((left, right) => left.key - right.key);
+  }
+}
+
+/** The load of one service's keys, made when it is first needed. */
+export function keyLoadOf(holder: { keyLoad: Map<ServiceName, KeyLoad> }, service: ServiceName): KeyLoad {
+  let load = holder.keyLoad.get(service);
+  if (load === undefined) {
+    load = new KeyLoad();
+    holder.keyLoad.set(service, load);
+  }
+  return load;
+}
--- /dev/null
+++ b/src/router/ownership/leader-confirmation.ts
@@ -0,0 +1,90 @@
+/** Keeps the leadership confirmed in the store, and gives it up when another daemon leads. */
+import type { ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
+import type { Milliseconds } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { Leadership } from './leadership-state.js';
+import { CONFIRMATION_INTERVAL } from './ownership-timing.js';
+import { parseLeader, type LeaderRecord } from './stored-objects.js';
+
+/** A refused write is repeated after this long. */
+const REFUSED_RETRY: Milliseconds = 150;
+
+function ownRecord(context: RouterContext, leadership: Leadership): LeaderRecord {
+  const { daemon, life, peerAddress } = context.state.identity;
+  const { term, beat } = leadership;
+  const settled = context.now > leadership.formerCallsEndAt;
+  return { term, daemon, life, address: peerAddress, beat, settled };
+}
+
+/** Writes the leader's object anew when that is due. */
+export function confirmLeadership(context: RouterContext, leadership: Leadership): void {
+  if (leadership.confirming || context.now < leadership.nextConfirmationAt) {
+    return;
+  }
+  leadership.confirming = true;
+  leadership.beat += 1;
+  leadership.nextConfirmationAt = context.now + CONFIRMATION_INTERVAL;
+  const value = ownRecord(context, leadership);
+  context.emit({ kind: 'writeObject', object: 'leader', value, revision: leadership.leaderRevision });
+}
+
+function isOwn(context: RouterContext, leadership: Leadership, value: unknown): boolean {
+  const record = parseLeader(value);
+  return record?.term === leadership.term && record.life === context.state.identity.life;
+}
+
+/** The write that confirms the leadership ended. */
+export function receiveConfirmation(
+  context: RouterContext,
+  leadership: Leadership,
+  event: ObjectWrittenEvent,
+): void {
+  const { outcome } = event;
+  leadership.confirming = false;
+  if (outcome.kind === 'written') {
+    leadership.leaderRevision = outcome.revision;
+    leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
+  } else if (outcome.kind === 'conflict' && isOwn(context, leadership, outcome.value)) {
+    // An earlier write of this leader, whose answer was lost, is there.
+    leadership.leaderRevision = outcome.revision;
+    leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
+  } else if (outcome.kind === 'conflict') {
+    stepDown(context, 'another daemon leads', outcome.value);
+  } else {
+    leadership.nextConfirmationAt = context.now + REFUSED_RETRY;
+    if (outcome.kind === 'unknown') {
+      leadership.confirming = true;
+      context.emit({ kind: 'readObject', object: 'leader' });
+    }
+  }
+}
+
+/** The leader's object was read, after a write without an answer. */
+export function receiveLeaderRead(
+  context: RouterContext,
+  leadership: Leadership,
+  event: ObjectReadEvent,
+): void {
+  leadership.confirming = false;
+  if (event.outcome.kind === 'failed') {
+    return;
+  }
+  if (event.outcome.kind === 'found' && isOwn(context, leadership, event.outcome.value)) {
+    leadership.leaderRevision = event.outcome.revision;
+    leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
+    return;
+  }
+  stepDown(context, 'another daemon leads', event.outcome.kind === 'found' ? event.outcome.value : null);
+}
+
+/** Gives the leadership up. Grants run out or are renewed by the successor. */
+export function stepDown(context: RouterContext, reason: string, found: unknown): void {
+  const { state } = context;
+  if (state.leadership === null) {
+    return;
+  }
+  state.counters.leaderships_lost += 1;
+  context.log('leadership_lost', { term: state.leadership.term, reason, found: parseLeader(found) }, 'warn');
+  state.leadership = null;
+  state.election.nextReadAt = context.now;
+}
--- /dev/null
+++ b/src/router/ownership/leader-plan.ts
@@ -0,0 +1,73 @@
+/** Gathers what an assignment is planned from, and writes the plan. */
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { KnownServer } from '../router-state.js';
+import { planService, type EligibleServer, type Mobility } from './assignment-plan.js';
+import { keyLoadOf } from './key-load.js';
+import type { Leadership } from './leadership-state.js';
+import { FIRST_ASSIGNMENT_WAIT, PLAN_INTERVAL } from './ownership-timing.js';
+import { unitName, type Unit } from './ownership-table.js';
+import { leaseOf } from './server-lease.js';
+import { writeTable } from './table-write.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+function eligible(leadership: Leadership, known: KnownServer): boolean {
+  const lease = leaseOf(leadership, known.server.id);
+  return !known.server.draining && !lease.silent && !lease.ended;
+}
+
+function describe(known: KnownServer): EligibleServer {
+  const { id, zone, slots } = known.server;
+  return { id, zone, capacity: (slots * MILLISECONDS_PER_SECOND) / known.load.serviceTime };
+}
+
+function containing(units: readonly Unit[], part: Unit): Unit | undefined {
+  return units.find((unit) => unit.service === part.service && unit.from <= part.from && unit.to >= part.to);
+}
+
+/** How a unit may be moved now. A unit on its way stays until it is certain who may hold it. */
+function mobilityOf(leadership: Leadership, unit: Unit): Mobility | null {
+  const written = containing(leadership.table.units, unit);
+  const progress = written === undefined ? undefined : leadership.progress.get(unitName(written));
+  if (written === undefined || progress === undefined || written.owner !== unit.owner) {
+    return null;
+  }
+  if (progress.phase !== 'releasing') {
+    return { releasing: unit.owner };
+  }
+  return progress.ownerMayHold ? null : { releasing: written.releasing };
+}
+
+function eligibleServers(context: RouterContext, leadership: Leadership, service: string): EligibleServer[] {
+  const known: Map<ServerId, KnownServer> = context.state.serversByService.get(service) ?? new Map();
+  return [...known.values()].filter((server) => eligible(leadership, server)).map(describe);
+}
+
+function isTooEarly(leadership: Leadership, service: string, now: Milliseconds): boolean {
+  const assigned = leadership.table.units.some((unit) => unit.service === service);
+  return !assigned && now - leadership.startedAt < FIRST_ASSIGNMENT_WAIT;
+}
+
+/** Works out who should own what, and writes it if it differs. */
+export function makePlan(context: RouterContext, leadership: Leadership): void {
+  const { state, now } = context;
+  leadership.nextPlanAt = now + PLAN_INTERVAL;
+  if (state.configuration === null || state.serversRevision === null) {
+    return;
+  }
+  let table = leadership.table;
+  for (const service of state.configuration.services.values()) {
+    if (service.keyed && !isTooEarly(leadership, service.name, now)) {
+      table = planService(table, {
+        service: service.name,
+        servers: eligibleServers(context, leadership, service.name),
+        rates: keyLoadOf(leadership, service.name).rates(now),
+        mobility: (unit) => mobilityOf(leadership, unit),
+      });
+    }
+  }
+  if (table !== leadership.table) {
+    writeTable(context, leadership, table);
+  }
+}
--- /dev/null
+++ b/src/router/ownership/leadership-state.ts
@@ -0,0 +1,92 @@
+/** What a leader knows besides what is in the store. Lost with the leader, and not missed. */
+import type { Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { KeyLoad } from './key-load.js';
+import type { OwnershipTable } from './ownership-table.js';
+
+/** Where a unit stands between its former owner and its owner. */
+export type UnitPhase = 'releasing' | 'granting' | 'held';
+
+export interface UnitProgress {
+  phase: UnitPhase;
+  readonly fence: Fence;
+  /** False while it is certain that the owner was never granted this unit. */
+  ownerMayHold: boolean;
+  handover: string | null;
+  /** The next call is due. */
+  nextCallAt: Milliseconds;
+  callsInFlight: number;
+}
+
+/** What a server may hold, and whether it answers. */
+export interface ServerLease {
+  /** Every lease that was answered has run out after this time. */
+  holdsUntil: Milliseconds;
+  /** When the last grant without an answer was sent, and its lease. */
+  unansweredGrantAt: Milliseconds;
+  unansweredLease: Milliseconds;
+  /** Calls without an answer since the last answer. */
+  unanswered: number;
+  /** When the last call that stayed without an answer was sent. */
+  lastUnansweredAt: Milliseconds;
+  nextProbeAt: Milliseconds;
+  probeInFlight: boolean;
+  /** It does not answer: it gets no units. */
+  silent: boolean;
+  /** The process has ended for certain. */
+  ended: boolean;
+}
+
+/** A call to a server that is under way. */
+export interface PendingCall {
+  readonly action: 'grant' | 'release' | 'probe';
+  readonly server: ServerId;
+  /** Name of the unit. */
+  readonly unit: string;
+  readonly fence: Fence;
+  readonly lease: Milliseconds;
+  readonly sentAt: Milliseconds;
+}
+
+export interface TableWrite {
+  readonly table: OwnershipTable;
+  readonly writeId: string;
+  /** The answer was lost: the object is read, then written again. */
+  retryAt: Milliseconds | null;
+}
+
+export interface Follower {
+  readonly daemon: string;
+  lastReportAt: Milliseconds;
+}
+
+export interface Leadership {
+  readonly term: number;
+  /** Revision of the leader's object as last written by this leader. */
+  leaderRevision: number;
+  beat: number;
+  /** When the last call that confirmed the leadership was sent. */
+  confirmedAt: Milliseconds;
+  confirming: boolean;
+  nextConfirmationAt: Milliseconds;
+  table: OwnershipTable;
+  tableRevision: number;
+  write: TableWrite | null;
+  readonly startedAt: Milliseconds;
+  /** Earlier leaders call no server after this time. */
+  readonly formerCallsEndAt: Milliseconds;
+  /** Leases of earlier leaders have run out after this time. */
+  readonly formerLeasesEndAt: Milliseconds;
+  readonly progress: Map<string, UnitProgress>;
+  readonly leases: Map<ServerId, ServerLease>;
+  readonly calls: Map<number, PendingCall>;
+  /** Addresses of servers, those that are no longer listed included. */
+  readonly addresses: Map<ServerId, string>;
+  readonly keyLoad: Map<ServiceName, KeyLoad>;
+  lateOrderSeenAt: Milliseconds;
+  nextPlanAt: Milliseconds;
+  nextHeartbeatAt: Milliseconds;
+  /** Steps since the table's revision, for the order of views. */
+  viewStep: number;
+  viewChanged: boolean;
+  readonly followers: Map<number, Follower>;
+}
--- /dev/null
+++ b/src/router/ownership/ownership-table.ts
@@ -0,0 +1,86 @@
+/**
+ * Which server owns which keys: the content of one object in the store. Every change is written there by
+ * compare-and-swap before anything is done on it. Immutable, with pure updates.
+ */
+import { LAST_KEY, type Fence, type Key, type ServerId, type ServiceName } from '../model/identifiers.js';
+
+/** A range of keys of one service with one owner and one fence. */
+export interface Unit {
+  readonly service: ServiceName;
+  readonly from: Key;
+  /** The last key, inside the range. */
+  readonly to: Key;
+  readonly owner: ServerId;
+  /** Fence of the owner's grant. The number below it is the fence of the release at the former owner. */
+  readonly fence: Fence;
+  /** The former owner that must give the keys up, or be out of its lease, before the owner gets them. */
+  readonly releasing: ServerId | null;
+}
+
+/** Every unit of every keyed service. */
+export interface OwnershipTable {
+  /** The leader's term: rises with every change of leader. */
+  readonly term: number;
+  readonly nextFence: Fence;
+  /** Sorted by service, then by first key; the units of a service cover every key once. */
+  readonly units: readonly Unit[];
+}
+
+/** A table without units. */
+export const EMPTY_TABLE: OwnershipTable = { term: 0, nextFence: 2, units: [] };
+
+/** A name for a unit's range, unique within one table. */
+export function unitName(unit: Pick<Unit, 'service' | 'from' | 'to'>): string {
+  return `${unit.service}/${unit.from}-${unit.to}`;
+}
+
+function compareUnits(left: Unit, right: Unit): number {
+  if (left.service !== right.service) {
+    return left.service < right.service ? -1 : 1;
+  }
+  return left.from - right.from;
+}
+
+/** The table with other units, sorted. */
+export function withUnits(table: OwnershipTable, units: readonly Unit[]): OwnershipTable {
+  return { ...table, units: [...units].sort(compareUnits) };
+}
+
+/** Two fences: the lower for a release, the higher for the grant after it. */
+export function takeFences(table: OwnershipTable): { table: OwnershipTable; fence: Fence } {
+  return { table: { ...table, nextFence: table.nextFence + 2 }, fence: table.nextFence + 1 };
+}
+
+/** Cuts a unit into two of the same owner and fence; `middle` is the first key of the second. */
+export function splitUnit(table: OwnershipTable, unit: Unit, middle: Key): OwnershipTable {
+  if (middle <= unit.from || middle > unit.to) {
+    return table;
+  }
+  const parts = [
+    { ...unit, to: middle - 1 },
+    { ...unit, from: middle },
+  ];
+  return withUnits(
+    table,
+    table.units.flatMap((other) => (other === unit ? parts : [other])),
+  );
+}
+
+/** The units of a service that has none yet: one equal range for each owner. */
+export function firstUnits(
+  table: OwnershipTable,
+  service: ServiceName,
+  owners: readonly ServerId[],
+): OwnershipTable {
+  const keys = LAST_KEY + 1;
+  let result = table;
+  const units: Unit[] = [];
+  owners.forEach((owner, index) => {
+    const taken = takeFences(result);
+    result = taken.table;
+    const from = Math.floor((index * keys) / owners.length);
+    const to = Math.floor(((index + 1) * keys) / owners.length) - 1;
+    units.push({ service, from, to, owner, fence: taken.fence, releasing: null });
+  });
+  return withUnits(result, [...table.units, ...units]);
+}
--- /dev/null
+++ b/src/router/ownership/table-write.ts
@@ -0,0 +1,130 @@
+/** Writes the ownership table, and takes it up once the store has it. */
+import type { ObjectWrittenEvent } from '../events.js';
+import type { Milliseconds } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import { changedUnits } from './assignment-plan.js';
+import { stepDown } from './leader-confirmation.js';
+import type { Leadership, UnitProgress } from './leadership-state.js';
+import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
+import { parseOwnership, type OwnershipRecord } from './stored-objects.js';
+
+/** A write without an answer is repeated after this long. */
+const WRITE_RETRY: Milliseconds = 200;
+/** Changed units named in one line of the log. */
+const MOST_LOGGED = 20;
+
+/** Writes a new table; it is acted on once the store has taken it. */
+export function writeTable(context: RouterContext, leadership: Leadership, table: OwnershipTable): void {
+  const writeId = `${context.state.identity.life}-${context.state.nextCallId}`;
+  context.state.nextCallId += 1;
+  leadership.write = { table, writeId, retryAt: null };
+  context.state.counters.ownership_writes += 1;
+  emitWrite(context, leadership);
+}
+
+function emitWrite(context: RouterContext, leadership: Leadership): void {
+  if (leadership.write !== null) {
+    const { table, writeId } = leadership.write;
+    const value: OwnershipRecord = { writeId, table };
+    leadership.write.retryAt = null;
+    context.emit({ kind: 'writeObject', object: 'ownership', value, revision: leadership.tableRevision });
+  }
+}
+
+/** Writes again when the answer of a write was lost. */
+export function retryWrite(context: RouterContext, leadership: Leadership): void {
+  const retryAt = leadership.write?.retryAt ?? null;
+  if (retryAt !== null && context.now >= retryAt) {
+    // The same content on the same revision: whichever try lands first, the other meets its write id.
+    emitWrite(context, leadership);
+  }
+}
+
+/** The write of the table ended. */
+export function receiveTableWritten(
+  context: RouterContext,
+  leadership: Leadership,
+  event: ObjectWrittenEvent,
+): void {
+  const { write } = leadership;
+  if (write === null) {
+    return;
+  }
+  const { outcome } = event;
+  if (outcome.kind === 'written') {
+    adoptTable(context, leadership, write.table, outcome.revision);
+    return;
+  }
+  if (outcome.kind === 'conflict') {
+    const record = parseOwnership(outcome.value);
+    if (record?.writeId === write.writeId) {
+      adoptTable(context, leadership, write.table, outcome.revision);
+    } else {
+      stepDown(context, 'another daemon wrote the table', null);
+    }
+    return;
+  }
+  context.state.counters.ownership_write_failures += 1;
+  write.retryAt = context.now + WRITE_RETRY;
+}
+
+function adoptTable(
+  context: RouterContext,
+  leadership: Leadership,
+  table: OwnershipTable,
+  revision: number,
+): void {
+  const before = leadership.table;
+  const changed = changedUnits(before, table);
+  leadership.write = null;
+  leadership.table = table;
+  leadership.tableRevision = revision;
+  leadership.viewStep = 0;
+  leadership.viewChanged = true;
+  reconcileProgress(context, leadership, before);
+  context.state.counters.units_moved += changed.length;
+  context.log('assignment_written', {
+    term: leadership.term,
+    revision,
+    changed: changed.slice(0, MOST_LOGGED),
+  });
+}
+
+function contains(outer: Unit, inner: Unit): boolean {
+  return (
+    outer.service === inner.service &&
+    outer.fence === inner.fence &&
+    outer.from <= inner.from &&
+    outer.to >= inner.to
+  );
+}
+
+/** Progress of the units of a new table: kept for what stays, taken over by the parts of a split. */
+function reconcileProgress(context: RouterContext, leadership: Leadership, before: OwnershipTable): void {
+  const known = new Map(leadership.progress);
+  leadership.progress.clear();
+  for (const unit of leadership.table.units) {
+    const same = known.get(unitName(unit));
+    if (same?.fence === unit.fence) {
+      leadership.progress.set(unitName(unit), same);
+      continue;
+    }
+    const whole = before.units.find((candidate) => contains(candidate, unit));
+    const inherited = whole === undefined ? undefined : known.get(unitName(whole));
+    const progress =
+      inherited === undefined ? newProgress(context, unit) : { ...inherited, callsInFlight: 0 };
+    progress.nextCallAt = context.now;
+    leadership.progress.set(unitName(unit), progress);
+  }
+}
+
+function newProgress(context: RouterContext, unit: Unit): UnitProgress {
+  return {
+    phase: unit.releasing === null ? 'granting' : 'releasing',
+    fence: unit.fence,
+    ownerMayHold: false,
+    handover: null,
+    nextCallAt: context.now,
+    callsInFlight: 0,
+  };
+}
--- /dev/null
+++ b/src/router/ownership/unit-control.ts
@@ -0,0 +1,258 @@
+/** Carries a unit's assignment out at the servers: release, grant, renewal, and probes of silent servers. */
+import type { ControlEndedEvent, ControlOutcome } from '../events.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { Leadership, PendingCall, UnitProgress } from './leadership-state.js';
+import {
+  CALM_LEASE,
+  CONFIRMATION_TROUBLE,
+  CONTROL_PATIENCE,
+  PROBE_INTERVAL,
+  RELEASE_PATIENCE,
+  RELEASE_REPEAT,
+  RENEWAL_INTERVAL,
+  TROUBLE_LEASE,
+} from './ownership-timing.js';
+import { takeFences, unitName, withUnits, type Unit } from './ownership-table.js';
+import { leaseEnd, leaseOf, noteAnswer, noteEnded, noteGrantSent, noteNoAnswer } from './server-lease.js';
+import { writeTable } from './table-write.js';
+
+/** Lease of a probe that is taken by mistake. */
+const PROBE_LEASE: Milliseconds = 100;
+/** A grant that was refused for another reason is repeated after this long. */
+const REJECTED_RETRY: Milliseconds = 300;
+
+/** Makes the call that a unit is due. */
+export function tickUnit(context: RouterContext, leadership: Leadership, unit: Unit): void {
+  const progress = leadership.progress.get(unitName(unit));
+  if (progress === undefined) {
+    return;
+  }
+  if (progress.phase === 'releasing') {
+    tickReleasing(context, leadership, unit, progress);
+  } else {
+    tickGranting(context, leadership, unit, progress);
+  }
+}
+
+function tickReleasing(
+  context: RouterContext,
+  leadership: Leadership,
+  unit: Unit,
+  progress: UnitProgress,
+): void {
+  const former = unit.releasing;
+  if (former === null || context.now > leaseEnd(leadership, leaseOf(leadership, former), context.now)) {
+    progress.phase = 'granting';
+    progress.nextCallAt = context.now;
+    context.log('release_waited_out', { unit: unitName(unit), fence: unit.fence, former });
+    return;
+  }
+  if (context.now < progress.nextCallAt) {
+    return;
+  }
+  progress.nextCallAt = context.now + RELEASE_REPEAT;
+  callServer(context, leadership, unit, former, 'release', unit.fence - 1, 0, RELEASE_PATIENCE);
+}
+
+function currentLease(context: RouterContext, leadership: Leadership): Milliseconds {
+  const trouble = context.now - leadership.confirmedAt > CONFIRMATION_TROUBLE;
+  return Math.min(trouble ? TROUBLE_LEASE : CALM_LEASE, context.state.bounds.longestLease);
+}
+
+function tickGranting(
+  context: RouterContext,
+  leadership: Leadership,
+  unit: Unit,
+  progress: UnitProgress,
+): void {
+  const lease = leaseOf(leadership, unit.owner);
+  if (lease.ended || progress.callsInFlight > 0) {
+    return;
+  }
+  if (lease.unanswered > 0) {
+    probe(context, leadership, unit);
+    return;
+  }
+  if (context.now < progress.nextCallAt) {
+    return;
+  }
+  const hold = currentLease(context, leadership);
+  progress.nextCallAt = context.now + RENEWAL_INTERVAL;
+  if (callServer(context, leadership, unit, unit.owner, 'grant', unit.fence, hold, CONTROL_PATIENCE)) {
+    progress.callsInFlight += 1;
+    progress.ownerMayHold = true;
+    noteGrantSent(lease, hold, context.now);
+  }
+}
+
+/** Asks a server that left a call unanswered whether it lives: a grant below the unit's fence changes nothing. */
+function probe(context: RouterContext, leadership: Leadership, unit: Unit): void {
+  const lease = leaseOf(leadership, unit.owner);
+  if (lease.probeInFlight || context.now < lease.nextProbeAt) {
+    return;
+  }
+  lease.nextProbeAt = context.now + PROBE_INTERVAL;
+  const fence = unit.fence - 1;
+  lease.probeInFlight = callServer(
+    context,
+    leadership,
+    unit,
+    unit.owner,
+    'probe',
+    fence,
+    PROBE_LEASE,
+    CONTROL_PATIENCE,
+  );
+}
+
+function callServer(
+  context: RouterContext,
+  leadership: Leadership,
+  unit: Unit,
+  server: ServerId,
+  action: PendingCall['action'],
+  fence: number,
+  hold: Milliseconds,
+  patience: Milliseconds,
+): boolean {
+  const address = context.state.servers.get(server)?.server.address ?? leadership.addresses.get(server);
+  if (address === undefined) {
+    return false;
+  }
+  const { counters } = context.state;
+  counters[action === 'release' ? 'releases' : 'grants'] += 1;
+  const handover = action === 'grant' ? (leadership.progress.get(unitName(unit))?.handover ?? null) : null;
+  const { from, to } = unit;
+  const callId = context.control({
+    action: action === 'release' ? 'release' : 'grant',
+    server,
+    address,
+    from,
+    to,
+    fence,
+    hold,
+    handover,
+    patience,
+  });
+  const call: PendingCall = { action, server, unit: unitName(unit), fence, lease: hold, sentAt: context.now };
+  leadership.calls.set(callId, call);
+  return true;
+}
+
+/** A call to a server ended. */
+export function receiveControlEnded(
+  context: RouterContext,
+  leadership: Leadership,
+  event: ControlEndedEvent,
+): void {
+  const call = leadership.calls.get(event.callId);
+  if (call === undefined) {
+    return;
+  }
+  leadership.calls.delete(event.callId);
+  noteOutcome(context, leadership, call, event.outcome);
+  if (call.action === 'probe') {
+    leaseOf(leadership, call.server).probeInFlight = false;
+    return;
+  }
+  const unit = leadership.table.units.find((candidate) => unitName(candidate) === call.unit);
+  const progress = leadership.progress.get(call.unit);
+  if (unit === undefined || progress === undefined) {
+    return;
+  }
+  if (call.action === 'release' && call.fence === unit.fence - 1) {
+    concludeRelease(context, progress, unit, event.outcome);
+  } else if (call.action === 'grant' && call.fence === unit.fence) {
+    progress.callsInFlight = Math.max(0, progress.callsInFlight - 1);
+    concludeGrant(context, leadership, unit, progress, event.outcome);
+  }
+}
+
+function noteOutcome(
+  context: RouterContext,
+  leadership: Leadership,
+  call: PendingCall,
+  outcome: ControlOutcome,
+): void {
+  const { counters } = context.state;
+  const wasSilent = leaseOf(leadership, call.server).silent;
+  switch (outcome.kind) {
+    case 'unanswered':
+    case 'notSent':
+      counters.control_unanswered += 1;
+      noteNoAnswer(leadership, call, outcome.kind === 'unanswered', context.now);
+      break;
+    case 'otherInstance':
+      noteEnded(leadership, call.server);
+      break;
+    default:
+      counters.control_rejected += outcome.kind === 'rejected' ? 1 : 0;
+      noteAnswer(leadership, call, context.now);
+  }
+  const { silent } = leaseOf(leadership, call.server);
+  if (silent !== wasSilent) {
+    context.log(silent ? 'server_silent' : 'server_answers', { server: call.server, outcome: outcome.kind });
+    leadership.nextPlanAt = context.now;
+  }
+}
+
+function concludeRelease(
+  context: RouterContext,
+  progress: UnitProgress,
+  unit: Unit,
+  outcome: ControlOutcome,
+): void {
+  if (progress.phase !== 'releasing') {
+    return;
+  }
+  if (outcome.kind === 'accepted' || outcome.kind === 'otherInstance') {
+    progress.phase = 'granting';
+    progress.handover = outcome.kind === 'accepted' ? outcome.handover : null;
+    progress.nextCallAt = context.now;
+    context.log('unit_released', { unit: unitName(unit), fence: unit.fence, former: unit.releasing });
+  }
+}
+
+function concludeGrant(
+  context: RouterContext,
+  leadership: Leadership,
+  unit: Unit,
+  progress: UnitProgress,
+  outcome: ControlOutcome,
+): void {
+  switch (outcome.kind) {
+    case 'accepted':
+      if (progress.phase !== 'held') {
+        progress.phase = 'held';
+        leadership.viewChanged = true;
+        context.log('unit_granted', { unit: unitName(unit), owner: unit.owner, fence: unit.fence });
+      }
+      return;
+    case 'higherFence':
+      raiseFence(context, leadership, unit);
+      return;
+    case 'rejected':
+      progress.nextCallAt = context.now + REJECTED_RETRY;
+      context.log(
+        'grant_rejected',
+        { unit: unitName(unit), owner: unit.owner, status: outcome.status },
+        'warn',
+      );
+      return;
+    default:
+      progress.nextCallAt = context.now;
+  }
+}
+
+/** The owner has seen a higher fence on some of the keys: the unit gets a fresh one. */
+function raiseFence(context: RouterContext, leadership: Leadership, unit: Unit): void {
+  if (leadership.write !== null) {
+    return;
+  }
+  const taken = takeFences(leadership.table);
+  const raised: Unit = { ...unit, fence: taken.fence, releasing: null };
+  const units = leadership.table.units.map((other) => (other === unit ? raised : other));
+  context.log('fence_raised', { unit: unitName(unit), owner: unit.owner, from: unit.fence, to: taken.fence });
+  writeTable(context, leadership, withUnits(taken.table, units));
+}
--- /dev/null
+++ b/src/router/peers/messages.ts
@@ -0,0 +1,46 @@
+/** The messages between daemons, told apart by `kind`. Mirrors proto/router.proto. */
+import type { DaemonName, Key, Milliseconds, ServiceName } from '../model/identifiers.js';
+
+/** The keys that callers asked for at one daemon, one entry a request. */
+export interface KeySample {
+  readonly service: ServiceName;
+  readonly keys: Key[];
+}
+/** A follower tells the leader that it is there, what it has seen, and what it knows. */
+export interface Report {
+  readonly kind: 'report';
+  readonly daemon: DaemonName;
+  readonly life: number;
+  readonly configurationVersion: number;
+  readonly serversRevision: number;
+  readonly samples: KeySample[];
+}
+/** The leader tells its followers that it is there. */
+export interface Heartbeat {
+  readonly kind: 'heartbeat';
+  readonly term: number;
+  /** Age of the last confirmation of its leadership by the store. */
+  readonly confirmationAge: Milliseconds;
+  /** Daemons that are connected, the leader among them. */
+  readonly daemons: number;
+  readonly configurationVersion: number;
+  readonly serversRevision: number;
+}
+/** A unit in a statement of ownership. */
+export interface UnitStatement {
+  readonly service: ServiceName;
+  readonly from: Key;
+  readonly to: Key;
+  readonly owner: string;
+  readonly fence: number;
+  readonly granted: boolean;
+}
+/** The leader's statement of ownership, whole. */
+export interface Ownership {
+  readonly kind: 'ownership';
+  readonly term: number;
+  readonly sequence: number;
+  readonly units: UnitStatement[];
+}
+
+export type PeerMessage = Report | Heartbeat | Ownership;
--- /dev/null
+++ b/src/router/reducer.ts
@@ -0,0 +1,148 @@
+/**
+ * The one reducer over all events. Deterministic: the same events at the same times from the same start
+ * give the same effects. The state is changed in place; effects come back as data.
+ */
+import type { Effect } from './effects.js';
+import type { ObjectReadEvent, ObjectWrittenEvent, PeerMessageEvent, RouterEvent } from './events.js';
+import type { Milliseconds } from './model/identifiers.js';
+import * as election from './ownership/election.js';
+import { receiveConfirmation, receiveLeaderRead } from './ownership/leader-confirmation.js';
+import { forgetFollower, receiveReport } from './ownership/leader-followers.js';
+import { noteServers, tickLeader } from './ownership/leader.js';
+import { OwnershipView } from './ownership/ownership-view.js';
+import { receiveTableWritten } from './ownership/table-write.js';
+import { receiveControlEnded } from './ownership/unit-control.js';
+import type { Ownership } from './peers/messages.js';
+import { tickReports } from './peers/follower-reports.js';
+import * as requests from './request/request-lifecycle.js';
+import { RouterContext } from './router-context.js';
+import type { RouterState } from './router-state.js';
+import * as directory from './server-directory.js';
+
+/**
+ * Takes one event in.
+ *
+ * @example
+ * const effects = reduce(state, 20, { kind: 'tick' });
+ */
+export function reduce(state: RouterState, now: Milliseconds, event: RouterEvent): Effect[] {
+  const context = new RouterContext(state, now);
+  dispatch(context, event);
+  return context.effects;
+}
+
+function dispatch(context: RouterContext, event: RouterEvent): void {
+  const { state } = context;
+  switch (event.kind) {
+    case 'tick':
+      return tick(context);
+    case 'requestArrived':
+      return requests.receiveRequest(context, event);
+    case 'attemptEnded':
+      return requests.receiveAttemptEnded(context, event);
+    case 'callerLeft':
+      return requests.receiveCallerLeft(context, event.requestId);
+    case 'configuration':
+      return directory.receiveConfiguration(context, event);
+    case 'serversListed':
+      directory.receiveServersListed(context, event);
+      return noteServersOfLeader(context);
+    case 'serverChanged':
+      directory.receiveServerChanged(context, event);
+      return noteServersOfLeader(context);
+    case 'feedState': {
+      const { feed, healthy } = event;
+      return context.log(healthy ? 'feed_regained' : 'feed_lost', { feed }, healthy ? 'info' : 'warn');
+    }
+    case 'objectRead':
+      return receiveObjectRead(context, event);
+    case 'objectWritten':
+      return receiveObjectWritten(context, event);
+    case 'controlEnded':
+      return state.leadership === null ? undefined : receiveControlEnded(context, state.leadership, event);
+    case 'peerMessage':
+      return receivePeerMessage(context, event);
+    case 'peerLeft':
+      return state.leadership === null ? undefined : forgetFollower(context, state.leadership, event.link);
+    case 'leaderLinkClosed':
+      return election.receiveLeaderLinkClosed(context, event);
+    case 'stopping':
+      state.stopping = true;
+      return context.log('stopping', { requests: state.requests.size, leader: state.leadership !== null });
+  }
+}
+
+function tick(context: RouterContext): void {
+  const { leadership } = context.state;
+  if (leadership === null) {
+    election.tickElection(context);
+    tickReports(context);
+  } else {
+    tickLeader(context, leadership);
+  }
+  requests.tickRequests(context);
+}
+
+function noteServersOfLeader(context: RouterContext): void {
+  const { leadership } = context.state;
+  if (leadership !== null) {
+    noteServers(context, leadership);
+  }
+}
+
+function receiveObjectRead(context: RouterContext, event: ObjectReadEvent): void {
+  const { leadership } = context.state;
+  if (event.object === 'leader') {
+    if (leadership === null) {
+      election.receiveLeaderObject(context, event);
+    } else {
+      receiveLeaderRead(context, leadership, event);
+    }
+  } else if (leadership === null) {
+    election.receiveOwnershipObject(context, event);
+  }
+}
+
+function receiveObjectWritten(context: RouterContext, event: ObjectWrittenEvent): void {
+  const { leadership } = context.state;
+  if (event.object === 'leader') {
+    if (leadership === null) {
+      election.receiveClaimWritten(context, event);
+    } else {
+      receiveConfirmation(context, leadership, event);
+    }
+  } else if (leadership === null) {
+    election.receiveTableClaimed(context, event);
+  } else {
+    receiveTableWritten(context, leadership, event);
+  }
+}
+
+function receivePeerMessage(context: RouterContext, event: PeerMessageEvent): void {
+  const { leadership } = context.state;
+  const { message, link } = event;
+  switch (message.kind) {
+    case 'report':
+      return leadership === null ? undefined : receiveReport(context, leadership, link, message);
+    case 'heartbeat':
+      return leadership === null ? election.receiveHeartbeat(context, message) : undefined;
+    case 'ownership':
+      return leadership === null ? adoptOwnership(context, message) : undefined;
+  }
+}
+
+function adoptOwnership(context: RouterContext, message: Ownership): void {
+  const { state } = context;
+  const units = message.units.map((unit) => ({ ...unit, releasing: null }));
+  const view = new OwnershipView(message.term, message.sequence, units);
+  if (view.isNewerThan(state.view)) {
+    state.view = view;
+    const granted = units.filter((unit) => unit.granted).length;
+    context.log('ownership_heard', {
+      term: view.term,
+      sequence: view.sequence,
+      units: units.length,
+      granted,
+    });
+  }
+}
--- /dev/null
+++ b/src/router/request/active-request.ts
@@ -0,0 +1,32 @@
+/** A request between its arrival and its final answer. */
+import type { Route } from '../model/configuration.js';
+import type { Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+
+/** Kept in the state while the request is under way. */
+export interface ActiveRequest {
+  readonly id: number;
+  readonly attemptId: string;
+  readonly route: Route;
+  readonly service: ServiceName;
+  /** Null when any server of the service can run it. */
+  readonly key: Key | null;
+  readonly arrivedAt: Milliseconds;
+  /** The final answer is due: the caller's patience or the route's timeout, whichever ends first. */
+  readonly deadlineAt: Milliseconds;
+  /** It is refused rather than held beyond this time without being sent. */
+  readonly holdUntil: Milliseconds;
+  /** Attempts that reached, or may have reached, a server. */
+  attempts: number;
+  /** Numbers the attempts for the runtime, those that never left included. */
+  attemptNumber: number;
+  /** The server of the attempt under way, or null while the request is held. */
+  server: ServerId | null;
+  attemptStartedAt: Milliseconds;
+  /** A held request is tried again at this time. */
+  retryAt: Milliseconds;
+  readonly tried: ServerId[];
+  /** Some attempt may have run. */
+  mayHaveRun: boolean;
+  /** What each attempt came to, for the log. */
+  readonly notes: string[];
+}
--- /dev/null
+++ b/src/router/request/destination.ts
@@ -0,0 +1,80 @@
+/** Where a request goes now: to the owner of its key, or to the server that should answer first. */
+import type { Milliseconds } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { KnownServer } from '../router-state.js';
+import type { ActiveRequest } from './active-request.js';
+import { selectServer } from './server-selection.js';
+
+/** Requests that may wait at a server for each of its slots before it counts as full. */
+const WAITING_PER_SLOT = 3;
+/** Keyed requests follow a draining owner this part of the drain time, while its keys move. */
+const DRAIN_PART = 0.5;
+const OWNER_RETRY_AFTER: Milliseconds = 200;
+const FULL_RETRY_AFTER: Milliseconds = 100;
+
+/** Why a request can go nowhere now. */
+export interface NoDestination {
+  readonly reason: string;
+  /** Waiting a moment may help. */
+  readonly hold: boolean;
+  readonly retryAfter: Milliseconds;
+}
+
+/** Tells a refusal from a server. */
+export function isRefusal(destination: KnownServer | NoDestination): destination is NoDestination {
+  return 'reason' in destination;
+}
+
+function isFull(known: KnownServer): boolean {
+  const { load, server } = known;
+  return load.inFlight.size + load.others >= server.slots * (1 + WAITING_PER_SLOT);
+}
+
+function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
+  const { view, servers, bounds } = context.state;
+  const unit = view.unitOf(request.service, key);
+  if (unit === undefined || !unit.granted) {
+    const reason = unit === undefined ? 'the key has no owner' : `the key is on its way to ${unit.owner}`;
+    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
+  const known = servers.get(unit.owner);
+  if (known === undefined) {
+    return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
+  const { drainingSince, load } = known;
+  if (drainingSince !== null && context.now - drainingSince > bounds.drain * DRAIN_PART) {
+    return { reason: `the owner ${unit.owner} is leaving`, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
+  if (load.isSilent(context.now)) {
+    return { reason: `the owner ${unit.owner} is silent`, hold: false, retryAfter: OWNER_RETRY_AFTER };
+  }
+  if (load.avoidUntil > context.now && load.failures > 1) {
+    return { reason: `the owner ${unit.owner} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
+  if (isFull(known)) {
+    return { reason: `the owner ${unit.owner} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
+  }
+  return known;
+}
+
+function anyServer(context: RouterContext, request: ActiveRequest): KnownServer | NoDestination {
+  const { serversByService, identity, random } = context.state;
+  const candidates = serversByService.get(request.service);
+  const selection = { now: context.now, zone: identity.zone, random, tried: request.tried };
+  const chosen =
+    candidates === undefined
+      ? undefined
+      : (selectServer(candidates.values(), selection) as KnownServer | undefined);
+  if (chosen === undefined) {
+    return { reason: 'no server takes requests', hold: true, retryAfter: FULL_RETRY_AFTER };
+  }
+  if (isFull(chosen)) {
+    return { reason: 'every server is full', hold: true, retryAfter: FULL_RETRY_AFTER };
+  }
+  return chosen;
+}
+
+/** Where a request goes now, or why it can go nowhere. */
+export function findDestination(context: RouterContext, request: ActiveRequest): KnownServer | NoDestination {
+  return request.key === null ? anyServer(context, request) : ownerOf(context, request, request.key);
+}
--- /dev/null
+++ b/src/router/request/server-selection.ts
@@ -0,0 +1,64 @@
+/** Chooses the server for a request that any server of its service can run. */
+import type { SeededRandom } from '../../core/random.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import type { ServerDescription } from '../model/server.js';
+import type { ServerLoad } from './server-load.js';
+
+/** What an answer from another zone costs, as time: its way and its bytes. */
+const OTHER_ZONE_COST: Milliseconds = 8;
+/** A server that has just started takes this many times as long. */
+const COLD_FACTOR = 2;
+/** Servers that are equal but for this share are taken in turn. */
+const JITTER = 0.15;
+
+/** A server and what is known of its load. */
+export interface Candidate {
+  readonly server: ServerDescription;
+  readonly load: ServerLoad;
+  /** It is slow until this time. */
+  readonly coldUntil: Milliseconds;
+}
+
+/** What a choice depends on besides the candidates. */
+export interface SelectionContext {
+  readonly now: Milliseconds;
+  readonly zone: string;
+  readonly random: SeededRandom;
+  /** Servers that the request has been sent to. */
+  readonly tried: readonly ServerId[];
+}
+
+function cost(candidate: Candidate, context: SelectionContext): Milliseconds {
+  const { server, load, coldUntil } = candidate;
+  const expected = load.expectedTime(server.slots) * (coldUntil > context.now ? COLD_FACTOR : 1);
+  const way = server.zone === context.zone ? 0 : OTHER_ZONE_COST;
+  return expected * (1 + JITTER * context.random.fraction()) + way;
+}
+
+function isOpen(candidate: Candidate, context: SelectionContext): boolean {
+  return (
+    !candidate.server.draining &&
+    candidate.load.avoidUntil <= context.now &&
+    !candidate.load.isSilent(context.now) &&
+    !context.tried.includes(candidate.server.id)
+  );
+}
+
+/** The server that should answer first, or undefined when none takes requests. */
+export function selectServer(
+  candidates: Iterable<Candidate>,
+  context: SelectionContext,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    if (isOpen(candidate, context)) {
+      const candidateCost = cost(candidate, context);
+      if (candidateCost < bestCost) {
+        best = candidate;
+        bestCost = candidateCost;
+      }
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/router/router-context.ts
@@ -0,0 +1,33 @@
+/** Handed to every part of the reducer. Valid for one event only. */
+import type { ControlEffect, Effect } from './effects.js';
+import type { Milliseconds } from './model/identifiers.js';
+import type { RouterState } from './router-state.js';
+
+export class RouterContext {
+  readonly state: RouterState;
+  readonly now: Milliseconds;
+  readonly effects: Effect[] = [];
+
+  constructor(state: RouterState, now: Milliseconds) {
+    this.state = state;
+    this.now = now;
+  }
+
+  /** Adds an effect. */
+  emit(effect: Effect): void {
+    this.effects.push(effect);
+  }
+
+  /** Adds a line of the log. */
+  log(event: string, fields: Record<string, unknown>, level: 'info' | 'warn' = 'info'): void {
+    this.effects.push({ kind: 'log', level, event, fields });
+  }
+
+  /** Calls a server and returns the number of the call. */
+  control(call: Omit<ControlEffect, 'kind' | 'callId'>): number {
+    const callId = this.state.nextCallId;
+    this.state.nextCallId += 1;
+    this.effects.push({ kind: 'control', callId, ...call });
+    return callId;
+  }
+}
--- /dev/null
+++ b/src/router/router-settings.ts
@@ -0,0 +1,71 @@
+/** The settings of a router daemon: a YAML or JSON file, checked by a schema before anything starts. */
+import { err, ok, type Result } from 'neverthrow';
+import { readFileSync } from 'node:fs';
+import { parse } from 'yaml';
+import { z } from 'zod';
+import { describeFaults } from '../core/configuration/schema-faults.js';
+import { SettingsError } from '../errors.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const NAME = z.string().min(1);
+const ADDRESS = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'allowed: <ip number>:<port>');
+/** Written in seconds, kept in milliseconds. */
+const SECONDS = z
+  .number()
+  .min(0)
+  .max(86_400)
+  .transform((seconds) => seconds * MILLISECONDS_PER_SECOND);
+
+const settingsSchema = z.object({
+  daemon: NAME,
+  zone: NAME,
+  listen: z.object({
+    /** For callers. */
+    http: ADDRESS,
+    /** Answers whether this daemon takes callers. */
+    readiness: ADDRESS,
+    /** Metrics and state, for operators. */
+    admin: ADDRESS,
+    /** For the other daemons. */
+    peers: ADDRESS,
+  }),
+  store: z.object({
+    address: ADDRESS,
+    /** How long the store remembers changes for watches. */
+    history: SECONDS,
+  }),
+  limits: z.object({ memoryMegabytes: z.number().positive() }),
+  timing: z.object({
+    /** A planned stop ends within this time. */
+    stopGrace: SECONDS,
+    /** A leaving server gets no new work after this time. */
+    drain: SECONDS,
+    /** A configuration is in force within this time. */
+    configuration: SECONDS,
+    /** The longest lease that a server takes. */
+    longestLease: SECONDS,
+    retryWindow: SECONDS,
+  }),
+  retries: z.object({ ratio: z.number().min(0).max(10), extra: z.number().min(0) }),
+});
+
+/** Checked settings; lengths of time in milliseconds. */
+export type RouterSettings = z.infer<typeof settingsSchema>;
+
+/** Checks settings that were read. The error lists every fault at once. Unknown fields are ignored. */
+export function checkRouterSettings(value: unknown, source: string): Result<RouterSettings, SettingsError> {
+  const parsed = settingsSchema.safeParse(value);
+  return parsed.success
+    ? ok(parsed.data)
+    : err(new SettingsError('check settings', source, describeFaults(parsed.error, value)));
+}
+
+/** Reads and checks a settings file. */
+export function readRouterSettings(path: string): Result<RouterSettings, SettingsError> {
+  try {
+    return checkRouterSettings(parse(readFileSync(path, 'utf8')), path);
+  } catch (cause) {
+    const detail = cause instanceof Error ? cause.message : String(cause);
+    return err(new SettingsError('read settings', path, [detail]));
+  }
+}
--- /dev/null
+++ b/src/router/router-state.ts
@@ -0,0 +1,108 @@
+/** All that one daemon knows. The reducer changes it in place; nothing else does. */
+import { SeededRandom } from '../core/random.js';
+import { createRouterCounters, type RouterCounters } from './counters.js';
+import type { Configuration } from './model/configuration.js';
+import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
+import { RouteTable } from './model/route-table.js';
+import type { ServerDescription } from './model/server.js';
+import { createElection, type ElectionState } from './ownership/election-state.js';
+import type { Leadership } from './ownership/leadership-state.js';
+import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
+import type { ActiveRequest } from './request/active-request.js';
+import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
+import { ServerLoad } from './request/server-load.js';
+import { TargetRotation } from './request/target-rotation.js';
+
+/** Who this daemon is. */
+export interface Identity {
+  readonly daemon: DaemonName;
+  readonly zone: string;
+  /** `ip:port` for the other daemons. */
+  readonly peerAddress: string;
+  /** Drawn at the start of the process. */
+  readonly life: number;
+}
+
+/** The bounds of the deployment that the reducer keeps. */
+export interface RouterBounds {
+  readonly retries: RetryBudgetLimits;
+  readonly drain: Milliseconds;
+  readonly longestLease: Milliseconds;
+}
+
+/** A listed server and what this daemon has seen of it. */
+export interface KnownServer {
+  server: ServerDescription;
+  readonly load: ServerLoad;
+  readonly coldUntil: Milliseconds;
+  /** When this daemon learned that it drains, or null. */
+  drainingSince: Milliseconds | null;
+}
+
+export interface RouterState {
+  readonly identity: Identity;
+  readonly bounds: RouterBounds;
+  readonly random: SeededRandom;
+  readonly counters: RouterCounters;
+  configuration: Configuration | null;
+  routes: RouteTable;
+  /** Null before the first list. */
+  serversRevision: number | null;
+  readonly servers: Map<ServerId, KnownServer>;
+  readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
+  /** Daemons that share the retry budget, as last heard. */
+  daemons: number;
+  view: OwnershipView;
+  readonly election: ElectionState;
+  /** Set while this daemon leads. */
+  leadership: Leadership | null;
+  readonly requests: Map<number, ActiveRequest>;
+  readonly budgets: Map<ServiceName, RetryBudget>;
+  readonly rotation: TargetRotation;
+  /** Keys that callers asked for since the last report. */
+  readonly keySamples: Map<ServiceName, Key[]>;
+  nextCallId: number;
+  stopping: boolean;
+}
+
+/** Assumed before the leader has said how many daemons there are. */
+const FIRST_DAEMONS = 16;
+
+/** The state of a daemon that has just started. */
+export function createRouterState(identity: Identity, bounds: RouterBounds, seed: number): RouterState {
+  return {
+    identity,
+    bounds,
+    random: new SeededRandom(seed),
+    counters: createRouterCounters(),
+    configuration: null,
+    routes: new RouteTable([]),
+    serversRevision: null,
+    servers: new Map(),
+    serversByService: new Map(),
+    daemons: FIRST_DAEMONS,
+    view: EMPTY_VIEW,
+    election: createElection(),
+    leadership: null,
+    requests: new Map(),
+    budgets: new Map(),
+    rotation: new TargetRotation(),
+    keySamples: new Map(),
+    nextCallId: 1,
+    stopping: false,
+  };
+}
+
+/** Why this daemon should get no callers yet, or null when it should. */
+export function missingForCallers(state: RouterState): string | null {
+  if (state.stopping) {
+    return 'a planned stop is under way';
+  }
+  if (state.configuration === null) {
+    return 'no configuration is in force';
+  }
+  if (state.serversRevision === null) {
+    return 'no server is known';
+  }
+  return null;
+}
