--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -25,8 +25,8 @@
 
 /** Where an answer goes. */
 export interface AnswerSink {
-  /** A whole answer. */
-  whole(status: number, rawHeaders: string[], body: Buffer): void;
+  /** An answer that has ended in order. One without a length goes on without a length. */
+  whole(status: number, rawHeaders: string[], body: Buffer, hasLength: boolean): void;
   /** The head of a long answer, and its beginning. Returns false when the caller takes no more for now. */
   begin(status: number, rawHeaders: string[], body: Buffer, onDrain: () => void): boolean;
   /** More of a long answer. */
@@ -156,7 +156,7 @@
     }
     const result = this.#classify();
     if (result.kind === 'answered') {
-      this.#sink.whole(this.#status, this.#rawHeaders, Buffer.concat(this.#chunks));
+      this.#sink.whole(this.#status, this.#rawHeaders, Buffer.concat(this.#chunks), reusable);
     }
     this.#finish(result, reusable);
   }
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -208,8 +208,8 @@
 
   #sinkFor({ outgoing }: Exchange): AnswerSink {
     return {
-      whole: (status, rawHeaders, body) => {
-        this.#writeHead(outgoing, status, rawHeaders, body.length);
+      whole: (status, rawHeaders, body, hasLength) => {
+        this.#writeHead(outgoing, status, rawHeaders, hasLength ? body.length : null);
         outgoing.end(body);
       },
       begin: (status, rawHeaders, body, onDrain) => {
@@ -226,7 +226,11 @@
 
   #writeHead(outgoing: ServerResponse, status: number, rawHeaders: string[], length: number | null): void {
     const headers = forwardedHeaders(rawHeaders, NO_HEADERS);
-    if (length !== null) {
+    if (length === null) {
+      // Nobody can tell whether it broke off: a length of ours would say that it is complete.
+      outgoing.useChunkedEncodingByDefault = false;
+      outgoing.shouldKeepAlive = false;
+    } else {
       headers.push('Content-Length', String(length));
     }
     if (this.#closing) {
--- /dev/null
+++ b/test/router-runtime/test-caller-front.ts
@@ -0,0 +1,105 @@
+import { expect } from 'earl';
+import { createConnection, type AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { REQUEST_PROTOCOL } from '../../platform/names.js';
+import { CallerFront } from '../../src/router-runtime/caller-front.js';
+import { ServerConnections } from '../../src/router-runtime/server-connections.js';
+import type { RouterEvent } from '../../src/router/events.js';
+import { RawServer, type RawResponder } from '../support/raw-server.js';
+
+const ID = 'a-1';
+const OWN = `Fennelferry-Attempt-Id: ${ID}\r\nFennelferry-Server-Seal: s.1\r\n`;
+const REQUEST = `GET /a/1 HTTP/1.1\r\nHost: h.example\r\nFennelferry-Attempt-Id: ${ID}\r\n\r\n`;
+
+let server: RawServer | undefined;
+let front: CallerFront | undefined;
+const connections = new ServerConnections();
+
+afterEach(async () => {
+  connections.close();
+  front?.closeAll();
+  front?.closeIdle();
+  await server?.close();
+});
+
+/** Forwards every request to the server; returns the bytes a caller gets until its connection ends. */
+async function exchange(
+  respond: RawResponder,
+  request: string,
+): Promise<{ text: string; events: RouterEvent[] }> {
+  const backend = await RawServer.start(respond);
+  server = backend;
+  const events: RouterEvent[] = [];
+  const made = new CallerFront(REQUEST_PROTOCOL, connections, (event) => {
+    events.push(event);
+    if (event.kind === 'requestArrived') {
+      const { requestId } = event;
+      const address = backend.address;
+      made.forward({
+        kind: 'forward',
+        requestId,
+        attempt: 1,
+        server: 'i-1',
+        address,
+        timeLeft: 500,
+        buffer: true,
+      });
+    }
+  });
+  front = made;
+  await made.listen('127.0.0.1:0');
+  const { port } = made.server.address() as AddressInfo;
+  const socket = createConnection({ host: '127.0.0.1', port });
+  const chunks: Buffer[] = [];
+  socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+  socket.on('error', () => undefined);
+  socket.write(request);
+  const idle = setTimeout(() => socket.destroy(), 300);
+  await new Promise((resolve) => socket.once('close', resolve));
+  clearTimeout(idle);
+  return { text: Buffer.concat(chunks).toString('latin1'), events };
+}
+
+describe('the front for callers', () => {
+  it('passes an answer with its length, its seal and its id on', async () => {
+    const { text } = await exchange((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${OWN}Content-Length: 4\r\n\r\nbody`);
+    }, REQUEST);
+    expect(text.includes('Content-Length: 4')).toEqual(true);
+    expect(text.includes('Fennelferry-Server-Seal: s.1')).toEqual(true);
+    expect(text.endsWith('body')).toEqual(true);
+  });
+
+  // A server that ends in the middle of an answer without a length closes in order: only its client can tell.
+  it('does not frame an answer as complete that had no length', async () => {
+    const { text } = await exchange((socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${OWN}Connection: close\r\n\r\npart of it`);
+    }, REQUEST);
+    const lower = text.toLowerCase();
+    expect(lower.includes('content-length')).toEqual(false);
+    expect(lower.includes('transfer-encoding')).toEqual(false);
+    expect(lower.includes('connection: close')).toEqual(true);
+    expect(text.endsWith('part of it')).toEqual(true);
+  });
+
+  it('names the expected server and the time that is left, and drops what a caller says of them', async () => {
+    const forged = REQUEST.replace('\r\n\r\n', '\r\nFennelferry-Expect-Instance: i-9\r\n\r\n');
+    await exchange((socket) => socket.write(`HTTP/1.1 200 OK\r\n${OWN}Content-Length: 0\r\n\r\n`), forged);
+    const head = server?.heads[0]?.toLowerCase() ?? '';
+    expect(head.includes('fennelferry-expect-instance: i-1')).toEqual(true);
+    expect(head.includes('i-9')).toEqual(false);
+    expect(head.includes('fennelferry-deadline-ms: 500')).toEqual(true);
+  });
+
+  it('says at once that a caller has left, and closes the connection to the server', async () => {
+    let closed = false;
+    const { events } = await exchange((socket) => {
+      socket.on('close', () => {
+        closed = true;
+      });
+    }, REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    expect(events.some((event) => event.kind === 'callerLeft')).toEqual(true);
+    expect(closed).toEqual(true);
+  });
+});
