--- a/src/router/ownership/election-state.ts
+++ b/src/router/ownership/election-state.ts
@@ -15,6 +15,8 @@
   confirmedAt: Milliseconds;
   /** The leader before had ended for certain before this daemon started. */
   readonly predecessorEnded: boolean;
+  /** When this daemon first saw the revision that it replaces: the leader before wrote nothing later. */
+  readonly formerSeenAt: Milliseconds;
   /** The table that is claimed, and the revision that it replaces (null: there is none). */
   table: OwnershipTable;
   tableRevision: number | null;
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -132,12 +132,14 @@
   const claim = { term, daemon, life, address: peerAddress, beat: 0, settled: false };
   // Its own earlier life has ended, and no leader before that one can still act.
   const predecessorEnded = former?.daemon === daemon && former.settled;
+  const formerSeenAt = state.election.unchangedSince;
   state.election.candidacy = {
     phase: 'claiming',
     claim,
     revision,
     confirmedAt: now,
     predecessorEnded,
+    formerSeenAt,
     table: EMPTY_TABLE,
     tableRevision: null,
     stepAt: Number.POSITIVE_INFINITY,
@@ -204,6 +206,7 @@
   predecessorEnded: boolean,
 ): void {
   const { election } = context.state;
+  const formerSeenAt = election.candidacy?.formerSeenAt ?? context.now;
   election.leader = claim;
   election.leaderRevision = revision;
   election.candidacy = {
@@ -212,6 +215,7 @@
     revision,
     confirmedAt,
     predecessorEnded,
+    formerSeenAt,
     table: EMPTY_TABLE,
     tableRevision: null,
     stepAt: Number.POSITIVE_INFINITY,
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -45,9 +45,9 @@
     leadership.leaderRevision = outcome.revision;
     leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
   } else if (outcome.kind === 'conflict' && isOwn(context, leadership, outcome.value)) {
-    // An earlier write of this leader, whose answer was lost, is there.
+    // An earlier write of this leader, whose answer was lost, is there: the next one confirms.
     leadership.leaderRevision = outcome.revision;
-    leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
+    leadership.nextConfirmationAt = context.now;
   } else if (outcome.kind === 'conflict') {
     stepDown(context, 'another daemon leads', outcome.value);
   } else {
@@ -70,8 +70,9 @@
     return;
   }
   if (event.outcome.kind === 'found' && isOwn(context, leadership, event.outcome.value)) {
+    // Only a write confirms: a successor counts from the last one that it can have seen.
     leadership.leaderRevision = event.outcome.revision;
-    leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
+    leadership.nextConfirmationAt = context.now;
     return;
   }
   stepDown(context, 'another daemon leads', event.outcome.kind === 'found' ? event.outcome.value : null);
--- a/src/router/ownership/ownership-timing.ts
+++ b/src/router/ownership/ownership-timing.ts
@@ -4,13 +4,13 @@
 /** The leader writes its object in the store this often; each success confirms its leadership. */
 export const CONFIRMATION_INTERVAL: Milliseconds = 1_000;
 /** A leader whose last confirmation began longer ago calls no server. */
-export const CONFIRMATION_VALIDITY: Milliseconds = 10_000;
+export const CONFIRMATION_VALIDITY: Milliseconds = 3_500;
 /** Beyond this age of the confirmation the store counts as troubled, and leases are long. */
-export const CONFIRMATION_TROUBLE: Milliseconds = 2_200;
+export const CONFIRMATION_TROUBLE: Milliseconds = 1_500;
 /** A lease in calm: short, so that a lost server's keys come back soon. */
 export const CALM_LEASE: Milliseconds = 2_500;
-/** A lease while the store is in trouble: it outlasts the loss of the leader. */
-export const TROUBLE_LEASE: Milliseconds = 8_000;
+/** A lease while the store is in trouble: it outlasts an outage, in which nobody may renew for long. */
+export const TROUBLE_LEASE: Milliseconds = 6_000;
 /** Between two renewals of a unit. */
 export const RENEWAL_INTERVAL: Milliseconds = 700;
 /** A call to a server that has no answer after this long is repeated. */
