--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -15,6 +15,7 @@
   'retries_over_budget',
   'grants',
   'releases',
+  'probes',
   'control_unanswered',
   'control_rejected',
   'units_moved',
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -18,11 +18,11 @@
 export interface RefreshFeedsEffect {
   readonly kind: 'refreshFeeds';
 }
-/** A grant or a release at a server. */
+/** A grant or a release at a server, or a probe: whether it is still the same one. */
 export interface ControlEffect {
   readonly kind: 'control';
   readonly callId: number;
-  readonly action: 'grant' | 'release';
+  readonly action: 'grant' | 'release' | 'probe';
   readonly server: ServerId;
   readonly address: string;
   readonly from: Key;
@@ -32,6 +32,8 @@
   readonly hold: Milliseconds;
   readonly handover: string | null;
   readonly patience: Milliseconds;
+  /** Path of a probe. */
+  readonly healthPath: string;
 }
 /** Sends a request to a server. */
 export interface ForwardEffect {
--- a/src/router/model/configuration.ts
+++ b/src/router/model/configuration.ts
@@ -34,6 +34,8 @@
   readonly keyed: boolean;
   /** Connections that one server accepts from all daemons together. */
   readonly connectionLimit: number;
+  /** Where a server is asked whether it is well. */
+  readonly healthPath: string;
 }
 
 /** What a caller may send, and how long it may take. */
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -3,12 +3,14 @@
  * is granted only after its assignment is in the store, and only after its former owner has released it,
  * has ended, or is out of every lease. docs/design/ownership.md argues why that keeps one owner.
  */
+import type { ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import { confirmLeadership } from './leader-confirmation.js';
 import { tickFollowers } from './leader-followers.js';
 import { makePlan } from './leader-plan.js';
 import type { Leadership } from './leadership-state.js';
 import { CONFIRMATION_VALIDITY } from './ownership-timing.js';
+import { leaseOf, noteEnded } from './server-lease.js';
 import { retryWrite } from './table-write.js';
 import { tickUnit } from './unit-control.js';
 
@@ -30,8 +32,19 @@
 
 /** Called when leadership begins and whenever the list of servers changes. */
 export function noteServers(context: RouterContext, leadership: Leadership): void {
-  for (const { server } of context.state.servers.values()) {
+  const { servers } = context.state;
+  const listedAt = new Map<string, ServerId>();
+  for (const { server } of servers.values()) {
     leadership.addresses.set(server.id, server.address);
+    listedAt.set(server.address, server.id);
+  }
+  for (const [id, address] of leadership.addresses) {
+    const holder = listedAt.get(address);
+    if (holder !== undefined && !servers.has(id) && !leaseOf(leadership, id).ended) {
+      // An address passes on only after the server that had it has ended.
+      noteEnded(leadership, id);
+      context.log('server_ended', { server: id, address, successor: holder });
+    }
   }
   leadership.nextPlanAt = Math.min(leadership.nextPlanAt, context.now);
 }
--- a/src/router/ownership/ownership-timing.ts
+++ b/src/router/ownership/ownership-timing.ts
@@ -15,6 +15,8 @@
 export const RENEWAL_INTERVAL: Milliseconds = 700;
 /** A call to a server that has no answer after this long is repeated. */
 export const CONTROL_PATIENCE: Milliseconds = 300;
+/** A probe waits for a slot of the server, as a request does. */
+export const PROBE_PATIENCE: Milliseconds = 600;
 /** A release is answered only when the work on its keys has ended. */
 export const RELEASE_PATIENCE: Milliseconds = 1_500;
 export const RELEASE_REPEAT: Milliseconds = 400;
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -8,6 +8,7 @@
   CONFIRMATION_TROUBLE,
   CONTROL_PATIENCE,
   PROBE_INTERVAL,
+  PROBE_PATIENCE,
   RELEASE_PATIENCE,
   RELEASE_REPEAT,
   RENEWAL_INTERVAL,
@@ -17,8 +18,8 @@
 import { leaseEnd, leaseOf, noteAnswer, noteEnded, noteGrantSent, noteNoAnswer } from './server-lease.js';
 import { writeTable } from './table-write.js';
 
-/** Lease of a probe that is taken by mistake. */
-const PROBE_LEASE: Milliseconds = 100;
+const DEFAULT_HEALTH_PATH = '/health';
+const CALL_COUNTERS = { grant: 'grants', release: 'releases', probe: 'probes' } as const;
 /** A grant that was refused for another reason is repeated after this long. */
 const REJECTED_RETRY: Milliseconds = 300;
 
@@ -86,24 +87,14 @@
   }
 }
 
-/** Asks a server that left a call unanswered whether it lives: a grant below the unit's fence changes nothing. */
+/** Asks a server that left a call unanswered whether it lives, and whether it is the same one still. */
 function probe(context: RouterContext, leadership: Leadership, unit: Unit): void {
   const lease = leaseOf(leadership, unit.owner);
   if (lease.probeInFlight || context.now < lease.nextProbeAt) {
     return;
   }
   lease.nextProbeAt = context.now + PROBE_INTERVAL;
-  const fence = unit.fence - 1;
-  lease.probeInFlight = callServer(
-    context,
-    leadership,
-    unit,
-    unit.owner,
-    'probe',
-    fence,
-    PROBE_LEASE,
-    CONTROL_PATIENCE,
-  );
+  lease.probeInFlight = callServer(context, leadership, unit, unit.owner, 'probe', 0, 0, PROBE_PATIENCE);
 }
 
 function callServer(
@@ -121,11 +112,11 @@
     return false;
   }
   const { counters } = context.state;
-  counters[action === 'release' ? 'releases' : 'grants'] += 1;
+  counters[CALL_COUNTERS[action]] += 1;
   const handover = action === 'grant' ? (leadership.progress.get(unitName(unit))?.handover ?? null) : null;
   const { from, to } = unit;
   const callId = context.control({
-    action: action === 'release' ? 'release' : 'grant',
+    action,
     server,
     address,
     from,
@@ -134,6 +125,7 @@
     hold,
     handover,
     patience,
+    healthPath: context.state.configuration?.services.get(unit.service)?.healthPath ?? DEFAULT_HEALTH_PATH,
   });
   const call: PendingCall = { action, server, unit: unitName(unit), fence, lease: hold, sentAt: context.now };
   leadership.calls.set(callId, call);
@@ -178,6 +170,11 @@
   const { counters } = context.state;
   const wasSilent = leaseOf(leadership, call.server).silent;
   switch (outcome.kind) {
+    case 'rejected':
+      // Whoever rejects a call like this may be another server.
+      counters.control_rejected += 1;
+      noteNoAnswer(leadership, call, false, context.now);
+      break;
     case 'unanswered':
     case 'notSent':
       counters.control_unanswered += 1;
@@ -187,7 +184,6 @@
       noteEnded(leadership, call.server);
       break;
     default:
-      counters.control_rejected += outcome.kind === 'rejected' ? 1 : 0;
       noteAnswer(leadership, call, context.now);
   }
   const { silent } = leaseOf(leadership, call.server);
