--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -56,6 +56,19 @@
   callServer(context, leadership, unit, former, 'release', unit.fence - 1, 0, RELEASE_PATIENCE);
 }
 
+/**
+ * A write under way may give a unit to another owner because this one was never granted it: then it must
+ * not be granted it meanwhile.
+ */
+function isTakenBack(leadership: Leadership, unit: Unit, progress: UnitProgress): boolean {
+  if (leadership.write === null || progress.ownerMayHold) {
+    return false;
+  }
+  const { units } = leadership.write.table;
+  const name = unitName(unit);
+  return !units.some((next) => unitName(next) === name && next.fence === unit.fence);
+}
+
 function currentLease(context: RouterContext, leadership: Leadership): Milliseconds {
   const trouble = context.now - leadership.confirmedAt > CONFIRMATION_TROUBLE;
   return Math.min(trouble ? TROUBLE_LEASE : CALM_LEASE, context.state.bounds.longestLease);
@@ -75,7 +88,7 @@
     probe(context, leadership, unit);
     return;
   }
-  if (context.now < progress.nextCallAt) {
+  if (context.now < progress.nextCallAt || isTakenBack(leadership, unit, progress)) {
     return;
   }
   const hold = currentLease(context, leadership);
--- /dev/null
+++ b/test/router/support/model-server.ts
@@ -0,0 +1,127 @@
+/** Servers that hold keys by grants, as a model in virtual time, and the checker for at most one owner. */
+import type { SeededRandom } from '../../../src/core/random.js';
+import type { ControlOutcome } from '../../../src/router/events.js';
+import type { ControlEffect } from '../../../src/router/effects.js';
+import type { VirtualClock } from './virtual-clock.js';
+
+/** The keys that are looked at; units may be cut anywhere. */
+export const WATCHED_KEYS: readonly number[] = Array.from({ length: 128 }, (_, index) => index * 512 + 7);
+
+interface Holding {
+  readonly fence: number;
+  readonly until: number;
+}
+
+/** Looks at every grant that a server takes. */
+export class OwnerChecker {
+  readonly violations: string[] = [];
+  readonly #servers: ModelServer[] = [];
+  readonly #highest = new Map<number, { server: string; fence: number }>();
+
+  add(server: ModelServer): void {
+    this.#servers.push(server);
+  }
+
+  taken(server: ModelServer, key: number, fence: number, now: number): void {
+    for (const other of this.#servers) {
+      const holding = other === server || !other.alive ? undefined : other.holdings.get(key);
+      if (holding !== undefined && holding.until > now) {
+        this.violations.push(
+          `${now}: ${server.id} takes ${key} (fence ${fence}), ${other.id} holds it (${holding.fence})`,
+        );
+      }
+    }
+    const highest = this.#highest.get(key);
+    if (highest !== undefined && highest.server !== server.id && highest.fence >= fence) {
+      this.violations.push(
+        `${now}: ${server.id} takes ${key} with ${fence}, ${highest.server} had ${highest.fence}`,
+      );
+    }
+    if (highest === undefined || fence > highest.fence) {
+      this.#highest.set(key, { server: server.id, fence });
+    }
+  }
+}
+
+export class ModelServer {
+  alive = true;
+  /** Daemons reach it. */
+  reachable = true;
+  readonly holdings = new Map<number, Holding>();
+  readonly #seen = new Map<number, number>();
+
+  constructor(
+    readonly id: string,
+    readonly address: string,
+    readonly clock: VirtualClock,
+    readonly checker: OwnerChecker,
+  ) {
+    checker.add(this);
+  }
+
+  /** Whether it would run a request for a key now. */
+  holds(key: number): boolean {
+    const holding = this.holdings.get(key);
+    return this.alive && holding !== undefined && holding.until > this.clock.now;
+  }
+
+  take(effect: ControlEffect): ControlOutcome {
+    const keys = WATCHED_KEYS.filter((key) => key >= effect.from && key <= effect.to);
+    if (effect.action === 'probe') {
+      return { kind: 'accepted', handover: null };
+    }
+    if (effect.action === 'release') {
+      for (const key of keys) {
+        this.holdings.delete(key);
+        this.#seen.set(key, Math.max(this.#seen.get(key) ?? 0, effect.fence));
+      }
+      return { kind: 'accepted', handover: 'h' };
+    }
+    if (keys.some((key) => (this.#seen.get(key) ?? 0) > effect.fence)) {
+      return { kind: 'higherFence' };
+    }
+    for (const key of keys) {
+      this.#seen.set(key, effect.fence);
+      this.checker.taken(this, key, effect.fence, this.clock.now);
+      this.holdings.set(key, { fence: effect.fence, until: this.clock.now + effect.hold * 1.02 });
+    }
+    return { kind: 'accepted', handover: null };
+  }
+}
+
+/** How calls to servers go wrong. */
+export interface CallTroubles {
+  /** Share of calls that get no answer and are carried out 2 to 12 s later. */
+  lateShare: number;
+}
+
+/** Carries a call to a server and its answer back. */
+export function carryCall(
+  clock: VirtualClock,
+  random: SeededRandom,
+  server: ModelServer | undefined,
+  effect: ControlEffect,
+  troubles: CallTroubles,
+  answer: (outcome: ControlOutcome) => void,
+): void {
+  const unanswered: ControlOutcome = { kind: 'unanswered', reason: 'no answer' };
+  if (server === undefined || !server.alive || !server.reachable) {
+    clock.after(effect.patience, () => answer({ kind: 'notSent', reason: 'no connection' }));
+    return;
+  }
+  if (server.id !== effect.server) {
+    clock.after(1, () => answer({ kind: 'otherInstance' }));
+    return;
+  }
+  const carryOut = (): ControlOutcome => (server.alive ? server.take(effect) : unanswered);
+  if (effect.action !== 'probe' && random.fraction() < troubles.lateShare) {
+    clock.after(2_000 + random.fraction() * 10_000, carryOut);
+    clock.after(effect.patience, () => answer(unanswered));
+    return;
+  }
+  clock.after(0.5 + random.fraction() * 2, () => {
+    const outcome = carryOut();
+    const work = effect.action === 'release' ? random.fraction() * 120 : 0;
+    clock.after(1 + work, () => answer(server.alive && server.reachable ? outcome : unanswered));
+  });
+}
--- /dev/null
+++ b/test/router/support/model-store.ts
@@ -0,0 +1,83 @@
+/** The platform's store as a model in virtual time: revisions, compare-and-swap, and its bad days. */
+import type { ReadOutcome, StoredName, WriteOutcome } from '../../../src/router/events.js';
+import type { SeededRandom } from '../../../src/core/random.js';
+import type { VirtualClock } from './virtual-clock.js';
+
+interface StoredValue {
+  readonly revision: number;
+  readonly value: unknown;
+}
+
+const CALL_TIMEOUT = 1_500;
+
+export class ModelStore {
+  /** No call is answered before this time. */
+  downUntil = 0;
+  /** Calls take this many times as long. */
+  slowness = 1;
+  /** Share of writes whose answer is lost; some of these are done seconds later. */
+  lostShare = 0;
+  readonly #objects = new Map<StoredName, StoredValue>();
+  readonly #clock: VirtualClock;
+  readonly #random: SeededRandom;
+  #revision = 0;
+
+  constructor(clock: VirtualClock, random: SeededRandom) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  #latency(): number {
+    return (1 + this.#random.fraction() * 4) * this.slowness;
+  }
+
+  get #down(): boolean {
+    return this.#clock.now < this.downUntil;
+  }
+
+  read(object: StoredName, reachable: boolean, answer: (outcome: ReadOutcome) => void): void {
+    if (this.#down || !reachable) {
+      this.#clock.after(CALL_TIMEOUT, () => answer({ kind: 'failed', reason: 'no answer' }));
+      return;
+    }
+    this.#clock.after(this.#latency(), () => {
+      const found = this.#objects.get(object);
+      const outcome: ReadOutcome = found === undefined ? { kind: 'absent' } : { kind: 'found', ...found };
+      this.#clock.after(this.#latency(), () => answer(outcome));
+    });
+  }
+
+  write(
+    object: StoredName,
+    value: unknown,
+    revision: number | null,
+    reachable: boolean,
+    answer: (outcome: WriteOutcome) => void,
+  ): void {
+    const unknown: WriteOutcome = { kind: 'unknown', reason: 'no answer' };
+    if (this.#down || !reachable) {
+      this.#clock.after(CALL_TIMEOUT, () => answer(unknown));
+      return;
+    }
+    if (this.#random.fraction() < this.lostShare) {
+      const late = this.#random.fraction() < 0.5 ? 1_000 + this.#random.fraction() * 5_000 : this.#latency();
+      this.#clock.after(late, () => this.#apply(object, value, revision));
+      this.#clock.after(CALL_TIMEOUT, () => answer(unknown));
+      return;
+    }
+    this.#clock.after(this.#latency(), () => {
+      const outcome = this.#apply(object, value, revision);
+      this.#clock.after(this.#latency(), () => answer(outcome));
+    });
+  }
+
+  #apply(object: StoredName, value: unknown, revision: number | null): WriteOutcome {
+    const found = this.#objects.get(object);
+    if ((found?.revision ?? null) !== revision) {
+      return { kind: 'conflict', revision: found?.revision ?? 0, value: found?.value ?? null };
+    }
+    this.#revision += 1;
+    this.#objects.set(object, { revision: this.#revision, value: structuredClone(value) });
+    return { kind: 'written', revision: this.#revision };
+  }
+}
--- /dev/null
+++ b/test/router/support/router-world.ts
@@ -0,0 +1,245 @@
+/** Router daemons in virtual time with a model of the store and of keyed servers, under random faults. */
+import { SeededRandom } from '../../../src/core/random.js';
+import type { Effect } from '../../../src/router/effects.js';
+import type { RouterEvent } from '../../../src/router/events.js';
+import type { Configuration } from '../../../src/router/model/configuration.js';
+import type { ServerDescription } from '../../../src/router/model/server.js';
+import { reduce } from '../../../src/router/reducer.js';
+import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
+import { ModelServer, carryCall, OwnerChecker, WATCHED_KEYS, type CallTroubles } from './model-server.js';
+import { ModelStore } from './model-store.js';
+import { VirtualClock } from './virtual-clock.js';
+
+const TICK = 20;
+const LINK_DELAY = 1;
+export const SERVICE = 'racks';
+
+export const CONFIGURATION: Configuration = {
+  version: 1,
+  routes: [
+    {
+      name: 'racks',
+      host: 'h.example',
+      pathPrefix: '/racks/',
+      repeatable: true,
+      timeout: 1_000,
+      latencyObjective: 200,
+      priority: 1,
+      maxAttempts: 2,
+      targets: [{ service: SERVICE, weight: 1 }],
+    },
+  ],
+  services: new Map([[SERVICE, { name: SERVICE, keyed: true, connectionLimit: 100, healthPath: '/health' }]]),
+  limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
+};
+
+/** One life of a daemon. */
+interface Daemon {
+  readonly name: string;
+  readonly address: string;
+  state: RouterState;
+  life: number;
+  alive: boolean;
+  /** It reaches the store. */
+  storeReachable: boolean;
+  following: string | null;
+}
+
+export class RouterWorld {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly store: ModelStore;
+  readonly checker = new OwnerChecker();
+  readonly servers: ModelServer[] = [];
+  readonly daemons: Daemon[] = [];
+  readonly troubles: CallTroubles = { lateShare: 0 };
+  readonly events: string[] = [];
+  #listed: ServerDescription[] = [];
+  #revision = 1;
+  #lives = 0;
+  #nextServer = 0;
+
+  constructor(seed: number, daemonCount = 3, serverCount = 5) {
+    this.random = new SeededRandom(seed);
+    this.store = new ModelStore(this.clock, this.random);
+    for (let index = 0; index < serverCount; index += 1) {
+      this.addServer(`10.0.1.${index}:80`);
+    }
+    for (let index = 0; index < daemonCount; index += 1) {
+      this.#addDaemon(`d${index}`, `10.0.0.${index}:70`);
+    }
+    this.clock.after(0, () => this.#tickAll());
+  }
+
+  addServer(address: string): ModelServer {
+    this.#nextServer += 1;
+    const server = new ModelServer(`s${this.#nextServer}`, address, this.clock, this.checker);
+    this.servers.push(server);
+    this.#listed.push({
+      id: server.id,
+      service: SERVICE,
+      address,
+      zone: `z${this.#nextServer % 3}`,
+      slots: 2,
+      draining: false,
+      warmupLeft: 0,
+      listedAt: this.#nextServer,
+    });
+    this.#publish();
+    return server;
+  }
+
+  /** Takes a server off the list. */
+  unlist(id: string): void {
+    this.#listed = this.#listed.filter((server) => server.id !== id);
+    this.#publish();
+  }
+
+  drain(id: string): void {
+    this.#listed = this.#listed.map((server) => (server.id === id ? { ...server, draining: true } : server));
+    this.#publish();
+  }
+
+  #publish(): void {
+    this.#revision += 1;
+    for (const daemon of this.daemons) {
+      if (daemon.alive && daemon.storeReachable) {
+        this.clock.after(2 + this.random.fraction() * 10, () => this.#tellServers(daemon));
+      }
+    }
+  }
+
+  #tellServers(daemon: Daemon): void {
+    this.#deliver(daemon, daemon.life, {
+      kind: 'serversListed',
+      servers: this.#listed,
+      revision: this.#revision,
+    });
+  }
+
+  #addDaemon(name: string, address: string): void {
+    const daemon: Daemon = {
+      name,
+      address,
+      state: this.#freshState(name, address),
+      life: this.#lives,
+      alive: false,
+      storeReachable: true,
+      following: null,
+    };
+    this.daemons.push(daemon);
+    this.startDaemon(daemon);
+  }
+
+  #freshState(daemon: string, peerAddress: string): RouterState {
+    this.#lives += 1;
+    const identity = { daemon, zone: 'z0', peerAddress, life: this.#lives };
+    const bounds = { retries: { ratio: 0.2, extra: 60 }, drain: 2_000, longestLease: 10_000 };
+    return createRouterState(identity, bounds, this.#lives);
+  }
+
+  startDaemon(daemon: Daemon): void {
+    daemon.state = this.#freshState(daemon.name, daemon.address);
+    daemon.life = this.#lives;
+    daemon.alive = true;
+    daemon.following = null;
+    const { life } = daemon;
+    this.clock.after(5, () => {
+      this.#deliver(daemon, life, { kind: 'configuration', configuration: CONFIGURATION });
+      this.#tellServers(daemon);
+    });
+  }
+
+  leader(): Daemon | undefined {
+    const leaders = this.daemons.filter((daemon) => daemon.alive && daemon.state.leadership !== null);
+    return leaders.sort(
+      (left, right) => right.state.election.leaderRevision - left.state.election.leaderRevision,
+    )[0];
+  }
+
+  #tickAll(): void {
+    for (const daemon of this.daemons) {
+      this.#deliver(daemon, daemon.life, { kind: 'tick' });
+    }
+    this.clock.after(TICK, () => this.#tickAll());
+  }
+
+  /** Keys that callers ask for at every daemon now. */
+  ask(keys: readonly number[]): void {
+    for (const daemon of this.daemons) {
+      const samples = daemon.state.keySamples.get(SERVICE) ?? [];
+      samples.push(...keys);
+      daemon.state.keySamples.set(SERVICE, samples);
+    }
+  }
+
+  #deliver(daemon: Daemon, life: number, event: RouterEvent): void {
+    if (!daemon.alive || daemon.life !== life) {
+      return;
+    }
+    for (const effect of reduce(daemon.state, this.clock.now, event)) {
+      this.#perform(daemon, effect);
+    }
+  }
+
+  #perform(daemon: Daemon, effect: Effect): void {
+    const { life } = daemon;
+    const sentAt = this.clock.now;
+    switch (effect.kind) {
+      case 'readObject':
+        return this.store.read(effect.object, daemon.storeReachable, (outcome) => {
+          this.#deliver(daemon, life, { kind: 'objectRead', object: effect.object, sentAt, outcome });
+        });
+      case 'writeObject':
+        return this.store.write(
+          effect.object,
+          effect.value,
+          effect.revision,
+          daemon.storeReachable,
+          (outcome) => {
+            this.#deliver(daemon, life, { kind: 'objectWritten', object: effect.object, sentAt, outcome });
+          },
+        );
+      case 'control': {
+        // The address answers for whoever lives there now.
+        const there = this.servers.findLast((server) => server.address === effect.address);
+        return carryCall(this.clock, this.random, there, effect, this.troubles, (outcome) => {
+          this.#deliver(daemon, life, { kind: 'controlEnded', callId: effect.callId, outcome });
+        });
+      }
+      case 'follow':
+        daemon.following = effect.address;
+        return;
+      case 'sendToLeader': {
+        const leader = this.daemons.find((other) => other.address === daemon.following);
+        return leader === undefined ? undefined : this.#pass(leader, daemon, effect.message);
+      }
+      case 'sendToFollowers':
+        for (const follower of this.daemons) {
+          const chosen = effect.link === null || effect.link === this.daemons.indexOf(follower);
+          if (chosen && follower !== daemon && follower.following === daemon.address) {
+            this.#pass(follower, daemon, effect.message);
+          }
+        }
+        return;
+      case 'log':
+        this.events.push(
+          `${Math.round(sentAt)} ${daemon.name} ${effect.event} ${JSON.stringify(effect.fields)}`,
+        );
+        return;
+      default:
+        return;
+    }
+  }
+
+  #pass(to: Daemon, from: Daemon, message: Extract<Effect, { kind: 'sendToLeader' }>['message']): void {
+    const { life } = to;
+    const link = this.daemons.indexOf(from);
+    this.clock.after(LINK_DELAY, () => this.#deliver(to, life, { kind: 'peerMessage', link, message }));
+  }
+
+  /** Watched keys that no server would serve now. */
+  unservedKeys(): number[] {
+    return WATCHED_KEYS.filter((key) => !this.servers.some((server) => server.holds(key)));
+  }
+}
