--- a/src/router/ownership/assignment-plan.ts
+++ b/src/router/ownership/assignment-plan.ts
@@ -38,14 +38,20 @@
 }
 
 /** Below this utilisation a server needs no relief. */
-const RELIEF_FROM = 0.42;
+const RELIEF_FROM = 0.5;
 /** A move must narrow a gap in utilisation of at least this much. */
-const LEAST_GAP = 0.18;
+const LEAST_GAP = 0.2;
+/** A key that takes this much of its server by itself goes to a faster one. */
+const HOT_KEY_UTILISATION = 0.5;
+/** Faster by this factor. */
+const FASTER = 1.35;
 /** Moves for balance in one plan, for each service. */
 const MOST_MOVES = 8;
 /** A unit fits a wanted amount of load within these factors. */
 const FIT_LOW = 0.5;
 const FIT_HIGH = 1.25;
+/** A part that is cut off carries at least this share of the wanted load. */
+const LEAST_PART = 0.12;
 
 /** Servers so that neighbours in the list stand in different zones. */
 function spreadZones(servers: readonly EligibleServer[]): EligibleServer[] {
@@ -70,6 +76,20 @@
   return rates.reduce((sum, { key, rate }) => (key >= from && key <= to ? sum + rate : sum), 0);
 }
 
+/** The first keys of a list that together stay below a rate. */
+function partUpTo(rates: readonly KeyRate[], most: number): { rate: number; lastKey: Key } {
+  let sum = 0;
+  let lastKey = -1;
+  for (const { key, rate } of rates) {
+    if (sum + rate > most) {
+      break;
+    }
+    sum += rate;
+    lastKey = key;
+  }
+  return { rate: sum, lastKey };
+}
+
 /** A plan under way for one service. */
 class ServicePlan {
   table: OwnershipTable;
@@ -156,12 +176,48 @@
       if (this.#utilisation(hot) - this.#utilisation(cool) < LEAST_GAP) {
         return;
       }
-      if (!this.#relieve(hot, cool)) {
+      if (!this.#moveHotKey(hot) && !this.#relieve(hot, cool)) {
         skipped.add(hot.id);
       }
     }
   }
 
+  /** A key that is too much for its server goes to the fastest one, which then sheds the rest. */
+  #moveHotKey(hot: EligibleServer): boolean {
+    const fastest = [...this.#input.servers].sort((left, right) => right.capacity - left.capacity)[0];
+    if (fastest === undefined || fastest.capacity < hot.capacity * FASTER) {
+      return false;
+    }
+    for (const unit of this.#units()) {
+      const key = unit.owner === hot.id ? this.#hottestKey(unit) : undefined;
+      if (key !== undefined && key.rate / hot.capacity > HOT_KEY_UTILISATION) {
+        const mobility = this.#input.mobility(unit);
+        if (mobility !== null) {
+          this.#move(this.#isolate(unit, key.key), fastest, mobility);
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  #hottestKey(unit: Unit): KeyRate | undefined {
+    let hottest: KeyRate | undefined;
+    for (const entry of this.#input.rates) {
+      const within = entry.key >= unit.from && entry.key <= unit.to;
+      if (within && entry.rate > (hottest?.rate ?? 0)) {
+        hottest = entry;
+      }
+    }
+    return hottest;
+  }
+
+  /** Makes one key a unit of its own. */
+  #isolate(unit: Unit, key: Key): Unit {
+    const fromKey = key > unit.from ? (this.#split(unit, key, key) ?? unit) : unit;
+    return key < fromKey.to ? (this.#split(fromKey, key + 1, key) ?? fromKey) : fromKey;
+  }
+
   /** Moves a part of one server's load to another. False when nothing can be moved to the good. */
   #relieve(hot: EligibleServer, cool: EligibleServer): boolean {
     const hotLoad = this.#load.get(hot.id) ?? 0;
@@ -194,28 +250,17 @@
     return movable.find(({ rate }) => rate > 0 && rate <= wanted * FIT_HIGH)?.unit;
   }
 
-  /** Cuts a part with about the wanted load off a unit's end with the finer steps. */
+  /** Cuts off the end of a unit that comes closest to the wanted load without going far beyond it. */
   #cut(unit: Unit, wanted: number): Unit | undefined {
     const rates = this.#input.rates.filter(({ key }) => key >= unit.from && key <= unit.to);
-    let sum = 0;
-    for (const { key, rate } of rates) {
-      if (sum + rate > wanted * FIT_HIGH) {
-        break;
-      }
-      sum += rate;
-      if (sum >= wanted * FIT_LOW && key < unit.to) {
-        return this.#split(unit, key + 1, unit.from);
-      }
+    const head = partUpTo(rates, wanted * FIT_HIGH);
+    const tail = partUpTo([...rates].reverse(), wanted * FIT_HIGH);
+    const least = wanted * LEAST_PART;
+    if (head.rate >= tail.rate && head.rate >= least && head.lastKey < unit.to) {
+      return this.#split(unit, head.lastKey + 1, unit.from);
     }
-    sum = 0;
-    for (const { key, rate } of [...rates].reverse()) {
-      if (sum + rate > wanted * FIT_HIGH) {
-        return undefined;
-      }
-      sum += rate;
-      if (sum >= wanted * FIT_LOW && key > unit.from) {
-        return this.#split(unit, key, key);
-      }
+    if (tail.rate >= least && tail.lastKey > unit.from) {
+      return this.#split(unit, tail.lastKey, tail.lastKey);
     }
     return undefined;
   }
--- a/src/router/ownership/leader-followers.ts
+++ b/src/router/ownership/leader-followers.ts
@@ -97,6 +97,9 @@
   for (const { service, keys } of report.samples) {
     keyLoadOf(leadership, service).add(keys, now);
   }
+  for (const times of report.times) {
+    state.servers.get(times.server)?.load.observed(times);
+  }
   const behind =
     report.configurationVersion > (state.configuration?.version ?? 0) ||
     report.serversRevision > (state.serversRevision ?? 0);
--- a/src/router/peers/follower-reports.ts
+++ b/src/router/peers/follower-reports.ts
@@ -1,11 +1,28 @@
 /** A follower's periodic report to the leader: that it is there, what it knows, which keys were asked for. */
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { RouterContext } from '../router-context.js';
-import type { KeySample } from './messages.js';
+import type { KeySample, ServerTimes } from './messages.js';
 
 /** Keys of one service in one report. */
 const MOST_KEYS = 2_000;
 
+/** Service times at servers of keyed services: the leader places keys by them. */
+function takeTimes(context: RouterContext): ServerTimes[] {
+  const { servers, configuration } = context.state;
+  const times: ServerTimes[] = [];
+  for (const { server, load } of servers.values()) {
+    const { requests, total } = load.untold;
+    if (requests > 0) {
+      load.untold.requests = 0;
+      load.untold.total = 0;
+      if (configuration?.services.get(server.service)?.keyed === true) {
+        times.push({ server: server.id, requests, total });
+      }
+    }
+  }
+  return times;
+}
+
 /** Sends the report when it is due. */
 export function tickReports(context: RouterContext): void {
   const { state, now } = context;
@@ -27,6 +44,7 @@
       configurationVersion: state.configuration?.version ?? 0,
       serversRevision: state.serversRevision ?? 0,
       samples,
+      times: takeTimes(context),
     },
   });
 }
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -1,11 +1,17 @@
 /** The messages between daemons, told apart by `kind`. Mirrors proto/router.proto. */
-import type { DaemonName, Key, Milliseconds, ServiceName } from '../model/identifiers.js';
+import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 
 /** The keys that callers asked for at one daemon, one entry a request. */
 export interface KeySample {
   readonly service: ServiceName;
   readonly keys: Key[];
 }
+/** How long requests took at a server that had none waiting. */
+export interface ServerTimes {
+  readonly server: ServerId;
+  readonly requests: number;
+  readonly total: Milliseconds;
+}
 /** A follower tells the leader that it is there, what it has seen, and what it knows. */
 export interface Report {
   readonly kind: 'report';
@@ -14,6 +20,7 @@
   readonly configurationVersion: number;
   readonly serversRevision: number;
   readonly samples: KeySample[];
+  readonly times: ServerTimes[];
 }
 /** The leader tells its followers that it is there. */
 export interface Heartbeat {
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -7,6 +7,8 @@
 
 /** Requests that may wait at a server for each of its slots before it counts as full. */
 const WAITING_PER_SLOT = 3;
+/** A request is not sent where it would take more than this part of its latency objective. */
+const USEFUL_PART = 0.95;
 /** Keyed requests follow a draining owner this part of the drain time, while its keys move. */
 const DRAIN_PART = 0.5;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
@@ -25,9 +27,15 @@
   return 'reason' in destination;
 }
 
-function isFull(known: KnownServer): boolean {
+/** A new request there would be shed, or answered too late to be of full use. */
+function isFull(known: KnownServer, request: ActiveRequest, now: Milliseconds): boolean {
   const { load, server } = known;
-  return load.inFlight.size + load.others >= server.slots * (1 + WAITING_PER_SLOT);
+  const busy = load.busy(now);
+  if (busy < server.slots) {
+    return false;
+  }
+  const late = load.expectedTime(server.slots, now) > request.route.latencyObjective * USEFUL_PART;
+  return late || busy >= server.slots * (1 + WAITING_PER_SLOT);
 }
 
 function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
@@ -51,7 +59,7 @@
   if (load.avoidUntil > context.now && load.failures > 1) {
     return { reason: `the owner ${unit.owner} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
-  if (isFull(known)) {
+  if (isFull(known, request, context.now)) {
     return { reason: `the owner ${unit.owner} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
   }
   return known;
@@ -68,7 +76,7 @@
   if (chosen === undefined) {
     return { reason: 'no server takes requests', hold: true, retryAfter: FULL_RETRY_AFTER };
   }
-  if (isFull(chosen)) {
+  if (isFull(chosen, request, context.now)) {
     return { reason: 'every server is full', hold: true, retryAfter: FULL_RETRY_AFTER };
   }
   return chosen;
--- a/src/router/request/request-lifecycle.ts
+++ b/src/router/request/request-lifecycle.ts
@@ -265,7 +265,7 @@
   const { state, now } = context;
   switch (result.kind) {
     case 'answered':
-      known?.load.answered(now - request.attemptStartedAt, now, known.server.slots);
+      known?.load.answered(now - request.attemptStartedAt, now, result.load);
       if (result.load !== null) {
         known?.load.report(result.load, now);
       }
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -1,10 +1,14 @@
 /** What this daemon has seen of one server: its own requests there, the server's load, its speed. */
 import type { Milliseconds } from '../model/identifiers.js';
 
-/** The work of other daemons is averaged over about this long. */
-const LOAD_MEMORY: Milliseconds = 300;
+/** What is known of the work of other daemons fades by e in this time. */
+const LOAD_MEMORY: Milliseconds = 400;
+/** Weight of a new report against the faded one before. */
+const REPORT_WEIGHT = 0.7;
 /** Weight of a new service time in the average. */
 const SERVICE_TIME_WEIGHT = 0.1;
+/** Weight of what other daemons saw, for each of their requests; bounded. */
+const MOST_REPORTED_WEIGHT = 0.5;
 /** Before anything is known, a request is taken to last this long. */
 const FIRST_SERVICE_TIME: Milliseconds = 80;
 /** A server with a request unanswered for this many times its usual time, and for this long, is suspected. */
@@ -18,12 +22,16 @@
   readonly slots: number;
 }
 
+/** Service times that a daemon has seen and not yet told. */
+export interface ServiceTimes {
+  requests: number;
+  total: Milliseconds;
+}
+
 /** Kept for each server that is listed. */
 export class ServerLoad {
   /** Requests of this daemon that are there now, by number, with the time of their sending. */
   readonly inFlight = new Map<number, Milliseconds>();
-  /** Estimate of requests of other daemons that are there. */
-  others = 0;
   /** Average time of a request on an idle slot. */
   serviceTime: Milliseconds = FIRST_SERVICE_TIME;
   /** No new request goes there before this time. */
@@ -31,29 +39,52 @@
   lastAnswerAt: Milliseconds = -1;
   /** Failures since the last good answer. */
   failures = 0;
-  #reportedAt: Milliseconds = -1;
+  /** Not yet told to the leader. */
+  readonly untold: ServiceTimes = { requests: 0, total: 0 };
+  #others = 0;
+  #reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
+  /** Estimate of requests of other daemons that are there. What was reported long ago counts little. */
+  others(now: Milliseconds): number {
+    return this.#others * Math.exp((this.#reportedAt - now) / LOAD_MEMORY);
+  }
 
   /** Takes in what a server reported with an answer. */
   report(load: ReportedLoad, now: Milliseconds): void {
     const seen = Math.max(0, load.running + load.waiting - this.inFlight.size);
-    const elapsed = this.#reportedAt < 0 ? Number.POSITIVE_INFINITY : now - this.#reportedAt;
-    const weight = 1 - Math.exp(-elapsed / LOAD_MEMORY);
-    this.others += (seen - this.others) * Math.max(weight, 0.2);
+    const before = this.others(now);
+    this.#others = before + (seen - before) * REPORT_WEIGHT;
     this.#reportedAt = now;
   }
 
-  /** Takes in how long an answer took. */
-  answered(duration: Milliseconds, now: Milliseconds, slots: number): void {
-    const queued = Math.max(1, (this.inFlight.size + 1 + this.others) / slots);
-    this.serviceTime += (duration / queued - this.serviceTime) * SERVICE_TIME_WEIGHT;
+  /** Takes in how long an answer took, and what the server said of its load with it. */
+  answered(duration: Milliseconds, now: Milliseconds, load: ReportedLoad | null): void {
     this.lastAnswerAt = now;
     this.failures = 0;
+    // With requests waiting it is unknown how long this one waited too.
+    if (load === null || load.waiting === 0) {
+      this.serviceTime += (duration - this.serviceTime) * SERVICE_TIME_WEIGHT;
+      this.untold.requests += 1;
+      this.untold.total += duration;
+    }
+  }
+
+  /** Takes in the service times that another daemon saw. */
+  observed(times: ServiceTimes): void {
+    if (times.requests > 0) {
+      const weight = Math.min(MOST_REPORTED_WEIGHT, times.requests * SERVICE_TIME_WEIGHT);
+      this.serviceTime += (times.total / times.requests - this.serviceTime) * weight;
+    }
+  }
+
+  /** Requests that are there now, as far as this daemon can tell. */
+  busy(now: Milliseconds): number {
+    return this.inFlight.size + this.others(now);
   }
 
   /** Expected time until a new request there is answered. */
-  expectedTime(slots: number): Milliseconds {
-    const busy = this.inFlight.size + this.others;
-    const rounds = Math.max(0, busy + 1 - slots) / slots;
+  expectedTime(slots: number, now: Milliseconds): Milliseconds {
+    const rounds = Math.max(0, this.busy(now) + 1 - slots) / slots;
     return this.serviceTime * (1 + rounds);
   }
 
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -30,7 +30,7 @@
 
 function cost(candidate: Candidate, context: SelectionContext): Milliseconds {
   const { server, load, coldUntil } = candidate;
-  const expected = load.expectedTime(server.slots) * (coldUntil > context.now ? COLD_FACTOR : 1);
+  const expected = load.expectedTime(server.slots, context.now) * (coldUntil > context.now ? COLD_FACTOR : 1);
   const way = server.zone === context.zone ? 0 : OTHER_ZONE_COST;
   return expected * (1 + JITTER * context.random.fraction()) + way;
 }
