--- a/src/router/ownership/leader-followers.ts
+++ b/src/router/ownership/leader-followers.ts
@@ -29,20 +29,32 @@
   );
 }
 
-function statement(view: OwnershipView): Ownership {
-  const units = view.units.map(({ service, from, to, owner, fence, granted }) => {
+function statement(view: OwnershipView, base: number, units: readonly UnitView[]): Ownership {
+  const stated = units.map(({ service, from, to, owner, fence, granted }) => {
     return { service, from, to, owner, fence, granted };
   });
-  return { kind: 'ownership', term: view.term, sequence: view.sequence, units };
+  return { kind: 'ownership', term: view.term, sequence: view.sequence, base, units: stated };
 }
 
-/** Tells every follower who owns what. */
+function viewKey(unit: UnitView): string {
+  return `${unitName(unit)} ${unit.owner} ${unit.fence} ${unit.granted}`;
+}
+
+/** Tells every follower what has changed in who owns what. */
 export function broadcastView(context: RouterContext, leadership: Leadership): void {
+  const { state } = context;
   leadership.viewChanged = false;
   leadership.viewStep += 1;
   const view = currentView(leadership);
-  context.state.view = view;
-  context.emit({ kind: 'sendToFollowers', link: null, message: statement(view) });
+  const before = state.view.term === view.term ? state.view : null;
+  const known = new Set(before?.units.map(viewKey));
+  const changed = view.units.filter((unit) => !known.has(viewKey(unit)));
+  state.view = view;
+  context.emit({
+    kind: 'sendToFollowers',
+    link: null,
+    message: statement(view, before?.sequence ?? 0, changed),
+  });
 }
 
 function heartbeat(context: RouterContext, leadership: Leadership): Heartbeat {
@@ -89,11 +101,15 @@
   if (known === undefined) {
     leadership.followers.set(link, { daemon: report.daemon, lastReportAt: now });
     context.log('follower_joined', { follower: report.daemon, term: leadership.term });
-    context.emit({ kind: 'sendToFollowers', link, message: statement(currentView(leadership)) });
     context.emit({ kind: 'sendToFollowers', link, message: heartbeat(context, leadership) });
   } else {
     known.lastReportAt = now;
   }
+  if (report.ownershipSequence !== state.view.sequence && !leadership.viewChanged) {
+    // It has missed a change, or has just come.
+    const message = statement(state.view, 0, state.view.units);
+    context.emit({ kind: 'sendToFollowers', link, message });
+  }
   for (const { service, keys } of report.samples) {
     keyLoadOf(leadership, service).add(keys, now);
   }
--- a/src/router/ownership/ownership-view.ts
+++ b/src/router/ownership/ownership-view.ts
@@ -7,6 +7,10 @@
   readonly granted: boolean;
 }
 
+function overlap(left: UnitView, right: UnitView): boolean {
+  return left.service === right.service && left.from <= right.to && right.from <= left.to;
+}
+
 /** A leader's statement of ownership. Views are ordered by term, then by sequence. */
 export class OwnershipView {
   readonly term: number;
@@ -33,6 +37,12 @@
     return this.term > other.term || (this.term === other.term && this.sequence > other.sequence);
   }
 
+  /** The view after a change: the units given take the place of those that they overlap. */
+  changed(sequence: number, units: readonly UnitView[]): OwnershipView {
+    const kept = this.units.filter((unit) => !units.some((other) => overlap(unit, other)));
+    return new OwnershipView(this.term, sequence, [...kept, ...units]);
+  }
+
   /** The unit that a key lies in. */
   unitOf(service: ServiceName, key: Key): UnitView | undefined {
     const list = this.#byService.get(service);
--- a/src/router/peers/follower-reports.ts
+++ b/src/router/peers/follower-reports.ts
@@ -43,6 +43,7 @@
       life: state.identity.life,
       configurationVersion: state.configuration?.version ?? 0,
       serversRevision: state.serversRevision ?? 0,
+      ownershipSequence: state.view.term === state.election.leader?.term ? state.view.sequence : 0,
       samples,
       times: takeTimes(context),
     },
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -19,6 +19,8 @@
   readonly life: number;
   readonly configurationVersion: number;
   readonly serversRevision: number;
+  /** Of the view that it has, or 0 when that is of another term. */
+  readonly ownershipSequence: number;
   readonly samples: KeySample[];
   readonly times: ServerTimes[];
 }
@@ -42,11 +44,13 @@
   readonly fence: number;
   readonly granted: boolean;
 }
-/** The leader's statement of ownership, whole. */
+/** The leader's statement of ownership: whole, or what has changed since an earlier one. */
 export interface Ownership {
   readonly kind: 'ownership';
   readonly term: number;
   readonly sequence: number;
+  /** The sequence that the units change, or 0: they are all there are. */
+  readonly base: number;
   readonly units: UnitStatement[];
 }
 
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -134,7 +134,14 @@
 function adoptOwnership(context: RouterContext, message: Ownership): void {
   const { state } = context;
   const units = message.units.map((unit) => ({ ...unit, releasing: null }));
-  const view = new OwnershipView(message.term, message.sequence, units);
+  const isChange = message.base !== 0;
+  if (isChange && (message.base !== state.view.sequence || message.term !== state.view.term)) {
+    // A change before it was missed: the next report says so to the leader.
+    return;
+  }
+  const view = isChange
+    ? state.view.changed(message.sequence, units)
+    : new OwnershipView(message.term, message.sequence, units);
   if (view.isNewerThan(state.view)) {
     state.view = view;
     const granted = units.filter((unit) => unit.granted).length;
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -22,6 +22,8 @@
   /** The server of the attempt under way, or null while the request is held. */
   server: ServerId | null;
   attemptStartedAt: Milliseconds;
+  /** The server seemed to have a free slot when the attempt was sent. */
+  sentToFreeSlot: boolean;
   /** A held request is tried again at this time. */
   retryAt: Milliseconds;
   readonly tried: ServerId[];
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -68,7 +68,14 @@
 function anyServer(context: RouterContext, request: ActiveRequest): KnownServer | NoDestination {
   const { serversByService, identity, random } = context.state;
   const candidates = serversByService.get(request.service);
-  const selection = { now: context.now, zone: identity.zone, random, tried: request.tried };
+  const { latencyObjective } = request.route;
+  const selection = {
+    latencyObjective,
+    now: context.now,
+    zone: identity.zone,
+    random,
+    tried: request.tried,
+  };
   const chosen =
     candidates === undefined
       ? undefined
--- a/src/router/request/request-lifecycle.ts
+++ b/src/router/request/request-lifecycle.ts
@@ -10,6 +10,7 @@
 import type { ActiveRequest } from './active-request.js';
 import { findDestination, isRefusal } from './destination.js';
 import { RetryBudget } from './retry-budget.js';
+import type { ReportedLoad } from './server-load.js';
 
 /** Status codes of the daemon's own answers. */
 const NOT_FOUND = 404;
@@ -86,6 +87,7 @@
     attemptNumber: 0,
     server: null,
     attemptStartedAt: 0,
+    sentToFreeSlot: false,
     retryAt: 0,
     tried: [],
     mayHaveRun: false,
@@ -164,6 +166,7 @@
   request.attemptNumber += 1;
   request.server = known.server.id;
   request.attemptStartedAt = context.now;
+  request.sentToFreeSlot = known.load.busy(context.now) < known.server.slots;
   if (request.key === null) {
     request.tried.push(known.server.id);
   }
@@ -265,7 +268,7 @@
   const { state, now } = context;
   switch (result.kind) {
     case 'answered':
-      known?.load.answered(now - request.attemptStartedAt, now, result.load);
+      known?.load.answered(now - request.attemptStartedAt, now, hasWaited(request, result.load));
       if (result.load !== null) {
         known?.load.report(result.load, now);
       }
@@ -290,6 +293,11 @@
   }
 }
 
+/** Whether a request may have waited at its server for others to end. */
+function hasWaited(request: ActiveRequest, load: ReportedLoad | null): boolean {
+  return !request.sentToFreeSlot || (load !== null && load.waiting > 0);
+}
+
 function avoidAfterFailure(known: KnownServer | undefined, now: Milliseconds): void {
   if (known !== undefined) {
     const { load } = known;
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -57,12 +57,11 @@
     this.#reportedAt = now;
   }
 
-  /** Takes in how long an answer took, and what the server said of its load with it. */
-  answered(duration: Milliseconds, now: Milliseconds, load: ReportedLoad | null): void {
+  /** Takes in how long an answer took; `waited`: the server may have let the request wait for a slot. */
+  answered(duration: Milliseconds, now: Milliseconds, waited: boolean): void {
     this.lastAnswerAt = now;
     this.failures = 0;
-    // With requests waiting it is unknown how long this one waited too.
-    if (load === null || load.waiting === 0) {
+    if (!waited) {
       this.serviceTime += (duration - this.serviceTime) * SERVICE_TIME_WEIGHT;
       this.untold.requests += 1;
       this.untold.total += duration;
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -4,8 +4,8 @@
 import type { ServerDescription } from '../model/server.js';
 import type { ServerLoad } from './server-load.js';
 
-/** What an answer from another zone costs, as time: its way and its bytes. */
-const OTHER_ZONE_COST: Milliseconds = 8;
+/** What a server in another zone costs, as a part of the latency objective: bytes between zones are dear. */
+const OTHER_ZONE_PART = 0.3;
 /** A server that has just started takes this many times as long. */
 const COLD_FACTOR = 2;
 /** Servers that are equal but for this share are taken in turn. */
@@ -23,6 +23,7 @@
 export interface SelectionContext {
   readonly now: Milliseconds;
   readonly zone: string;
+  readonly latencyObjective: Milliseconds;
   readonly random: SeededRandom;
   /** Servers that the request has been sent to. */
   readonly tried: readonly ServerId[];
@@ -31,7 +32,7 @@
 function cost(candidate: Candidate, context: SelectionContext): Milliseconds {
   const { server, load, coldUntil } = candidate;
   const expected = load.expectedTime(server.slots, context.now) * (coldUntil > context.now ? COLD_FACTOR : 1);
-  const way = server.zone === context.zone ? 0 : OTHER_ZONE_COST;
+  const way = server.zone === context.zone ? 0 : context.latencyObjective * OTHER_ZONE_PART;
   return expected * (1 + JITTER * context.random.fraction()) + way;
 }
 
