--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -17,6 +17,8 @@
 import { EventLog } from './event-log.js';
 import { ObjectFeed } from './object-feed.js';
 import { PeerLinks } from './peer-links.js';
+import { createRouterAdmin } from './router-admin.js';
+import { RouterMetrics } from './router-metrics.js';
 import { ServerConnections } from './server-connections.js';
 
 const TICK_MILLISECONDS = 20;
@@ -29,6 +31,14 @@
 const OK = 200;
 const UNAVAILABLE = 503;
 
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve());
+  });
+}
+
 export class RouterDaemon {
   readonly state: RouterState;
   readonly #settings: RouterSettings;
@@ -38,6 +48,8 @@
   readonly #connections = new ServerConnections();
   readonly #peers: PeerLinks;
   readonly #readiness: Server;
+  readonly #metrics: RouterMetrics;
+  readonly #admin: Server;
   readonly #configurationFeed: ObjectFeed<Configuration>;
   readonly #serverFeed: ObjectFeed<ServerDescription>;
   #timer: NodeJS.Timeout | undefined;
@@ -65,6 +77,8 @@
       const known = request.url === platform.protocol.readinessPath;
       response.writeHead(known && missing === null ? OK : UNAVAILABLE).end();
     });
+    this.#metrics = new RouterMetrics(this.state);
+    this.#admin = createRouterAdmin(this.state, this.#metrics);
     this.#configurationFeed = this.#createConfigurationFeed(platform.configuration);
     this.#serverFeed = this.#createServerFeed(platform.servers);
   }
@@ -102,14 +116,11 @@
 
   /** Opens every port and starts. Rejects when a port is taken. */
   async start(): Promise<void> {
-    const { http, readiness, peers } = this.#settings.listen;
+    const { http, readiness, admin, peers } = this.#settings.listen;
     await this.#front.listen(http);
     await this.#peers.listen(peers);
-    const { host, port } = splitAddress(readiness);
-    await new Promise<void>((resolve, reject) => {
-      this.#readiness.once('error', reject);
-      this.#readiness.listen(port, host, () => resolve());
-    });
+    await listen(this.#readiness, readiness);
+    await listen(this.#admin, admin);
     const { daemon, life } = this.state.identity;
     this.#log.event('info', 'started', { daemon, life, http, peers });
     void this.#configurationFeed.run();
@@ -144,6 +155,8 @@
     this.#front.closeAll();
     this.#readiness.closeAllConnections();
     this.#readiness.close();
+    this.#admin.closeAllConnections();
+    this.#admin.close();
     this.#peers.close();
     this.#connections.close();
     this.#platform.close();
@@ -162,6 +175,8 @@
         return this.#front.cancel(effect);
       case 'answer':
         return this.#front.answer(effect);
+      case 'requestEnded':
+        return this.#metrics.requestEnded(effect);
       case 'log':
         return this.#log.event(effect.level, effect.event, effect.fields);
       case 'control':
--- /dev/null
+++ b/src/router-runtime/router-metrics.ts
@@ -0,0 +1,59 @@
+/** Counters, gauges and latency histograms in the Prometheus text form, by the `prom-client` library. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { ROUTER_COUNTER_NAMES } from '../router/counters.js';
+import type { RequestEndedEffect } from '../router/effects.js';
+import type { RouterState } from '../router/router-state.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5];
+
+/** The figures of one daemon. */
+export class RouterMetrics {
+  readonly registry = new Registry();
+  readonly #latency = new Histogram({
+    name: 'fennelferry_router_request_seconds',
+    help: 'time from the whole request to the end of its answer, by outcome',
+    labelNames: ['outcome'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+
+  constructor(state: RouterState) {
+    for (const name of ROUTER_COUNTER_NAMES) {
+      new Counter({
+        name: `fennelferry_router_${name}_total`,
+        help: name.replaceAll('_', ' '),
+        registers: [this.registry],
+        collect() {
+          this.reset();
+          this.inc(state.counters[name]);
+        },
+      });
+    }
+    this.#gauge('configuration_version', () => state.configuration?.version ?? 0);
+    this.#gauge('servers', () => state.servers.size);
+    this.#gauge('servers_revision', () => state.serversRevision ?? 0);
+    this.#gauge('ownership_term', () => state.view.term);
+    this.#gauge('units', () => state.view.units.length);
+    this.#gauge('units_without_grant', () => state.view.units.filter((unit) => !unit.granted).length);
+    this.#gauge('leads', () => (state.leadership === null ? 0 : 1));
+    this.#gauge('requests_in_flight', () => state.requests.size);
+    this.#gauge('resident_bytes', () => process.memoryUsage.rss());
+  }
+
+  /** Takes in the end of a request. */
+  requestEnded({ outcome, duration }: RequestEndedEffect): void {
+    this.#latency.observe({ outcome }, duration / MILLISECONDS_PER_SECOND);
+  }
+
+  #gauge(name: string, read: () => number): void {
+    new Gauge({
+      name: `fennelferry_router_${name}`,
+      help: name.replaceAll('_', ' '),
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -77,6 +77,13 @@
   readonly link: number | null;
   readonly message: PeerMessage;
 }
+/** A request got its final answer, or its caller left: for the latency histograms. */
+export interface RequestEndedEffect {
+  readonly kind: 'requestEnded';
+  readonly outcome: RequestOutcome;
+  readonly duration: Milliseconds;
+}
+export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'broken_off' | 'caller_left';
 /** A line of the log: an event of the catalogue with its fields. */
 export interface LogEffect {
   readonly kind: 'log';
@@ -96,4 +103,5 @@
   | FollowEffect
   | SendToLeaderEffect
   | SendToFollowersEffect
+  | RequestEndedEffect
   | LogEffect;
--- /dev/null
+++ b/src/router/ownership/begin-leadership.ts
@@ -0,0 +1,81 @@
+/** The first moment of a leadership: what is known of former leaders, and the units as they are found. */
+import type { Milliseconds } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { Candidacy } from './election-state.js';
+import { noteServers } from './leader.js';
+import type { Leadership, UnitProgress } from './leadership-state.js';
+import { CONFIRMATION_VALIDITY, LEASE, longestHold } from './ownership-timing.js';
+import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
+
+/** Begins to lead with the table as it is in the store under this daemon's term. */
+export function beginLeadership(
+  context: RouterContext,
+  candidacy: Candidacy,
+  table: OwnershipTable,
+  tableRevision: number,
+): void {
+  const { state, now } = context;
+  state.election.candidacy = null;
+  state.counters.leaderships_won += 1;
+  const formerCallsEndAt = formerCallsEnd(context, candidacy, table);
+  const leadership: Leadership = {
+    term: candidacy.claim.term,
+    leaderRevision: candidacy.revision,
+    beat: 0,
+    confirmedAt: candidacy.confirmedAt,
+    confirming: false,
+    nextConfirmationAt: now,
+    table,
+    tableRevision,
+    write: null,
+    startedAt: now,
+    formerCallsEndAt,
+    formerLeasesEndAt: table.units.length === 0 ? now : formerCallsEndAt + longestHold(LEASE),
+    former: candidacy.former?.settled === true ? candidacy.former : null,
+    progress: new Map(table.units.map((unit) => [unitName(unit), resumedProgress(unit, now)])),
+    leases: new Map(),
+    calls: new Map(),
+    addresses: new Map(),
+    keyLoad: new Map(),
+    lateOrderSeenAt: Number.NEGATIVE_INFINITY,
+    nextPlanAt: now,
+    nextHeartbeatAt: now,
+    viewStep: 0,
+    viewChanged: true,
+    followers: new Map(),
+  };
+  state.leadership = leadership;
+  noteServers(context, leadership);
+  const { term } = leadership;
+  const waitsFor = Math.max(0, Math.round(leadership.formerLeasesEndAt - now));
+  context.log('leadership_won', {
+    term,
+    units: table.units.length,
+    revision: tableRevision,
+    waits_for: waitsFor,
+  });
+}
+
+/** When earlier leaders have stopped calling servers. */
+function formerCallsEnd(context: RouterContext, candidacy: Candidacy, table: OwnershipTable): Milliseconds {
+  if (table.units.length === 0) {
+    return context.now;
+  }
+  if (candidacy.predecessorEnded) {
+    return context.state.election.startedAt;
+  }
+  // The last write of the leader before began before this daemon first saw its revision.
+  return Math.max(context.now, candidacy.formerSeenAt + CONFIRMATION_VALIDITY);
+}
+
+/** A unit of the table that a new leader finds. The owner may hold it; it is renewed at once. */
+function resumedProgress(unit: Unit, now: Milliseconds): UnitProgress {
+  return {
+    phase: unit.releasing === null ? 'held' : 'releasing',
+    fence: unit.fence,
+    ownerMayHold: true,
+    handover: null,
+    nextCallAt: now,
+    callsInFlight: 0,
+  };
+}
--- a/src/router/ownership/election-state.ts
+++ b/src/router/ownership/election-state.ts
@@ -17,6 +17,8 @@
   readonly predecessorEnded: boolean;
   /** When this daemon first saw the revision that it replaces: the leader before wrote nothing later. */
   readonly formerSeenAt: Milliseconds;
+  /** The leader that is replaced. */
+  readonly former: LeaderRecord | null;
   /** The table that is claimed, and the revision that it replaces (null: there is none). */
   table: OwnershipTable;
   tableRevision: number | null;
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -9,17 +9,14 @@
 import type { RouterContext } from '../router-context.js';
 import type { Candidacy } from './election-state.js';
 import { viewSequence } from './leader-followers.js';
-import { noteServers } from './leader.js';
-import type { Leadership, UnitProgress } from './leadership-state.js';
+import { beginLeadership } from './begin-leadership.js';
 import {
   CONFIRMATION_VALIDITY,
   ELECTION_READ_INTERVAL,
   HEARTBEAT_PATIENCE,
-  longestHold,
   TAKEOVER_PATIENCE,
-  TROUBLE_LEASE,
 } from './ownership-timing.js';
-import { EMPTY_TABLE, unitName, type OwnershipTable, type Unit } from './ownership-table.js';
+import { EMPTY_TABLE, type OwnershipTable } from './ownership-table.js';
 import { OwnershipView } from './ownership-view.js';
 import { parseLeader, parseOwnership, type LeaderRecord, type OwnershipRecord } from './stored-objects.js';
 
@@ -100,7 +97,7 @@
   const unconfirmed = event.sentAt - election.unchangedSince >= TAKEOVER_PATIENCE + election.jitter;
   const wasThisDaemon = record.daemon === state.identity.daemon;
   const gone = election.leaderRefused >= REFUSALS;
-  if (!hearsLeader(context) && (unconfirmed || wasThisDaemon || gone)) {
+  if (!hearsLeader(context) && (unconfirmed || wasThisDaemon || gone || record.resigned)) {
     considerClaim(context, record, revision);
   } else if (now >= election.nextReadAt) {
     election.nextReadAt = now + ELECTION_READ_INTERVAL;
@@ -129,10 +126,11 @@
   }
   const { daemon, life, peerAddress } = state.identity;
   const term = (former?.term ?? 0) + 1;
-  const claim = { term, daemon, life, address: peerAddress, beat: 0, settled: false };
+  const claim = { term, daemon, life, address: peerAddress, beat: 0, settled: false, resigned: false };
   // Its own earlier life has ended, and no leader before that one can still act.
   const predecessorEnded = former?.daemon === daemon && former.settled;
-  const formerSeenAt = state.election.unchangedSince;
+  const formerStopped = former?.resigned === true && former.settled;
+  const formerSeenAt = formerStopped ? now - CONFIRMATION_VALIDITY : state.election.unchangedSince;
   state.election.candidacy = {
     phase: 'claiming',
     claim,
@@ -140,6 +138,7 @@
     confirmedAt: now,
     predecessorEnded,
     formerSeenAt,
+    former,
     table: EMPTY_TABLE,
     tableRevision: null,
     stepAt: Number.POSITIVE_INFINITY,
@@ -207,6 +206,7 @@
 ): void {
   const { election } = context.state;
   const formerSeenAt = election.candidacy?.formerSeenAt ?? context.now;
+  const former = election.candidacy?.former ?? null;
   election.leader = claim;
   election.leaderRevision = revision;
   election.candidacy = {
@@ -216,6 +216,7 @@
     confirmedAt,
     predecessorEnded,
     formerSeenAt,
+    former,
     table: EMPTY_TABLE,
     tableRevision: null,
     stepAt: Number.POSITIVE_INFINITY,
@@ -308,75 +309,6 @@
   context.emit({ kind: 'readObject', object: 'ownership' });
 }
 
-/** Begins to lead with the table as it is in the store under this daemon's term. */
-export function beginLeadership(
-  context: RouterContext,
-  candidacy: Candidacy,
-  table: OwnershipTable,
-  tableRevision: number,
-): void {
-  const { state, now } = context;
-  state.election.candidacy = null;
-  state.counters.leaderships_won += 1;
-  const formerCallsEndAt = formerCallsEnd(context, candidacy, table);
-  const longestLease = Math.min(TROUBLE_LEASE, state.bounds.longestLease);
-  const leadership: Leadership = {
-    term: candidacy.claim.term,
-    leaderRevision: candidacy.revision,
-    beat: 0,
-    confirmedAt: candidacy.confirmedAt,
-    confirming: false,
-    nextConfirmationAt: now,
-    table,
-    tableRevision,
-    write: null,
-    startedAt: now,
-    formerCallsEndAt,
-    formerLeasesEndAt: table.units.length === 0 ? now : formerCallsEndAt + longestHold(longestLease),
-    progress: new Map(table.units.map((unit) => [unitName(unit), resumedProgress(unit, now)])),
-    leases: new Map(),
-    calls: new Map(),
-    addresses: new Map(),
-    keyLoad: new Map(),
-    lateOrderSeenAt: Number.NEGATIVE_INFINITY,
-    nextPlanAt: now,
-    nextHeartbeatAt: now,
-    viewStep: 0,
-    viewChanged: true,
-    followers: new Map(),
-  };
-  state.leadership = leadership;
-  noteServers(context, leadership);
-  const { term } = leadership;
-  const waitsFor = Math.max(0, Math.round(leadership.formerLeasesEndAt - now));
-  context.log('leadership_won', {
-    term,
-    units: table.units.length,
-    revision: tableRevision,
-    waits_for: waitsFor,
-  });
-}
-
-/** When earlier leaders have stopped calling servers. */
-function formerCallsEnd(context: RouterContext, candidacy: Candidacy, table: OwnershipTable): Milliseconds {
-  if (table.units.length === 0) {
-    return context.now;
-  }
-  return candidacy.predecessorEnded ? context.state.election.startedAt : context.now + CONFIRMATION_VALIDITY;
-}
-
-/** A unit of the table that a new leader finds. The owner may hold it; it is renewed at once. */
-function resumedProgress(unit: Unit, now: Milliseconds): UnitProgress {
-  return {
-    phase: unit.releasing === null ? 'held' : 'releasing',
-    fence: unit.fence,
-    ownerMayHold: true,
-    handover: null,
-    nextCallAt: now,
-    callsInFlight: 0,
-  };
-}
-
 /** The leader's heartbeat came. */
 export function receiveHeartbeat(context: RouterContext, heartbeat: Heartbeat): void {
   const { state, now } = context;
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -8,12 +8,14 @@
 
 /** A refused write is repeated after this long. */
 const REFUSED_RETRY: Milliseconds = 150;
+/** Said as the age of the confirmation by a leader that stops. */
+const RESIGNED_AGE: Milliseconds = 3_600_000;
 
 function ownRecord(context: RouterContext, leadership: Leadership): LeaderRecord {
   const { daemon, life, peerAddress } = context.state.identity;
   const { term, beat } = leadership;
   const settled = context.now > leadership.formerCallsEndAt;
-  return { term, daemon, life, address: peerAddress, beat, settled };
+  return { term, daemon, life, address: peerAddress, beat, settled, resigned: false };
 }
 
 /** Writes the leader's object anew when that is due. */
@@ -89,3 +91,20 @@
   state.leadership = null;
   state.election.nextReadAt = context.now;
 }
+
+/** A planned stop: calls nobody from now on, and lets another daemon lead at once. */
+export function resign(context: RouterContext, leadership: Leadership): void {
+  const value = { ...ownRecord(context, leadership), resigned: true };
+  context.emit({ kind: 'writeObject', object: 'leader', value, revision: leadership.leaderRevision });
+  const { state } = context;
+  const message = {
+    kind: 'heartbeat',
+    term: leadership.term,
+    confirmationAge: RESIGNED_AGE,
+    daemons: state.daemons,
+    configurationVersion: 0,
+    serversRevision: 0,
+  } as const;
+  context.emit({ kind: 'sendToFollowers', link: null, message });
+  stepDown(context, 'a planned stop', null);
+}
--- a/src/router/ownership/leader-followers.ts
+++ b/src/router/ownership/leader-followers.ts
@@ -5,6 +5,7 @@
 import type { Leadership } from './leadership-state.js';
 import { HEARTBEAT_INTERVAL, REPORT_INTERVAL } from './ownership-timing.js';
 import { unitName } from './ownership-table.js';
+import { noteFormerEnded } from './server-lease.js';
 import { OwnershipView, type UnitView } from './ownership-view.js';
 
 /** Steps of the view within one revision of the table. */
@@ -113,6 +114,10 @@
   for (const { service, keys } of report.samples) {
     keyLoadOf(leadership, service).add(keys, now);
   }
+  if (report.daemon === leadership.former?.daemon && report.life !== leadership.former.life) {
+    // The machine of the leader before runs another process now.
+    noteFormerEnded(leadership, now);
+  }
   for (const times of report.times) {
     state.servers.get(times.server)?.load.observed(times);
   }
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -2,6 +2,7 @@
 import type { Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { KeyLoad } from './key-load.js';
 import type { OwnershipTable } from './ownership-table.js';
+import type { LeaderRecord } from './stored-objects.js';
 
 /** Where a unit stands between its former owner and its owner. */
 export type UnitPhase = 'releasing' | 'granting' | 'held';
@@ -73,9 +74,11 @@
   write: TableWrite | null;
   readonly startedAt: Milliseconds;
   /** Earlier leaders call no server after this time. */
-  readonly formerCallsEndAt: Milliseconds;
+  formerCallsEndAt: Milliseconds;
   /** Leases of earlier leaders have run out after this time. */
-  readonly formerLeasesEndAt: Milliseconds;
+  formerLeasesEndAt: Milliseconds;
+  /** The leader before, if no other one before it can still act. */
+  readonly former: LeaderRecord | null;
   readonly progress: Map<string, UnitProgress>;
   readonly leases: Map<ServerId, ServerLease>;
   readonly calls: Map<number, PendingCall>;
--- a/src/router/ownership/ownership-timing.ts
+++ b/src/router/ownership/ownership-timing.ts
@@ -4,19 +4,15 @@
 /** The leader writes its object in the store this often; each success confirms its leadership. */
 export const CONFIRMATION_INTERVAL: Milliseconds = 1_000;
 /** A leader whose last confirmation began longer ago calls no server. */
-export const CONFIRMATION_VALIDITY: Milliseconds = 3_500;
-/** Beyond this age of the confirmation the store counts as troubled, and leases are long. */
-export const CONFIRMATION_TROUBLE: Milliseconds = 1_500;
-/** A lease in calm: short, so that a lost server's keys come back soon. */
-export const CALM_LEASE: Milliseconds = 2_500;
-/** A lease while the store is in trouble: it outlasts an outage, in which nobody may renew for long. */
-export const TROUBLE_LEASE: Milliseconds = 6_000;
+export const CONFIRMATION_VALIDITY: Milliseconds = 5_000;
+/** A lease: short, so that a lost server's keys come back soon; the validity above bridges an outage of the store. */
+export const LEASE: Milliseconds = 2_500;
 /** Between two renewals of a unit. */
 export const RENEWAL_INTERVAL: Milliseconds = 700;
 /** A call to a server that has no answer after this long is repeated. */
 export const CONTROL_PATIENCE: Milliseconds = 300;
 /** A probe waits for a slot of the server, as a request does. */
-export const PROBE_PATIENCE: Milliseconds = 600;
+export const PROBE_PATIENCE: Milliseconds = 450;
 /** A release is answered only when the work on its keys has ended. */
 export const RELEASE_PATIENCE: Milliseconds = 1_500;
 export const RELEASE_REPEAT: Milliseconds = 400;
@@ -31,7 +27,7 @@
 /** Between two probes of a server that has left a call unanswered. */
 export const PROBE_INTERVAL: Milliseconds = 150;
 /** Unanswered calls in a row after which a server counts as silent; more while late orders are about. */
-export const SILENT_AFTER = 4;
+export const SILENT_AFTER = 3;
 export const SILENT_AFTER_LATE_ORDERS = 8;
 /** Between two looks at the assignment. */
 export const PLAN_INTERVAL: Milliseconds = 500;
--- a/src/router/ownership/server-lease.ts
+++ b/src/router/ownership/server-lease.ts
@@ -4,6 +4,7 @@
 import {
   LATE_ORDER,
   LATE_ORDER_MEMORY,
+  LEASE,
   longestHold,
   SILENT_AFTER,
   SILENT_AFTER_LATE_ORDERS,
@@ -14,7 +15,7 @@
   let lease = leadership.leases.get(server);
   if (lease === undefined) {
     lease = {
-      holdsUntil: leadership.formerLeasesEndAt,
+      holdsUntil: Number.NEGATIVE_INFINITY,
       unansweredGrantAt: Number.NEGATIVE_INFINITY,
       unansweredLease: 0,
       unanswered: 0,
@@ -40,7 +41,13 @@
   }
   const lateness = lateOrdersExpected(leadership, now) ? LATE_ORDER : 0;
   const unansweredEnd = lease.unansweredGrantAt + lateness + longestHold(lease.unansweredLease);
-  return Math.max(lease.holdsUntil, unansweredEnd);
+  return Math.max(leadership.formerLeasesEndAt, lease.holdsUntil, unansweredEnd);
+}
+
+/** The leader before has ended: it calls nobody any more. */
+export function noteFormerEnded(leadership: Leadership, now: Milliseconds): void {
+  leadership.formerCallsEndAt = Math.min(leadership.formerCallsEndAt, now);
+  leadership.formerLeasesEndAt = Math.min(leadership.formerLeasesEndAt, now + longestHold(LEASE));
 }
 
 /** A grant goes out. */
--- a/src/router/ownership/stored-objects.ts
+++ b/src/router/ownership/stored-objects.ts
@@ -14,6 +14,8 @@
   beat: z.number(),
   /** No earlier leader can call a server any more. */
   settled: z.boolean(),
+  /** It has stopped: another daemon should lead at once. */
+  resigned: z.boolean(),
 });
 
 /** Who leads. */
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -4,15 +4,13 @@
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingCall, UnitProgress } from './leadership-state.js';
 import {
-  CALM_LEASE,
-  CONFIRMATION_TROUBLE,
   CONTROL_PATIENCE,
+  LEASE,
   PROBE_INTERVAL,
   PROBE_PATIENCE,
   RELEASE_PATIENCE,
   RELEASE_REPEAT,
   RENEWAL_INTERVAL,
-  TROUBLE_LEASE,
 } from './ownership-timing.js';
 import { takeFences, unitName, withUnits, type Unit } from './ownership-table.js';
 import { leaseEnd, leaseOf, noteAnswer, noteEnded, noteGrantSent, noteNoAnswer } from './server-lease.js';
@@ -69,11 +67,6 @@
   return !units.some((next) => unitName(next) === name && next.fence === unit.fence);
 }
 
-function currentLease(context: RouterContext, leadership: Leadership): Milliseconds {
-  const trouble = context.now - leadership.confirmedAt > CONFIRMATION_TROUBLE;
-  return Math.min(trouble ? TROUBLE_LEASE : CALM_LEASE, context.state.bounds.longestLease);
-}
-
 function tickGranting(
   context: RouterContext,
   leadership: Leadership,
@@ -91,7 +84,7 @@
   if (context.now < progress.nextCallAt || isTakenBack(leadership, unit, progress)) {
     return;
   }
-  const hold = currentLease(context, leadership);
+  const hold = Math.min(LEASE, context.state.bounds.longestLease);
   progress.nextCallAt = context.now + RENEWAL_INTERVAL;
   if (callServer(context, leadership, unit, unit.owner, 'grant', unit.fence, hold, CONTROL_PATIENCE)) {
     progress.callsInFlight += 1;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -6,7 +6,7 @@
 import type { ObjectReadEvent, ObjectWrittenEvent, PeerMessageEvent, RouterEvent } from './events.js';
 import type { Milliseconds } from './model/identifiers.js';
 import * as election from './ownership/election.js';
-import { receiveConfirmation, receiveLeaderRead } from './ownership/leader-confirmation.js';
+import { receiveConfirmation, receiveLeaderRead, resign } from './ownership/leader-confirmation.js';
 import { forgetFollower, receiveReport } from './ownership/leader-followers.js';
 import { noteServers, tickLeader } from './ownership/leader.js';
 import { OwnershipView } from './ownership/ownership-view.js';
@@ -67,8 +67,7 @@
     case 'leaderLinkClosed':
       return election.receiveLeaderLinkClosed(context, event);
     case 'stopping':
-      state.stopping = true;
-      return context.log('stopping', { requests: state.requests.size, leader: state.leadership !== null });
+      return stop(context);
   }
 }
 
@@ -83,6 +82,16 @@
   requests.tickRequests(context);
 }
 
+function stop(context: RouterContext): void {
+  const { state } = context;
+  const { leadership } = state;
+  state.stopping = true;
+  context.log('stopping', { requests: state.requests.size, leader: leadership !== null });
+  if (leadership !== null) {
+    resign(context, leadership);
+  }
+}
+
 function noteServersOfLeader(context: RouterContext): void {
   const { leadership } = context.state;
   if (leadership !== null) {
--- a/src/router/request/request-lifecycle.ts
+++ b/src/router/request/request-lifecycle.ts
@@ -2,6 +2,7 @@
  * A request's way through the daemon: route, server, attempts, final answer. A refusal that promises that
  * the request has not run is given only with proof: no attempt was sent, or each one was rejected.
  */
+import type { RequestOutcome } from '../effects.js';
 import type { AttemptEndedEvent, AttemptResult, RequestArrivedEvent } from '../events.js';
 import type { Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
@@ -19,6 +20,15 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+/** The log's event for each outcome. */
+const LOG_EVENTS: Readonly<Record<RequestOutcome, string>> = {
+  answered: 'request_answered',
+  refused: 'request_refused',
+  failed: 'request_failed',
+  broken_off: 'request_broken_off',
+  caller_left: 'caller_left',
+};
+
 /** A request is held for this part of its latency objective before it is refused. */
 const HOLD_PART = 0.22;
 /** A held request is tried again this often. */
@@ -198,18 +208,19 @@
   state.counters[failed ? 'failed' : 'refused'] += 1;
   const patience = failed ? null : retryAfter;
   context.emit({ kind: 'answer', requestId: request.id, status, reason, retryAfter: patience });
-  logEnd(context, request, failed ? 'request_failed' : 'request_refused', status, reason);
+  logEnd(context, request, failed ? 'failed' : 'refused', status, reason);
 }
 
 function logEnd(
   context: RouterContext,
   request: ActiveRequest,
-  event: string,
+  outcome: RequestOutcome,
   status: number,
   reason: string,
 ): void {
   const { state, now } = context;
-  context.log(event, {
+  context.emit({ kind: 'requestEnded', outcome, duration: now - request.arrivedAt });
+  context.log(LOG_EVENTS[outcome], {
     attempt_id: request.attemptId,
     status,
     reason,
@@ -274,7 +285,7 @@
       }
       state.requests.delete(request.id);
       state.counters.answered += 1;
-      logEnd(context, request, 'request_answered', result.status, '');
+      logEnd(context, request, 'answered', result.status, '');
       return;
     case 'rejected':
       state.counters.attempts_rejected += 1;
@@ -342,7 +353,7 @@
   if (result.answerBegun) {
     context.state.requests.delete(request.id);
     context.state.counters.failed += 1;
-    logEnd(context, request, 'request_broken_off', 0, result.reason);
+    logEnd(context, request, 'broken_off', 0, result.reason);
     return;
   }
   if (request.route.repeatable) {
