--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -5,7 +5,7 @@
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 800;
 /** Changes that come in a burst are fetched by one call. */
-const REARM_MILLISECONDS = 40;
+const REARM_MILLISECONDS = 150;
 
 /** What a feed tells its owner. */
 export interface FeedListener<Item> {
--- a/src/router/ownership/assignment-plan.ts
+++ b/src/router/ownership/assignment-plan.ts
@@ -2,7 +2,7 @@
  * Decides who should own what: first assignment, evacuation of servers that leave or are lost, and moves of
  * load off servers that have too much. Pure: from a table and what is known to a new table.
  */
-import type { Key, ServerId, ServiceName } from '../model/identifiers.js';
+import { LAST_KEY, type Key, type ServerId, type ServiceName } from '../model/identifiers.js';
 import type { KeyRate } from './key-load.js';
 import {
   firstUnits,
@@ -45,13 +45,17 @@
 const HOT_KEY_UTILISATION = 0.5;
 /** Faster by this factor. */
 const FASTER = 1.35;
+/** Each unit is renewed by itself: no more are made than this many for each server. */
+const MOST_UNITS_PER_SERVER = 6;
 /** Moves for balance in one plan, for each service. */
 const MOST_MOVES = 8;
-/** A unit fits a wanted amount of load within these factors. */
-const FIT_LOW = 0.5;
-const FIT_HIGH = 1.25;
-/** A part that is cut off carries at least this share of the wanted load. */
+/** A part that is moved carries between these shares of the wanted load. */
 const LEAST_PART = 0.12;
+const FIT_HIGH = 1.25;
+/** What moving all keys costs, against the load that is wanted. */
+const SPAN_COST = 5;
+/** Fewer keys than this are not left as a unit beside a part that is cut out. */
+const SLIVER = 48;
 
 /** Servers so that neighbours in the list stand in different zones. */
 function spreadZones(servers: readonly EligibleServer[]): EligibleServer[] {
@@ -76,18 +80,31 @@
   return rates.reduce((sum, { key, rate }) => (key >= from && key <= to ? sum + rate : sum), 0);
 }
 
-/** The first keys of a list that together stay below a rate. */
-function partUpTo(rates: readonly KeyRate[], most: number): { rate: number; lastKey: Key } {
+/** A range of keys, and how well it fits what is wanted. */
+interface KeyRange {
+  readonly from: Key;
+  readonly to: Key;
+  readonly value: number;
+}
+
+/** Of all runs of neighbouring keys below a wanted rate, the one with the most load on the fewest keys. */
+function bestPart(rates: readonly KeyRate[], wanted: number): KeyRange | undefined {
+  let best: KeyRange | undefined;
   let sum = 0;
-  let lastKey = -1;
-  for (const { key, rate } of rates) {
-    if (sum + rate > most) {
-      break;
-    }
+  let first = 0;
+  for (const [last, { key, rate }] of rates.entries()) {
     sum += rate;
-    lastKey = key;
+    while (sum > wanted * FIT_HIGH && first <= last) {
+      sum -= (rates[first] as KeyRate).rate;
+      first += 1;
+    }
+    const from = rates[first]?.key ?? key;
+    const value = Math.min(1, sum / wanted) - (SPAN_COST * (key - from)) / (LAST_KEY + 1);
+    if (first <= last && sum >= wanted * LEAST_PART && value > (best?.value ?? 0)) {
+      best = { from, to: key, value };
+    }
   }
-  return { rate: sum, lastKey };
+  return best;
 }
 
 /** A plan under way for one service. */
@@ -173,7 +190,12 @@
       if (hot === undefined || cool === undefined || this.#utilisation(hot) < RELIEF_FROM) {
         return;
       }
-      if (this.#utilisation(hot) - this.#utilisation(cool) < LEAST_GAP) {
+      const gap = this.#utilisation(hot) - this.#utilisation(cool);
+      // Where all are overloaded, a move must narrow the gap by more to be worth its while.
+      if (gap < LEAST_GAP * Math.max(1, this.#utilisation(hot))) {
+        return;
+      }
+      if (this.#units().length >= this.#input.servers.length * MOST_UNITS_PER_SERVER) {
         return;
       }
       if (!this.#moveHotKey(hot) && !this.#relieve(hot, cool)) {
@@ -232,37 +254,31 @@
     return true;
   }
 
+  /** The part of a server's keys that carries about the wanted load on the fewest keys. */
   #unitToMove(hot: EligibleServer, wanted: number): Unit | undefined {
-    const movable = this.#units()
-      .filter((unit) => unit.owner === hot.id && this.#input.mobility(unit) !== null)
-      .map((unit) => ({ unit, rate: this.#rateOf(unit) }))
-      .sort((left, right) => right.rate - left.rate);
-    const fit = movable.find(({ rate }) => rate >= wanted * FIT_LOW && rate <= wanted * FIT_HIGH);
-    if (fit !== undefined) {
-      return fit.unit;
-    }
-    for (const { unit, rate } of movable) {
-      const part = rate > wanted * FIT_HIGH ? this.#cut(unit, wanted) : undefined;
-      if (part !== undefined) {
-        return part;
+    let best: { unit: Unit; part: KeyRange } | undefined;
+    for (const unit of this.#units()) {
+      if (unit.owner === hot.id && this.#input.mobility(unit) !== null) {
+        const rates = this.#input.rates.filter(({ key }) => key >= unit.from && key <= unit.to);
+        const part = bestPart(rates, wanted);
+        if (part !== undefined && part.value > (best?.part.value ?? 0)) {
+          best = { unit, part };
+        }
       }
     }
-    return movable.find(({ rate }) => rate > 0 && rate <= wanted * FIT_HIGH)?.unit;
+    return best === undefined ? undefined : this.#cutOut(best.unit, best.part);
   }
 
-  /** Cuts off the end of a unit that comes closest to the wanted load without going far beyond it. */
-  #cut(unit: Unit, wanted: number): Unit | undefined {
-    const rates = this.#input.rates.filter(({ key }) => key >= unit.from && key <= unit.to);
-    const head = partUpTo(rates, wanted * FIT_HIGH);
-    const tail = partUpTo([...rates].reverse(), wanted * FIT_HIGH);
-    const least = wanted * LEAST_PART;
-    if (head.rate >= tail.rate && head.rate >= least && head.lastKey < unit.to) {
-      return this.#split(unit, head.lastKey + 1, unit.from);
-    }
-    if (tail.rate >= least && tail.lastKey > unit.from) {
-      return this.#split(unit, tail.lastKey, tail.lastKey);
-    }
-    return undefined;
+  /** Makes a range of a unit's keys a unit of its own, with the few keys beside it that nobody asks for. */
+  #cutOut(unit: Unit, { from, to }: KeyRange): Unit {
+    const headIsSliver = from - unit.from < SLIVER && this.#isCold(unit.from, from - 1);
+    const head = headIsSliver ? unit : (this.#split(unit, from, from) ?? unit);
+    const tailIsSliver = head.to - to < SLIVER && this.#isCold(to + 1, head.to);
+    return tailIsSliver ? head : (this.#split(head, to + 1, head.from) ?? head);
+  }
+
+  #isCold(from: Key, to: Key): boolean {
+    return !this.#input.rates.some(({ key }) => key >= from && key <= to);
   }
 
   #split(unit: Unit, middle: Key, partFrom: Key): Unit | undefined {
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -4,7 +4,7 @@
 import type { Candidacy } from './election-state.js';
 import { noteServers } from './leader.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
-import { CONFIRMATION_VALIDITY, LEASE, longestHold } from './ownership-timing.js';
+import { CONFIRMATION_VALIDITY, JOIN_INTERVAL, LEASE, longestHold } from './ownership-timing.js';
 import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
 
 /** Begins to lead with the table as it is in the store under this daemon's term. */
@@ -39,6 +39,7 @@
     keyLoad: new Map(),
     lateOrderSeenAt: Number.NEGATIVE_INFINITY,
     nextPlanAt: now,
+    nextJoinAt: now + JOIN_INTERVAL,
     nextHeartbeatAt: now,
     viewStep: 0,
     viewChanged: true,
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -5,8 +5,8 @@
 import { planService, type EligibleServer, type Mobility } from './assignment-plan.js';
 import { keyLoadOf } from './key-load.js';
 import type { Leadership } from './leadership-state.js';
-import { FIRST_ASSIGNMENT_WAIT, PLAN_INTERVAL } from './ownership-timing.js';
-import { unitName, type Unit } from './ownership-table.js';
+import { FIRST_ASSIGNMENT_WAIT, JOIN_INTERVAL, PLAN_INTERVAL } from './ownership-timing.js';
+import { joinUnits, unitName, type Unit } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
 import { writeTable } from './table-write.js';
 
@@ -49,6 +49,12 @@
   return !assigned && now - leadership.startedAt < FIRST_ASSIGNMENT_WAIT;
 }
 
+/** A unit that its owner holds, and answers for. */
+function mayJoin(leadership: Leadership, unit: Unit): boolean {
+  const held = leadership.progress.get(unitName(unit))?.phase === 'held';
+  return held && leaseOf(leadership, unit.owner).unanswered === 0;
+}
+
 /** Works out who should own what, and writes it if it differs. */
 export function makePlan(context: RouterContext, leadership: Leadership): void {
   const { state, now } = context;
@@ -67,6 +73,10 @@
       });
     }
   }
+  if (table === leadership.table && now >= leadership.nextJoinAt) {
+    leadership.nextJoinAt = now + JOIN_INTERVAL;
+    table = joinUnits(table, (unit) => mayJoin(leadership, unit));
+  }
   if (table !== leadership.table) {
     writeTable(context, leadership, table);
   }
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -87,6 +87,7 @@
   readonly keyLoad: Map<ServiceName, KeyLoad>;
   lateOrderSeenAt: Milliseconds;
   nextPlanAt: Milliseconds;
+  nextJoinAt: Milliseconds;
   nextHeartbeatAt: Milliseconds;
   /** Steps since the table's revision, for the order of views. */
   viewStep: number;
--- a/src/router/ownership/ownership-table.ts
+++ b/src/router/ownership/ownership-table.ts
@@ -66,6 +66,33 @@
   );
 }
 
+/**
+ * Joins neighbours of one owner that may be joined; each joined unit has a fresh fence above those of its
+ * parts. Fewer units need fewer renewals.
+ */
+export function joinUnits(table: OwnershipTable, mayJoin: (unit: Unit) => boolean): OwnershipTable {
+  let result = table;
+  const joined: Unit[] = [];
+  for (const unit of table.units) {
+    const last = joined.at(-1);
+    const neighbours =
+      last?.service === unit.service && last.owner === unit.owner && last.to + 1 === unit.from;
+    if (
+      last !== undefined &&
+      neighbours &&
+      mayJoin(unit) &&
+      (last.fence >= table.nextFence || mayJoin(last))
+    ) {
+      const taken = last.fence >= table.nextFence ? { table: result, fence: last.fence } : takeFences(result);
+      result = taken.table;
+      joined[joined.length - 1] = { ...last, to: unit.to, fence: taken.fence, releasing: null };
+    } else {
+      joined.push(unit);
+    }
+  }
+  return result === table ? table : withUnits(result, joined);
+}
+
 /** The units of a service that has none yet: one equal range for each owner. */
 export function firstUnits(
   table: OwnershipTable,
--- a/src/router/ownership/ownership-timing.ts
+++ b/src/router/ownership/ownership-timing.ts
@@ -8,7 +8,7 @@
 /** A lease: short, so that a lost server's keys come back soon; the validity above bridges an outage of the store. */
 export const LEASE: Milliseconds = 2_500;
 /** Between two renewals of a unit. */
-export const RENEWAL_INTERVAL: Milliseconds = 700;
+export const RENEWAL_INTERVAL: Milliseconds = 850;
 /** A call to a server that has no answer after this long is repeated. */
 export const CONTROL_PATIENCE: Milliseconds = 300;
 /** A probe waits for a slot of the server, as a request does. */
@@ -31,6 +31,8 @@
 export const SILENT_AFTER_LATE_ORDERS = 8;
 /** Between two looks at the assignment. */
 export const PLAN_INTERVAL: Milliseconds = 500;
+/** Between two looks for units that can be joined. */
+export const JOIN_INTERVAL: Milliseconds = 3_000;
 /** Servers have this long to appear before the first assignment. */
 export const FIRST_ASSIGNMENT_WAIT: Milliseconds = 1_000;
 export const HEARTBEAT_INTERVAL: Milliseconds = 250;
--- a/src/router/ownership/table-write.ts
+++ b/src/router/ownership/table-write.ts
@@ -113,11 +113,23 @@
     const inherited = whole === undefined ? undefined : known.get(unitName(whole));
     const progress =
       inherited === undefined ? newProgress(context, unit) : { ...inherited, callsInFlight: 0 };
+    if (inherited === undefined && isJoined(unit, before, known)) {
+      // The owner holds every part, under lower fences: it is renewed under the new one.
+      progress.phase = 'held';
+      progress.ownerMayHold = true;
+    }
     progress.nextCallAt = context.now;
     leadership.progress.set(unitName(unit), progress);
   }
 }
 
+function isJoined(unit: Unit, before: OwnershipTable, known: ReadonlyMap<string, UnitProgress>): boolean {
+  const parts = before.units.filter(
+    (part) => part.service === unit.service && part.from <= unit.to && part.to >= unit.from,
+  );
+  return parts.every((part) => part.owner === unit.owner && known.get(unitName(part))?.phase === 'held');
+}
+
 function newProgress(context: RouterContext, unit: Unit): UnitProgress {
   return {
     phase: unit.releasing === null ? 'granting' : 'releasing',
--- /dev/null
+++ b/test/router/ownership/test-assignment-plan.ts
@@ -0,0 +1,138 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import {
+  planService,
+  type EligibleServer,
+  type PlanInput,
+} from '../../../src/router/ownership/assignment-plan.js';
+import type { KeyRate } from '../../../src/router/ownership/key-load.js';
+import {
+  EMPTY_TABLE,
+  joinUnits,
+  type OwnershipTable,
+  type Unit,
+} from '../../../src/router/ownership/ownership-table.js';
+import { LAST_KEY } from '../../../src/router/model/identifiers.js';
+
+function servers(...capacities: number[]): EligibleServer[] {
+  return capacities.map((capacity, index) => ({ id: `s${index}`, zone: `z${index % 3}`, capacity }));
+}
+
+function input(known: EligibleServer[], rates: KeyRate[]): PlanInput {
+  return { service: 'racks', servers: known, rates, mobility: (unit) => ({ releasing: unit.owner }) };
+}
+
+/** Plans until nothing changes. */
+function settle(table: OwnershipTable, plan: PlanInput): OwnershipTable {
+  let current = table;
+  for (let round = 0; round < 30; round += 1) {
+    const next = planService(current, plan);
+    if (next === current) {
+      return current;
+    }
+    current = next;
+  }
+  throw new Error('the plan does not settle');
+}
+
+function loadOf(table: OwnershipTable, rates: KeyRate[], owner: string): number {
+  const owned = (key: number): boolean =>
+    table.units.some((unit) => unit.owner === owner && unit.from <= key && key <= unit.to);
+  return rates.reduce((sum, { key, rate }) => (owned(key) ? sum + rate : sum), 0);
+}
+
+/** Every key belongs to exactly one unit. */
+function isWhole(units: readonly Unit[]): boolean {
+  let next = 0;
+  for (const unit of units) {
+    if (unit.from !== next || unit.to < unit.from) {
+      return false;
+    }
+    next = unit.to + 1;
+  }
+  return next === LAST_KEY + 1;
+}
+
+describe('the plan of assignments', () => {
+  it('divides all keys among all servers at first', () => {
+    const table = planService(EMPTY_TABLE, input(servers(20, 20, 20, 20), []));
+    expect(table.units.length).toEqual(4);
+    expect(isWhole(table.units)).toEqual(true);
+    expect(new Set(table.units.map((unit) => unit.owner)).size).toEqual(4);
+    expect(new Set(table.units.map((unit) => unit.fence)).size).toEqual(4);
+  });
+
+  it('gives the units of a server that is gone to others, with higher fences', () => {
+    const all = servers(20, 20, 20);
+    const before = planService(EMPTY_TABLE, input(all, []));
+    const after = planService(before, input(all.slice(1), []));
+    const moved = after.units.find((unit) => unit.releasing === 's0');
+    expect(after.units.some((unit) => unit.owner === 's0')).toEqual(false);
+    expect((moved?.fence ?? 0) > Math.max(...before.units.map((unit) => unit.fence))).toEqual(true);
+    expect(isWhole(after.units)).toEqual(true);
+  });
+
+  it('spreads hot neighbours over servers by moving few keys', () => {
+    const known = servers(20, 20, 20, 20);
+    const rates = Array.from({ length: 40 }, (_, index) => ({ key: 30_000 + index, rate: 1 }));
+    const before = planService(EMPTY_TABLE, input(known, []));
+    const after = settle(before, input(known, rates));
+    expect(isWhole(after.units)).toEqual(true);
+    for (const server of known) {
+      expect(loadOf(after, rates, server.id) <= 20 * 0.8).toEqual(true);
+    }
+    const movedKeys = after.units
+      .filter((unit) => unit.releasing !== null)
+      .reduce((sum, unit) => sum + unit.to - unit.from + 1, 0);
+    expect(movedKeys < 1_000).toEqual(true);
+  });
+
+  it('gives one key that is too much for its server to the fastest one', () => {
+    const known = servers(20, 20, 60, 20);
+    const rates = [{ key: 10, rate: 30 }];
+    const before = planService(EMPTY_TABLE, input(known, []));
+    const after = settle(before, input(known, rates));
+    expect(loadOf(after, rates, 's2')).toEqual(30);
+    expect(after.units.find((unit) => unit.from <= 10 && 10 <= unit.to)?.to).toEqual(10);
+  });
+
+  it('leaves a balanced table alone', () => {
+    const known = servers(20, 20, 20, 20);
+    const rates = Array.from({ length: 64 }, (_, index) => ({ key: index * 1_024 + 5, rate: 0.7 }));
+    const before = planService(EMPTY_TABLE, input(known, []));
+    expect(planService(before, input(known, rates))).toEqual(before);
+  });
+
+  it('moves nothing that must stay', () => {
+    const all = servers(20, 20, 20);
+    const before = planService(EMPTY_TABLE, input(all, []));
+    const stuck = { ...input(all.slice(1), []), mobility: () => null };
+    expect(planService(before, stuck)).toEqual(before);
+  });
+});
+
+describe('joining units', () => {
+  const unit = (from: number, to: number, owner: string, fence: number): Unit => {
+    return { service: 'racks', from, to, owner, fence, releasing: null };
+  };
+  const table: OwnershipTable = {
+    term: 1,
+    nextFence: 20,
+    units: [unit(0, 9, 'a', 3), unit(10, 19, 'a', 7), unit(20, 29, 'a', 5), unit(30, LAST_KEY, 'b', 9)],
+  };
+
+  it('joins neighbours of one owner under a fence above theirs', () => {
+    const joined = joinUnits(table, () => true);
+    expect(joined.units.map(({ from, to, owner }) => [from, to, owner])).toEqual([
+      [0, 29, 'a'],
+      [30, LAST_KEY, 'b'],
+    ]);
+    expect((joined.units[0]?.fence ?? 0) >= 20).toEqual(true);
+    expect(joined.nextFence > (joined.units[0]?.fence ?? 0)).toEqual(true);
+  });
+
+  it('does not join what may not be joined', () => {
+    const joined = joinUnits(table, (candidate) => candidate.from !== 10);
+    expect(joined).toEqual(table);
+  });
+});
