A daemon that stops neither takes up its own resigned record nor goes on as a candidate

It found its own life named there, in the record by which it had resigned, and entered the ownership table again; for 0.1 s there were two daemons that renewed leases, while the successor counted the former one's calls as ended. A candidate that was told to stop went on in the same way.

Ruled out: the store (its answers were right), the successor's wait (right for a leader that has stopped).

Change: a resigned record is not taken up; a stop ends a candidacy, and a claim that was answered later is not followed. Tests, both seen to fail first: test/router/ownership/test-planned-stop.ts (won again 34 ms after its stop in virtual time). Planned stops and frozen leaders join the faults of test-ownership-world.ts.

--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -90,7 +90,10 @@
     return;
   }
   if (record.life === state.identity.life) {
-    enterTable(context, record, revision, event.sentAt, false);
+    // A record of its own that it has resigned by is no leadership to take up again.
+    if (!record.resigned) {
+      enterTable(context, record, revision, event.sentAt, false);
+    }
     return;
   }
   noteLeader(context, record, revision);
@@ -160,7 +163,8 @@
   }
 }
 
-function dropCandidacy(context: RouterContext, reason: string): void {
+/** Ends a candidacy, if one is under way. */
+export function dropCandidacy(context: RouterContext, reason: string): void {
   const { election } = context.state;
   if (election.candidacy !== null) {
     context.log('candidacy_dropped', { term: election.candidacy.claim.term, reason });
@@ -204,7 +208,11 @@
   confirmedAt: Milliseconds,
   predecessorEnded: boolean,
 ): void {
-  const { election } = context.state;
+  const { election, stopping } = context.state;
+  if (stopping) {
+    dropCandidacy(context, 'a planned stop is under way');
+    return;
+  }
   const formerSeenAt = election.candidacy?.formerSeenAt ?? context.now;
   const former = election.candidacy?.former ?? null;
   election.leader = claim;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -107,7 +107,9 @@
   const { leadership } = state;
   state.stopping = true;
   context.log('stopping', { requests: state.requests.size, leader: leadership !== null });
-  if (leadership !== null) {
+  if (leadership === null) {
+    election.dropCandidacy(context, 'a planned stop is under way');
+  } else {
     resign(context, leadership);
   }
 }
--- /dev/null
+++ b/test/router/ownership/test-planned-stop.ts
@@ -0,0 +1,40 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { RouterWorld } from '../support/router-world.js';
+
+describe('a leader that stops as planned', () => {
+  // Found by a recorded day: the daemon read its own resigned record and entered the table again.
+  it('does not lead again before its process ends', () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const world = new RouterWorld(seed);
+      world.clock.runUntil(6_000);
+      const leader = world.leader();
+      if (leader === undefined) {
+        throw new Error('no leader');
+      }
+      world.stopDaemon(leader, 3_000);
+      const { name } = leader;
+      world.clock.runUntil(9_000);
+      const wonAgain = world.events.filter((line) => {
+        const [at, daemon, event] = line.split(' ');
+        return Number(at) > 6_000 && daemon === name && event === 'leadership_won';
+      });
+      expect(wonAgain).toEqual([]);
+      expect(world.leader()?.name === name).toEqual(false);
+    }
+  });
+
+  it('drops a candidacy that is under way', () => {
+    const world = new RouterWorld(1, 1);
+    const [daemon] = world.daemons;
+    if (daemon === undefined) {
+      throw new Error('no daemon');
+    }
+    while (daemon.state.election.candidacy === null) {
+      world.clock.runUntil(world.clock.now + 1);
+    }
+    world.stopDaemon(daemon, 3_000);
+    world.clock.runUntil(world.clock.now + 2_900);
+    expect(daemon.state.leadership).toEqual(null);
+  });
+});
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -42,6 +42,8 @@
   alive: boolean;
   /** It reaches the store. */
   storeReachable: boolean;
+  /** Its process stands still until this time; what reaches it waits. */
+  frozenUntil: number;
   following: string | null;
 }
 
@@ -125,6 +127,7 @@
       life: this.#lives,
       alive: false,
       storeReachable: true,
+      frozenUntil: 0,
       following: null,
     };
     this.daemons.push(daemon);
@@ -150,6 +153,18 @@
     });
   }
 
+  /** A planned stop: the process goes on for a while, and another one starts after it. */
+  stopDaemon(daemon: Daemon, lingering: number): void {
+    const { life } = daemon;
+    this.#deliver(daemon, life, { kind: 'stopping' });
+    this.clock.after(lingering, () => {
+      if (daemon.life === life) {
+        daemon.alive = false;
+        this.clock.after(500, () => this.startDaemon(daemon));
+      }
+    });
+  }
+
   leader(): Daemon | undefined {
     const leaders = this.daemons.filter((daemon) => daemon.alive && daemon.state.leadership !== null);
     return leaders.sort(
@@ -159,7 +174,9 @@
 
   #tickAll(): void {
     for (const daemon of this.daemons) {
-      this.#deliver(daemon, daemon.life, { kind: 'tick' });
+      if (daemon.frozenUntil <= this.clock.now) {
+        this.#deliver(daemon, daemon.life, { kind: 'tick' });
+      }
     }
     this.clock.after(TICK, () => this.#tickAll());
   }
@@ -177,6 +194,10 @@
     if (!daemon.alive || daemon.life !== life) {
       return;
     }
+    if (daemon.frozenUntil > this.clock.now) {
+      this.clock.after(daemon.frozenUntil - this.clock.now, () => this.#deliver(daemon, life, event));
+      return;
+    }
     for (const effect of reduce(daemon.state, this.clock.now, event)) {
       this.#perform(daemon, effect);
     }
--- a/test/router/test-ownership-world.ts
+++ b/test/router/test-ownership-world.ts
@@ -35,6 +35,20 @@
   }
 }
 
+function stopLeader(world: RouterWorld): void {
+  const leader = world.leader();
+  if (leader !== undefined) {
+    world.stopDaemon(leader, 3_000);
+  }
+}
+
+function freezeLeader(world: RouterWorld): void {
+  const leader = world.leader();
+  if (leader !== undefined) {
+    leader.frozenUntil = world.clock.now + 1_000 + world.random.fraction() * 8_000;
+  }
+}
+
 function cutLeaderFromStore(world: RouterWorld): void {
   const leader = world.leader();
   if (leader !== undefined) {
@@ -61,6 +75,8 @@
 const FAULTS: Readonly<Record<string, (world: RouterWorld) => void>> = {
   crashServer,
   killLeader,
+  stopLeader,
+  freezeLeader,
   cutLeaderFromStore,
   drainServer,
   storeDown: (world) => {
