An attempt at a silent server is broken off only when a retry is left in the budget

Ruled out: the size of the budget (it is the users' bound). Change: `RetryBudget.hasRetry` is looked at before the attempt is left. Test, seen to fail first: test/router/request/test-request-lifecycle.ts.

--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -3,7 +3,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
 import { findDestination, isRefusal } from './destination.js';
-import { avoidAfterFailure, cancelAttempt, dispatch, giveUp, logEnd } from './request-dispatch.js';
+import { avoidAfterFailure, budgetOf, cancelAttempt, dispatch, giveUp, logEnd } from './request-dispatch.js';
 
 /** A request is held for this part of its latency objective before it is refused. */
 const HOLD_PART = 0.22;
@@ -57,7 +57,9 @@
   const patience = Math.max(objective * SILENT_PART, SILENT_FACTOR * known.load.serviceTime);
   const isDue = now - request.attemptStartedAt > patience && !state.stopping;
   const canRetry =
-    request.attempts < request.route.maxAttempts && request.deadlineAt - now > objective * HOLD_PART;
+    request.attempts < request.route.maxAttempts &&
+    request.deadlineAt - now > objective * HOLD_PART &&
+    budgetOf(context, request.service).hasRetry;
   if (isDue && canRetry && !isRefusal(findDestination(context, request))) {
     cancelAttempt(context, request, 'cancelled, the server is silent');
     request.mayHaveRun = true;
--- a/src/router/request/retry-budget.ts
+++ b/src/router/request/retry-budget.ts
@@ -40,9 +40,14 @@
     this.#tokens = Math.min(this.#capacity, this.#tokens + this.#limits.ratio * USED_PART);
   }
 
+  /** Whether a retry is left. */
+  get hasRetry(): boolean {
+    return this.#tokens >= 1;
+  }
+
   /** Takes one retry, or returns false when there is none left. */
   take(): boolean {
-    if (this.#tokens < 1) {
+    if (!this.hasRetry) {
       return false;
     }
     this.#tokens -= 1;
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -182,6 +182,18 @@
     expect(only('cancel').some((effect) => effect.requestId === young?.requestId)).toEqual(false);
   });
 
+  // Found by a played day and a recorded one: the attempt was broken off, then its retry refused.
+  it('leaves a request at a silent server when no retry is left in the budget', () => {
+    arrive(1, '/read/1');
+    const budget = state.budgets.get('logs');
+    while (budget?.take() === true) {
+      // Other requests spend what there is.
+    }
+    ticksUntil(1_800);
+    expect(only('cancel')).toEqual([]);
+    expect(only('answer')).toEqual([]);
+  });
+
   it('breaks nothing off during a planned stop', () => {
     arrive(1, '/read/1', null);
     event({ kind: 'stopping' });
