A grant that was refused for its fence is not repeated with it; all refused units get fresh fences in one write

Each raise was a write of its own, one unit after the other. Ruled out: `receiveConfirmation` and releases, which never repeat a refused fence. Change: a refused unit is marked and called no more; the leader raises all marked units in one write as soon as it can.

--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -75,6 +75,7 @@
     phase: unit.releasing === null ? 'held' : 'releasing',
     fence: unit.fence,
     ownerMayHold: true,
+    fenceRefused: false,
     handover: null,
     nextCallAt: now,
     callsInFlight: 0,
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -12,7 +12,7 @@
 import { CONFIRMATION_VALIDITY } from './ownership-timing.js';
 import { leaseOf, noteEnded } from './server-lease.js';
 import { retryWrite } from './table-write.js';
-import { tickUnit } from './unit-control.js';
+import { raiseRefusedFences, tickUnit } from './unit-control.js';
 
 /** The leader's periodic work. */
 export function tickLeader(context: RouterContext, leadership: Leadership): void {
@@ -21,6 +21,9 @@
     return;
   }
   retryWrite(context, leadership);
+  if (leadership.write === null) {
+    raiseRefusedFences(context, leadership);
+  }
   if (leadership.write === null && context.now >= leadership.nextPlanAt) {
     makePlan(context, leadership);
   }
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -12,6 +12,8 @@
   readonly fence: Fence;
   /** False while it is certain that the owner was never granted this unit. */
   ownerMayHold: boolean;
+  /** The owner refused this fence: no call is made with it again, and a higher one is due. */
+  fenceRefused: boolean;
   handover: string | null;
   /** The next call is due. */
   nextCallAt: Milliseconds;
--- a/src/router/ownership/table-write.ts
+++ b/src/router/ownership/table-write.ts
@@ -135,6 +135,7 @@
     phase: unit.releasing === null ? 'granting' : 'releasing',
     fence: unit.fence,
     ownerMayHold: false,
+    fenceRefused: false,
     handover: null,
     nextCallAt: context.now,
     callsInFlight: 0,
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -74,7 +74,7 @@
   progress: UnitProgress,
 ): void {
   const lease = leaseOf(leadership, unit.owner);
-  if (lease.ended || progress.callsInFlight > 0) {
+  if (lease.ended || progress.callsInFlight > 0 || progress.fenceRefused) {
     return;
   }
   if (lease.unanswered > 0) {
@@ -232,7 +232,7 @@
       }
       return;
     case 'higherFence':
-      raiseFence(context, leadership, unit);
+      progress.fenceRefused = true;
       return;
     case 'rejected':
       progress.nextCallAt = context.now + REJECTED_RETRY;
@@ -247,14 +247,20 @@
   }
 }
 
-/** The owner has seen a higher fence on some of the keys: the unit gets a fresh one. */
-function raiseFence(context: RouterContext, leadership: Leadership, unit: Unit): void {
-  if (leadership.write !== null) {
-    return;
+/** Units whose owner has seen a higher fence on some of the keys get fresh ones, all in one write. */
+export function raiseRefusedFences(context: RouterContext, leadership: Leadership): void {
+  let { table } = leadership;
+  const units = table.units.map((unit) => {
+    if (leadership.progress.get(unitName(unit))?.fenceRefused !== true) {
+      return unit;
+    }
+    const taken = takeFences(table);
+    table = taken.table;
+    const { owner, fence } = unit;
+    context.log('fence_raised', { unit: unitName(unit), owner, from: fence, to: taken.fence });
+    return { ...unit, fence: taken.fence, releasing: null };
+  });
+  if (table !== leadership.table) {
+    writeTable(context, leadership, withUnits(table, units));
   }
-  const taken = takeFences(leadership.table);
-  const raised: Unit = { ...unit, fence: taken.fence, releasing: null };
-  const units = leadership.table.units.map((other) => (other === unit ? raised : other));
-  context.log('fence_raised', { unit: unitName(unit), owner: unit.owner, from: unit.fence, to: taken.fence });
-  writeTable(context, leadership, withUnits(taken.table, units));
 }
--- a/test/router/support/model-server.ts
+++ b/test/router/support/model-server.ts
@@ -48,6 +48,8 @@
   /** Daemons reach it. */
   reachable = true;
   readonly holdings = new Map<number, Holding>();
+  /** Grants that it refused since it had seen a higher fence. */
+  readonly refused: ControlEffect[] = [];
   readonly #seen = new Map<number, number>();
 
   constructor(
@@ -78,6 +80,7 @@
       return { kind: 'accepted', handover: 'h' };
     }
     if (keys.some((key) => (this.#seen.get(key) ?? 0) > effect.fence)) {
+      this.refused.push(effect);
       return { kind: 'higherFence' };
     }
     for (const key of keys) {
