A unit that was granted no longer names its former owner; a fresh daemon takes over after one refused connection

Besides, the first daemon to start waited 0.4 s for the former leader, whose process was not there (connections refused). Ruled out: late grants and fences (no grant was refused), the store (stable again).

A daemon up for less than 2 s takes one refused connection for proof that the leader's process is gone, in place of three. The world of the tests now tells broken links.

--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -27,6 +27,9 @@
 const LONGEST_JITTER: Milliseconds = 150;
 /** Refused connections after which the leader's process counts as gone. */
 const REFUSALS = 3;
+/** A daemon that has just started most likely does so with others: one refused connection is enough. */
+const FRESH_PERIOD: Milliseconds = 2_000;
+const REFUSALS_WHEN_FRESH = 1;
 /** Without news of the leader, a follower reads the table this often. */
 const TABLE_READ_INTERVAL: Milliseconds = 1_000;
 
@@ -36,6 +39,12 @@
   return !silent && election.confirmationAge < CONFIRMATION_SUSPICION;
 }
 
+/** Refused connections that this daemon waits for now. */
+function refusalsNeeded(context: RouterContext): number {
+  const isFresh = context.now - context.state.election.startedAt < FRESH_PERIOD;
+  return isFresh ? REFUSALS_WHEN_FRESH : REFUSALS;
+}
+
 /** A daemon that does not lead looks after the leader. */
 export function tickElection(context: RouterContext): void {
   const { state, now } = context;
@@ -99,7 +108,7 @@
   noteLeader(context, record, revision);
   const unconfirmed = event.sentAt - election.unchangedSince >= TAKEOVER_PATIENCE + election.jitter;
   const wasThisDaemon = record.daemon === state.identity.daemon;
-  const gone = election.leaderRefused >= REFUSALS;
+  const gone = election.leaderRefused >= refusalsNeeded(context);
   if (!hearsLeader(context) && (unconfirmed || wasThisDaemon || gone || record.resigned)) {
     considerClaim(context, record, revision);
   } else if (now >= election.nextReadAt) {
@@ -348,7 +357,7 @@
     return;
   }
   election.leaderRefused = event.refused ? election.leaderRefused + 1 : 0;
-  if (event.refused && election.leaderRefused === REFUSALS) {
+  if (event.refused && election.leaderRefused >= refusalsNeeded(context)) {
     election.nextReadAt = Math.min(election.nextReadAt, context.now + election.jitter);
     election.lastHeartbeatAt = Number.NEGATIVE_INFINITY;
   }
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -8,7 +8,7 @@
 import { FIRST_ASSIGNMENT_WAIT, JOIN_INTERVAL, PLAN_INTERVAL } from './ownership-timing.js';
 import { joinUnits, unitName, type Unit } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
-import { writeTable } from './table-write.js';
+import { withoutFinishedReleases, writeTable } from './table-write.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -76,6 +76,7 @@
   if (table === leadership.table && now >= leadership.nextJoinAt) {
     leadership.nextJoinAt = now + JOIN_INTERVAL;
     table = joinUnits(table, (unit) => mayJoin(leadership, unit));
+    table = withoutFinishedReleases(leadership, table);
   }
   if (table !== leadership.table) {
     writeTable(context, leadership, table);
--- a/src/router/ownership/table-write.ts
+++ b/src/router/ownership/table-write.ts
@@ -13,8 +13,28 @@
 /** Changed units named in one line of the log. */
 const MOST_LOGGED = 20;
 
+function isFinished(leadership: Leadership, unit: Unit): boolean {
+  const progress = leadership.progress.get(unitName(unit));
+  return unit.releasing !== null && progress?.fence === unit.fence && progress.phase === 'held';
+}
+
+/**
+ * The table without former owners that have given their units up for certain, since the owners hold them: the
+ * next leader need not wait for them again. The same table when there are none.
+ */
+export function withoutFinishedReleases(leadership: Leadership, table: OwnershipTable): OwnershipTable {
+  if (!table.units.some((unit) => isFinished(leadership, unit))) {
+    return table;
+  }
+  const units = table.units.map((unit) =>
+    isFinished(leadership, unit) ? { ...unit, releasing: null } : unit,
+  );
+  return { ...table, units };
+}
+
 /** Writes a new table; it is acted on once the store has taken it. */
-export function writeTable(context: RouterContext, leadership: Leadership, table: OwnershipTable): void {
+export function writeTable(context: RouterContext, leadership: Leadership, planned: OwnershipTable): void {
+  const table = withoutFinishedReleases(leadership, planned);
   const writeId = `${context.state.identity.life}-${context.state.nextCallId}`;
   context.state.nextCallId += 1;
   leadership.write = { table, writeId, retryAt: null };
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -12,6 +12,8 @@
 
 const TICK = 20;
 const LINK_DELAY = 1;
+/** A link that broke is opened again after this long. */
+const LINK_RETRY = 150;
 export const SERVICE = 'racks';
 
 export const CONFIGURATION: Configuration = {
@@ -230,6 +232,7 @@
       }
       case 'follow':
         daemon.following = effect.address;
+        this.#watchLink(daemon, life, effect.address, true);
         return;
       case 'sendToLeader': {
         const leader = this.daemons.find((other) => other.address === daemon.following);
@@ -253,6 +256,18 @@
     }
   }
 
+  /** Tells a follower when the process that it follows is gone: nothing listens there then. */
+  #watchLink(daemon: Daemon, life: number, address: string | null, wasOpen: boolean): void {
+    if (address === null || daemon.life !== life || daemon.following !== address) {
+      return;
+    }
+    const listens = this.daemons.some((other) => other.address === address && other.alive);
+    if (!listens) {
+      this.#deliver(daemon, life, { kind: 'leaderLinkClosed', address, refused: !wasOpen });
+    }
+    this.clock.after(LINK_RETRY, () => this.#watchLink(daemon, life, address, listens));
+  }
+
   #pass(to: Daemon, from: Daemon, message: Extract<Effect, { kind: 'sendToLeader' }>['message']): void {
     const { life } = to;
     const link = this.daemons.indexOf(from);
