--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -1,5 +1,6 @@
 /** What this daemon has seen of one server: its own requests there, the server's load, its speed. */
 import type { Milliseconds } from '../model/identifiers.js';
+import { ServiceProfile } from './service-profile.js';
 
 /** What is known of the work of other daemons fades by e in this time. */
 const LOAD_MEMORY: Milliseconds = 400;
@@ -9,11 +10,11 @@
 const SERVICE_TIME_WEIGHT = 0.1;
 /** Weight of what other daemons saw, for each of their requests; bounded. */
 const MOST_REPORTED_WEIGHT = 0.5;
-/** Before anything is known, a request is taken to last this long. */
-const FIRST_SERVICE_TIME: Milliseconds = 80;
 /** A server with a request unanswered for this many times its usual time, and for this long, is suspected. */
 const SUSPICION_FACTOR = 4;
 const SUSPICION_FLOOR: Milliseconds = 400;
+/** The same while nobody knows how long requests of the service take. */
+const SUSPICION_FLOOR_UNKNOWN: Milliseconds = 1_000;
 
 /** What a server says of itself in an answer. */
 export interface ReportedLoad {
@@ -32,8 +33,6 @@
 export class ServerLoad {
   /** Requests of this daemon that are there now, by number, with the time of their sending. */
   readonly inFlight = new Map<number, Milliseconds>();
-  /** Average time of a request on an idle slot. */
-  serviceTime: Milliseconds = FIRST_SERVICE_TIME;
   /** No new request goes there before this time. */
   avoidUntil: Milliseconds = 0;
   lastAnswerAt: Milliseconds = -1;
@@ -41,9 +40,22 @@
   failures = 0;
   /** Not yet told to the leader. */
   readonly untold: ServiceTimes = { requests: 0, total: 0 };
+  readonly #profile: ServiceProfile;
+  /** Average time of a request on an idle slot of this server, or null before one is known. */
+  #ownTime: Milliseconds | null = null;
   #others = 0;
   #reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
+  /** @param profile what is known of the service's servers together */
+  constructor(profile: ServiceProfile) {
+    this.#profile = profile;
+  }
+
+  /** Average time of a request on an idle slot; that of the service before this server is known. */
+  get serviceTime(): Milliseconds {
+    return this.#ownTime ?? this.#profile.mean;
+  }
+
   /** Estimate of requests of other daemons that are there. What was reported long ago counts little. */
   others(now: Milliseconds): number {
     return this.#others * Math.exp((this.#reportedAt - now) / LOAD_MEMORY);
@@ -62,7 +74,8 @@
     this.lastAnswerAt = now;
     this.failures = 0;
     if (!waited) {
-      this.serviceTime += (duration - this.serviceTime) * SERVICE_TIME_WEIGHT;
+      this.#profile.add(duration);
+      this.#learn(duration, SERVICE_TIME_WEIGHT);
       this.untold.requests += 1;
       this.untold.total += duration;
     }
@@ -72,10 +85,15 @@
   observed(times: ServiceTimes): void {
     if (times.requests > 0) {
       const weight = Math.min(MOST_REPORTED_WEIGHT, times.requests * SERVICE_TIME_WEIGHT);
-      this.serviceTime += (times.total / times.requests - this.serviceTime) * weight;
+      this.#learn(times.total / times.requests, weight);
     }
   }
 
+  #learn(duration: Milliseconds, weight: number): void {
+    const before = this.serviceTime;
+    this.#ownTime = before + (duration - before) * weight;
+  }
+
   /** Requests that are there now, as far as this daemon can tell. */
   busy(now: Milliseconds): number {
     return this.inFlight.size + this.others(now);
@@ -91,9 +109,14 @@
   isSilent(now: Milliseconds): boolean {
     for (const sentAt of this.inFlight.values()) {
       // The first entry is the oldest: requests are added in the order of their sending.
-      const limit = Math.max(SUSPICION_FLOOR, SUSPICION_FACTOR * this.serviceTime);
-      return now - sentAt > limit && this.lastAnswerAt < sentAt;
+      return now - sentAt > this.#longestSilence() && this.lastAnswerAt < sentAt;
     }
     return false;
   }
+
+  /** A server that was quick so far is judged by its service, too: requests differ more than servers do. */
+  #longestSilence(): Milliseconds {
+    const floor = this.#profile.isKnown ? SUSPICION_FLOOR : SUSPICION_FLOOR_UNKNOWN;
+    return Math.max(floor, SUSPICION_FACTOR * Math.max(this.serviceTime, this.#profile.mean));
+  }
 }
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -10,7 +10,8 @@
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest } from './request/active-request.js';
 import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
-import { ServerLoad } from './request/server-load.js';
+import type { ServerLoad } from './request/server-load.js';
+import type { ServiceProfile } from './request/service-profile.js';
 import { TargetRotation } from './request/target-rotation.js';
 
 /** Who this daemon is. */
@@ -50,6 +51,7 @@
   serversRevision: number | null;
   readonly servers: Map<ServerId, KnownServer>;
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
+  readonly profiles: Map<ServiceName, ServiceProfile>;
   /** Daemons that share the retry budget, as last heard. */
   daemons: number;
   view: OwnershipView;
@@ -80,6 +82,7 @@
     serversRevision: null,
     servers: new Map(),
     serversByService: new Map(),
+    profiles: new Map(),
     daemons: FIRST_DAEMONS,
     view: EMPTY_VIEW,
     election: createElection(),
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -1,9 +1,10 @@
 /** Takes configurations and the list of servers in. Neither ever goes back. */
 import type { ConfigurationEvent, ServerChangedEvent, ServersListedEvent } from './events.js';
-import type { ServerId } from './model/identifiers.js';
+import type { ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import { ServerLoad } from './request/server-load.js';
+import { ServiceProfile } from './request/service-profile.js';
 import type { RouterContext } from './router-context.js';
 import type { KnownServer } from './router-state.js';
 
@@ -65,13 +66,23 @@
   }
 }
 
+function profileOf(context: RouterContext, service: ServiceName): ServiceProfile {
+  const { profiles } = context.state;
+  let profile = profiles.get(service);
+  if (profile === undefined) {
+    profile = new ServiceProfile();
+    profiles.set(service, profile);
+  }
+  return profile;
+}
+
 function putServer(context: RouterContext, server: ServerDescription, revision: number): void {
   const { servers, serversByService } = context.state;
   const known = servers.get(server.id);
   if (known === undefined) {
     const added: KnownServer = {
       server,
-      load: new ServerLoad(),
+      load: new ServerLoad(profileOf(context, server.service)),
       coldUntil: context.now + server.warmupLeft,
       drainingSince: server.draining ? context.now : null,
     };
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -182,6 +182,19 @@
     expect(only('cancel').some((effect) => effect.requestId === young?.requestId)).toEqual(false);
   });
 
+  // Found by a played day with long requests: servers were taken for silent by a guess of 80 ms.
+  it('judges a silent server by how long requests of its service take', () => {
+    for (let requestId = 1; requestId <= 12; requestId += 1) {
+      arrive(requestId, '/read/1', null);
+      now += 300;
+      ended(requestId, 1, { kind: 'answered', status: 200, load: null });
+    }
+    effects = [];
+    arrive(50, '/read/1', null);
+    ticksUntil(now + 700);
+    expect(only('cancel')).toEqual([]);
+  });
+
   // Found by a played day and a recorded one: the attempt was broken off, then its retry refused.
   it('leaves a request at a silent server when no retry is left in the budget', () => {
     arrive(1, '/read/1');
