--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -1,20 +1,19 @@
 /**
- * The port for callers: reads whole requests, hands them to the reducer, and carries attempts and answers
- * out. Uses the runtime's own HTTP server: a layer above it would cost more than the work itself.
+ * Reads whole requests of callers, hands them to the reducer, and carries attempts and answers out. Uses the
+ * runtime's own HTTP server: a layer above it would cost more than the work itself.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AnswerEffect, CancelEffect, ForwardEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import { LAST_KEY } from '../router/model/identifiers.js';
 import type { RequestProtocol } from '../router/ports.js';
-import { splitAddress } from '../settings/address.js';
 import { Attempt, type AnswerSink } from './attempt.js';
+import { listen } from './caller-port.js';
 import { forwardedHeaders, headerValue } from './headers.js';
 import type { ServerConnections } from './server-connections.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const CONNECTIONS_CHECK_MILLISECONDS = 1_000;
 const FIRST_HEADER_TIMEOUT_MILLISECONDS = 10_000;
 const FIRST_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 /** Bodies before the first configuration. */
@@ -44,7 +43,9 @@
   #bodyBytes = FIRST_BODY_BYTES;
   #closing = false;
 
+  /** @param server for callers; it may listen already */
   constructor(
+    server: Server,
     protocol: RequestProtocol,
     connections: ServerConnections,
     dispatch: (event: RouterEvent) => void,
@@ -53,10 +54,8 @@
     this.#connections = connections;
     this.#dispatch = dispatch;
     this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
-    this.server = createServer(
-      { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
-      (incoming, outgoing) => this.#receive(incoming, outgoing),
-    );
+    this.server = server;
+    this.server.on('request', (incoming, outgoing) => this.#receive(incoming, outgoing));
     this.server.headersTimeout = FIRST_HEADER_TIMEOUT_MILLISECONDS;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = FIRST_IDLE_TIMEOUT_MILLISECONDS;
@@ -67,13 +66,11 @@
     return this.#exchanges.size;
   }
 
-  /** Listens for callers. Rejects when the address is taken. */
-  listen(address: string): Promise<void> {
-    const { host, port } = splitAddress(address);
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve());
-    });
+  /** Listens for callers, unless the server does so already. Rejects when the address is taken. */
+  async listen(address: string): Promise<void> {
+    if (!this.server.listening) {
+      await listen(this.server, address);
+    }
   }
 
   /** Puts limits in force; those on connections hold from their next request. */
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -19,8 +19,8 @@
   type RouterBounds,
   type RouterState,
 } from '../router/router-state.js';
-import { splitAddress } from '../settings/address.js';
 import { CallerFront } from './caller-front.js';
+import { createCallerServer, listen } from './caller-port.js';
 import { EventLog } from './event-log.js';
 import { ObjectFeed } from './object-feed.js';
 import { PeerLinks } from './peer-links.js';
@@ -42,14 +42,6 @@
   return { retries, drain: timing.drain, longestLease: timing.longestLease };
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => resolve());
-  });
-}
-
 export class RouterDaemon {
   readonly state: RouterState;
   readonly #settings: RouterSettings;
@@ -65,14 +57,17 @@
   readonly #serverFeed: ObjectFeed<ServerDescription>;
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(settings: RouterSettings, platform: Platform) {
+  /** @param callerServer for callers, if it listens already */
+  constructor(settings: RouterSettings, platform: Platform, callerServer: Server = createCallerServer()) {
     this.#settings = settings;
     this.#platform = platform;
     const { daemon, zone, listen: addresses } = settings;
     const identity = { daemon, zone, peerAddress: addresses.peers, life: randomInt(1, LARGEST_LIFE) };
     this.state = createRouterState(identity, boundsOf(settings), identity.life);
     this.#log = new EventLog(daemon, this.state.counters);
-    this.#front = new CallerFront(platform.protocol, this.#connections, (event) => this.dispatch(event));
+    this.#front = new CallerFront(callerServer, platform.protocol, this.#connections, (event) =>
+      this.dispatch(event),
+    );
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
       onLeft: (link) => this.dispatch({ kind: 'peerLeft', link }),
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -21,7 +21,7 @@
 import type { Ownership } from './peers/messages.js';
 import { tickReports } from './peers/follower-reports.js';
 import { receiveAttemptEnded } from './request/attempt-outcome.js';
-import { receiveRequest } from './request/request-arrival.js';
+import { receiveRequest, tickEarlyRequests } from './request/request-arrival.js';
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
 import { RouterContext } from './router-context.js';
 import type { RouterState } from './router-state.js';
@@ -51,9 +51,11 @@
     case 'callerLeft':
       return receiveCallerLeft(context, event.requestId);
     case 'configuration':
-      return directory.receiveConfiguration(context, event);
+      directory.receiveConfiguration(context, event);
+      return tickEarlyRequests(context);
     case 'serversListed':
       directory.receiveServersListed(context, event);
+      tickEarlyRequests(context);
       return noteServersOfLeader(context);
     case 'serverChanged':
       directory.receiveServerChanged(context, event);
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -1,7 +1,14 @@
 /** A request between its arrival and its final answer. */
+import type { RequestArrivedEvent } from '../events.js';
 import type { Route } from '../model/configuration.js';
 import type { Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 
+/** A request that came before the first configuration. */
+export interface EarlyRequest {
+  readonly event: RequestArrivedEvent;
+  readonly arrivedAt: Milliseconds;
+}
+
 /** Kept in the state while the request is under way. */
 export interface ActiveRequest {
   readonly id: number;
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -1,6 +1,6 @@
 /** Takes requests in: route, service, key. */
 import type { RequestArrivedEvent } from '../events.js';
-import type { Route } from '../model/configuration.js';
+import type { Configuration, Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
@@ -13,28 +13,58 @@
 /** A request is held for this part of its latency objective before it is refused. */
 const HOLD_PART = 0.22;
 const START_RETRY_AFTER: Milliseconds = 300;
+/** A request that comes before the first configuration is held for this long: it is read soon after the start. */
+const START_HOLD: Milliseconds = 120;
+/** Requests that are held for the first configuration at once. */
+const MOST_HELD_AT_START = 500;
 
 /** Takes a request in. */
 export function receiveRequest(context: RouterContext, event: RequestArrivedEvent): void {
   const { state, now } = context;
   state.counters.requests += 1;
-  if (state.configuration === null || state.serversRevision === null) {
+  if (state.configuration !== null && state.serversRevision !== null) {
+    admit(context, event, state.configuration, now);
+  } else if (state.early.size < MOST_HELD_AT_START) {
+    state.early.set(event.requestId, { event, arrivedAt: now });
+  } else {
     refuseUnknown(context, event, UNAVAILABLE, 'no configuration yet', START_RETRY_AFTER);
-    return;
   }
+}
+
+/** Takes in, or refuses, what came before the first configuration and list of servers. */
+export function tickEarlyRequests(context: RouterContext): void {
+  const { early, configuration, serversRevision } = context.state;
+  for (const [requestId, { event, arrivedAt }] of early) {
+    if (configuration !== null && serversRevision !== null) {
+      early.delete(requestId);
+      admit(context, event, configuration, arrivedAt);
+    } else if (context.now - arrivedAt >= START_HOLD) {
+      early.delete(requestId);
+      refuseUnknown(context, event, UNAVAILABLE, 'no configuration yet', START_RETRY_AFTER);
+    }
+  }
+}
+
+function admit(
+  context: RouterContext,
+  event: RequestArrivedEvent,
+  configuration: Configuration,
+  arrivedAt: Milliseconds,
+): void {
+  const { state } = context;
   const route = state.routes.match(event.host, event.target);
   if (route === undefined) {
     refuseUnknown(context, event, NOT_FOUND, 'no route', null);
     return;
   }
   const service = state.rotation.next(route);
-  const keyed = service !== undefined && state.configuration.services.get(service)?.keyed === true;
+  const keyed = service !== undefined && configuration.services.get(service)?.keyed === true;
   if (service === undefined || (keyed && event.key === null)) {
     refuseUnknown(context, event, BAD_REQUEST, 'the request has no key', null);
     return;
   }
   budgetOf(context, service).addRequest();
-  const request = createRequest(event, route, service, keyed ? event.key : null, now);
+  const request = createRequest(event, route, service, keyed ? event.key : null, arrivedAt);
   state.requests.set(request.id, request);
   if (request.key !== null) {
     sampleKey(context, request.service, request.key);
@@ -47,7 +77,7 @@
   route: Route,
   service: string,
   key: number | null,
-  now: Milliseconds,
+  arrivedAt: Milliseconds,
 ): ActiveRequest {
   const patience = Math.min(event.callerPatience ?? route.timeout, route.timeout);
   return {
@@ -56,9 +86,9 @@
     route,
     service,
     key,
-    arrivedAt: now,
-    deadlineAt: now + patience,
-    holdUntil: now + Math.min(patience, route.latencyObjective) * HOLD_PART,
+    arrivedAt,
+    deadlineAt: arrivedAt + patience,
+    holdUntil: arrivedAt + Math.min(patience, route.latencyObjective) * HOLD_PART,
     attempts: 0,
     attemptNumber: 0,
     server: null,
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -3,6 +3,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
 import { findDestination, isRefusal } from './destination.js';
+import { tickEarlyRequests } from './request-arrival.js';
 import { avoidAfterFailure, budgetOf, cancelAttempt, dispatch, giveUp, logEnd } from './request-dispatch.js';
 
 /** A request is held for this part of its latency objective before it is refused. */
@@ -18,6 +19,7 @@
 /** The caller is gone: its request is cancelled at once. */
 export function receiveCallerLeft(context: RouterContext, requestId: number): void {
   const { state } = context;
+  state.early.delete(requestId);
   const request = state.requests.get(requestId);
   if (request === undefined) {
     return;
@@ -31,6 +33,7 @@
 /** Sends held requests again, ends those whose time is up, and leaves servers that have fallen silent. */
 export function tickRequests(context: RouterContext): void {
   const { state, now } = context;
+  tickEarlyRequests(context);
   for (const request of [...state.requests.values()]) {
     if (request.server === null) {
       if (now >= request.retryAt) {
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -8,7 +8,7 @@
 import { createElection, type ElectionState } from './ownership/election-state.js';
 import type { Leadership } from './ownership/leadership-state.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
-import type { ActiveRequest } from './request/active-request.js';
+import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
 import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
@@ -59,6 +59,8 @@
   /** Set while this daemon leads. */
   leadership: Leadership | null;
   readonly requests: Map<number, ActiveRequest>;
+  /** Held until the first configuration is known, by number. */
+  readonly early: Map<number, EarlyRequest>;
   readonly budgets: Map<ServiceName, RetryBudget>;
   readonly rotation: TargetRotation;
   /** Keys that callers asked for since the last report. */
@@ -88,6 +90,7 @@
     election: createElection(),
     leadership: null,
     requests: new Map(),
+    early: new Map(),
     budgets: new Map(),
     rotation: new TargetRotation(),
     keySamples: new Map(),
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -95,10 +95,28 @@
   it('refuses with a time to come back before a configuration is known', () => {
     state.configuration = null;
     arrive(1, '/read/1');
+    ticksUntil(1_140);
     expect(only('answer')[0]?.status).toEqual(503);
     expect((only('answer')[0]?.retryAfter ?? 0) > 0).toEqual(true);
   });
 
+  it('holds a request that comes a moment before the first configuration', () => {
+    state.configuration = null;
+    arrive(1, '/read/1');
+    ticksUntil(1_080);
+    expect(only('answer')).toEqual([]);
+    event({ kind: 'configuration', configuration: CONFIGURATION });
+    expect(only('forward').length).toEqual(1);
+  });
+
+  it('forgets a held request whose caller leaves before the first configuration', () => {
+    state.configuration = null;
+    arrive(1, '/read/1');
+    event({ kind: 'callerLeft', requestId: 1 });
+    event({ kind: 'configuration', configuration: CONFIGURATION });
+    expect(only('forward')).toEqual([]);
+  });
+
   it('says 404 only with a configuration in force', () => {
     arrive(1, '/nothing/1');
     expect(only('answer')[0]?.status).toEqual(404);
