--- a/src/router-runtime/event-log.ts
+++ b/src/router-runtime/event-log.ts
@@ -2,7 +2,7 @@
  * The log of a daemon: one JSON object a line on standard output, by the `consola` library. Lines wait in a
  * bounded buffer and are written without waiting for the reader; what does not fit is counted and said.
  */
-import { createConsola, type ConsolaInstance } from 'consola';
+import { createConsola, type ConsolaInstance } from 'consola/core';
 import { write } from 'node:fs';
 import type { RouterCounters } from '../router/counters.js';
 
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -2,7 +2,8 @@
  * Connections to servers, one request at a time on each. The one used last is used first, so that few stay
  * open; one on which anything was odd is never used again.
  */
-import { buildConnector, Client, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
+import { buildConnector, Client } from '../http-client/index.js';
 import type { Socket } from 'node:net';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
