--- a/src/router/ownership/election-state.ts
+++ b/src/router/ownership/election-state.ts
@@ -40,6 +40,7 @@
   /** Nothing listens at the leader's address. */
   leaderRefused: number;
   candidacy: Candidacy | null;
+  lastReportAt: Milliseconds;
   nextReportAt: Milliseconds;
   /** When this daemon started, by its first event. */
   startedAt: Milliseconds;
@@ -61,6 +62,7 @@
     nextReadAt: 0,
     leaderRefused: 0,
     candidacy: null,
+    lastReportAt: 0,
     nextReportAt: 0,
     startedAt: -1,
     nextTableReadAt: 0,
--- a/src/router/ownership/key-load.ts
+++ b/src/router/ownership/key-load.ts
@@ -5,6 +5,8 @@
 const MEMORY: Milliseconds = 1_500;
 const LONGEST_KEPT: Milliseconds = 4_000;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Rates are worked out as if samples had come for at least this long. */
+const SHORTEST_OBSERVED: Milliseconds = 300;
 /** Samples beyond this number make room, the oldest first. */
 const MOST_SAMPLES = 20_000;
 
@@ -21,9 +23,11 @@
 
 export class KeyLoad {
   #samples: Sample[] = [];
+  #observedSince: Milliseconds | null = null;
 
   /** Takes in keys that were asked for just now. */
   add(keys: readonly Key[], now: Milliseconds): void {
+    this.#observedSince ??= now;
     for (const key of keys) {
       this.#samples.push({ at: now, key });
     }
@@ -39,7 +43,9 @@
     for (const { at, key } of this.#samples) {
       weights.set(key, (weights.get(key) ?? 0) + Math.exp((at - now) / MEMORY));
     }
-    const scale = MILLISECONDS_PER_SECOND / MEMORY;
+    // Soon after the first sample the weights cannot have added up yet: that is made good.
+    const observed = Math.max(SHORTEST_OBSERVED, now - (this.#observedSince ?? now));
+    const scale = MILLISECONDS_PER_SECOND / (MEMORY * (1 - Math.exp(-observed / MEMORY)));
     return [...weights]
       .map(([key, weight]) => ({ key, rate: weight * scale }))
       .sort((left, right) => left.key - right.key);
--- a/src/router/peers/follower-reports.ts
+++ b/src/router/peers/follower-reports.ts
@@ -1,8 +1,11 @@
 /** A follower's periodic report to the leader: that it is there, what it knows, which keys were asked for. */
+import type { Milliseconds } from '../model/identifiers.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { RouterContext } from '../router-context.js';
 import type { KeySample, ServerTimes } from './messages.js';
 
+/** A report that says of load that is too much comes this soon after the one before. */
+const HASTENED_INTERVAL: Milliseconds = 150;
 /** Keys of one service in one report. */
 const MOST_KEYS = 2_000;
 
@@ -23,12 +26,19 @@
   return times;
 }
 
+/** An owner has too much to do: the leader should hear soon which keys are asked for. */
+export function hastenReport(context: RouterContext): void {
+  const { election } = context.state;
+  election.nextReportAt = Math.min(election.nextReportAt, election.lastReportAt + HASTENED_INTERVAL);
+}
+
 /** Sends the report when it is due. */
 export function tickReports(context: RouterContext): void {
   const { state, now } = context;
   if (now < state.election.nextReportAt) {
     return;
   }
+  state.election.lastReportAt = now;
   state.election.nextReportAt = now + REPORT_INTERVAL;
   const samples: KeySample[] = [...state.keySamples].map(([service, keys]) => ({
     service,
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -1,5 +1,6 @@
 /** Where a request goes now: to the owner of its key, or to the server that should answer first. */
 import type { Milliseconds } from '../model/identifiers.js';
+import { hastenReport } from '../peers/follower-reports.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
@@ -60,6 +61,7 @@
     return { reason: `the owner ${unit.owner} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
   if (isFull(known, request, context.now)) {
+    hastenReport(context);
     return { reason: `the owner ${unit.owner} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
   }
   return known;
