--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -1,5 +1,5 @@
 /** Where a request goes now: to the owner of its key, or to the server that should answer first. */
-import type { Milliseconds } from '../model/identifiers.js';
+import type { Milliseconds, ServiceName } from '../model/identifiers.js';
 import { hastenReport } from '../peers/follower-reports.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
@@ -10,6 +10,8 @@
 const WAITING_PER_SLOT = 3;
 /** A request is not sent where it would take more than this part of its latency objective. */
 const USEFUL_PART = 0.95;
+/** Part of the connections that a server takes which the daemons use together. */
+const CONNECTION_PART = 0.9;
 /** Keyed requests follow a draining owner this part of the drain time, while its keys move. */
 const DRAIN_PART = 0.5;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
@@ -28,9 +30,20 @@
   return 'reason' in destination;
 }
 
+/** Requests that this daemon may have at one server: each takes a connection, and a server takes so many. */
+function mostInFlight(context: RouterContext, service: ServiceName): number {
+  const { configuration, daemons } = context.state;
+  const limit = configuration?.services.get(service)?.connectionLimit ?? Number.POSITIVE_INFINITY;
+  return Math.max(1, Math.floor((limit * CONNECTION_PART) / daemons));
+}
+
 /** A new request there would be shed, or answered too late to be of full use. */
-function isFull(known: KnownServer, request: ActiveRequest, now: Milliseconds): boolean {
+function isFull(context: RouterContext, known: KnownServer, request: ActiveRequest): boolean {
+  const { now } = context;
   const { load, server } = known;
+  if (load.inFlight.size >= mostInFlight(context, request.service)) {
+    return true;
+  }
   const busy = load.busy(now);
   if (busy < server.slots) {
     return false;
@@ -60,7 +73,7 @@
   if (load.avoidUntil > context.now && load.failures > 1) {
     return { reason: `the owner ${unit.owner} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
-  if (isFull(known, request, context.now)) {
+  if (isFull(context, known, request)) {
     hastenReport(context);
     return { reason: `the owner ${unit.owner} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
   }
@@ -77,6 +90,7 @@
     zone: identity.zone,
     random,
     tried: request.tried,
+    mostInFlight: mostInFlight(context, request.service),
   };
   const chosen =
     candidates === undefined
@@ -85,7 +99,7 @@
   if (chosen === undefined) {
     return { reason: 'no server takes requests', hold: true, retryAfter: FULL_RETRY_AFTER };
   }
-  if (isFull(chosen, request, context.now)) {
+  if (isFull(context, chosen, request)) {
     return { reason: 'every server is full', hold: true, retryAfter: FULL_RETRY_AFTER };
   }
   return chosen;
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -27,6 +27,8 @@
   readonly random: SeededRandom;
   /** Servers that the request has been sent to. */
   readonly tried: readonly ServerId[];
+  /** Requests that this daemon may have at one server. */
+  readonly mostInFlight: number;
 }
 
 function cost(candidate: Candidate, context: SelectionContext): Milliseconds {
@@ -40,6 +42,7 @@
   return (
     !candidate.server.draining &&
     candidate.load.avoidUntil <= context.now &&
+    candidate.load.inFlight.size < context.mostInFlight &&
     !candidate.load.isSilent(context.now) &&
     !context.tried.includes(candidate.server.id)
   );
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -151,6 +151,17 @@
     expect((only('answer')[0]?.retryAfter ?? 0) > 0).toEqual(true);
   });
 
+  // Found by a played day of 87 daemons: servers reset the connections that were more than they take.
+  it('keeps to its share of the connections that a server takes', () => {
+    event({ kind: 'serversListed', servers: [{ ...server('s1'), slots: 8 }], revision: 6 });
+    state.daemons = 3;
+    for (let requestId = 1; requestId <= 6; requestId += 1) {
+      arrive(requestId, '/read/1');
+    }
+    // A server of this service takes 10 connections: 9 are used, 3 by each daemon.
+    expect(only('forward').length).toEqual(3);
+  });
+
   it('goes to no more servers than the route allows', () => {
     arrive(1, '/read/1');
     ended(1, 1, LOST);
