Units are moved whole when there are as many as there may be; units go to owners of neighbouring keys that have room

Units that are cut out and given to strangers can hardly be joined again. Ruled out: lost reports (rates were there), servers that turned slow (none was then). Change: at the bound the plan goes on and moves units whole. A unit goes to the owner of neighbouring keys if that one has room, so that both can be joined. Tests: test/router/ownership/test-assignment-plan.ts, the first seen to fail before.

--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -2,10 +2,11 @@
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
-import { planService, type EligibleServer, type Mobility } from './assignment-plan.js';
+import { planService } from './assignment-plan.js';
 import { keyLoadOf } from './key-load.js';
 import type { Leadership } from './leadership-state.js';
 import { FIRST_ASSIGNMENT_WAIT, JOIN_INTERVAL, PLAN_INTERVAL } from './ownership-timing.js';
+import type { EligibleServer, Mobility } from './plan-input.js';
 import { joinUnits, unitName, type Unit } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
 import { withoutFinishedReleases, writeTable } from './table-write.js';
--- a/test/router/ownership/test-assignment-plan.ts
+++ b/test/router/ownership/test-assignment-plan.ts
@@ -1,10 +1,7 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
-import {
-  planService,
-  type EligibleServer,
-  type PlanInput,
-} from '../../../src/router/ownership/assignment-plan.js';
+import { planService } from '../../../src/router/ownership/assignment-plan.js';
+import type { EligibleServer, PlanInput } from '../../../src/router/ownership/plan-input.js';
 import type { KeyRate } from '../../../src/router/ownership/key-load.js';
 import {
   EMPTY_TABLE,
@@ -41,6 +38,11 @@
   return rates.reduce((sum, { key, rate }) => (owned(key) ? sum + rate : sum), 0);
 }
 
+/** A unit between whole keys. */
+function wholeKeys(unit: Unit): Unit {
+  return { ...unit, from: Math.ceil(unit.from), to: Math.ceil(unit.to + 1) - 1 };
+}
+
 /** Every key belongs to exactly one unit. */
 function isWhole(units: readonly Unit[]): boolean {
   let next = 0;
@@ -96,6 +98,45 @@
     expect(after.units.find((unit) => unit.from <= 10 && 10 <= unit.to)?.to).toEqual(10);
   });
 
+  // Found by a played day: at 178 units nothing was moved any more, while servers stood idle beside a full one.
+  it('moves units whole when there are as many as there may be', () => {
+    const known = servers(20, 20);
+    const keys = LAST_KEY + 1;
+    const units = Array.from({ length: 40 }, (_, index): Unit => {
+      const from = (index * keys) / 40;
+      const owner = index % 4 === 3 ? 's1' : 's0';
+      return {
+        service: 'racks',
+        from,
+        to: from + keys / 40 - 1,
+        owner,
+        fence: 3 + 2 * index,
+        releasing: null,
+      };
+    });
+    const rates = Array.from({ length: 40 }, (_, index) => ({ key: (index * keys) / 40 + 9, rate: 0.6 }));
+    const before: OwnershipTable = { term: 1, nextFence: 100, units: units.map(wholeKeys) };
+    const after = settle(before, input(known, rates));
+    expect(after.units.length).toEqual(40);
+    expect(isWhole(after.units)).toEqual(true);
+    expect(loadOf(after, rates, 's0') <= 14).toEqual(true);
+  });
+
+  it('gives the units of a server that is gone to owners of neighbouring keys that have room', () => {
+    const all = servers(20, 20, 20, 20, 20, 20);
+    const before = planService(EMPTY_TABLE, input(all, []));
+    const gone = before.units[4]?.owner;
+    const after = planService(
+      before,
+      input(
+        all.filter((server) => server.id !== gone),
+        [],
+      ),
+    );
+    const owners = [before.units[3]?.owner, before.units[5]?.owner];
+    expect(owners.includes(after.units[4]?.owner)).toEqual(true);
+  });
+
   it('leaves a balanced table alone', () => {
     const known = servers(20, 20, 20, 20);
     const rates = Array.from({ length: 64 }, (_, index) => ({ key: index * 1_024 + 5, rate: 0.7 }));
