A request that its owner reset is sent there again after 60 ms, not at once

Ruled out: a crash (the upstream says `shed`), other owners (a key has one). Change: a repeatable keyed request waits 60 ms after a lost attempt; a reset within 25 ms counts as a server that has at least as many requests waiting as it has slots. Test, seen to fail first: test/router/request/test-request-lifecycle.ts.

--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -9,6 +9,10 @@
 
 /** A held request is tried again this often. */
 const HELD_RETRY: Milliseconds = 15;
+/** A keyed request whose owner failed it is sent there again after this long: at once it would fail again. */
+const OWNER_RETRY: Milliseconds = 60;
+/** A connection that is reset this soon, with no answer begun, was most likely shed by a full server. */
+const SHED_WITHIN: Milliseconds = 25;
 /** A server that is full gets nothing for this long. */
 const FULL_AVOIDANCE: Milliseconds = 40;
 /** When a caller should come back if nothing better is known. */
@@ -106,14 +110,22 @@
   known: KnownServer | undefined,
   result: Extract<AttemptResult, { kind: 'lost' }>,
 ): void {
+  const { now } = context;
   request.mayHaveRun = true;
-  avoidAfterFailure(known, context.now);
+  avoidAfterFailure(known, now);
+  if (known !== undefined && now - request.attemptStartedAt < SHED_WITHIN) {
+    known.load.noteShed(known.server.slots, now);
+  }
   if (result.answerBegun) {
     context.state.requests.delete(request.id);
     context.state.counters.failed += 1;
     logEnd(context, request, 'broken_off', 0, result.reason);
     return;
   }
+  if (request.route.repeatable && request.key !== null) {
+    request.retryAt = now + OWNER_RETRY;
+    return;
+  }
   if (request.route.repeatable) {
     dispatch(context, request);
     return;
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -69,6 +69,11 @@
     this.#reportedAt = now;
   }
 
+  /** The server shed a request without a word: it has at least as many waiting as it has slots. */
+  noteShed(slots: number, now: Milliseconds): void {
+    this.report({ running: slots, waiting: slots, slots }, now);
+  }
+
   /** Takes in how long an answer took; `waited`: the server may have let the request wait for a slot. */
   answered(duration: Milliseconds, now: Milliseconds, waited: boolean): void {
     this.lastAnswerAt = now;
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -4,6 +4,7 @@
 import type { AttemptResult, RouterEvent } from '../../../src/router/events.js';
 import type { Configuration } from '../../../src/router/model/configuration.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
+import { OwnershipView } from '../../../src/router/ownership/ownership-view.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 
@@ -32,8 +33,22 @@
       maxAttempts: 2,
       targets: [{ service: 'logs', weight: 1 }],
     },
+    {
+      name: 'rack',
+      host: 'h.example',
+      pathPrefix: '/rack/',
+      repeatable: true,
+      timeout: 1_000,
+      latencyObjective: 400,
+      priority: 1,
+      maxAttempts: 2,
+      targets: [{ service: 'racks', weight: 1 }],
+    },
   ],
-  services: new Map([['logs', { name: 'logs', keyed: false, connectionLimit: 10, healthPath: '/health' }]]),
+  services: new Map([
+    ['logs', { name: 'logs', keyed: false, connectionLimit: 10, healthPath: '/health' }],
+    ['racks', { name: 'racks', keyed: true, connectionLimit: 50, healthPath: '/health' }],
+  ]),
   limits: { headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
 };
 
@@ -56,7 +71,12 @@
   }
 }
 
-function arrive(requestId: number, target: string, callerPatience: number | null = 900): void {
+function arrive(
+  requestId: number,
+  target: string,
+  callerPatience: number | null = 900,
+  key: number | null = null,
+): void {
   const attemptId = `a-${requestId}`;
   event({
     kind: 'requestArrived',
@@ -66,7 +86,7 @@
     host: 'h.example',
     target,
     callerPatience,
-    key: null,
+    key,
   });
 }
 
@@ -242,4 +262,17 @@
     ticksUntil(1_900);
     expect(only('cancel')).toEqual([]);
   });
+
+  // Found by a played day: the second attempt met the same full owner within 2 ms, and nothing was left to try.
+  it('waits a moment before it sends a request to an owner again that has reset it', () => {
+    const owner: ServerDescription = { ...server('s9'), service: 'racks' };
+    event({ kind: 'serverChanged', id: 's9', server: owner, revision: 6 });
+    const unit = { service: 'racks', from: 0, to: 65_535, owner: 's9', fence: 3, releasing: null };
+    state.view = new OwnershipView(1, 1, [{ ...unit, granted: true }]);
+    arrive(1, '/rack/1', 900, 7);
+    ended(1, 1, LOST);
+    expect(only('forward').length).toEqual(1);
+    ticksUntil(now + 200);
+    expect(only('forward').length).toEqual(2);
+  });
 });
