Feeds read less: bursts are paced, and only a feed that stays behind is read anew

Ruled out: the leader's own writes (77 calls, needed), elections (26). Change: `WatchPacing` (150 ms, growing to 400 ms while a burst lasts); daemons compare the highest revision of a server's entry, wait 600 ms for their own watch, and read anew the one feed that is behind, once for each news (`feed-lag.ts`).

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -1,11 +1,10 @@
 /** Follows a list in the platform: lists it, watches it, and lists anew when the watch lost its place. */
 import type { FeedChange, FeedSource } from '../router/ports.js';
+import { WatchPacing } from './watch-pacing.js';
 
 const WATCH_MILLISECONDS = 20_000;
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 800;
-/** Changes that come in a burst are fetched by one call. */
-const REARM_MILLISECONDS = 150;
 
 /** What a feed tells its owner. */
 export interface FeedListener<Item> {
@@ -22,6 +21,7 @@
   #closed = false;
   #healthy = true;
   #failures = 0;
+  readonly #pacing = new WatchPacing();
   #refreshWanted = false;
   #abort = new AbortController();
 
@@ -35,9 +35,10 @@
     while (!this.#closed) {
       this.#abort = new AbortController();
       this.#refreshWanted = false;
+      const startedAt = performance.now();
       const succeeded = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
       this.#noteHealth(succeeded);
-      await this.#pause(succeeded ? REARM_MILLISECONDS : this.#retryDelay());
+      await this.#pause(succeeded ? this.#pacing.next(performance.now() - startedAt) : this.#retryDelay());
     }
   }
 
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -198,9 +198,8 @@
         return void this.#read(effect);
       case 'writeObject':
         return void this.#write(effect);
-      case 'refreshFeeds':
-        this.#configurationFeed.refresh();
-        return this.#serverFeed.refresh();
+      case 'refreshFeed':
+        return (effect.feed === 'servers' ? this.#serverFeed : this.#configurationFeed).refresh();
       case 'follow':
         return this.#peers.follow(effect.address);
       case 'sendToLeader':
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -14,9 +14,12 @@
   /** The revision that is replaced, or null to create the object. */
   readonly revision: number | null;
 }
-/** Reads configuration and servers anew: what is believed may be old. */
-export interface RefreshFeedsEffect {
-  readonly kind: 'refreshFeeds';
+/** What is read from the store and watched there. */
+export type FeedName = 'configuration' | 'servers';
+/** Reads a feed anew: what is believed may be old. */
+export interface RefreshFeedEffect {
+  readonly kind: 'refreshFeed';
+  readonly feed: FeedName;
 }
 /** A grant or a release at a server, or a probe: whether it is still the same one. */
 export interface ControlEffect {
@@ -95,7 +98,7 @@
 export type Effect =
   | ReadObjectEffect
   | WriteObjectEffect
-  | RefreshFeedsEffect
+  | RefreshFeedEffect
   | ControlEffect
   | ForwardEffect
   | CancelEffect
--- a/src/router/model/server.ts
+++ b/src/router/model/server.ts
@@ -16,4 +16,6 @@
   readonly warmupLeft: Milliseconds;
   /** Grows with every entry made in the list. */
   readonly listedAt: number;
+  /** Revision of the entry: rises with every change of it. */
+  readonly revision: number;
 }
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -5,6 +5,7 @@
  */
 import type { LeaderLinkEvent, ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
 import type { Milliseconds } from '../model/identifiers.js';
+import { noteVersionsOf } from '../feed-lag.js';
 import type { Heartbeat } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
 import type { Candidacy } from './election-state.js';
@@ -342,12 +343,7 @@
       budget.shareAmong(heartbeat.daemons);
     }
   }
-  const behind =
-    heartbeat.configurationVersion > (state.configuration?.version ?? 0) ||
-    heartbeat.serversRevision > (state.serversRevision ?? 0);
-  if (behind) {
-    context.emit({ kind: 'refreshFeeds' });
-  }
+  noteVersionsOf(context, heartbeat);
 }
 
 /** The connection to the leader ended. */
--- a/src/router/ownership/leader-followers.ts
+++ b/src/router/ownership/leader-followers.ts
@@ -1,4 +1,5 @@
 /** What the leader tells the other daemons, and what it hears from them. */
+import { noteVersionsOf } from '../feed-lag.js';
 import type { RouterContext } from '../router-context.js';
 import type { Heartbeat, Ownership, Report } from '../peers/messages.js';
 import { keyLoadOf } from './key-load.js';
@@ -70,7 +71,7 @@
     confirmationAge: Math.max(0, Math.round(now - leadership.confirmedAt)),
     daemons: state.daemons,
     configurationVersion: state.configuration?.version ?? 0,
-    serversRevision: state.serversRevision ?? 0,
+    serversRevision: state.newestServerRevision,
   };
 }
 
@@ -121,12 +122,7 @@
   for (const times of report.times) {
     state.servers.get(times.server)?.load.observed(times);
   }
-  const behind =
-    report.configurationVersion > (state.configuration?.version ?? 0) ||
-    report.serversRevision > (state.serversRevision ?? 0);
-  if (behind) {
-    context.emit({ kind: 'refreshFeeds' });
-  }
+  noteVersionsOf(context, report);
 }
 
 /** A follower's connection ended. */
--- a/src/router/peers/follower-reports.ts
+++ b/src/router/peers/follower-reports.ts
@@ -52,7 +52,7 @@
       daemon: state.identity.daemon,
       life: state.identity.life,
       configurationVersion: state.configuration?.version ?? 0,
-      serversRevision: state.serversRevision ?? 0,
+      serversRevision: state.newestServerRevision,
       ownershipSequence: state.view.term === state.election.leader?.term ? state.view.sequence : 0,
       samples,
       times: takeTimes(context),
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -18,6 +18,7 @@
   readonly daemon: DaemonName;
   readonly life: number;
   readonly configurationVersion: number;
+  /** The highest revision of a server's entry. */
   readonly serversRevision: number;
   /** Of the view that it has, or 0 when that is of another term. */
   readonly ownershipSequence: number;
@@ -33,6 +34,7 @@
   /** Daemons that are connected, the leader among them. */
   readonly daemons: number;
   readonly configurationVersion: number;
+  /** The highest revision of a server's entry. */
   readonly serversRevision: number;
 }
 /** A unit in a statement of ownership. */
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -1,6 +1,8 @@
 /** All that one daemon knows. The reducer changes it in place; nothing else does. */
 import { SeededRandom } from '../core/random.js';
 import { createRouterCounters, type RouterCounters } from './counters.js';
+import type { FeedName } from './effects.js';
+import { createFeedLag, type FeedLag } from './feed-lag.js';
 import type { Configuration } from './model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
@@ -47,8 +49,11 @@
   readonly counters: RouterCounters;
   configuration: Configuration | null;
   routes: RouteTable;
-  /** Null before the first list. */
+  /** Of the store when the servers were read last; null before the first list. */
   serversRevision: number | null;
+  /** The highest revision of a server's entry: the same at daemons that know the same entries. */
+  newestServerRevision: number;
+  readonly feedLags: Readonly<Record<FeedName, FeedLag>>;
   readonly servers: Map<ServerId, KnownServer>;
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
   readonly profiles: Map<ServiceName, ServiceProfile>;
@@ -82,6 +87,8 @@
     configuration: null,
     routes: new RouteTable([]),
     serversRevision: null,
+    newestServerRevision: 0,
+    feedLags: { configuration: createFeedLag(), servers: createFeedLag() },
     servers: new Map(),
     serversByService: new Map(),
     profiles: new Map(),
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -79,6 +79,7 @@
 function putServer(context: RouterContext, server: ServerDescription, revision: number): void {
   const { servers, serversByService } = context.state;
   const known = servers.get(server.id);
+  context.state.newestServerRevision = Math.max(context.state.newestServerRevision, server.revision);
   if (known === undefined) {
     const added: KnownServer = {
       server,
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -54,7 +54,17 @@
 
 function server(id: string): ServerDescription {
   const address = `10.0.0.${id.slice(1)}:80`;
-  return { id, service: 'logs', address, zone: 'z', slots: 2, draining: false, warmupLeft: 0, listedAt: 1 };
+  return {
+    id,
+    service: 'logs',
+    address,
+    zone: 'z',
+    slots: 2,
+    draining: false,
+    warmupLeft: 0,
+    listedAt: 1,
+    revision: 1,
+  };
 }
 
 let state: RouterState;
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -88,6 +88,7 @@
       draining: false,
       warmupLeft: 0,
       listedAt: this.#nextServer,
+      revision: this.#revision,
     });
     this.#publish();
     return server;
