A call that is given up resets its connection: a grant that timed out behind a partition cannot arrive late

At 24.43 the leader granted keys with fence 181 to a server that had just been partitioned. The call timed out after 0.3 s and its socket was closed; but a close leaves what was written to the kernel, which went on sending it. The leader waited the server's lease out (2.7 s) and granted the keys to another server with fence 233. The partition healed at 30.0, and at 30.69 the kernel delivered the grant of second 24.43: the server, which had seen no higher fence, took the keys beside their new owner. Still open: a leader that is killed at once while such a call is held up cannot reset it (docs/PROOF.md).

--- a/src/http-client/index.ts
+++ b/src/http-client/index.ts
@@ -3,7 +3,6 @@
  * caches and web sockets as well, which is a fourth of a router's whole start (docs/design/platform.md).
  */
 import request from 'undici/lib/api/api-request.js';
-import buildConnector from 'undici/lib/core/connect.js';
 import Agent from 'undici/lib/dispatcher/agent.js';
 import Client from 'undici/lib/dispatcher/client.js';
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
@@ -12,4 +11,5 @@
 // The index puts the calls that share a dispatcher onto it; this one is used here.
 Object.assign(Dispatcher.prototype, { request });
 
-export { Agent, buildConnector, Client, Dispatcher, Pool };
+export { Agent, Client, Dispatcher, Pool };
+export { buildResettingConnector } from './resetting-connector.js';
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -3,7 +3,7 @@
  * open; one on which anything was odd is never used again.
  */
 import type { Dispatcher } from 'undici';
-import { buildConnector, Client } from '../http-client/index.js';
+import { buildResettingConnector, Client } from '../http-client/index.js';
 import type { Socket } from 'node:net';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
@@ -14,7 +14,7 @@
 /** Connections of this daemon to one server. */
 const MOST_PER_SERVER = 24;
 
-const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+const connector = buildResettingConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
 
 /** One connection to a server. */
 export class ServerConnection {
