Failed try taken back: the port for callers opens with the rest of the router again

Idea: while the rest of the program is loaded (0.4 s on these machines), callers wait in the port's queue rather than be turned away. `listen` stands once for all ports of the router.

--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -2,18 +2,19 @@
  * Reads whole requests of callers, hands them to the reducer, and carries attempts and answers out. Uses the
  * runtime's own HTTP server: a layer above it would cost more than the work itself.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AnswerEffect, CancelEffect, ForwardEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import { LAST_KEY } from '../router/model/identifiers.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { Attempt, type AnswerSink } from './attempt.js';
-import { listen } from './caller-port.js';
 import { forwardedHeaders, headerValue } from './headers.js';
+import { listen } from './listen.js';
 import type { ServerConnections } from './server-connections.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
+const CONNECTIONS_CHECK_MILLISECONDS = 1_000;
 const FIRST_HEADER_TIMEOUT_MILLISECONDS = 10_000;
 const FIRST_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 /** Bodies before the first configuration. */
@@ -43,9 +44,7 @@
   #bodyBytes = FIRST_BODY_BYTES;
   #closing = false;
 
-  /** @param server for callers; it may listen already */
   constructor(
-    server: Server,
     protocol: RequestProtocol,
     connections: ServerConnections,
     dispatch: (event: RouterEvent) => void,
@@ -54,8 +53,10 @@
     this.#connections = connections;
     this.#dispatch = dispatch;
     this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
-    this.server = server;
-    this.server.on('request', (incoming, outgoing) => this.#receive(incoming, outgoing));
+    this.server = createServer(
+      { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
+      (incoming, outgoing) => this.#receive(incoming, outgoing),
+    );
     this.server.headersTimeout = FIRST_HEADER_TIMEOUT_MILLISECONDS;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = FIRST_IDLE_TIMEOUT_MILLISECONDS;
@@ -66,11 +67,9 @@
     return this.#exchanges.size;
   }
 
-  /** Listens for callers, unless the server does so already. Rejects when the address is taken. */
-  async listen(address: string): Promise<void> {
-    if (!this.server.listening) {
-      await listen(this.server, address);
-    }
+  /** Listens for callers. Rejects when the address is taken. */
+  listen(address: string): Promise<void> {
+    return listen(this.server, address);
   }
 
   /** Puts limits in force; those on connections hold from their next request. */
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -6,6 +6,7 @@
 import type { PeerMessage } from '../router/peers/messages.js';
 import { FrameReader } from '../runtime/peer-transport.js';
 import { splitAddress } from '../settings/address.js';
+import { listen } from './listen.js';
 import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
 
 const LENGTH_BYTES = 4;
@@ -51,11 +52,7 @@
 
   /** Listens for followers. Rejects when the address is taken. */
   listen(address: string): Promise<void> {
-    const { host, port } = splitAddress(address);
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return listen(this.#server, address);
   }
 
   /** Keeps a connection to the leader at an address; to none when it is null. */
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -20,8 +20,8 @@
   type RouterState,
 } from '../router/router-state.js';
 import { CallerFront } from './caller-front.js';
-import { createCallerServer, listen } from './caller-port.js';
 import { EventLog } from './event-log.js';
+import { listen } from './listen.js';
 import { ObjectFeed } from './object-feed.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
@@ -57,17 +57,14 @@
   readonly #serverFeed: ObjectFeed<ServerDescription>;
   #timer: NodeJS.Timeout | undefined;
 
-  /** @param callerServer for callers, if it listens already */
-  constructor(settings: RouterSettings, platform: Platform, callerServer: Server = createCallerServer()) {
+  constructor(settings: RouterSettings, platform: Platform) {
     this.#settings = settings;
     this.#platform = platform;
     const { daemon, zone, listen: addresses } = settings;
     const identity = { daemon, zone, peerAddress: addresses.peers, life: randomInt(1, LARGEST_LIFE) };
     this.state = createRouterState(identity, boundsOf(settings), identity.life);
     this.#log = new EventLog(daemon, this.state.counters);
-    this.#front = new CallerFront(callerServer, platform.protocol, this.#connections, (event) =>
-      this.dispatch(event),
-    );
+    this.#front = new CallerFront(platform.protocol, this.#connections, (event) => this.dispatch(event));
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
       onLeft: (link) => this.dispatch({ kind: 'peerLeft', link }),
--- a/test/router-runtime/test-caller-front.ts
+++ b/test/router-runtime/test-caller-front.ts
@@ -3,7 +3,6 @@
 import { afterEach, describe, it } from 'node:test';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
-import { createCallerServer } from '../../src/router-runtime/caller-port.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { RouterEvent } from '../../src/router/events.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
@@ -31,7 +30,7 @@
   const backend = await RawServer.start(respond);
   server = backend;
   const events: RouterEvent[] = [];
-  const made = new CallerFront(createCallerServer(), REQUEST_PROTOCOL, connections, (event) => {
+  const made = new CallerFront(REQUEST_PROTOCOL, connections, (event) => {
     events.push(event);
     if (event.kind === 'requestArrived') {
       const { requestId } = event;
