--- a/src/capacity/measure-control.ts
+++ b/src/capacity/measure-control.ts
@@ -13,7 +13,6 @@
 const WARM_UP = 12_000;
 const MEASURED = 10_000;
 const MILLISECONDS_PER_SECOND = 1_000;
-const MICROSECONDS_PER_MILLISECOND = 1_000;
 /** Half of the requests ask for keys of a busy range, as the users' do. */
 const BUSY_SHARE = 0.5;
 const BUSY_KEYS = 2_000;
@@ -40,47 +39,51 @@
   };
 }
 
-/** Processor time within one interval, in milliseconds. */
-interface IntervalTimes {
+/** A follower's report on its link. */
+interface ReportBytes {
+  readonly link: number;
+  readonly bytes: Uint8Array;
+}
+
+/** Time spent within one tick, in milliseconds. */
+interface TickTimes {
   readonly leader: number;
   readonly follower: number;
 }
 
-/** Processor time that an action takes, in milliseconds. */
+/** How long an action takes, in milliseconds. Nothing else runs on this thread. */
 function timed(action: () => void): number {
-  const startedAt = process.cpuUsage();
+  const startedAt = performance.now();
   action();
-  const { user, system } = process.cpuUsage(startedAt);
-  return (user + system) / MICROSECONDS_PER_MILLISECOND;
+  return performance.now() - startedAt;
 }
 
-/** One interval between two reports of a follower, so that what is timed is long against the clock. */
-function runInterval(
-  world: PromptWorld,
-  follower: RouterState,
-  reports: readonly Uint8Array[],
-): IntervalTimes {
-  const ticks = REPORT_INTERVAL / TICK;
-  const startedAt = world.now;
+/** The reports that come in with one tick, as bytes: each follower tells what it knows by then. */
+function reportsAt(shape: Shape, tick: number, random: SeededRandom, leader: RouterState): ReportBytes[] {
+  const slots = REPORT_INTERVAL / TICK;
+  const reports: ReportBytes[] = [];
+  for (let follower = tick % slots; follower < shape.daemons - 1; follower += slots) {
+    reports.push({
+      link: follower + 1,
+      bytes: encodePeerMessage(makeReport(shape, follower, random, leader)),
+    });
+  }
+  return reports;
+}
+
+/** One tick of the leader and of a follower. */
+function runTick(world: PromptWorld, follower: RouterState, reports: readonly ReportBytes[]): TickTimes {
   const leader = timed(() => {
-    for (let tick = 0; tick < ticks; tick += 1) {
-      world.now = startedAt + tick * TICK;
-      reports.forEach((report, index) =>
-        index % ticks === tick ? world.report(index + 1, report) : undefined,
-      );
-      world.dispatch({ kind: 'tick' });
-    }
+    reports.forEach(({ link, bytes }) => world.report(link, bytes));
+    world.dispatch({ kind: 'tick' });
   });
   const broadcasts = world.broadcasts.splice(0);
   const followerTime = timed(() => {
     for (const message of broadcasts) {
       reduce(follower, world.now, { kind: 'peerMessage', link: 0, message });
     }
-    for (let tick = 0; tick < ticks; tick += 1) {
-      reduce(follower, startedAt + tick * TICK, { kind: 'tick' });
-    }
+    reduce(follower, world.now, { kind: 'tick' });
   });
-  world.now = startedAt + REPORT_INTERVAL;
   return { leader, follower: followerTime };
 }
 
@@ -90,17 +93,15 @@
   const follower = createDaemon(2, shape.servers);
   const random = new SeededRandom(1);
   const times = { leader: 0, follower: 0 };
-  while (world.now < WARM_UP + MEASURED) {
+  for (let tick = 0; tick * TICK < WARM_UP + MEASURED; tick += 1) {
+    world.now = tick * TICK;
     if (world.now === WARM_UP) {
       Object.assign(times, { leader: 0, follower: 0 });
       world.resetCounts();
     }
-    const reports = Array.from({ length: shape.daemons - 1 }, (_, index) =>
-      encodePeerMessage(makeReport(shape, index, random, world.leader)),
-    );
-    const interval = runInterval(world, follower, reports);
-    times.leader += interval.leader;
-    times.follower += interval.follower;
+    const spent = runTick(world, follower, reportsAt(shape, tick, random, world.leader));
+    times.leader += spent.leader;
+    times.follower += spent.follower;
   }
   const seconds = MEASURED / MILLISECONDS_PER_SECOND;
   return {
