--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -1,4 +1,6 @@
-/** Follows a list in the platform: lists it, watches it, and lists anew when the watch lost its place. */
+/**
+ * Follows a list in the platform while it is wanted: lists it, watches it, and lists anew when the watch lost its place.
+ */
 import type { FeedChange, FeedSource } from '../router/ports.js';
 import { WatchPacing } from './watch-pacing.js';
 
@@ -23,6 +25,8 @@
   #failures = 0;
   readonly #pacing = new WatchPacing();
   #refreshWanted = false;
+  #wanted = false;
+  #wake: () => void = () => undefined;
   #abort = new AbortController();
 
   constructor(source: FeedSource<Item>, listener: FeedListener<Item>) {
@@ -30,24 +34,47 @@
     this.#listener = listener;
   }
 
-  /** Follows the list until it is closed. */
+  /** Works until it is closed. */
   async run(): Promise<void> {
     while (!this.#closed) {
-      this.#abort = new AbortController();
-      this.#refreshWanted = false;
-      const startedAt = performance.now();
-      const succeeded = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
-      this.#noteHealth(succeeded);
-      await this.#pause(succeeded ? this.#pacing.next(performance.now() - startedAt) : this.#retryDelay());
+      if (this.#wanted || this.#refreshWanted) {
+        await this.#followOnce();
+      } else {
+        await new Promise<void>((resolve) => {
+          this.#wake = resolve;
+        });
+      }
     }
   }
 
+  async #followOnce(): Promise<void> {
+    this.#abort = new AbortController();
+    this.#refreshWanted = false;
+    const startedAt = performance.now();
+    const succeeded = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
+    this.#noteHealth(succeeded);
+    await this.#pause(succeeded ? this.#pacing.next(performance.now() - startedAt) : this.#retryDelay());
+  }
+
+  /** Begins to follow the list after a revision up to which everything is known; null: nothing is. */
+  begin(revision: number | null): void {
+    this.#wanted = true;
+    this.#revision = revision ?? this.#revision;
+    this.#wake();
+  }
+
+  /** Follows the list no more. A watch that waits goes on waiting: it is paid for, and its news are taken. */
+  cease(): void {
+    this.#wanted = false;
+  }
+
   /** Lists anew at once: what is known may be old. */
   refresh(): void {
-    if (!this.#refreshWanted && this.#revision !== null) {
+    if (!this.#refreshWanted) {
       this.#refreshWanted = true;
       this.#revision = null;
       this.#abort.abort();
+      this.#wake();
     }
   }
 
@@ -55,6 +82,7 @@
   close(): void {
     this.#closed = true;
     this.#abort.abort();
+    this.#wake();
   }
 
   async #list(): Promise<boolean> {
--- a/src/router-runtime/peer-codec.ts
+++ b/src/router-runtime/peer-codec.ts
@@ -1,7 +1,9 @@
 /** Turns messages between daemons into bytes and back, by the generated protobuf codec. */
 import { err, ok, type Result } from 'neverthrow';
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import protobuf from 'protobufjs/minimal.js';
 import { WireError } from '../errors.js';
+import type { Configuration, Service } from '../router/model/configuration.js';
 import type { PeerMessage } from '../router/peers/messages.js';
 import { router } from '../wire/generated/router.js';
 
@@ -10,22 +12,60 @@
 protobuf.configure();
 
 const TO_OBJECT = { defaults: true, arrays: true, oneofs: true } as const;
+/** Shorter frames are not worth the time to deflate them. */
+const DEFLATED_FROM_BYTES = 4_096;
+/** A frame that is longer than this once inflated is nonsense. */
+const LARGEST_INFLATED_BYTES = 16 * 1024 * 1024;
+/** Lists of servers and configurations repeat themselves: the quickest level finds nearly all of it. */
+const DEFLATE_LEVEL = 1;
+
+/** A configuration as it travels: its services are a list. */
+function toWire(message: PeerMessage): object {
+  if (message.kind !== 'configurationNews') {
+    return message;
+  }
+  const { configuration, revision } = message;
+  return { revision, configuration: { ...configuration, services: [...configuration.services.values()] } };
+}
+
+type WireConfiguration = Omit<Configuration, 'services'> & { readonly services: Service[] };
+
+function fromWire(kind: string, fields: object): PeerMessage {
+  if (kind !== 'configurationNews') {
+    return { ...fields, kind } as unknown as PeerMessage;
+  }
+  const { revision, configuration } = fields as { revision: number; configuration: WireConfiguration };
+  const services = new Map(configuration.services.map((service) => [service.name, service]));
+  return { kind, revision, configuration: { ...configuration, services } };
+}
 
 /** The bytes of a message. */
 export function encodePeerMessage(message: PeerMessage): Uint8Array {
-  return router.Frame.encode({ [message.kind]: message } as router.IFrame).finish();
+  const bytes = router.Frame.encode({ [message.kind]: toWire(message) } as router.IFrame).finish();
+  if (bytes.length < DEFLATED_FROM_BYTES) {
+    return bytes;
+  }
+  return router.Frame.encode({ deflated: deflateRawSync(bytes, { level: DEFLATE_LEVEL }) }).finish();
+}
+
+function decodeFrame(bytes: Uint8Array): router.Frame {
+  const frame = router.Frame.decode(bytes);
+  return frame.payload === 'deflated'
+    ? router.Frame.decode(
+        inflateRawSync(frame.deflated ?? Buffer.alloc(0), { maxOutputLength: LARGEST_INFLATED_BYTES }),
+      )
+    : frame;
 }
 
 /** The message in some bytes, or an error that names the peer the bytes came from. */
 export function decodePeerMessage(bytes: Uint8Array, peer: string): Result<PeerMessage, WireError> {
   try {
-    const decoded = router.Frame.decode(bytes);
+    const decoded = decodeFrame(bytes);
     const kind = decoded.payload;
-    if (kind === undefined) {
+    if (kind === undefined || kind === 'deflated') {
       return err(new WireError('decode peer message', peer, 'no payload'));
     }
-    const fields = router.Frame.toObject(decoded, TO_OBJECT)[kind] as object;
-    return ok({ ...fields, kind } as unknown as PeerMessage);
+    return ok(fromWire(kind, router.Frame.toObject(decoded, TO_OBJECT)[kind] as object));
   } catch (cause) {
     const detail = cause instanceof Error ? cause.message : String(cause);
     return err(new WireError('decode peer message', peer, detail));
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -1,6 +1,6 @@
 /**
- * Connections between daemons: each follower holds one to the leader; messages go both ways on it, as
- * protobuf frames with a length before each. Delivery is best effort.
+ * Connections between daemons: each child holds one to its parent; messages go both ways on it, as protobuf frames with
+ * a length before each. Delivery is best effort.
  */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import type { PeerMessage } from '../router/peers/messages.js';
@@ -14,16 +14,18 @@
 const LARGEST_BACKLOG_BYTES = 1024 * 1024;
 const RECONNECT_MILLISECONDS = 150;
 const CONNECT_TIMEOUT_MILLISECONDS = 600;
-/** A connection to a leader that says nothing for this long is made anew. */
+/** A connection to a parent that says nothing for this long is made anew. */
 const SILENCE_MILLISECONDS = 1_500;
 
 /** What the links tell their owner. */
 export interface PeerLinksListener {
   onMessage(link: number, message: PeerMessage): void;
-  /** A follower's connection ended. */
+  /** A child's connection ended. */
   onLeft(link: number): void;
-  /** The connection to the leader ended or could not be made. */
-  onLeaderClosed(address: string, refused: boolean): void;
+  /** The connection to the parent is up. */
+  onParentOpened(): void;
+  /** The connection to the parent ended or could not be made. */
+  onParentClosed(address: string, refused: boolean): void;
   onMalformed(peer: string, detail: string): void;
 }
 
@@ -38,10 +40,10 @@
 export class PeerLinks {
   readonly #listener: PeerLinksListener;
   readonly #server: Server;
-  readonly #followers = new Map<number, Socket>();
+  readonly #children = new Map<number, Socket>();
   #nextLink = 1;
-  #leaderAddress: string | null = null;
-  #leader: Socket | null = null;
+  #parentAddress: string | null = null;
+  #parent: Socket | null = null;
   #reconnect: NodeJS.Timeout | undefined;
   #closed = false;
 
@@ -50,39 +52,39 @@
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
-  /** Listens for followers. Rejects when the address is taken. */
+  /** Listens for children. Rejects when the address is taken. */
   listen(address: string): Promise<void> {
     return listen(this.#server, address);
   }
 
-  /** Keeps a connection to the leader at an address; to none when it is null. */
+  /** Keeps a connection to the parent at an address; to none when it is null. */
   follow(address: string | null): void {
-    this.#leaderAddress = address;
+    this.#parentAddress = address;
     clearTimeout(this.#reconnect);
-    const former = this.#leader;
-    this.#leader = null;
+    const former = this.#parent;
+    this.#parent = null;
     former?.destroy();
     this.#connect();
   }
 
-  /** Sends to the leader, if there is a connection. */
-  sendToLeader(message: PeerMessage): void {
-    if (this.#leader !== null) {
-      this.#write(this.#leader, frame(message));
+  /** Sends to the parent, if there is a connection. */
+  sendToParent(message: PeerMessage): void {
+    if (this.#parent !== null) {
+      this.#write(this.#parent, frame(message));
     }
   }
 
-  /** Sends to one follower, or to all. */
-  sendToFollowers(link: number | null, message: PeerMessage): void {
+  /** Sends to one child, or to all. */
+  sendToChildren(link: number | null, message: PeerMessage): void {
     const bytes = frame(message);
     if (link !== null) {
-      const socket = this.#followers.get(link);
+      const socket = this.#children.get(link);
       if (socket !== undefined) {
         this.#write(socket, bytes);
       }
       return;
     }
-    for (const socket of this.#followers.values()) {
+    for (const socket of this.#children.values()) {
       this.#write(socket, bytes);
     }
   }
@@ -91,9 +93,9 @@
   close(): void {
     this.#closed = true;
     clearTimeout(this.#reconnect);
-    this.#leader?.destroy();
+    this.#parent?.destroy();
     this.#server.close();
-    for (const socket of this.#followers.values()) {
+    for (const socket of this.#children.values()) {
       socket.destroy();
     }
   }
@@ -107,24 +109,27 @@
   }
 
   #connect(): void {
-    const address = this.#leaderAddress;
+    const address = this.#parentAddress;
     if (address === null || this.#closed) {
       return;
     }
     const { host, port } = splitAddress(address);
     const socket = createConnection({ host, port, noDelay: true });
-    this.#leader = socket;
+    this.#parent = socket;
     let refused = false;
     socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS, () => socket.destroy());
-    socket.once('connect', () => socket.setTimeout(SILENCE_MILLISECONDS));
+    socket.once('connect', () => {
+      socket.setTimeout(SILENCE_MILLISECONDS);
+      this.#listener.onParentOpened();
+    });
     socket.on('error', (error: NodeJS.ErrnoException) => {
       refused = error.code === 'ECONNREFUSED';
     });
     socket.on('close', () => {
-      if (this.#leader === socket) {
-        this.#leader = null;
+      if (this.#parent === socket) {
+        this.#parent = null;
         this.#reconnect = setTimeout(() => this.#connect(), RECONNECT_MILLISECONDS);
-        this.#listener.onLeaderClosed(address, refused);
+        this.#listener.onParentClosed(address, refused);
       }
     });
     this.#read(socket, 0);
@@ -133,11 +138,11 @@
   #accept(socket: Socket): void {
     const link = this.#nextLink;
     this.#nextLink += 1;
-    this.#followers.set(link, socket);
+    this.#children.set(link, socket);
     socket.setNoDelay(true);
     socket.on('error', () => undefined);
     socket.on('close', () => {
-      this.#followers.delete(link);
+      this.#children.delete(link);
       this.#listener.onLeft(link);
     });
     this.#read(socket, link);
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -6,9 +6,15 @@
 import { createServer, type Server } from 'node:http';
 import { randomInt } from 'node:crypto';
 import type { SettingsError } from '../errors.js';
-import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
+import type {
+  ControlEffect,
+  Effect,
+  FollowStoreEffect,
+  ReadObjectEffect,
+  WriteObjectEffect,
+} from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
-import type { Configuration } from '../router/model/configuration.js';
+import type { CallerLimits, Configuration } from '../router/model/configuration.js';
 import type { ServerDescription } from '../router/model/server.js';
 import type { FeedChange, FeedSource, Platform } from '../router/ports.js';
 import { reduce } from '../router/reducer.js';
@@ -38,8 +44,9 @@
 const OK = 200;
 const UNAVAILABLE = 503;
 
-function boundsOf({ timing, retries }: RouterSettings): RouterBounds {
-  return { retries, drain: timing.drain, longestLease: timing.longestLease };
+function boundsOf({ timing, retries, processor }: RouterSettings): RouterBounds {
+  const processorPower = processor.share * processor.speed;
+  return { retries, drain: timing.drain, longestLease: timing.longestLease, processorPower };
 }
 
 export class RouterDaemon {
@@ -56,6 +63,8 @@
   readonly #configurationFeed: ObjectFeed<Configuration>;
   readonly #serverFeed: ObjectFeed<ServerDescription>;
   #timer: NodeJS.Timeout | undefined;
+  /** Those in force at the front. */
+  #limits: CallerLimits | null = null;
 
   constructor(settings: RouterSettings, platform: Platform) {
     this.#settings = settings;
@@ -68,7 +77,8 @@
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
       onLeft: (link) => this.dispatch({ kind: 'peerLeft', link }),
-      onLeaderClosed: (address, refused) => this.dispatch({ kind: 'leaderLinkClosed', address, refused }),
+      onParentOpened: () => this.dispatch({ kind: 'parentLinkOpened' }),
+      onParentClosed: (address, refused) => this.dispatch({ kind: 'parentLinkClosed', address, refused }),
       onMalformed: (peer, detail) => {
         this.state.counters.malformed_peer_messages += 1;
         this.#log.event('warn', 'malformed_peer_message', { peer, detail });
@@ -86,11 +96,10 @@
   }
 
   #createConfigurationFeed(source: FeedSource<Configuration>): ObjectFeed<Configuration> {
-    const take = (changes: readonly FeedChange<Configuration>[]): void => {
+    const take = (changes: readonly FeedChange<Configuration>[], revision: number): void => {
       for (const { item } of changes) {
         if (item !== null) {
-          this.dispatch({ kind: 'configuration', configuration: item });
-          this.#front.applyLimits(this.state.configuration?.limits ?? item.limits);
+          this.dispatch({ kind: 'configuration', configuration: item, revision });
         }
       }
     };
@@ -108,9 +117,8 @@
         this.dispatch({ kind: 'serversListed', servers, revision });
       },
       onChanges: (changes, revision) => {
-        for (const { id, item } of changes) {
-          this.dispatch({ kind: 'serverChanged', id, server: item, revision });
-        }
+        const taken = changes.map(({ id, item }) => ({ id, server: item }));
+        this.dispatch({ kind: 'serversChanged', changes: taken, revision });
       },
       onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
     });
@@ -136,6 +144,11 @@
     for (const effect of reduce(this.state, performance.now(), event)) {
       this.#perform(effect);
     }
+    const limits = this.state.configuration?.limits;
+    if (limits !== undefined && limits !== this.#limits) {
+      this.#limits = limits;
+      this.#front.applyLimits(limits);
+    }
     if (event.kind === 'tick') {
       this.#front.closeConnections(this.state.stopping || this.state.isolation.viewIsOld);
     }
@@ -202,11 +215,23 @@
         return (effect.feed === 'servers' ? this.#serverFeed : this.#configurationFeed).refresh();
       case 'follow':
         return this.#peers.follow(effect.address);
-      case 'sendToLeader':
-        return this.#peers.sendToLeader(effect.message);
-      case 'sendToFollowers':
-        return this.#peers.sendToFollowers(effect.link, effect.message);
+      case 'followStore':
+        return this.#followStore(effect);
+      case 'sendToParent':
+        return this.#peers.sendToParent(effect.message);
+      case 'sendToChildren':
+        return this.#peers.sendToChildren(effect.link, effect.message);
+    }
+  }
+
+  #followStore({ follows, serversRevision, configurationRevision }: FollowStoreEffect): void {
+    if (!follows) {
+      this.#configurationFeed.cease();
+      this.#serverFeed.cease();
+      return;
     }
+    this.#configurationFeed.begin(configurationRevision);
+    this.#serverFeed.begin(serversRevision);
   }
 
   async #control(effect: ControlEffect): Promise<void> {
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -66,18 +66,26 @@
   /** When the caller should come back, or null. */
   readonly retryAfter: Milliseconds | null;
 }
-/** Connects to the leader; a connection to another address is closed. Null: to none. */
+/** Begins or ceases to follow the store. */
+export interface FollowStoreEffect {
+  readonly kind: 'followStore';
+  readonly follows: boolean;
+  /** What came up to these revisions of the store is known; null: nothing is. */
+  readonly serversRevision: number | null;
+  readonly configurationRevision: number | null;
+}
+/** Connects to a parent; a connection to another address is closed. Null: to none. */
 export interface FollowEffect {
   readonly kind: 'follow';
   readonly address: string | null;
 }
-export interface SendToLeaderEffect {
-  readonly kind: 'sendToLeader';
+export interface SendToParentEffect {
+  readonly kind: 'sendToParent';
   readonly message: PeerMessage;
 }
 /** Sends to daemons that are connected to this one: all, or one. */
-export interface SendToFollowersEffect {
-  readonly kind: 'sendToFollowers';
+export interface SendToChildrenEffect {
+  readonly kind: 'sendToChildren';
   readonly link: number | null;
   readonly message: PeerMessage;
 }
@@ -105,7 +113,8 @@
   | CancelEffect
   | AnswerEffect
   | FollowEffect
-  | SendToLeaderEffect
-  | SendToFollowersEffect
+  | FollowStoreEffect
+  | SendToParentEffect
+  | SendToChildrenEffect
   | RequestEndedEffect
   | LogEffect;
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -1,8 +1,8 @@
 /** Everything that can happen to a daemon. The reducer knows nothing else of the world. */
 import type { Configuration } from './model/configuration.js';
-import type { Key, Milliseconds, ServerId } from './model/identifiers.js';
+import type { Key, Milliseconds } from './model/identifiers.js';
 import type { ServerDescription } from './model/server.js';
-import type { PeerMessage } from './peers/messages.js';
+import type { PeerMessage, ServerChange } from './peers/messages.js';
 import type { ReportedLoad } from './request/server-load.js';
 import type { RouterBounds } from './router-state.js';
 
@@ -14,6 +14,8 @@
 export interface ConfigurationEvent {
   readonly kind: 'configuration';
   readonly configuration: Configuration;
+  /** Of the store: what came after it was not seen. */
+  readonly revision: number;
 }
 /** All servers that are listed. */
 export interface ServersListedEvent {
@@ -21,12 +23,10 @@
   readonly servers: readonly ServerDescription[];
   readonly revision: number;
 }
-/** One server was listed, changed, or taken off the list. */
-export interface ServerChangedEvent {
-  readonly kind: 'serverChanged';
-  readonly id: ServerId;
-  /** Null: it is gone from the list. */
-  readonly server: ServerDescription | null;
+/** Servers were listed, changed, or taken off the list. */
+export interface ServersChangedEvent {
+  readonly kind: 'serversChanged';
+  readonly changes: readonly ServerChange[];
   readonly revision: number;
 }
 /** A feed from the store failed or works again. */
@@ -130,14 +130,18 @@
   readonly link: number;
   readonly message: PeerMessage;
 }
-/** A connection of another daemon to this one ended. */
+/** The connection of a child ended. */
 export interface PeerLeftEvent {
   readonly kind: 'peerLeft';
   readonly link: number;
 }
-/** The connection to the leader ended or could not be made. */
-export interface LeaderLinkEvent {
-  readonly kind: 'leaderLinkClosed';
+/** The connection to the parent is up. */
+export interface ParentLinkOpenedEvent {
+  readonly kind: 'parentLinkOpened';
+}
+/** The connection to the parent ended or could not be made. */
+export interface ParentLinkClosedEvent {
+  readonly kind: 'parentLinkClosed';
   readonly address: string;
   /** Nothing listens there. */
   readonly refused: boolean;
@@ -158,7 +162,7 @@
   | TickEvent
   | ConfigurationEvent
   | ServersListedEvent
-  | ServerChangedEvent
+  | ServersChangedEvent
   | FeedStateEvent
   | ObjectReadEvent
   | ObjectWrittenEvent
@@ -168,6 +172,7 @@
   | AttemptEndedEvent
   | PeerMessageEvent
   | PeerLeftEvent
-  | LeaderLinkEvent
+  | ParentLinkOpenedEvent
+  | ParentLinkClosedEvent
   | SettingsReadEvent
   | StoppingEvent;
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -38,8 +38,14 @@
     fields: 'term, units, revision, waits_for (ms for leases of earlier leaders)',
   },
   leadership_lost: { when: 'it leads no more', fields: 'term, reason, found' },
-  follower_joined: { when: 'a daemon reports to this leader', fields: 'follower, term' },
-  follower_left: { when: 'its connection ended', fields: 'follower, term' },
+  relay_followed: { when: 'the leader named a relay to this daemon', fields: 'relay' },
+  relay_left: { when: 'the relay was lost: back to the leader', fields: 'relay, reason' },
+  child_joined: { when: 'a daemon reports to this one', fields: 'child, leads' },
+  child_left: { when: 'its connection ended', fields: 'child, daemons (at and below it)' },
+  store_following: {
+    when: 'this daemon begins or ceases to list and watch the store itself',
+    fields: 'follows, servers (revision known so far)',
+  },
   assignment_written: {
     when: 'the store has taken a new table',
     fields: 'term, revision, changed (up to 20)',
--- /dev/null
+++ b/src/router/news/store-following.ts
@@ -0,0 +1,56 @@
+/**
+ * Decides whether this daemon follows the store itself. The leader does, and a few of its children, so that no loss of
+ * one of them stops the news; everybody else only while its parent has no news. Calls to the store are paid for, and
+ * their number must not grow with the number of daemons.
+ */
+import type { Milliseconds } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { RouterState } from '../router-state.js';
+import { HEARTBEAT_PATIENCE } from '../ownership/ownership-timing.js';
+import { isRelayed } from '../tree/tree-state.js';
+
+/** A daemon that has just started gives a parent this long to send what it knows; a link is up within a few ms. */
+const START_PATIENCE: Milliseconds = 250;
+/** The same while it is connected to a parent that is itself about to know. */
+const FIRST_NEWS_PATIENCE: Milliseconds = 600;
+/** A leader that the store has not confirmed for this long may hear no news either. */
+const UNCONFIRMED_PATIENCE: Milliseconds = 2_000;
+/** The same below a relay, which follows the store by then: all daemons at once would be too much for it. */
+const RELAYED_PATIENCE: Milliseconds = 5_000;
+
+function lacksNews(state: RouterState): boolean {
+  return state.configuration === null || state.serversRevision === null;
+}
+
+function shouldFollow({ state, now }: RouterContext): boolean {
+  const { tree, election, identity } = state;
+  if (state.leadership !== null) {
+    return true;
+  }
+  if (now - tree.parentHeardAt > HEARTBEAT_PATIENCE) {
+    const patience = lacksNews(state) ? START_PATIENCE : 0;
+    return now - election.startedAt >= patience;
+  }
+  if (tree.watchers.includes(identity.daemon)) {
+    return true;
+  }
+  if (lacksNews(state)) {
+    return now - tree.followedSince >= FIRST_NEWS_PATIENCE;
+  }
+  const age = now - election.lastHeartbeatAt + election.confirmationAge;
+  return age > (isRelayed(state) ? RELAYED_PATIENCE : UNCONFIRMED_PATIENCE);
+}
+
+/** Begins or ceases to follow the store. */
+export function tickStoreFollowing(context: RouterContext): void {
+  const { state } = context;
+  const follows = shouldFollow(context);
+  if (follows === state.followsStore) {
+    return;
+  }
+  state.followsStore = follows;
+  context.log('store_following', { follows, servers: state.serversRevision });
+  const { serversRevision } = state;
+  const configurationRevision = state.configuration === null ? null : state.configurationRevision;
+  context.emit({ kind: 'followStore', follows, serversRevision, configurationRevision });
+}
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -1,12 +1,17 @@
 /** The first moment of a leadership: what is known of former leaders, and the units as they are found. */
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
+import { hastenHeartbeat } from '../tree/heartbeats.js';
 import type { Candidacy } from './election-state.js';
 import { noteServers } from './leader.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import { CONFIRMATION_VALIDITY, JOIN_INTERVAL, LEASE, longestHold } from './ownership-timing.js';
+import { RecentPeak } from './recent-peak.js';
 import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
 
+/** As long as a retry window: what daemons that lost touch have spent counts until then. */
+const COUNT_MEMORY: Milliseconds = 10_000;
+
 /** Begins to lead with the table as it is in the store under this daemon's term. */
 export function beginLeadership(
   context: RouterContext,
@@ -41,13 +46,14 @@
     lateOrderSeenAt: Number.NEGATIVE_INFINITY,
     nextPlanAt: now,
     nextJoinAt: now + JOIN_INTERVAL,
-    nextHeartbeatAt: now,
+    nextIntakeAt: now,
+    daemonCount: new RecentPeak(COUNT_MEMORY, state.view.term > 0 ? state.daemons : 1, now),
     viewStep: 0,
     viewChanged: true,
-    followers: new Map(),
   };
   state.leadership = leadership;
   noteServers(context, leadership);
+  hastenHeartbeat(context);
   const { term } = leadership;
   const waitsFor = Math.max(0, Math.round(leadership.formerLeasesEndAt - now));
   context.log('leadership_won', {
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -1,30 +1,22 @@
 /**
- * Who leads: the daemon that the leader's object in the store names. A follower that hears no heartbeat
- * watches that object; when the leader has not confirmed itself there either, the follower claims it by
- * compare-and-swap, and then the ownership table. Only with both does it lead.
+ * Looks after the leader. A daemon that hears no heartbeat of it watches the leader's object in the store; when the leader
+ * has not confirmed itself there either, it claims that object (candidacy.ts).
  */
-import type { LeaderLinkEvent, ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
+import type { ObjectReadEvent, ParentLinkClosedEvent } from '../events.js';
 import type { Milliseconds } from '../model/identifiers.js';
-import { noteVersionsOf } from '../feed-lag.js';
-import type { Heartbeat } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
-import type { Candidacy } from './election-state.js';
-import { viewSequence } from './leader-followers.js';
-import { beginLeadership } from './begin-leadership.js';
-import {
-  CONFIRMATION_VALIDITY,
-  ELECTION_READ_INTERVAL,
-  HEARTBEAT_PATIENCE,
-  TAKEOVER_PATIENCE,
-} from './ownership-timing.js';
+import type { RouterState } from '../router-state.js';
+import { isRelayed } from '../tree/tree-state.js';
+import { claimTable, considerClaim, enterTable, tickCandidacy } from './candidacy.js';
+import { noteLeader } from './known-leader.js';
+import { viewSequence } from './ownership-statement.js';
+import { ELECTION_READ_INTERVAL, HEARTBEAT_PATIENCE, TAKEOVER_PATIENCE } from './ownership-timing.js';
 import { EMPTY_TABLE, type OwnershipTable } from './ownership-table.js';
 import { OwnershipView } from './ownership-view.js';
-import { parseLeader, parseOwnership, type LeaderRecord, type OwnershipRecord } from './stored-objects.js';
+import { parseLeader, parseOwnership } from './stored-objects.js';
 
 /** A leader that heartbeats but has not confirmed itself for this long is watched in the store. */
 const CONFIRMATION_SUSPICION: Milliseconds = 3_000;
-/** A step of a candidacy without an answer is tried again after this long. */
-const STEP_RETRY: Milliseconds = 250;
 const LONGEST_JITTER: Milliseconds = 150;
 /** Refused connections after which the leader's process counts as gone. */
 const REFUSALS = 3;
@@ -34,10 +26,37 @@
 /** Without news of the leader, a follower reads the table this often. */
 const TABLE_READ_INTERVAL: Milliseconds = 1_000;
 
-function hearsLeader(context: RouterContext): boolean {
-  const { election } = context.state;
-  const silent = context.now - election.lastHeartbeatAt > HEARTBEAT_PATIENCE;
-  return !silent && election.confirmationAge < CONFIRMATION_SUSPICION;
+/** Below a relay that is heard, the leader may be silent for this long: the relay looks for the next one. */
+const RELAYED_PATIENCE: Milliseconds = 3_000;
+/** The table is not read this soon after the start: a parent sends its view within a few ms. */
+const FIRST_TABLE_READ: Milliseconds = 250;
+/** Daemons below relays read the store more seldom, the more daemons there are: one part for so many, up to the most. */
+const DAEMONS_A_PART = 30;
+const MOST_PARTS = 6;
+/** A machine with this power (in cores) bears the leadership; weaker ones let others claim it first for up to this long. */
+const SUFFICIENT_POWER = 0.5;
+const LONGEST_HANDICAP: Milliseconds = 200;
+
+function hearsLeader({ state, now }: RouterContext): boolean {
+  const { election, tree } = state;
+  if (now < tree.leaderGraceUntil) {
+    return true;
+  }
+  const relayIsHeard = isRelayed(state) && now - tree.parentHeardAt <= HEARTBEAT_PATIENCE;
+  const patience = relayIsHeard ? RELAYED_PATIENCE : HEARTBEAT_PATIENCE;
+  const silent = now - election.lastHeartbeatAt > patience;
+  // A relay that is heard watches the leader's confirmations itself.
+  return !silent && (relayIsHeard || election.confirmationAge < CONFIRMATION_SUSPICION);
+}
+
+/** How many times as long as a child of the leader this daemon waits between two looks into the store. */
+function seldomness({ tree, daemons }: RouterState): number {
+  return tree.wasRelayed ? Math.min(MOST_PARTS, Math.max(1, daemons / DAEMONS_A_PART)) : 1;
+}
+
+/** How long this daemon lets stronger ones claim the leadership first. */
+function handicapOf({ bounds }: RouterState): Milliseconds {
+  return LONGEST_HANDICAP * Math.max(0, 1 - bounds.processorPower / SUFFICIENT_POWER);
 }
 
 /** Refused connections that this daemon waits for now. */
@@ -54,6 +73,7 @@
     election.startedAt = now;
     election.jitter = state.random.fraction() * LONGEST_JITTER;
     election.nextReadAt = now + election.jitter;
+    election.nextTableReadAt = now + FIRST_TABLE_READ;
   }
   if (election.candidacy !== null) {
     tickCandidacy(context, election.candidacy);
@@ -64,7 +84,7 @@
   }
   if (!election.reading && now >= election.nextReadAt) {
     election.reading = true;
-    election.nextReadAt = now + ELECTION_READ_INTERVAL;
+    election.nextReadAt = now + ELECTION_READ_INTERVAL * seldomness(state);
     context.emit({ kind: 'readObject', object: 'leader' });
   }
   readTableAlone(context);
@@ -75,11 +95,22 @@
   const { election } = context.state;
   if (!election.readingTable && context.now >= election.nextTableReadAt) {
     election.readingTable = true;
-    election.nextTableReadAt = context.now + TABLE_READ_INTERVAL;
+    election.nextTableReadAt = context.now + TABLE_READ_INTERVAL * seldomness(context.state);
     context.emit({ kind: 'readObject', object: 'ownership' });
   }
 }
 
+/** Nobody has ever led: the first to claim does, and stronger machines are let go first. */
+function claimFirst(context: RouterContext): void {
+  const { state, now } = context;
+  const mayClaimAt = state.election.startedAt + handicapOf(state);
+  if (now < mayClaimAt) {
+    state.election.nextReadAt = mayClaimAt;
+  } else {
+    considerClaim(context, null, 0);
+  }
+}
+
 /** The leader's object was read by a daemon that does not lead. */
 export function receiveLeaderObject(context: RouterContext, event: ObjectReadEvent): void {
   const { state, now } = context;
@@ -90,7 +121,7 @@
   }
   state.isolation.storeAnsweredAt = now;
   if (event.outcome.kind === 'absent') {
-    considerClaim(context, null, 0);
+    claimFirst(context);
     return;
   }
   const record = parseLeader(event.outcome.value);
@@ -108,140 +139,15 @@
     return;
   }
   noteLeader(context, record, revision);
-  const unconfirmed = event.sentAt - election.unchangedSince >= TAKEOVER_PATIENCE + election.jitter;
+  const patience = TAKEOVER_PATIENCE + election.jitter + handicapOf(state);
+  const unconfirmed = event.sentAt - election.unchangedSince >= patience;
   const wasThisDaemon = record.daemon === state.identity.daemon;
   const gone = election.leaderRefused >= refusalsNeeded(context);
   if (!hearsLeader(context) && (unconfirmed || wasThisDaemon || gone || record.resigned)) {
     considerClaim(context, record, revision);
   } else if (now >= election.nextReadAt) {
-    election.nextReadAt = now + ELECTION_READ_INTERVAL;
-  }
-}
-
-function noteLeader(context: RouterContext, record: LeaderRecord, revision: number): void {
-  const { election } = context.state;
-  if (election.leader?.term !== record.term || election.leader.life !== record.life) {
-    const { term, daemon, address } = record;
-    context.log('leader_seen', { term, leader: daemon, address, revision });
-    context.emit({ kind: 'follow', address });
-    election.leaderRefused = 0;
-  }
-  if (revision !== election.leaderRevision) {
-    election.unchangedSince = context.now;
-  }
-  election.leader = record;
-  election.leaderRevision = revision;
-}
-
-function considerClaim(context: RouterContext, former: LeaderRecord | null, revision: number): void {
-  const { state, now } = context;
-  if (state.stopping || state.election.candidacy !== null) {
-    return;
-  }
-  const { daemon, life, peerAddress } = state.identity;
-  const term = (former?.term ?? 0) + 1;
-  const claim = { term, daemon, life, address: peerAddress, beat: 0, settled: false, resigned: false };
-  // Its own earlier life has ended, and no leader before that one can still act.
-  const predecessorEnded = former?.daemon === daemon && former.settled;
-  const formerStopped = former?.resigned === true && former.settled;
-  const formerSeenAt = formerStopped ? now - CONFIRMATION_VALIDITY : state.election.unchangedSince;
-  state.election.candidacy = {
-    phase: 'claiming',
-    claim,
-    revision,
-    confirmedAt: now,
-    predecessorEnded,
-    formerSeenAt,
-    former,
-    table: EMPTY_TABLE,
-    tableRevision: null,
-    stepAt: Number.POSITIVE_INFINITY,
-  };
-  context.log('leadership_claimed', { term: claim.term, former: former?.daemon ?? null, revision });
-  writeClaim(context, state.election.candidacy);
-}
-
-function writeClaim(context: RouterContext, candidacy: Candidacy): void {
-  const revision = candidacy.revision === 0 ? null : candidacy.revision;
-  context.emit({ kind: 'writeObject', object: 'leader', value: candidacy.claim, revision });
-}
-
-function tickCandidacy(context: RouterContext, candidacy: Candidacy): void {
-  if (context.now - candidacy.confirmedAt > CONFIRMATION_VALIDITY / 2) {
-    dropCandidacy(context, 'the store did not answer in time');
-  } else if (candidacy.phase === 'claimingTable' && context.now >= candidacy.stepAt) {
-    writeTableClaim(context, candidacy);
-  }
-}
-
-/** Ends a candidacy, if one is under way. */
-export function dropCandidacy(context: RouterContext, reason: string): void {
-  const { election } = context.state;
-  if (election.candidacy !== null) {
-    context.log('candidacy_dropped', { term: election.candidacy.claim.term, reason });
-    election.candidacy = null;
-    election.nextReadAt = context.now + election.jitter;
-    election.reading = false;
-  }
-}
-
-/** The write of the leader's object by a candidate ended. */
-export function receiveClaimWritten(context: RouterContext, event: ObjectWrittenEvent): void {
-  const { candidacy } = context.state.election;
-  if (candidacy?.phase !== 'claiming') {
-    return;
-  }
-  const { outcome } = event;
-  if (outcome.kind === 'written') {
-    enterTable(context, candidacy.claim, outcome.revision, event.sentAt, candidacy.predecessorEnded);
-    return;
-  }
-  if (outcome.kind === 'conflict') {
-    const record = parseLeader(outcome.value);
-    if (record?.life === context.state.identity.life) {
-      enterTable(context, record, outcome.revision, event.sentAt, candidacy.predecessorEnded);
-      return;
-    }
-    dropCandidacy(context, 'another daemon was first');
-    if (record !== null) {
-      noteLeader(context, record, outcome.revision);
-    }
-    return;
-  }
-  dropCandidacy(context, `the claim was ${outcome.kind}: ${outcome.reason}`);
-}
-
-/** The leader's object names this daemon: the table is next. */
-function enterTable(
-  context: RouterContext,
-  claim: LeaderRecord,
-  revision: number,
-  confirmedAt: Milliseconds,
-  predecessorEnded: boolean,
-): void {
-  const { election, stopping } = context.state;
-  if (stopping) {
-    dropCandidacy(context, 'a planned stop is under way');
-    return;
+    election.nextReadAt = now + ELECTION_READ_INTERVAL * seldomness(state);
   }
-  const formerSeenAt = election.candidacy?.formerSeenAt ?? context.now;
-  const former = election.candidacy?.former ?? null;
-  election.leader = claim;
-  election.leaderRevision = revision;
-  election.candidacy = {
-    phase: 'readingTable',
-    claim,
-    revision,
-    confirmedAt,
-    predecessorEnded,
-    formerSeenAt,
-    former,
-    table: EMPTY_TABLE,
-    tableRevision: null,
-    stepAt: Number.POSITIVE_INFINITY,
-  };
-  context.emit({ kind: 'follow', address: null });
-  context.emit({ kind: 'readObject', object: 'ownership' });
 }
 
 /** The ownership object was read by a daemon that does not lead yet. */
@@ -271,97 +177,8 @@
   }
 }
 
-function claimTable(
-  context: RouterContext,
-  candidacy: Candidacy,
-  event: ObjectReadEvent,
-  found: OwnershipTable,
-): void {
-  const { outcome } = event;
-  if (outcome.kind === 'failed') {
-    dropCandidacy(context, `the table could not be read: ${outcome.reason}`);
-    return;
-  }
-  if (found.term > candidacy.claim.term) {
-    dropCandidacy(context, `the table is of term ${found.term}`);
-    return;
-  }
-  candidacy.phase = 'claimingTable';
-  candidacy.table = { ...found, term: candidacy.claim.term };
-  candidacy.tableRevision = outcome.kind === 'found' ? outcome.revision : null;
-  writeTableClaim(context, candidacy);
-}
-
-function tableClaimId(context: RouterContext, candidacy: Candidacy): string {
-  return `${context.state.identity.life}-claim-${candidacy.claim.term}`;
-}
-
-function writeTableClaim(context: RouterContext, candidacy: Candidacy): void {
-  candidacy.stepAt = Number.POSITIVE_INFINITY;
-  const value: OwnershipRecord = { writeId: tableClaimId(context, candidacy), table: candidacy.table };
-  context.emit({ kind: 'writeObject', object: 'ownership', value, revision: candidacy.tableRevision });
-}
-
-/** The write of the table by a candidate ended. */
-export function receiveTableClaimed(context: RouterContext, event: ObjectWrittenEvent): void {
-  const { candidacy } = context.state.election;
-  if (candidacy?.phase !== 'claimingTable') {
-    return;
-  }
-  const { outcome } = event;
-  if (outcome.kind === 'written') {
-    beginLeadership(context, candidacy, candidacy.table, outcome.revision);
-    return;
-  }
-  if (outcome.kind !== 'conflict') {
-    // The same content on the same revision: whichever try lands first, the other meets its write id.
-    candidacy.stepAt = context.now + STEP_RETRY;
-    return;
-  }
-  const record = parseOwnership(outcome.value);
-  if (record?.writeId === tableClaimId(context, candidacy)) {
-    beginLeadership(context, candidacy, record.table, outcome.revision);
-    return;
-  }
-  // The leader before wrote in between: its table counts.
-  candidacy.phase = 'readingTable';
-  context.emit({ kind: 'readObject', object: 'ownership' });
-}
-
-/** The leader's heartbeat came. */
-export function receiveHeartbeat(context: RouterContext, heartbeat: Heartbeat): void {
-  const { state, now } = context;
-  const { election } = state;
-  if (heartbeat.term < (election.leader?.term ?? 0)) {
-    return;
-  }
-  election.lastHeartbeatAt = now;
-  election.confirmationAge = heartbeat.confirmationAge;
-  noteConfirmedRevision(context, heartbeat);
-  election.leaderRefused = 0;
-  if (state.daemons !== heartbeat.daemons) {
-    state.daemons = heartbeat.daemons;
-    for (const budget of state.budgets.values()) {
-      budget.shareAmong(heartbeat.daemons);
-    }
-  }
-  noteVersionsOf(context, heartbeat);
-}
-
-/**
- * The leader says which revision of its object it has confirmed. When the store still has that one after an outage,
- * the leader has written nothing since this heartbeat: a takeover need not watch the object anew.
- */
-function noteConfirmedRevision(context: RouterContext, { term, leaderRevision }: Heartbeat): void {
-  const { election } = context.state;
-  if (term === election.leader?.term && leaderRevision > election.leaderRevision) {
-    election.leaderRevision = leaderRevision;
-    election.unchangedSince = context.now;
-  }
-}
-
-/** The connection to the leader ended. */
-export function receiveLeaderLinkClosed(context: RouterContext, event: LeaderLinkEvent): void {
+/** The connection to the parent ended; whether it was the leader is seen by the address. */
+export function noteLeaderUnreachable(context: RouterContext, event: ParentLinkClosedEvent): void {
   const { election } = context.state;
   if (event.address !== election.leader?.address) {
     return;
--- a/src/router/ownership/key-load.ts
+++ b/src/router/ownership/key-load.ts
@@ -1,5 +1,6 @@
 /** Which keys of a service are asked for, from samples of all daemons; recent ones count more. */
 import type { Key, Milliseconds, ServiceName } from '../model/identifiers.js';
+import type { KeySample } from '../peers/messages.js';
 
 /** A sample's weight falls by e in this time. */
 const MEMORY: Milliseconds = 1_500;
@@ -13,6 +14,7 @@
 interface Sample {
   readonly at: Milliseconds;
   readonly key: Key;
+  readonly requests: number;
 }
 
 /** Requests a second for a key. */
@@ -25,12 +27,10 @@
   #samples: Sample[] = [];
   #observedSince: Milliseconds | null = null;
 
-  /** Takes in keys that were asked for just now. */
-  add(keys: readonly Key[], now: Milliseconds): void {
+  /** Takes in keys that were asked for just now, and how often. */
+  add({ keys, counts }: Pick<KeySample, 'keys' | 'counts'>, now: Milliseconds): void {
     this.#observedSince ??= now;
-    for (const key of keys) {
-      this.#samples.push({ at: now, key });
-    }
+    keys.forEach((key, index) => this.#samples.push({ at: now, key, requests: counts[index] ?? 1 }));
     if (this.#samples.length > MOST_SAMPLES) {
       this.#samples = this.#samples.slice(-MOST_SAMPLES / 2);
     }
@@ -46,8 +46,8 @@
   rates(now: Milliseconds): KeyRate[] {
     this.#samples = this.#samples.filter((sample) => now - sample.at < LONGEST_KEPT);
     const weights = new Map<Key, number>();
-    for (const { at, key } of this.#samples) {
-      weights.set(key, (weights.get(key) ?? 0) + Math.exp((at - now) / MEMORY));
+    for (const { at, key, requests } of this.#samples) {
+      weights.set(key, (weights.get(key) ?? 0) + requests * Math.exp((at - now) / MEMORY));
     }
     // Soon after the first sample the weights cannot have added up yet: that is made good.
     const observed = Math.max(SHORTEST_OBSERVED, now - (this.#observedSince ?? now));
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -1,6 +1,7 @@
 /** Keeps the leadership confirmed in the store, and gives it up when another daemon leads. */
 import type { ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
 import type { Milliseconds } from '../model/identifiers.js';
+import type { Heartbeat } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership } from './leadership-state.js';
 import { CONFIRMATION_INTERVAL } from './ownership-timing.js';
@@ -100,12 +101,17 @@
   const message = {
     kind: 'heartbeat',
     term: leadership.term,
+    leader: state.identity.daemon,
+    leaderLife: state.identity.life,
+    leaderAddress: state.identity.peerAddress,
+    heardAge: 0,
     confirmationAge: RESIGNED_AGE,
     leaderRevision: 0,
     daemons: state.daemons,
+    watchers: [],
     configurationVersion: 0,
     serversRevision: 0,
-  } as const;
-  context.emit({ kind: 'sendToFollowers', link: null, message });
+  } satisfies Heartbeat;
+  context.emit({ kind: 'sendToChildren', link: null, message });
   stepDown(context, 'a planned stop', null);
 }
--- /dev/null
+++ b/src/router/ownership/leader-intake.ts
@@ -0,0 +1,50 @@
+/** What the leader takes in of what it and all daemons below it have seen. */
+import type { Milliseconds } from '../model/identifiers.js';
+import { setDaemons } from '../request/request-dispatch.js';
+import type { RouterContext } from '../router-context.js';
+import { daemonsBelow } from '../tree/children.js';
+import { takeKeySamples, takeTimes } from '../tree/reports.js';
+import { keyLoadOf } from './key-load.js';
+import type { Leadership } from './leadership-state.js';
+import { noteFormerEnded } from './server-lease.js';
+import { ServerPace } from './server-pace.js';
+
+/** Between two looks at what has come in: a fifth of the time between two plans. */
+const INTAKE_INTERVAL: Milliseconds = 100;
+
+function takeLoad(context: RouterContext, leadership: Leadership): void {
+  for (const sample of takeKeySamples(context)) {
+    keyLoadOf(leadership, sample.service).add(sample, context.now);
+  }
+  for (const seen of takeTimes(context)) {
+    let pace = leadership.paces.get(seen.server);
+    if (pace === undefined) {
+      pace = new ServerPace(context.now);
+      leadership.paces.set(seen.server, pace);
+    }
+    pace.add(seen);
+  }
+}
+
+/** The machine of the leader before runs another process now: the one that led has ended. */
+function noteStarted(context: RouterContext, leadership: Leadership): void {
+  const { tree } = context.state;
+  const { former } = leadership;
+  const { started } = tree;
+  tree.started = [];
+  if (started.some(({ daemon, life }) => daemon === former?.daemon && life !== former.life)) {
+    noteFormerEnded(leadership, context.now);
+  }
+}
+
+/** Takes in what is due. */
+export function tickIntake(context: RouterContext, leadership: Leadership): void {
+  const { state, now } = context;
+  if (now < leadership.nextIntakeAt) {
+    return;
+  }
+  leadership.nextIntakeAt = now + INTAKE_INTERVAL;
+  takeLoad(context, leadership);
+  noteStarted(context, leadership);
+  setDaemons(state, leadership.daemonCount.note(1 + daemonsBelow(state, now), now));
+}
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -6,17 +6,19 @@
 import type { ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import { confirmLeadership } from './leader-confirmation.js';
-import { tickFollowers } from './leader-followers.js';
+import { tickIntake } from './leader-intake.js';
 import { makePlan } from './leader-plan.js';
 import type { Leadership } from './leadership-state.js';
 import { CONFIRMATION_VALIDITY } from './ownership-timing.js';
 import { leaseOf, noteEnded } from './server-lease.js';
+import { broadcastView } from './ownership-statement.js';
 import { retryWrite } from './table-write.js';
 import { raiseRefusedFences, tickUnit } from './unit-control.js';
 
 /** The leader's periodic work. */
 export function tickLeader(context: RouterContext, leadership: Leadership): void {
   confirmLeadership(context, leadership);
+  tickIntake(context, leadership);
   if (context.now - leadership.confirmedAt > CONFIRMATION_VALIDITY) {
     return;
   }
@@ -30,7 +32,9 @@
   for (const unit of leadership.table.units) {
     tickUnit(context, leadership, unit);
   }
-  tickFollowers(context, leadership);
+  if (leadership.viewChanged) {
+    broadcastView(context, leadership);
+  }
 }
 
 /** Called when leadership begins and whenever the list of servers changes. */
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -2,6 +2,7 @@
 import type { Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { KeyLoad } from './key-load.js';
 import type { OwnershipTable } from './ownership-table.js';
+import type { RecentPeak } from './recent-peak.js';
 import type { ServerPace } from './server-pace.js';
 import type { LeaderRecord } from './stored-objects.js';
 
@@ -58,11 +59,6 @@
   retryAt: Milliseconds | null;
 }
 
-export interface Follower {
-  readonly daemon: string;
-  lastReportAt: Milliseconds;
-}
-
 export interface Leadership {
   readonly term: number;
   /** Revision of the leader's object as last written by this leader. */
@@ -93,9 +89,10 @@
   lateOrderSeenAt: Milliseconds;
   nextPlanAt: Milliseconds;
   nextJoinAt: Milliseconds;
-  nextHeartbeatAt: Milliseconds;
+  nextIntakeAt: Milliseconds;
+  /** Daemons that are connected, or were lately. */
+  readonly daemonCount: RecentPeak;
   /** Steps since the table's revision, for the order of views. */
   viewStep: number;
   viewChanged: boolean;
-  readonly followers: Map<number, Follower>;
 }
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -1,10 +1,14 @@
 /** The messages between daemons, told apart by `kind`. Mirrors proto/router.proto. */
+import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { ServerDescription } from '../model/server.js';
 
-/** The keys that callers asked for at one daemon, one entry a request. */
+/** The keys that callers asked for, and how often each. */
 export interface KeySample {
   readonly service: ServiceName;
   readonly keys: Key[];
+  /** Requests for the key at the same index. */
+  readonly counts: number[];
 }
 /** How long the answers of a server took, those that waited for a slot included. */
 export interface ServerTimes {
@@ -12,31 +16,53 @@
   readonly requests: number;
   readonly total: Milliseconds;
 }
-/** A follower tells the leader that it is there, what it has seen, and what it knows. */
-export interface Report {
-  readonly kind: 'report';
+/** A process of a daemon. */
+export interface DaemonLife {
   readonly daemon: DaemonName;
   readonly life: number;
+}
+/** A child tells its parent that it is there, what it knows, and what it and the daemons below it have seen. */
+export interface Report extends DaemonLife {
+  readonly kind: 'report';
+  /** `ip:port` for other daemons. */
+  readonly address: string;
+  readonly zone: string;
   readonly configurationVersion: number;
   /** The highest revision of a server's entry. */
   readonly serversRevision: number;
+  /** The store's revision up to which all changes of servers are known, or 0 when there is no list yet. */
+  readonly serversPosition: number;
   /** Of the view that it has, or 0 when that is of another term. */
   readonly ownershipSequence: number;
+  /** Daemons at and below this one. */
+  readonly daemons: number;
+  /** Daemons that have joined below it since the last report. */
+  readonly started: DaemonLife[];
+  /** A relay that did not answer, or empty. */
+  readonly failedRelay: string;
   readonly samples: KeySample[];
   readonly times: ServerTimes[];
 }
-/** The leader tells its followers that it is there. */
+/** What is known of the leader, told down the tree. */
 export interface Heartbeat {
   readonly kind: 'heartbeat';
   readonly term: number;
-  /** Age of the last confirmation of its leadership by the store. */
+  readonly leader: DaemonName;
+  readonly leaderLife: number;
+  readonly leaderAddress: string;
+  /** How long ago the leader said this. */
+  readonly heardAge: Milliseconds;
+  /** Age of the last confirmation of its leadership by the store, when the leader said this. */
   readonly confirmationAge: Milliseconds;
   /** Of the leader's object as that confirmation left it, or 0 when it is not said. */
   readonly leaderRevision: number;
   /** Daemons that are connected, the leader among them. */
   readonly daemons: number;
+  /** Children of the sender that follow the store beside it. */
+  readonly watchers: DaemonName[];
+  /** Of the sender. */
   readonly configurationVersion: number;
-  /** The highest revision of a server's entry. */
+  /** The highest revision of a server's entry that the sender knows. */
   readonly serversRevision: number;
 }
 /** A unit in a statement of ownership. */
@@ -57,5 +83,31 @@
   readonly base: number;
   readonly units: UnitStatement[];
 }
+/** The leader names a relay to a daemon that should be its child. */
+export interface Redirect {
+  readonly kind: 'redirect';
+  readonly address: string;
+}
+/** One server's entry after a change. */
+export interface ServerChange {
+  readonly id: ServerId;
+  /** Null: it is no longer listed. */
+  readonly server: ServerDescription | null;
+}
+/** Changes of servers between two revisions of the store. */
+export interface ServerNews {
+  readonly kind: 'serverNews';
+  /** Whoever knows all changes up to here can take these in; 0: these are all servers there are. */
+  readonly base: number;
+  /** All changes up to here are known then. */
+  readonly revision: number;
+  readonly changes: ServerChange[];
+}
+/** A configuration, as the store had it at a revision. */
+export interface ConfigurationNews {
+  readonly kind: 'configurationNews';
+  readonly revision: number;
+  readonly configuration: Configuration;
+}
 
-export type PeerMessage = Report | Heartbeat | Ownership;
+export type PeerMessage = Report | Heartbeat | Ownership | Redirect | ServerNews | ConfigurationNews;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -11,22 +11,26 @@
   SettingsReadEvent,
 } from './events.js';
 import type { Milliseconds } from './model/identifiers.js';
+import * as candidacy from './ownership/candidacy.js';
 import * as election from './ownership/election.js';
+import { receiveHeartbeat } from './ownership/known-leader.js';
 import { receiveConfirmation, receiveLeaderRead, resign } from './ownership/leader-confirmation.js';
-import { forgetFollower, receiveReport } from './ownership/leader-followers.js';
 import { noteServers, tickLeader } from './ownership/leader.js';
-import { OwnershipView } from './ownership/ownership-view.js';
 import { tickIsolation } from './ownership/isolation.js';
 import { receiveTableWritten } from './ownership/table-write.js';
+import { receiveOwnership } from './ownership/ownership-statement.js';
 import { receiveControlEnded } from './ownership/unit-control.js';
-import type { Ownership } from './peers/messages.js';
-import { tickReports } from './peers/follower-reports.js';
+import * as news from './news/spread-news.js';
+import { tickStoreFollowing } from './news/store-following.js';
 import { receiveAttemptEnded } from './request/attempt-outcome.js';
 import { receiveRequest, tickEarlyRequests } from './request/request-arrival.js';
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
 import { RouterContext } from './router-context.js';
 import type { RouterState } from './router-state.js';
-import * as directory from './server-directory.js';
+import { forgetChild, receiveReport } from './tree/children.js';
+import { tickHeartbeats } from './tree/heartbeats.js';
+import { receiveParentClosed, receiveRedirect, tickParent } from './tree/parent.js';
+import { reportAtOnce, tickReports } from './tree/reports.js';
 
 /**
  * Takes one event in.
@@ -52,14 +56,14 @@
     case 'callerLeft':
       return receiveCallerLeft(context, event.requestId);
     case 'configuration':
-      directory.receiveConfiguration(context, event);
+      news.takeConfiguration(context, event, 'store');
       return tickEarlyRequests(context);
     case 'serversListed':
-      directory.receiveServersListed(context, event);
+      news.takeServerList(context, event);
       tickEarlyRequests(context);
       return noteServersOfLeader(context);
-    case 'serverChanged':
-      directory.receiveServerChanged(context, event);
+    case 'serversChanged':
+      news.takeServerChanges(context, event);
       return noteServersOfLeader(context);
     case 'feedState': {
       const { feed, healthy } = event;
@@ -74,9 +78,12 @@
     case 'peerMessage':
       return receivePeerMessage(context, event);
     case 'peerLeft':
-      return state.leadership === null ? undefined : forgetFollower(context, state.leadership, event.link);
-    case 'leaderLinkClosed':
-      return election.receiveLeaderLinkClosed(context, event);
+      return forgetChild(context, event.link);
+    case 'parentLinkOpened':
+      return reportAtOnce(context);
+    case 'parentLinkClosed':
+      election.noteLeaderUnreachable(context, event);
+      return receiveParentClosed(context, event);
     case 'settingsRead':
       return takeSettings(context, event);
     case 'stopping':
@@ -87,11 +94,14 @@
 function tick(context: RouterContext): void {
   const { leadership } = context.state;
   if (leadership === null) {
+    tickParent(context);
     election.tickElection(context);
     tickReports(context);
   } else {
     tickLeader(context, leadership);
   }
+  tickHeartbeats(context);
+  tickStoreFollowing(context);
   tickIsolation(context);
   tickRequests(context);
 }
@@ -112,7 +122,7 @@
   state.stopping = true;
   context.log('stopping', { requests: state.requests.size, leader: leadership !== null });
   if (leadership === null) {
-    election.dropCandidacy(context, 'a planned stop is under way');
+    candidacy.dropCandidacy(context, 'a planned stop is under way');
   } else {
     resign(context, leadership);
   }
@@ -142,49 +152,35 @@
   const { leadership } = context.state;
   if (event.object === 'leader') {
     if (leadership === null) {
-      election.receiveClaimWritten(context, event);
+      candidacy.receiveClaimWritten(context, event);
     } else {
       receiveConfirmation(context, leadership, event);
     }
   } else if (leadership === null) {
-    election.receiveTableClaimed(context, event);
+    candidacy.receiveTableClaimed(context, event);
   } else {
     receiveTableWritten(context, leadership, event);
   }
 }
 
-function receivePeerMessage(context: RouterContext, event: PeerMessageEvent): void {
-  const { leadership } = context.state;
-  const { message, link } = event;
+function receivePeerMessage(context: RouterContext, { message, link }: PeerMessageEvent): void {
+  const leads = context.state.leadership !== null;
+  const source = context.state.tree.children.has(link) ? 'child' : 'parent';
   switch (message.kind) {
     case 'report':
-      return leadership === null ? undefined : receiveReport(context, leadership, link, message);
+      return receiveReport(context, link, message);
     case 'heartbeat':
-      return leadership === null ? election.receiveHeartbeat(context, message) : undefined;
+      return leads ? undefined : receiveHeartbeat(context, message);
     case 'ownership':
-      return leadership === null ? adoptOwnership(context, message) : undefined;
-  }
-}
-
-function adoptOwnership(context: RouterContext, message: Ownership): void {
-  const { state } = context;
-  const units = message.units.map((unit) => ({ ...unit, releasing: null }));
-  const isChange = message.base !== 0;
-  if (isChange && (message.base !== state.view.sequence || message.term !== state.view.term)) {
-    // A change before it was missed: the next report says so to the leader.
-    return;
-  }
-  const view = isChange
-    ? state.view.changed(message.sequence, units)
-    : new OwnershipView(message.term, message.sequence, units);
-  if (view.isNewerThan(state.view)) {
-    state.view = view;
-    const granted = units.filter((unit) => unit.granted).length;
-    context.log('ownership_heard', {
-      term: view.term,
-      sequence: view.sequence,
-      units: units.length,
-      granted,
-    });
+      return leads ? undefined : receiveOwnership(context, message);
+    case 'redirect':
+      return leads ? undefined : receiveRedirect(context, message);
+    case 'serverNews':
+      news.receiveServerNews(context, message, source);
+      tickEarlyRequests(context);
+      return noteServersOfLeader(context);
+    case 'configurationNews':
+      news.receiveConfigurationNews(context, message, source);
+      return tickEarlyRequests(context);
   }
 }
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -1,6 +1,6 @@
 /** Where a request goes now: to the owner of its key, or to the server that should answer first. */
 import type { Milliseconds, ServiceName } from '../model/identifiers.js';
-import { hastenReport } from '../peers/follower-reports.js';
+import { hastenReport } from '../tree/reports.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
+import { tallyKeys } from '../tree/reports.js';
 import { budgetOf, dispatch } from './request-dispatch.js';
 
 /** Status codes of the daemon's own answers. */
@@ -67,7 +68,7 @@
   const request = createRequest(event, route, service, keyed ? event.key : null, arrivedAt);
   state.requests.set(request.id, request);
   if (request.key !== null) {
-    sampleKey(context, request.service, request.key);
+    tallyKeys(context, { service: request.service, keys: [request.key], counts: [1] });
   }
   dispatch(context, request);
 }
@@ -101,16 +102,6 @@
   };
 }
 
-function sampleKey(context: RouterContext, service: string, key: number): void {
-  const { keySamples } = context.state;
-  const keys = keySamples.get(service);
-  if (keys === undefined) {
-    keySamples.set(service, [key]);
-  } else {
-    keys.push(key);
-  }
-}
-
 function refuseUnknown(
   context: RouterContext,
   event: RequestArrivedEvent,
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -6,7 +6,7 @@
 import type { LogEventName } from '../log-events.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
-import type { KnownServer } from '../router-state.js';
+import type { KnownServer, RouterState } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
 import { findDestination, isRefusal } from './destination.js';
 import { RetryBudget } from './retry-budget.js';
@@ -45,6 +45,14 @@
   return budget;
 }
 
+/** Takes in how many daemons share what is bounded for all of them. */
+export function setDaemons(state: RouterState, daemons: number): void {
+  if (state.daemons !== daemons) {
+    state.daemons = daemons;
+    state.budgets.forEach((budget) => budget.shareAmong(daemons));
+  }
+}
+
 /** Sends a request to a server, holds it, or refuses it. */
 export function dispatch(context: RouterContext, request: ActiveRequest): void {
   const { state, now } = context;
--- a/src/router/router-settings.ts
+++ b/src/router/router-settings.ts
@@ -35,6 +35,14 @@
     history: SECONDS,
   }),
   limits: z.object({ memoryMegabytes: z.number().positive() }),
+  processor: z
+    .object({
+      /** Share of a core that the process may use. */
+      share: z.number().positive(),
+      /** How many times as fast as usual that core is. */
+      speed: z.number().positive(),
+    })
+    .default({ share: 1, speed: 1 }),
   timing: z.object({
     /** A planned stop ends within this time. */
     stopGrace: SECONDS,
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -4,17 +4,20 @@
 import type { FeedName } from './effects.js';
 import { createFeedLag, type FeedLag } from './feed-lag.js';
 import type { Configuration } from './model/configuration.js';
-import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
+import type { DaemonName, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import { createElection, type ElectionState } from './ownership/election-state.js';
 import { createIsolation, type Isolation } from './ownership/isolation.js';
 import type { Leadership } from './ownership/leadership-state.js';
+import { ServerHistory } from './news/server-history.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
 import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
+import { createTree, type TreeState } from './tree/tree-state.js';
+import type { KeyTally } from './tree/reports.js';
 import { TargetRotation } from './request/target-rotation.js';
 
 /** Who this daemon is. */
@@ -32,6 +35,8 @@
   readonly retries: RetryBudgetLimits;
   readonly drain: Milliseconds;
   readonly longestLease: Milliseconds;
+  /** In whole cores of usual speed. */
+  readonly processorPower: number;
 }
 
 /** A listed server and what this daemon has seen of it. */
@@ -51,11 +56,17 @@
   readonly random: SeededRandom;
   readonly counters: RouterCounters;
   configuration: Configuration | null;
+  /** Of the store, as it had the configuration; 0 before the first one. */
+  configurationRevision: number;
   routes: RouteTable;
   /** Of the store when the servers were read last; null before the first list. */
   serversRevision: number | null;
   /** The highest revision of a server's entry: the same at daemons that know the same entries. */
   newestServerRevision: number;
+  readonly serverHistory: ServerHistory;
+  /** This daemon lists and watches the store itself. */
+  followsStore: boolean;
+  readonly tree: TreeState;
   readonly feedLags: Readonly<Record<FeedName, FeedLag>>;
   readonly servers: Map<ServerId, KnownServer>;
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
@@ -72,8 +83,8 @@
   readonly early: Map<number, EarlyRequest>;
   readonly budgets: Map<ServiceName, RetryBudget>;
   readonly rotation: TargetRotation;
-  /** Keys that callers asked for since the last report. */
-  readonly keySamples: Map<ServiceName, Key[]>;
+  /** Keys that callers asked for, here and below, since the last report. */
+  readonly keyTallies: Map<ServiceName, KeyTally>;
   nextCallId: number;
   stopping: boolean;
 }
@@ -89,9 +100,13 @@
     random: new SeededRandom(seed),
     counters: createRouterCounters(),
     configuration: null,
+    configurationRevision: 0,
     routes: new RouteTable([]),
     serversRevision: null,
     newestServerRevision: 0,
+    serverHistory: new ServerHistory(),
+    followsStore: false,
+    tree: createTree(),
     feedLags: { configuration: createFeedLag(), servers: createFeedLag() },
     servers: new Map(),
     serversByService: new Map(),
@@ -105,7 +120,7 @@
     early: new Map(),
     budgets: new Map(),
     rotation: new TargetRotation(),
-    keySamples: new Map(),
+    keyTallies: new Map(),
     nextCallId: 1,
     stopping: false,
   };
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -1,59 +1,74 @@
 /** Takes configurations and the list of servers in. Neither ever goes back. */
-import type { ConfigurationEvent, ServerChangedEvent, ServersListedEvent } from './events.js';
+import type { ConfigurationEvent, ServersListedEvent } from './events.js';
 import type { LogEventName } from './log-events.js';
 import type { ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
+import type { ServerChange } from './peers/messages.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
 import type { RouterContext } from './router-context.js';
 import type { KnownServer } from './router-state.js';
 
-/** A configuration was read. */
-export function receiveConfiguration(context: RouterContext, event: ConfigurationEvent): void {
+/** A configuration was read. Returns whether it is newer than the one in force. */
+export function receiveConfiguration(context: RouterContext, event: ConfigurationEvent): boolean {
   const { state } = context;
-  const { configuration } = event;
+  const { configuration, revision } = event;
+  state.configurationRevision = Math.max(state.configurationRevision, revision);
   const former = state.configuration?.version ?? null;
   if (former !== null && configuration.version <= former) {
-    return;
+    return false;
   }
   state.configuration = configuration;
   state.routes = new RouteTable(configuration.routes);
   state.counters.configurations_applied += 1;
   const { version, routes } = configuration;
   context.log('configuration_applied', { version, former, routes: routes.length });
+  return true;
 }
 
-/** All servers were listed. */
-export function receiveServersListed(context: RouterContext, event: ServersListedEvent): void {
-  const { state } = context;
-  if (state.serversRevision !== null && event.revision < state.serversRevision) {
-    return;
-  }
-  state.serversRevision = event.revision;
-  const listed = new Set(event.servers.map((server) => server.id));
-  for (const id of [...state.servers.keys()]) {
-    if (!listed.has(id)) {
-      removeServer(context, id, event.revision);
-    }
-  }
-  for (const server of event.servers) {
-    putServer(context, server, event.revision);
+function differs(context: RouterContext, { id, server }: ServerChange): boolean {
+  const known = context.state.servers.get(id)?.server;
+  if (known === undefined || server === null) {
+    return known !== undefined || server !== null;
   }
+  return server.revision !== known.revision || server.draining !== known.draining;
 }
 
-/** One server was listed, changed or removed. */
-export function receiveServerChanged(context: RouterContext, event: ServerChangedEvent): void {
+/** All servers were listed. Returns what differs from what was known; null when more is known already. */
+export function receiveServersListed(
+  context: RouterContext,
+  { servers, revision }: ServersListedEvent,
+): ServerChange[] | null {
+  const listed = new Set(servers.map((server) => server.id));
+  const gone = [...context.state.servers.keys()].filter((id) => !listed.has(id));
+  const changes: ServerChange[] = [
+    ...gone.map((id) => ({ id, server: null })),
+    ...servers.map((server) => ({ id: server.id, server })),
+  ];
+  return receiveServerChanges(context, changes, revision);
+}
+
+/** Takes in changes up to a revision. Returns those that differ from what was known; null when more is known already. */
+export function receiveServerChanges(
+  context: RouterContext,
+  changes: readonly ServerChange[],
+  revision: number,
+): ServerChange[] | null {
   const { state } = context;
-  if (state.serversRevision !== null && event.revision < state.serversRevision) {
-    return;
+  if (state.serversRevision !== null && revision < state.serversRevision) {
+    return null;
   }
-  state.serversRevision = event.revision;
-  if (event.server === null) {
-    removeServer(context, event.id, event.revision);
-  } else {
-    putServer(context, event.server, event.revision);
+  state.serversRevision = revision;
+  const effective = changes.filter((change) => differs(context, change));
+  for (const { id, server } of effective) {
+    if (server === null) {
+      removeServer(context, id, revision);
+    } else {
+      putServer(context, server, revision);
+    }
   }
+  return effective;
 }
 
 function removeServer(context: RouterContext, id: ServerId, revision: number): void {
--- /dev/null
+++ b/src/router/tree/children.ts
@@ -0,0 +1,102 @@
+/** The daemons that report to this one: who they are, what they lack, and what they pass up. */
+import type { Milliseconds } from '../model/identifiers.js';
+import { noteVersionsOf } from '../feed-lag.js';
+import { catchUp } from '../news/spread-news.js';
+import { wholeStatement } from '../ownership/ownership-statement.js';
+import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
+import type { Report } from '../peers/messages.js';
+import type { RouterContext } from '../router-context.js';
+import type { RouterState } from '../router-state.js';
+import { buildHeartbeat } from './heartbeats.js';
+import { chooseRelay } from './relay-choice.js';
+import { tallyKeys } from './reports.js';
+import type { Child } from './tree-state.js';
+
+/** A child that has not reported for this long is not counted. */
+const CHILD_PATIENCE: Milliseconds = 4 * REPORT_INTERVAL;
+
+/** Daemons below this one that report. */
+export function daemonsBelow(state: RouterState, now: Milliseconds): number {
+  let daemons = 0;
+  for (const child of state.tree.children.values()) {
+    daemons += now - child.lastReportAt < CHILD_PATIENCE ? child.daemons : 0;
+  }
+  return daemons;
+}
+
+/** A child reported. */
+export function receiveReport(context: RouterContext, link: number, report: Report): void {
+  report.samples.forEach((sample) => tallyKeys(context, sample));
+  context.state.tree.times.push(...report.times);
+  context.state.tree.started.push(...report.started);
+  if (context.state.leadership !== null) {
+    noteVersionsOf(context, report);
+  }
+  const known = context.state.tree.children.get(link);
+  if (known !== undefined) {
+    known.lastReportAt = context.now;
+    known.daemons = report.daemons;
+    tellWhatIsMissed(context, link, known, report);
+    return;
+  }
+  const relay = relayFor(context, report);
+  if (relay !== undefined) {
+    relay.daemons += report.daemons;
+    const message = { kind: 'redirect', address: relay.address } as const;
+    context.emit({ kind: 'sendToChildren', link, message });
+    return;
+  }
+  addChild(context, link, report);
+}
+
+/** Only the leader sends daemons elsewhere, and only those without children of their own. */
+function relayFor({ state }: RouterContext, report: Report): Child | undefined {
+  if (state.leadership === null || report.daemons > 1) {
+    return undefined;
+  }
+  return chooseRelay([...state.tree.children.values()], report.zone, report.failedRelay);
+}
+
+function addChild(context: RouterContext, link: number, report: Report): void {
+  const { state, now } = context;
+  const { daemon, life, address, zone, daemons } = report;
+  const child: Child = {
+    daemon,
+    life,
+    address,
+    zone,
+    lastReportAt: now,
+    daemons,
+    serversSentAt: Number.NEGATIVE_INFINITY,
+    configurationSentAt: Number.NEGATIVE_INFINITY,
+  };
+  state.tree.children.set(link, child);
+  state.tree.started.push({ daemon, life });
+  context.log('child_joined', { child: daemon, leads: state.leadership !== null });
+  const heartbeat = buildHeartbeat(context);
+  if (heartbeat !== null) {
+    context.emit({ kind: 'sendToChildren', link, message: heartbeat });
+  }
+  tellWhatIsMissed(context, link, child, report);
+}
+
+function tellWhatIsMissed(context: RouterContext, link: number, child: Child, report: Report): void {
+  const { view, leadership, election } = context.state;
+  const isCurrent = view.term > 0 && view.term === (leadership?.term ?? election.leader?.term);
+  const isChanging = leadership?.viewChanged === true;
+  if (isCurrent && report.ownershipSequence !== view.sequence && !isChanging) {
+    // It has missed a change, or has just come.
+    context.emit({ kind: 'sendToChildren', link, message: wholeStatement(view) });
+  }
+  catchUp(context, link, child, report);
+}
+
+/** A child's connection ended. */
+export function forgetChild(context: RouterContext, link: number): void {
+  const { children } = context.state.tree;
+  const child = children.get(link);
+  if (child !== undefined) {
+    children.delete(link);
+    context.log('child_left', { child: child.daemon, daemons: child.daemons });
+  }
+}
--- /dev/null
+++ b/src/router/tree/parent.ts
@@ -0,0 +1,55 @@
+/** A daemon's parent: the leader, or a relay that the leader named. Who loses its relay goes back to the leader. */
+import type { ParentLinkClosedEvent } from '../events.js';
+import type { Milliseconds } from '../model/identifiers.js';
+import { HEARTBEAT_PATIENCE } from '../ownership/ownership-timing.js';
+import type { Redirect } from '../peers/messages.js';
+import type { RouterContext } from '../router-context.js';
+import { isRelayed } from './tree-state.js';
+
+/** A daemon that left its relay hears from the leader within this time, if there is one. */
+const LEADER_GRACE: Milliseconds = 400;
+
+/** Connects to another parent, or to none. */
+export function follow(context: RouterContext, address: string | null): void {
+  const { tree } = context.state;
+  tree.parent = address;
+  tree.followedSince = context.now;
+  tree.watchers = [];
+  context.emit({ kind: 'follow', address });
+}
+
+/** The leader names a relay. */
+export function receiveRedirect(context: RouterContext, { address }: Redirect): void {
+  const { tree, identity } = context.state;
+  if (address === identity.peerAddress || address === tree.parent) {
+    return;
+  }
+  context.log('relay_followed', { relay: address });
+  tree.parentHeardAt = context.now;
+  tree.wasRelayed = true;
+  follow(context, address);
+}
+
+function returnToLeader(context: RouterContext, reason: string): void {
+  const { tree, election } = context.state;
+  const leader = election.leader?.address ?? null;
+  context.log('relay_left', { relay: tree.parent, reason });
+  tree.failedRelay = tree.parent ?? '';
+  tree.leaderGraceUntil = context.now + LEADER_GRACE;
+  follow(context, leader);
+}
+
+/** Leaves a relay that has fallen silent. */
+export function tickParent(context: RouterContext): void {
+  const { tree } = context.state;
+  if (isRelayed(context.state) && context.now - tree.parentHeardAt > HEARTBEAT_PATIENCE) {
+    returnToLeader(context, 'silent');
+  }
+}
+
+/** The connection to the parent ended or could not be made. */
+export function receiveParentClosed(context: RouterContext, event: ParentLinkClosedEvent): void {
+  if (event.address === context.state.tree.parent && isRelayed(context.state)) {
+    returnToLeader(context, event.refused ? 'refused' : 'closed');
+  }
+}
--- /dev/null
+++ b/src/router/tree/tree-state.ts
@@ -0,0 +1,63 @@
+/**
+ * The tree of daemons: the leader at the root, relays below it, the others below the relays. A child holds one connection
+ * to its parent; reports go up, heartbeats, ownership and news of the store go down.
+ */
+import type { DaemonName, Milliseconds } from '../model/identifiers.js';
+import type { DaemonLife, ServerTimes } from '../peers/messages.js';
+import type { RouterState } from '../router-state.js';
+
+/** A daemon that is connected to this one and reports to it. */
+export interface Child extends DaemonLife {
+  readonly address: string;
+  readonly zone: string;
+  lastReportAt: Milliseconds;
+  /** Daemons at and below it, those included that were just sent there. */
+  daemons: number;
+  /** When it was last sent the whole list of servers, and a configuration. */
+  serversSentAt: Milliseconds;
+  configurationSentAt: Milliseconds;
+}
+
+/** A daemon's place in the tree. */
+export interface TreeState {
+  /** Address of the parent, or null for none. */
+  parent: string | null;
+  followedSince: Milliseconds;
+  /** The leader sent this daemon to a relay, and has not been heard directly since. */
+  wasRelayed: boolean;
+  /** When the parent last said anything. */
+  parentHeardAt: Milliseconds;
+  /** After it left a relay, the daemon gives the leader until then to be heard. */
+  leaderGraceUntil: Milliseconds;
+  /** The last relay that did not answer, or empty. */
+  failedRelay: string;
+  /** Children of the parent that follow the store beside it. */
+  watchers: readonly DaemonName[];
+  readonly children: Map<number, Child>;
+  /** Not yet told to the parent: daemons that have joined below, and times of servers that they told. */
+  started: DaemonLife[];
+  times: ServerTimes[];
+  nextHeartbeatAt: Milliseconds;
+}
+
+/** The place of a daemon that knows nobody. */
+export function createTree(): TreeState {
+  return {
+    parent: null,
+    followedSince: 0,
+    wasRelayed: false,
+    parentHeardAt: Number.NEGATIVE_INFINITY,
+    leaderGraceUntil: Number.NEGATIVE_INFINITY,
+    failedRelay: '',
+    watchers: [],
+    children: new Map(),
+    started: [],
+    times: [],
+    nextHeartbeatAt: 0,
+  };
+}
+
+/** Whether the parent is a relay and not the leader. */
+export function isRelayed({ tree, election }: RouterState): boolean {
+  return tree.parent !== null && tree.parent !== election.leader?.address;
+}
--- a/test/router/ownership/test-key-load.ts
+++ b/test/router/ownership/test-key-load.ts
@@ -6,7 +6,7 @@
 function rateAt(end: number): number {
   const load = new KeyLoad();
   for (let now = 1_000; now <= end; now += 10) {
-    load.add([7], now);
+    load.add({ keys: [7], counts: [1] }, now);
   }
   return load.rates(end)[0]?.rate ?? 0;
 }
@@ -24,7 +24,7 @@
 
   it('forgets keys that nobody asks for any more', () => {
     const load = new KeyLoad();
-    load.add([7], 1_000);
+    load.add({ keys: [7], counts: [1] }, 1_000);
     expect(load.rates(9_000)).toEqual([]);
   });
 });
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -113,11 +113,16 @@
 
 describe('the way of a request', () => {
   beforeEach(() => {
-    const bounds = { retries: { ratio: 0.2, extra: 200 }, drain: 2_000, longestLease: 10_000 };
+    const bounds = {
+      retries: { ratio: 0.2, extra: 200 },
+      drain: 2_000,
+      longestLease: 10_000,
+      processorPower: 1,
+    };
     state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
     now = 1_000;
     effects = [];
-    event({ kind: 'configuration', configuration: CONFIGURATION });
+    event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     event({ kind: 'serversListed', servers: [server('s1'), server('s2'), server('s3')], revision: 5 });
     effects = [];
   });
@@ -135,7 +140,7 @@
     arrive(1, '/read/1');
     ticksUntil(1_080);
     expect(only('answer')).toEqual([]);
-    event({ kind: 'configuration', configuration: CONFIGURATION });
+    event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     expect(only('forward').length).toEqual(1);
   });
 
@@ -143,7 +148,7 @@
     state.configuration = null;
     arrive(1, '/read/1');
     event({ kind: 'callerLeft', requestId: 1 });
-    event({ kind: 'configuration', configuration: CONFIGURATION });
+    event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     expect(only('forward')).toEqual([]);
   });
 
@@ -218,7 +223,11 @@
 
   it('sends no work to a draining server', () => {
     for (const id of ['s1', 's2']) {
-      event({ kind: 'serverChanged', id, server: { ...server(id), draining: true }, revision: 6 });
+      event({
+        kind: 'serversChanged',
+        changes: [{ id, server: { ...server(id), draining: true } }],
+        revision: 6,
+      });
     }
     for (let requestId = 1; requestId <= 2; requestId += 1) {
       arrive(requestId, '/read/1');
@@ -305,7 +314,7 @@
   // Found by a played day: the second attempt met the same full owner within 2 ms, and nothing was left to try.
   it('waits a moment before it sends a request to an owner again that has reset it', () => {
     const owner: ServerDescription = { ...server('s9'), service: 'racks' };
-    event({ kind: 'serverChanged', id: 's9', server: owner, revision: 6 });
+    event({ kind: 'serversChanged', changes: [{ id: 's9', server: owner }], revision: 6 });
     const unit = { service: 'racks', from: 0, to: 65_535, owner: 's9', fence: 3, releasing: null };
     state.view = new OwnershipView(1, 1, [{ ...unit, granted: true }]);
     arrive(1, '/rack/1', 900, 7);
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -4,6 +4,7 @@
 import type { RouterEvent } from '../../../src/router/events.js';
 import type { Configuration } from '../../../src/router/model/configuration.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
+import type { PeerMessage } from '../../../src/router/peers/messages.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { ModelServer, carryCall, OwnerChecker, WATCHED_KEYS, type CallTroubles } from './model-server.js';
@@ -14,6 +15,10 @@
 const LINK_DELAY = 1;
 /** A link that broke is opened again after this long. */
 const LINK_RETRY = 150;
+/** A list that failed is asked for again after this long. */
+const STORE_RETRY = 300;
+/** The link on which a daemon hears its parent. */
+const PARENT_LINK = -1;
 export const SERVICE = 'racks';
 
 export const CONFIGURATION: Configuration = {
@@ -47,6 +52,8 @@
   /** Its process stands still until this time; what reaches it waits. */
   frozenUntil: number;
   following: string | null;
+  /** It lists and watches the store itself. */
+  followsStore: boolean;
 }
 
 export class RouterWorld {
@@ -60,6 +67,9 @@
   readonly events: string[] = [];
   #listed: ServerDescription[] = [];
   #revision = 1;
+  configuration = CONFIGURATION;
+  /** Lists that daemons had from the store. */
+  storeLists = 0;
   #lives = 0;
   #nextServer = 0;
 
@@ -108,12 +118,26 @@
   #publish(): void {
     this.#revision += 1;
     for (const daemon of this.daemons) {
-      if (daemon.alive && daemon.storeReachable) {
+      if (daemon.alive && daemon.storeReachable && daemon.followsStore) {
         this.clock.after(2 + this.random.fraction() * 10, () => this.#tellServers(daemon));
       }
     }
   }
 
+  /** Gives a daemon that begins to follow the store what is there, as soon as it reaches it. */
+  #tellAll(daemon: Daemon, life: number): void {
+    if (daemon.life !== life || !daemon.followsStore) {
+      return;
+    }
+    if (!daemon.storeReachable || this.clock.now < this.store.downUntil) {
+      this.clock.after(STORE_RETRY, () => this.#tellAll(daemon, life));
+      return;
+    }
+    this.storeLists += 1;
+    this.#deliver(daemon, life, { kind: 'configuration', configuration: this.configuration, revision: 1 });
+    this.#tellServers(daemon);
+  }
+
   #tellServers(daemon: Daemon): void {
     this.#deliver(daemon, daemon.life, {
       kind: 'serversListed',
@@ -132,6 +156,7 @@
       storeReachable: true,
       frozenUntil: 0,
       following: null,
+      followsStore: false,
     };
     this.daemons.push(daemon);
     this.startDaemon(daemon);
@@ -140,7 +165,12 @@
   #freshState(daemon: string, peerAddress: string): RouterState {
     this.#lives += 1;
     const identity = { daemon, zone: 'z0', peerAddress, life: this.#lives };
-    const bounds = { retries: { ratio: 0.2, extra: 60 }, drain: 2_000, longestLease: 10_000 };
+    const bounds = {
+      retries: { ratio: 0.2, extra: 60 },
+      drain: 2_000,
+      longestLease: 10_000,
+      processorPower: 1,
+    };
     return createRouterState(identity, bounds, this.#lives);
   }
 
@@ -149,11 +179,7 @@
     daemon.life = this.#lives;
     daemon.alive = true;
     daemon.following = null;
-    const { life } = daemon;
-    this.clock.after(5, () => {
-      this.#deliver(daemon, life, { kind: 'configuration', configuration: CONFIGURATION });
-      this.#tellServers(daemon);
-    });
+    daemon.followsStore = false;
   }
 
   /** A planned stop: the process goes on for a while, and another one starts after it. */
@@ -187,9 +213,9 @@
   /** Keys that callers ask for at every daemon now. */
   ask(keys: readonly number[]): void {
     for (const daemon of this.daemons) {
-      const samples = daemon.state.keySamples.get(SERVICE) ?? [];
-      samples.push(...keys);
-      daemon.state.keySamples.set(SERVICE, samples);
+      const tally = daemon.state.keyTallies.get(SERVICE) ?? new Map<number, number>();
+      keys.forEach((key) => tally.set(key, (tally.get(key) ?? 0) + 1));
+      daemon.state.keyTallies.set(SERVICE, tally);
     }
   }
 
@@ -232,18 +258,25 @@
         });
       }
       case 'follow':
+        this.#leave(daemon, daemon.following);
         daemon.following = effect.address;
-        this.#watchLink(daemon, life, effect.address, true);
+        this.#watchLink(daemon, life, effect.address, false);
+        return;
+      case 'followStore':
+        daemon.followsStore = effect.follows;
+        this.clock.after(5, () => this.#tellAll(daemon, life));
         return;
-      case 'sendToLeader': {
-        const leader = this.daemons.find((other) => other.address === daemon.following);
-        return leader === undefined ? undefined : this.#pass(leader, daemon, effect.message);
+      case 'sendToParent': {
+        const parent = this.daemons.find((other) => other.address === daemon.following);
+        return parent === undefined
+          ? undefined
+          : this.#pass(parent, this.daemons.indexOf(daemon), effect.message);
       }
-      case 'sendToFollowers':
-        for (const follower of this.daemons) {
-          const chosen = effect.link === null || effect.link === this.daemons.indexOf(follower);
-          if (chosen && follower !== daemon && follower.following === daemon.address) {
-            this.#pass(follower, daemon, effect.message);
+      case 'sendToChildren':
+        for (const child of this.daemons) {
+          const chosen = effect.link === null || effect.link === this.daemons.indexOf(child);
+          if (chosen && child !== daemon && child.following === daemon.address) {
+            this.#pass(child, PARENT_LINK, effect.message);
           }
         }
         return;
@@ -257,21 +290,36 @@
     }
   }
 
-  /** Tells a follower when the process that it follows is gone: nothing listens there then. */
+  /** The parent at an address sees that a daemon's link has ended. */
+  #leave(daemon: Daemon, address: string | null): void {
+    const parent = this.daemons.find((other) => other.address === address);
+    if (parent !== undefined) {
+      const { life } = parent;
+      const link = this.daemons.indexOf(daemon);
+      this.clock.after(LINK_DELAY, () => this.#deliver(parent, life, { kind: 'peerLeft', link }));
+    }
+  }
+
+  /** Tells a daemon when the process that it follows is gone, or is there: nothing listens there in between. */
   #watchLink(daemon: Daemon, life: number, address: string | null, wasOpen: boolean): void {
-    if (address === null || daemon.life !== life || daemon.following !== address) {
+    if (address === null || daemon.following !== address || daemon.life !== life) {
+      return;
+    }
+    if (!daemon.alive) {
+      this.#leave(daemon, address);
       return;
     }
     const listens = this.daemons.some((other) => other.address === address && other.alive);
     if (!listens) {
-      this.#deliver(daemon, life, { kind: 'leaderLinkClosed', address, refused: !wasOpen });
+      this.#deliver(daemon, life, { kind: 'parentLinkClosed', address, refused: !wasOpen });
+    } else if (!wasOpen) {
+      this.clock.after(LINK_DELAY, () => this.#deliver(daemon, life, { kind: 'parentLinkOpened' }));
     }
     this.clock.after(LINK_RETRY, () => this.#watchLink(daemon, life, address, listens));
   }
 
-  #pass(to: Daemon, from: Daemon, message: Extract<Effect, { kind: 'sendToLeader' }>['message']): void {
+  #pass(to: Daemon, link: number, message: PeerMessage): void {
     const { life } = to;
-    const link = this.daemons.indexOf(from);
     this.clock.after(LINK_DELAY, () => this.#deliver(to, life, { kind: 'peerMessage', link, message }));
   }
 
--- a/test/router/test-feed-lag.ts
+++ b/test/router/test-feed-lag.ts
@@ -11,6 +11,11 @@
     term: 1,
     confirmationAge: 10,
     leaderRevision: 0,
+    leader: 'other',
+    leaderLife: 7,
+    leaderAddress: '10.0.0.8:1',
+    heardAge: 0,
+    watchers: [],
     daemons: 3,
     configurationVersion,
     serversRevision,
@@ -21,7 +26,12 @@
 
 describe('a daemon that knows less than others', () => {
   beforeEach(() => {
-    const bounds = { retries: { ratio: 0.2, extra: 60 }, drain: 2_000, longestLease: 10_000 };
+    const bounds = {
+      retries: { ratio: 0.2, extra: 60 },
+      drain: 2_000,
+      longestLease: 10_000,
+      processorPower: 1,
+    };
     state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
   });
 
