Whoever learns of another leader tells its neighbours; the start asks the store less

Everybody but the watchers waits 4 s before it asks the store. A daemon that is connecting to a parent waits 0.7 s before it lists; a refused confirmation is repeated ever more seldom.

--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -63,7 +63,8 @@
     clearTimeout(this.#reconnect);
     const former = this.#parent;
     this.#parent = null;
-    former?.destroy();
+    // What was written to it still goes out: who leads now, for example.
+    former?.destroySoon();
     this.#connect();
   }
 
--- a/src/router/news/store-following.ts
+++ b/src/router/news/store-following.ts
@@ -9,12 +9,15 @@
 import { HEARTBEAT_PATIENCE } from '../ownership/ownership-timing.js';
 import { isRelayed } from '../tree/tree-state.js';
 
-/** A daemon that has just started gives a parent this long to send what it knows; a link is up within a few ms. */
+/** A daemon that has just started looks for a leader this long, before it reads everything itself. */
 const START_PATIENCE: Milliseconds = 250;
-/** The same while it is connected to a parent that is itself about to know. */
-const FIRST_NEWS_PATIENCE: Milliseconds = 600;
-/** A leader that the store has not confirmed for this long may hear no news either. */
-const UNCONFIRMED_PATIENCE: Milliseconds = 2_000;
+/** A parent sends all that it knows within this time; on slow machines a link takes 0.3 s to be up. */
+const FIRST_NEWS_PATIENCE: Milliseconds = 700;
+/**
+ * A leader that the store has not confirmed for this long may hear no news either. Its watchers do, and a takeover takes
+ * 3 s: more than these need not ask the store before that.
+ */
+const UNCONFIRMED_PATIENCE: Milliseconds = 4_000;
 /** The same below a relay, which follows the store by then: all daemons at once would be too much for it. */
 const RELAYED_PATIENCE: Milliseconds = 5_000;
 
@@ -27,16 +30,15 @@
   if (state.leadership !== null) {
     return true;
   }
-  if (now - tree.parentHeardAt > HEARTBEAT_PATIENCE) {
-    const patience = lacksNews(state) ? START_PATIENCE : 0;
-    return now - election.startedAt >= patience;
+  if (lacksNews(state)) {
+    const isConnecting = tree.parent !== null && election.leaderRefused === 0;
+    return isConnecting
+      ? now - tree.followedSince >= FIRST_NEWS_PATIENCE
+      : now - election.startedAt >= START_PATIENCE;
   }
-  if (tree.watchers.includes(identity.daemon)) {
+  if (now - tree.parentHeardAt > HEARTBEAT_PATIENCE || tree.watchers.includes(identity.daemon)) {
     return true;
   }
-  if (lacksNews(state)) {
-    return now - tree.followedSince >= FIRST_NEWS_PATIENCE;
-  }
   const age = now - election.lastHeartbeatAt + election.confirmationAge;
   return age > (isRelayed(state) ? RELAYED_PATIENCE : UNCONFIRMED_PATIENCE);
 }
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -3,6 +3,7 @@
 import type { RouterContext } from '../router-context.js';
 import { hastenHeartbeat } from '../tree/heartbeats.js';
 import type { Candidacy } from './election-state.js';
+import { FIRST_REFUSED_RETRY } from './leader-confirmation.js';
 import { noteServers } from './leader.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import { CONFIRMATION_VALIDITY, JOIN_INTERVAL, LEASE, longestHold } from './ownership-timing.js';
@@ -30,6 +31,7 @@
     confirmedAt: candidacy.confirmedAt,
     confirming: false,
     nextConfirmationAt: now,
+    refusedRetry: FIRST_REFUSED_RETRY,
     table,
     tableRevision,
     write: null,
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -29,7 +29,7 @@
 /** Below a relay that is heard, the leader may be silent for this long: the relay looks for the next one. */
 const RELAYED_PATIENCE: Milliseconds = 3_000;
 /** The table is not read this soon after the start: a parent sends its view within a few ms. */
-const FIRST_TABLE_READ: Milliseconds = 250;
+const FIRST_TABLE_READ: Milliseconds = 500;
 /** Daemons below relays read the store more seldom, the more daemons there are: one part for so many, up to the most. */
 const DAEMONS_A_PART = 30;
 const MOST_PARTS = 6;
--- a/src/router/ownership/known-leader.ts
+++ b/src/router/ownership/known-leader.ts
@@ -1,12 +1,25 @@
 /** Which daemon leads, as this one has read in the store or heard from its parent. */
 import { noteVersionsOf } from '../feed-lag.js';
-import type { Heartbeat } from '../peers/messages.js';
+import type { Heartbeat, LeaderIdentity, LeaderNotice } from '../peers/messages.js';
 import { setDaemons } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
 import { hastenHeartbeat } from '../tree/heartbeats.js';
 import { follow } from '../tree/parent.js';
+import { stepDown } from './leader-confirmation.js';
+import { HEARTBEAT_PATIENCE } from './ownership-timing.js';
 import type { LeaderRecord } from './stored-objects.js';
 
+function identityOf({ term, daemon, life, address }: LeaderRecord): LeaderIdentity {
+  return { term, leader: daemon, leaderLife: life, leaderAddress: address };
+}
+
+/** Tells the parent and the children who leads now. */
+function passOn(context: RouterContext, { term, leader, leaderLife, leaderAddress }: LeaderIdentity): void {
+  const message: LeaderNotice = { kind: 'leaderNotice', term, leader, leaderLife, leaderAddress };
+  context.emit({ kind: 'sendToParent', message });
+  context.emit({ kind: 'sendToChildren', link: null, message });
+}
+
 /** The leader's object names a leader. */
 export function noteLeader(context: RouterContext, record: LeaderRecord, revision: number): void {
   const { election } = context.state;
@@ -20,24 +33,49 @@
     const { term, daemon, address } = record;
     context.log('leader_seen', { term, leader: daemon, address, revision });
     election.leaderRefused = 0;
+    if (!record.resigned) {
+      passOn(context, identityOf(record));
+    }
     follow(context, address);
   }
 }
 
-/** A relay, or the leader itself, tells of a leader that this daemon has not heard of. It stays where it is in the tree. */
-function adoptLeader(context: RouterContext, heartbeat: Heartbeat): void {
+/** Another daemon tells of a leader that this one has not heard of. */
+function adoptLeader(context: RouterContext, found: LeaderIdentity, revision: number): void {
   const { election } = context.state;
-  const { term, leader, leaderLife, leaderAddress, leaderRevision } = heartbeat;
+  const { term, leader, leaderLife, leaderAddress } = found;
   const place = { term, daemon: leader, life: leaderLife, address: leaderAddress };
   election.leader = { ...place, beat: 0, settled: false, resigned: false };
-  election.leaderRevision = leaderRevision;
+  election.leaderRevision = revision;
   election.unchangedSince = context.now;
   election.lastHeartbeatAt = Number.NEGATIVE_INFINITY;
   election.leaderRefused = 0;
-  context.log('leader_seen', { term, leader, address: leaderAddress, revision: leaderRevision });
+  context.log('leader_seen', { term, leader, address: leaderAddress, revision });
   hastenHeartbeat(context);
 }
 
+/**
+ * A neighbour has learned of another leader. A leader of an earlier term gives up; whoever has lost its parent follows the
+ * new leader, and whoever hears its relay stays there.
+ */
+export function receiveLeaderNotice(context: RouterContext, notice: LeaderNotice): void {
+  const { state } = context;
+  const { election, leadership, tree, identity } = state;
+  const knownTerm = Math.max(election.leader?.term ?? 0, leadership?.term ?? 0);
+  if (notice.term <= knownTerm || notice.leader === identity.daemon || election.candidacy !== null) {
+    return;
+  }
+  if (leadership !== null) {
+    stepDown(context, 'another daemon leads', null);
+  }
+  adoptLeader(context, notice, 0);
+  passOn(context, notice);
+  const hearsRelay = tree.wasRelayed && context.now - tree.parentHeardAt <= HEARTBEAT_PATIENCE;
+  if (!hearsRelay) {
+    follow(context, notice.leaderAddress);
+  }
+}
+
 /** The parent's heartbeat came. */
 export function receiveHeartbeat(context: RouterContext, heartbeat: Heartbeat): void {
   const { state, now } = context;
@@ -46,7 +84,7 @@
     return;
   }
   if (heartbeat.term > (election.leader?.term ?? 0)) {
-    adoptLeader(context, heartbeat);
+    adoptLeader(context, heartbeat, heartbeat.leaderRevision);
   }
   tree.parentHeardAt = now;
   tree.watchers = heartbeat.watchers;
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -7,8 +7,10 @@
 import { CONFIRMATION_INTERVAL } from './ownership-timing.js';
 import { parseLeader, type LeaderRecord } from './stored-objects.js';
 
-/** A refused write is repeated after this long. */
-const REFUSED_RETRY: Milliseconds = 150;
+/** A refused write is repeated after this long, then ever more seldom: calls that are refused are paid for, too. */
+export const FIRST_REFUSED_RETRY: Milliseconds = 150;
+const LONGEST_REFUSED_RETRY: Milliseconds = 600;
+const REFUSED_RETRY_GROWTH = 1.5;
 /** Said as the age of the confirmation by a leader that stops. */
 const RESIGNED_AGE: Milliseconds = 3_600_000;
 
@@ -46,6 +48,7 @@
   leadership.confirming = false;
   if (outcome.kind === 'written') {
     leadership.leaderRevision = outcome.revision;
+    leadership.refusedRetry = FIRST_REFUSED_RETRY;
     leadership.confirmedAt = Math.max(leadership.confirmedAt, event.sentAt);
   } else if (outcome.kind === 'conflict' && isOwn(context, leadership, outcome.value)) {
     // An earlier write of this leader, whose answer was lost, is there: the next one confirms.
@@ -54,7 +57,8 @@
   } else if (outcome.kind === 'conflict') {
     stepDown(context, 'another daemon leads', outcome.value);
   } else {
-    leadership.nextConfirmationAt = context.now + REFUSED_RETRY;
+    leadership.nextConfirmationAt = context.now + leadership.refusedRetry;
+    leadership.refusedRetry = Math.min(LONGEST_REFUSED_RETRY, leadership.refusedRetry * REFUSED_RETRY_GROWTH);
     if (outcome.kind === 'unknown') {
       leadership.confirming = true;
       context.emit({ kind: 'readObject', object: 'leader' });
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -68,6 +68,8 @@
   confirmedAt: Milliseconds;
   confirming: boolean;
   nextConfirmationAt: Milliseconds;
+  /** A confirmation that is refused is tried again after this long. */
+  refusedRetry: Milliseconds;
   table: OwnershipTable;
   tableRevision: number;
   write: TableWrite | null;
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -43,13 +43,23 @@
   readonly samples: KeySample[];
   readonly times: ServerTimes[];
 }
-/** What is known of the leader, told down the tree. */
-export interface Heartbeat {
-  readonly kind: 'heartbeat';
+/** Which daemon leads. */
+export interface LeaderIdentity {
   readonly term: number;
   readonly leader: DaemonName;
   readonly leaderLife: number;
   readonly leaderAddress: string;
+}
+/**
+ * A daemon that has learned of another leader tells its former parent and its children. Those that the store turns away
+ * find the leader by it, a former leader among them.
+ */
+export interface LeaderNotice extends LeaderIdentity {
+  readonly kind: 'leaderNotice';
+}
+/** What is known of the leader, told down the tree. */
+export interface Heartbeat extends LeaderIdentity {
+  readonly kind: 'heartbeat';
   /** How long ago the leader said this. */
   readonly heardAge: Milliseconds;
   /** Age of the last confirmation of its leadership by the store, when the leader said this. */
@@ -110,4 +120,5 @@
   readonly configuration: Configuration;
 }
 
-export type PeerMessage = Report | Heartbeat | Ownership | Redirect | ServerNews | ConfigurationNews;
+export type PeerMessage =
+  Report | Heartbeat | LeaderNotice | Ownership | Redirect | ServerNews | ConfigurationNews;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -13,7 +13,7 @@
 import type { Milliseconds } from './model/identifiers.js';
 import * as candidacy from './ownership/candidacy.js';
 import * as election from './ownership/election.js';
-import { receiveHeartbeat } from './ownership/known-leader.js';
+import { receiveHeartbeat, receiveLeaderNotice } from './ownership/known-leader.js';
 import { receiveConfirmation, receiveLeaderRead, resign } from './ownership/leader-confirmation.js';
 import { noteServers, tickLeader } from './ownership/leader.js';
 import { tickIsolation } from './ownership/isolation.js';
@@ -173,6 +173,8 @@
       return leads ? undefined : receiveHeartbeat(context, message);
     case 'ownership':
       return leads ? undefined : receiveOwnership(context, message);
+    case 'leaderNotice':
+      return receiveLeaderNotice(context, message);
     case 'redirect':
       return leads ? undefined : receiveRedirect(context, message);
     case 'serverNews':
--- /dev/null
+++ b/test/router/news/test-server-history.ts
@@ -0,0 +1,62 @@
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { describe, it } from 'node:test';
+import { ServerHistory } from '../../../src/router/news/server-history.js';
+import type { ServerChange } from '../../../src/router/peers/messages.js';
+
+function change(id: string, revision: number, gone: boolean): ServerChange {
+  const place = { service: 'racks', address: '10.0.0.1:80', zone: 'z', slots: 2 };
+  const server = { id, ...place, draining: false, warmupLeft: 0, listedAt: 1, revision };
+  return { id, server: gone ? null : server };
+}
+
+function apply(servers: Map<string, number>, changes: readonly ServerChange[]): void {
+  for (const { id, server } of changes) {
+    if (server === null) {
+      servers.delete(id);
+    } else {
+      servers.set(id, server.revision);
+    }
+  }
+}
+
+/** Batches of changes; each entry: which server, and whether it goes. */
+const BATCHES = fc.array(fc.array(fc.tuple(fc.nat(5), fc.boolean()), { minLength: 1, maxLength: 4 }), {
+  maxLength: 300,
+});
+
+describe('the history of servers', () => {
+  it('brings whoever knows an earlier revision to the same servers as whoever saw every change', () => {
+    fc.assert(
+      fc.property(BATCHES, fc.nat(300), (batches, missedAfter) => {
+        const history = new ServerHistory();
+        history.restart(1);
+        const whole = new Map<string, number>();
+        const behind = new Map<string, number>();
+        batches.forEach((batch, index) => {
+          const revision = index + 2;
+          const changes = batch.map(([id, gone]) => change(`s${id}`, revision, gone));
+          history.append(revision, changes);
+          apply(whole, changes);
+          if (index < missedAfter) {
+            apply(behind, changes);
+          }
+        });
+        const known = 1 + Math.min(missedAfter, batches.length);
+        const missed = history.since(known);
+        // Nothing but what is no longer remembered may be missing.
+        expect(missed !== null || batches.length - missedAfter > 250).toEqual(true);
+        if (missed !== null) {
+          apply(behind, missed.changes);
+          expect([...behind].sort()).toEqual([...whole].sort());
+          expect(missed.revision).toEqual(1 + batches.length);
+        }
+      }),
+      { seed: 7, numRuns: 200 },
+    );
+  });
+
+  it('remembers nothing before the first list', () => {
+    expect(new ServerHistory().since(0)).toEqual(null);
+  });
+});
--- a/test/router/support/model-store.ts
+++ b/test/router/support/model-store.ts
@@ -17,6 +17,8 @@
   slowness = 1;
   /** Share of writes whose answer is lost; some of these are done seconds later. */
   lostShare = 0;
+  /** Reads so far. */
+  reads = 0;
   readonly #objects = new Map<StoredName, StoredValue>();
   readonly #clock: VirtualClock;
   readonly #random: SeededRandom;
@@ -36,6 +38,7 @@
   }
 
   read(object: StoredName, reachable: boolean, answer: (outcome: ReadOutcome) => void): void {
+    this.reads += 1;
     if (this.#down || !reachable) {
       this.#clock.after(CALL_TIMEOUT, () => answer({ kind: 'failed', reason: 'no answer' }));
       return;
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -41,7 +41,7 @@
 };
 
 /** One life of a daemon. */
-interface Daemon {
+export interface Daemon {
   readonly name: string;
   readonly address: string;
   state: RouterState;
--- /dev/null
+++ b/test/router/tree/test-relay-choice.ts
@@ -0,0 +1,41 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { chooseRelay } from '../../../src/router/tree/relay-choice.js';
+import type { Child } from '../../../src/router/tree/tree-state.js';
+
+function child(index: number, zone: string, daemons: number): Child {
+  return {
+    daemon: `d${index}`,
+    life: index,
+    address: `10.0.0.${index}:70`,
+    zone,
+    lastReportAt: 0,
+    daemons,
+    serversSentAt: 0,
+    configurationSentAt: 0,
+  };
+}
+
+const CHILDREN = Array.from({ length: 12 }, (_, index) => child(index, `z${index % 4}`, 1 + (index % 5)));
+
+describe('the choice of a relay', () => {
+  it('leaves the first daemons, and two of each zone, with the leader', () => {
+    expect(chooseRelay(CHILDREN.slice(1), 'z0', '')).toEqual(undefined);
+    expect(chooseRelay(CHILDREN, 'z9', '')).toEqual(undefined);
+  });
+
+  it('takes the relay of the same zone that has the fewest daemons below it', () => {
+    expect(chooseRelay(CHILDREN, 'z1', '')?.daemon).toEqual('d5');
+  });
+
+  it('passes by a relay that the daemon could not reach', () => {
+    expect(chooseRelay(CHILDREN, 'z1', '10.0.0.5:70')?.daemon).toEqual('d1');
+  });
+
+  it('goes to another zone, then to the leader, when relays are full', () => {
+    const full = CHILDREN.map((known) => (known.zone === 'z1' ? { ...known, daemons: 24 } : known));
+    expect(chooseRelay(full, 'z1', '')?.daemon).toEqual('d0');
+    const allFull = CHILDREN.map((known) => ({ ...known, daemons: 24 }));
+    expect(chooseRelay(allFull, 'z1', '')).toEqual(undefined);
+  });
+});
--- /dev/null
+++ b/test/wire/test-peer-codec.ts
@@ -0,0 +1,60 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { deflateRawSync } from 'node:zlib';
+import { decodePeerMessage, encodePeerMessage } from '../../src/router-runtime/peer-codec.js';
+import type { PeerMessage } from '../../src/router/peers/messages.js';
+import { router } from '../../src/wire/generated/router.js';
+import { CONFIGURATION } from '../router/support/router-world.js';
+
+const LARGE = {
+  ...CONFIGURATION,
+  routes: Array.from({ length: 1_400 }, (_, index) => ({
+    ...(CONFIGURATION.routes[0] as (typeof CONFIGURATION.routes)[number]),
+    name: `route-${index}`,
+  })),
+};
+const SERVER = { id: 's1', service: 'racks', address: '10.0.0.1:80', zone: 'z1', slots: 2, draining: true };
+
+const MESSAGES: readonly PeerMessage[] = [
+  { kind: 'redirect', address: '10.0.0.1:70' },
+  { kind: 'leaderNotice', term: 3, leader: 'd1', leaderLife: 2 ** 46, leaderAddress: '10.0.0.1:70' },
+  {
+    kind: 'serverNews',
+    base: 5,
+    revision: 9,
+    changes: [
+      { id: 's1', server: { ...SERVER, warmupLeft: 1_500, listedAt: 4, revision: 8 } },
+      { id: 's2', server: null },
+    ],
+  },
+  { kind: 'configurationNews', revision: 4, configuration: CONFIGURATION },
+  { kind: 'configurationNews', revision: 5, configuration: LARGE },
+];
+
+describe('messages between daemons as bytes', () => {
+  for (const message of MESSAGES) {
+    it(`come back as they were: ${message.kind}`, () => {
+      const decoded = decodePeerMessage(encodePeerMessage(message), 'peer');
+      expect(decoded._unsafeUnwrap()).toEqual(message);
+    });
+  }
+
+  it('are short even for a configuration of 1,400 routes', () => {
+    const bytes = encodePeerMessage({ kind: 'configurationNews', revision: 5, configuration: LARGE });
+    expect(bytes.length < 30_000).toEqual(true);
+  });
+
+  it('are refused when they are nonsense, deflated nonsense, or inflate without bound', () => {
+    const endless = deflateRawSync(Buffer.alloc(17 * 1024 * 1024));
+    const nonsense = [
+      Buffer.from('nonsense'),
+      Buffer.alloc(0),
+      router.Frame.encode({ deflated: Buffer.from('nonsense') }).finish(),
+      router.Frame.encode({ deflated: endless }).finish(),
+    ];
+    for (const bytes of nonsense) {
+      const decoded = decodePeerMessage(bytes, '10.0.0.9:1');
+      expect(decoded.isErr() && decoded.error.message.includes('10.0.0.9:1')).toEqual(true);
+    }
+  });
+});
