No further request to an owner that has just turned one away; watchers take over sooner

A leader cut off from the store was replaced after 3.1 s, and no key moves until then. Change: a unit whose owner turned a request away gets none for 0.2 s. The two daemons that follow the store beside the leader suspect it after 1.8 s without a confirmation.

--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -17,6 +17,8 @@
 
 /** A leader that heartbeats but has not confirmed itself for this long is watched in the store. */
 const CONFIRMATION_SUSPICION: Milliseconds = 3_000;
+/** The same for a daemon that follows the store itself: a confirmation and a half of a prompt store. */
+const WATCHER_SUSPICION: Milliseconds = 1_800;
 const LONGEST_JITTER: Milliseconds = 150;
 /** Refused connections after which the leader's process counts as gone. */
 const REFUSALS = 3;
@@ -37,6 +39,11 @@
 const SUFFICIENT_POWER = 0.5;
 const LONGEST_HANDICAP: Milliseconds = 200;
 
+/** Those that follow the store beside the leader look first: the others need not ask when these take over. */
+function suspicionOf({ tree, identity }: RouterState): Milliseconds {
+  return tree.watchers.includes(identity.daemon) ? WATCHER_SUSPICION : CONFIRMATION_SUSPICION;
+}
+
 function hearsLeader({ state, now }: RouterContext): boolean {
   const { election, tree } = state;
   if (now < tree.leaderGraceUntil) {
@@ -46,7 +53,7 @@
   const patience = relayIsHeard ? RELAYED_PATIENCE : HEARTBEAT_PATIENCE;
   const silent = now - election.lastHeartbeatAt > patience;
   // A relay that is heard watches the leader's confirmations itself.
-  return !silent && (relayIsHeard || election.confirmationAge < CONFIRMATION_SUSPICION);
+  return !silent && (relayIsHeard || election.confirmationAge < suspicionOf(state));
 }
 
 /** How many times as long as a child of the leader this daemon waits between two looks into the store. */
--- a/src/router/ownership/ownership-table.ts
+++ b/src/router/ownership/ownership-table.ts
@@ -29,9 +29,29 @@
 /** A table without units. */
 export const EMPTY_TABLE: OwnershipTable = { term: 0, nextFence: 2, units: [] };
 
+/** Names of units: they are asked for at every tick, and units do not change. */
+const names = new WeakMap<object, string>();
+/** Units by name, made for a table when it is first asked for. */
+const indexes = new WeakMap<OwnershipTable, ReadonlyMap<string, Unit>>();
+
 /** A name for a unit's range, unique within one table. */
 export function unitName(unit: Pick<Unit, 'service' | 'from' | 'to'>): string {
-  return `${unit.service}/${unit.from}-${unit.to}`;
+  let name = names.get(unit);
+  if (name === undefined) {
+    name = `${unit.service}/${unit.from}-${unit.to}`;
+    names.set(unit, name);
+  }
+  return name;
+}
+
+/** The unit of a table with a name. */
+export function unitNamed(table: OwnershipTable, name: string): Unit | undefined {
+  let index = indexes.get(table);
+  if (index === undefined) {
+    index = new Map(table.units.map((unit) => [unitName(unit), unit]));
+    indexes.set(table, index);
+  }
+  return index.get(name);
 }
 
 function compareUnits(left: Unit, right: Unit): number {
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -12,7 +12,7 @@
   RELEASE_REPEAT,
   RENEWAL_INTERVAL,
 } from './ownership-timing.js';
-import { takeFences, unitName, withUnits, type Unit } from './ownership-table.js';
+import { takeFences, unitName, unitNamed, withUnits, type Unit } from './ownership-table.js';
 import { leaseEnd, leaseOf, noteAnswer, noteEnded, noteGrantSent, noteNoAnswer } from './server-lease.js';
 import { writeTable } from './table-write.js';
 
@@ -154,7 +154,7 @@
     leaseOf(leadership, call.server).probeInFlight = false;
     return;
   }
-  const unit = leadership.table.units.find((candidate) => unitName(candidate) === call.unit);
+  const unit = unitNamed(leadership.table, call.unit);
   const progress = leadership.progress.get(call.unit);
   if (unit === undefined || progress === undefined) {
     return;
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -59,6 +59,10 @@
     const reason = unit === undefined ? 'the key has no owner' : `the key is on its way to ${unit.owner}`;
     return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
+  if (context.state.doubtedUnits.has(unit.fence, context.now)) {
+    const reason = `the owner ${unit.owner} does not hold the key yet`;
+    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
   const known = servers.get(unit.owner);
   if (known === undefined) {
     return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -7,6 +7,7 @@
 import type { DaemonName, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
+import { DoubtedUnits } from './ownership/doubted-units.js';
 import { createElection, type ElectionState } from './ownership/election-state.js';
 import { createIsolation, type Isolation } from './ownership/isolation.js';
 import type { Leadership } from './ownership/leadership-state.js';
@@ -74,6 +75,7 @@
   /** Daemons that share the retry budget, as last heard. */
   daemons: number;
   view: OwnershipView;
+  readonly doubtedUnits: DoubtedUnits;
   readonly election: ElectionState;
   readonly isolation: Isolation;
   /** Set while this daemon leads. */
@@ -113,6 +115,7 @@
     profiles: new Map(),
     daemons: FIRST_DAEMONS,
     view: EMPTY_VIEW,
+    doubtedUnits: new DoubtedUnits(),
     election: createElection(),
     isolation: createIsolation(),
     leadership: null,
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -323,4 +323,19 @@
     ticksUntil(now + 200);
     expect(only('forward').length).toEqual(2);
   });
+
+  // Found by a played day: after the loss of all daemons each request met owners without leases, and spent the retry budget.
+  it('sends no further request to an owner that has just turned one away, until a moment later', () => {
+    const owner: ServerDescription = { ...server('s9'), service: 'racks' };
+    event({ kind: 'serversChanged', changes: [{ id: 's9', server: owner }], revision: 6 });
+    const unit = { service: 'racks', from: 0, to: 65_535, owner: 's9', fence: 3, releasing: null };
+    state.view = new OwnershipView(1, 1, [{ ...unit, granted: true }]);
+    arrive(1, '/rack/1', 900, 7);
+    ended(1, 1, { kind: 'rejected', status: 421, misdirected: true, load: null });
+    arrive(2, '/rack/1', 900, 8);
+    expect(only('forward').length).toEqual(1);
+    ticksUntil(now + 260);
+    arrive(3, '/rack/1', 900, 9);
+    expect(only('forward').some(({ requestId }) => requestId === 3)).toEqual(true);
+  });
 });
