Daemons that lose their leader read the store one after the other

Change: each waits for its own jitter, and 0.8 s before it reads the table: the first to know tells the others. A daemon that is cut off counts each request that is turned away, as before (test-isolation met that).

--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -25,6 +25,8 @@
 /** A daemon that has just started most likely does so with others: one refused connection is enough. */
 const FRESH_PERIOD: Milliseconds = 2_000;
 const REFUSALS_WHEN_FRESH = 1;
+/** Without a leader for this long a daemon reads the table: the next leader tells it otherwise. */
+const TABLE_PATIENCE: Milliseconds = 800;
 /** Without news of the leader, a follower reads the table this often. */
 const TABLE_READ_INTERVAL: Milliseconds = 1_000;
 
@@ -87,6 +89,9 @@
     return;
   }
   if (hearsLeader(context)) {
+    // Once it is not heard any more, daemons read one after the other: the first ones to know tell the others.
+    election.nextReadAt = now + election.jitter;
+    election.nextTableReadAt = now + TABLE_PATIENCE;
     return;
   }
   if (!election.reading && now >= election.nextReadAt) {
--- a/src/router/ownership/isolation.ts
+++ b/src/router/ownership/isolation.ts
@@ -2,7 +2,7 @@
  * Whether this daemon is cut off from all news of ownership, and what it believes has been shown to be old. Its callers
  * are better served by other daemons then, so it calls itself not ready until it hears again.
  */
-import type { Milliseconds } from '../model/identifiers.js';
+import type { Key, Milliseconds, ServiceName } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 import { CONFIRMATION_VALIDITY } from './ownership-timing.js';
@@ -36,10 +36,15 @@
 }
 
 /** An owner says that it does not hold a key that the view says it does. */
-export function noteTurnedAway(context: RouterContext): void {
+export function noteTurnedAway(context: RouterContext, service: ServiceName, key: Key): void {
   const { state, now } = context;
   if (isCutOff(state, now)) {
     state.isolation.turnedAway += 1;
+    return;
+  }
+  const unit = state.view.unitOf(service, key);
+  if (unit !== undefined) {
+    state.doubtedUnits.add(unit.fence, now);
   }
 }
 
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -112,11 +112,7 @@
   }
   if (request.key !== null && result.misdirected) {
     // The view is older than the server's: a newer one is on its way, unless this daemon is cut off.
-    noteTurnedAway(context);
-    const unit = context.state.view.unitOf(request.service, request.key);
-    if (unit !== undefined) {
-      context.state.doubtedUnits.add(unit.fence, now);
-    }
+    noteTurnedAway(context, request.service, request.key);
     request.retryAt = now + HELD_RETRY;
     return;
   }
