--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -20,6 +20,7 @@
   feed_regained: { when: 'it works again', fields: 'feed' },
   feed_behind: { when: 'other daemons know more for 0.6 s: read anew', fields: 'feed, own, newest' },
   configuration_applied: { when: 'a newer configuration is in force', fields: 'version, former, routes' },
+  servers_listed: { when: 'the first list of servers is known', fields: 'servers (how many), revision' },
   server_added: { when: 'a server is listed', fields: 'server, service, address, zone, slots, revision' },
   server_draining: { when: 'a server leaves: it gets no new work', fields: 'the same' },
   server_ready: { when: 'a draining server takes work again', fields: 'the same' },
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -59,15 +59,20 @@
   if (state.serversRevision !== null && revision < state.serversRevision) {
     return null;
   }
+  const isFirstList = state.serversRevision === null;
   state.serversRevision = revision;
   const effective = changes.filter((change) => differs(context, change));
   for (const { id, server } of effective) {
     if (server === null) {
       removeServer(context, id, revision);
     } else {
-      putServer(context, server, revision);
+      putServer(context, server, revision, isFirstList);
     }
   }
+  if (isFirstList) {
+    // One line for all: hundreds of servers are listed at each start.
+    context.log('servers_listed', { servers: effective.length, revision });
+  }
   return effective;
 }
 
@@ -92,7 +97,12 @@
   return profile;
 }
 
-function putServer(context: RouterContext, server: ServerDescription, revision: number): void {
+function putServer(
+  context: RouterContext,
+  server: ServerDescription,
+  revision: number,
+  isFirstList: boolean,
+): void {
   const { servers, serversByService } = context.state;
   const known = servers.get(server.id);
   context.state.newestServerRevision = Math.max(context.state.newestServerRevision, server.revision);
@@ -108,7 +118,9 @@
     const ofService = serversByService.get(server.service) ?? new Map<ServerId, KnownServer>();
     ofService.set(server.id, added);
     serversByService.set(server.service, ofService);
-    noteChange(context, 'server_added', server, revision);
+    if (!isFirstList) {
+      noteChange(context, 'server_added', server, revision);
+    }
     return;
   }
   if (server.draining !== known.server.draining) {
