--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -53,6 +53,7 @@
     daemonCount: new RecentPeak(COUNT_MEMORY, state.view.term > 0 ? state.daemons : 1, now),
     viewStep: 0,
     viewChanged: true,
+    nextBroadcastAt: now,
   };
   state.leadership = leadership;
   noteServers(context, leadership);
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -3,7 +3,7 @@
  * is granted only after its assignment is in the store, and only after its former owner has released it,
  * has ended, or is out of every lease. docs/design/ownership.md argues why that keeps one owner.
  */
-import type { ServerId } from '../model/identifiers.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import { confirmLeadership } from './leader-confirmation.js';
 import { tickIntake } from './leader-intake.js';
@@ -15,6 +15,9 @@
 import { retryWrite } from './table-write.js';
 import { raiseRefusedFences, tickUnit } from './unit-control.js';
 
+/** Between two statements of ownership: every daemon takes each of them in, so grants of a moment are told together. */
+const BROADCAST_INTERVAL: Milliseconds = 60;
+
 /** The leader's periodic work. */
 export function tickLeader(context: RouterContext, leadership: Leadership): void {
   confirmLeadership(context, leadership);
@@ -32,7 +35,8 @@
   for (const unit of leadership.table.units) {
     tickUnit(context, leadership, unit);
   }
-  if (leadership.viewChanged) {
+  if (leadership.viewChanged && context.now >= leadership.nextBroadcastAt) {
+    leadership.nextBroadcastAt = context.now + BROADCAST_INTERVAL;
     broadcastView(context, leadership);
   }
 }
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -98,4 +98,5 @@
   /** Steps since the table's revision, for the order of views. */
   viewStep: number;
   viewChanged: boolean;
+  nextBroadcastAt: Milliseconds;
 }
--- a/src/router/ownership/ownership-view.ts
+++ b/src/router/ownership/ownership-view.ts
@@ -11,25 +11,39 @@
   return left.service === right.service && left.from <= right.to && right.from <= left.to;
 }
 
+function byFirstKey(left: UnitView, right: UnitView): number {
+  return left.from - right.from;
+}
+
+function groupByService(units: readonly UnitView[]): Map<ServiceName, UnitView[]> {
+  const groups = new Map<ServiceName, UnitView[]>();
+  for (const unit of units) {
+    const group = groups.get(unit.service) ?? [];
+    group.push(unit);
+    groups.set(unit.service, group);
+  }
+  groups.forEach((group) => group.sort(byFirstKey));
+  return groups;
+}
+
 /** A leader's statement of ownership. Views are ordered by term, then by sequence. */
 export class OwnershipView {
   readonly term: number;
   readonly sequence: number;
   readonly units: readonly UnitView[];
-  readonly #byService = new Map<ServiceName, UnitView[]>();
+  /** Units of each service, by their first key. */
+  readonly #byService: ReadonlyMap<ServiceName, readonly UnitView[]>;
 
-  constructor(term: number, sequence: number, units: readonly UnitView[]) {
+  constructor(
+    term: number,
+    sequence: number,
+    units: readonly UnitView[],
+    byService: ReadonlyMap<ServiceName, readonly UnitView[]> = groupByService(units),
+  ) {
     this.term = term;
     this.sequence = sequence;
     this.units = units;
-    for (const unit of units) {
-      const list = this.#byService.get(unit.service) ?? [];
-      list.push(unit);
-      this.#byService.set(unit.service, list);
-    }
-    for (const list of this.#byService.values()) {
-      list.sort((left, right) => left.from - right.from);
-    }
+    this.#byService = byService;
   }
 
   /** True when this view replaces the other. */
@@ -39,8 +53,13 @@
 
   /** The view after a change: the units given take the place of those that they overlap. */
   changed(sequence: number, units: readonly UnitView[]): OwnershipView {
-    const kept = this.units.filter((unit) => !units.some((other) => overlap(unit, other)));
-    return new OwnershipView(this.term, sequence, [...kept, ...units]);
+    const byService = new Map(this.#byService);
+    for (const [service, changed] of groupByService(units)) {
+      const before = byService.get(service) ?? [];
+      const kept = before.filter((unit) => !changed.some((other) => overlap(unit, other)));
+      byService.set(service, [...kept, ...changed].sort(byFirstKey));
+    }
+    return new OwnershipView(this.term, sequence, [...byService.values()].flat(), byService);
   }
 
   /** The unit that a key lies in. */
