--- /dev/null
+++ b/test/router/news/test-news.ts
@@ -0,0 +1,200 @@
+import { expect } from 'earl';
+import { beforeEach, describe, it } from 'node:test';
+import type { Effect } from '../../../src/router/effects.js';
+import type { RouterEvent } from '../../../src/router/events.js';
+import type { ServerDescription } from '../../../src/router/model/server.js';
+import type { Heartbeat, PeerMessage } from '../../../src/router/peers/messages.js';
+import { reduce } from '../../../src/router/reducer.js';
+import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
+import { CONFIGURATION } from '../support/router-world.js';
+
+const RELAY = '10.0.0.7:70';
+const LEADER = '10.0.0.8:70';
+const PARENT_LINK = -1;
+
+let state: RouterState;
+let now: number;
+let effects: Effect[];
+
+function event(input: RouterEvent): void {
+  effects.push(...reduce(state, now, input));
+}
+
+function hear(message: PeerMessage, link = PARENT_LINK): void {
+  event({ kind: 'peerMessage', link, message });
+}
+
+function pass(milliseconds: number, each: () => void = () => undefined): void {
+  for (const end = now + milliseconds; now < end; now += 20) {
+    each();
+    event({ kind: 'tick' });
+  }
+}
+
+function sent<Kind extends PeerMessage['kind']>(kind: Kind): Extract<PeerMessage, { kind: Kind }>[] {
+  return effects
+    .filter((effect) => effect.kind === 'sendToParent' || effect.kind === 'sendToChildren')
+    .map(({ message }) => message)
+    .filter((message): message is Extract<PeerMessage, { kind: Kind }> => message.kind === kind);
+}
+
+function server(id: string, revision: number): ServerDescription {
+  const place = { service: 'racks', address: '10.0.1.1:80', zone: 'z', slots: 2 };
+  return { id, ...place, draining: false, warmupLeft: 0, listedAt: 1, revision };
+}
+
+function heartbeat(change: Partial<Heartbeat> = {}): Heartbeat {
+  const leader = { term: 3, leader: 'l', leaderLife: 7, leaderAddress: LEADER };
+  const age = { heardAge: 0, confirmationAge: 10, leaderRevision: 4, daemons: 20 };
+  const versions = { watchers: [], configurationVersion: 1, serversRevision: 5 };
+  return { kind: 'heartbeat', ...leader, ...age, ...versions, ...change };
+}
+
+function learnEverything(): void {
+  hear(heartbeat());
+  hear({ kind: 'configurationNews', revision: 5, configuration: CONFIGURATION });
+  const changes = ['s1', 's2'].map((id) => ({ id, server: server(id, 5) }));
+  hear({ kind: 'serverNews', base: 0, revision: 10, changes });
+}
+
+function followsStore(): boolean {
+  return state.followsStore;
+}
+
+describe('news from other daemons', () => {
+  beforeEach(() => {
+    const bounds = {
+      retries: { ratio: 0.2, extra: 60 },
+      drain: 2_000,
+      longestLease: 10_000,
+      processorPower: 1,
+    };
+    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
+    now = 1_000;
+    effects = [];
+    event({ kind: 'tick' });
+    const value = { term: 3, daemon: 'l', life: 7, address: LEADER, beat: 1, settled: true, resigned: false };
+    const outcome = { kind: 'found', revision: 3, value } as const;
+    event({ kind: 'objectRead', object: 'leader', sentAt: now, outcome });
+  });
+
+  it('bring a daemon everything, so that it never follows the store', () => {
+    learnEverything();
+    pass(5_000, () => hear(heartbeat()));
+    expect([...state.servers.keys()]).toEqual(['s1', 's2']);
+    expect(state.configuration?.version).toEqual(1);
+    expect(effects.some(({ kind }) => kind === 'followStore')).toEqual(false);
+  });
+
+  it('are asked for when something before them was missed, and change nothing until then', () => {
+    learnEverything();
+    pass(500);
+    effects = [];
+    hear({ kind: 'serverNews', base: 20, revision: 30, changes: [{ id: 's1', server: null }] });
+    pass(200);
+    expect(state.servers.has('s1')).toEqual(true);
+    expect(sent('report')[0]?.serversPosition).toEqual(10);
+  });
+
+  it('that are old change nothing', () => {
+    learnEverything();
+    hear({ kind: 'serverNews', base: 10, revision: 12, changes: [{ id: 's3', server: server('s3', 11) }] });
+    hear({ kind: 'serverNews', base: 0, revision: 9, changes: [] });
+    hear({ kind: 'serverNews', base: 5, revision: 11, changes: [{ id: 's3', server: null }] });
+    hear(heartbeat({ term: 2, leaderAddress: '10.9.9.9:1' }));
+    hear({ kind: 'leaderNotice', term: 3, leader: 'x', leaderLife: 1, leaderAddress: '10.9.9.9:1' });
+    expect(state.servers.size).toEqual(3);
+    expect(state.election.leader?.address).toEqual(LEADER);
+    expect(state.tree.parent).toEqual(LEADER);
+  });
+
+  it('go to the children, and up only when they did not come from there', () => {
+    learnEverything();
+    effects = [];
+    hear({ kind: 'serverNews', base: 10, revision: 12, changes: [{ id: 's1', server: null }] });
+    expect(effects.filter(({ kind }) => kind === 'sendToParent')).toEqual([]);
+    expect(sent('serverNews').length).toEqual(1);
+    effects = [];
+    event({ kind: 'serversChanged', changes: [{ id: 's2', server: null }], revision: 15 });
+    expect(effects.filter(({ kind }) => kind === 'sendToParent').length).toEqual(1);
+  });
+
+  it('bring a child that missed some just those', () => {
+    learnEverything();
+    event({ kind: 'serversChanged', changes: [{ id: 's1', server: null }], revision: 15 });
+    event({
+      kind: 'serversChanged',
+      changes: [{ id: 's3', server: server('s3', 17) }],
+      revision: 17,
+    });
+    effects = [];
+    hear(
+      {
+        kind: 'report',
+        daemon: 'child',
+        life: 2,
+        address: '10.0.0.3:70',
+        zone: 'z',
+        configurationVersion: 0,
+        serversRevision: 5,
+        serversPosition: 15,
+        ownershipSequence: 0,
+        daemons: 1,
+        started: [],
+        overloaded: false,
+        failedRelay: '',
+        samples: [],
+        times: [],
+      },
+      1,
+    );
+    expect(sent('serverNews').map(({ base, changes }) => [base, changes.map(({ id }) => id)])).toEqual([
+      [15, ['s3']],
+    ]);
+    expect(sent('configurationNews').length).toEqual(1);
+  });
+
+  it('that do not come let a daemon follow the store itself', () => {
+    pass(600);
+    expect(followsStore()).toEqual(false);
+    pass(200);
+    expect(followsStore()).toEqual(true);
+    learnEverything();
+    pass(100);
+    expect(followsStore()).toEqual(false);
+    pass(800);
+    expect(followsStore()).toEqual(true);
+  });
+
+  it('from a leader that the store has not confirmed for 4 s are not enough', () => {
+    learnEverything();
+    pass(1_000, () => hear(heartbeat({ confirmationAge: 3_500 })));
+    expect(followsStore()).toEqual(false);
+    pass(200, () => hear(heartbeat({ confirmationAge: 4_100 })));
+    expect(followsStore()).toEqual(true);
+  });
+
+  it('are looked for in the store by the watchers that the leader names', () => {
+    learnEverything();
+    hear(heartbeat({ watchers: ['d'] }));
+    pass(40);
+    expect(followsStore()).toEqual(true);
+  });
+
+  it('come by the relay that the leader names, and by the leader again when the relay falls silent', () => {
+    learnEverything();
+    hear({ kind: 'redirect', address: RELAY });
+    expect(state.tree.parent).toEqual(RELAY);
+    pass(600, () => hear(heartbeat({ heardAge: 200 })));
+    expect(state.tree.parent).toEqual(RELAY);
+    pass(800);
+    expect(state.tree.parent).toEqual(LEADER);
+    expect(state.tree.failedRelay).toEqual(RELAY);
+  });
+
+  it('do not come from itself: a redirect to its own address is passed over', () => {
+    learnEverything();
+    hear({ kind: 'redirect', address: '10.0.0.9:1' });
+    expect(state.tree.parent).toEqual(LEADER);
+  });
+});
