--- a/src/router/ownership/candidacy.ts
+++ b/src/router/ownership/candidacy.ts
@@ -15,6 +15,12 @@
 
 /** A step of a candidacy without an answer is tried again after this long. */
 const STEP_RETRY: Milliseconds = 250;
+/** Before the table was read. */
+const NOTHING_READ = {
+  table: EMPTY_TABLE,
+  tableRevision: null,
+  stepAt: Number.POSITIVE_INFINITY,
+} as const;
 
 /** Claims the leader's object, unless this daemon stops or claims already. */
 export function considerClaim(context: RouterContext, former: LeaderRecord | null, revision: number): void {
@@ -30,6 +36,7 @@
   const formerStopped = former?.resigned === true && former.settled;
   const formerSeenAt = formerStopped ? now - CONFIRMATION_VALIDITY : state.election.unchangedSince;
   state.election.candidacy = {
+    ...NOTHING_READ,
     phase: 'claiming',
     claim,
     revision,
@@ -37,9 +44,6 @@
     predecessorEnded,
     formerSeenAt,
     former,
-    table: EMPTY_TABLE,
-    tableRevision: null,
-    stepAt: Number.POSITIVE_INFINITY,
   };
   context.log('leadership_claimed', { term: claim.term, former: former?.daemon ?? null, revision });
   writeClaim(context, state.election.candidacy);
@@ -114,6 +118,7 @@
   election.leader = claim;
   election.leaderRevision = revision;
   election.candidacy = {
+    ...NOTHING_READ,
     phase: 'readingTable',
     claim,
     revision,
@@ -121,9 +126,6 @@
     predecessorEnded,
     formerSeenAt,
     former,
-    table: EMPTY_TABLE,
-    tableRevision: null,
-    stepAt: Number.POSITIVE_INFINITY,
   };
   follow(context, null);
   context.emit({ kind: 'readObject', object: 'ownership' });
--- a/test/router/news/test-news.ts
+++ b/test/router/news/test-news.ts
@@ -7,6 +7,7 @@
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION } from '../support/router-world.js';
+import { BOUNDS } from '../support/bounds.js';
 
 const RELAY = '10.0.0.7:70';
 const LEADER = '10.0.0.8:70';
@@ -63,13 +64,7 @@
 
 describe('news from other daemons', () => {
   beforeEach(() => {
-    const bounds = {
-      retries: { ratio: 0.2, extra: 60 },
-      drain: 2_000,
-      longestLease: 10_000,
-      processorPower: 1,
-    };
-    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
+    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
     now = 1_000;
     effects = [];
     event({ kind: 'tick' });
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -5,6 +5,7 @@
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, missingForCallers, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION, SERVICE } from '../support/router-world.js';
+import { BOUNDS_WITH_RETRIES } from '../support/bounds.js';
 
 const TURNED_AWAY: AttemptResult = { kind: 'rejected', status: 421, misdirected: true, load: null };
 
@@ -15,13 +16,11 @@
   #nextRequest = 1;
 
   constructor() {
-    const bounds = {
-      retries: { ratio: 0.2, extra: 200 },
-      drain: 2_000,
-      longestLease: 10_000,
-      processorPower: 1,
-    };
-    this.state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
+    this.state = createRouterState(
+      { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 },
+      BOUNDS_WITH_RETRIES,
+      1,
+    );
     this.event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     const place = { id: 's1', service: SERVICE, address: '10.0.0.1:80', zone: 'z', slots: 4 };
     const server = { ...place, draining: false, warmupLeft: 0, listedAt: 1, revision: 1 };
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -7,6 +7,7 @@
 import { OwnershipView } from '../../../src/router/ownership/ownership-view.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
+import { BOUNDS_WITH_RETRIES } from '../support/bounds.js';
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -113,13 +114,11 @@
 
 describe('the way of a request', () => {
   beforeEach(() => {
-    const bounds = {
-      retries: { ratio: 0.2, extra: 200 },
-      drain: 2_000,
-      longestLease: 10_000,
-      processorPower: 1,
-    };
-    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
+    state = createRouterState(
+      { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 },
+      BOUNDS_WITH_RETRIES,
+      1,
+    );
     now = 1_000;
     effects = [];
     event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
--- /dev/null
+++ b/test/router/support/bounds.ts
@@ -0,0 +1,11 @@
+/** Bounds of a deployment for tests of single daemons. */
+import type { RouterBounds } from '../../../src/router/router-state.js';
+
+export const BOUNDS: RouterBounds = {
+  retries: { ratio: 0.2, extra: 60 },
+  drain: 2_000,
+  longestLease: 10_000,
+  processorPower: 1,
+};
+/** The same with a retry budget that no test spends. */
+export const BOUNDS_WITH_RETRIES: RouterBounds = { ...BOUNDS, retries: { ratio: 0.2, extra: 200 } };
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -10,6 +10,7 @@
 import { ModelServer, carryCall, OwnerChecker, WATCHED_KEYS, type CallTroubles } from './model-server.js';
 import { ModelStore } from './model-store.js';
 import { VirtualClock } from './virtual-clock.js';
+import { BOUNDS } from './bounds.js';
 
 const TICK = 20;
 const LINK_DELAY = 1;
@@ -165,13 +166,7 @@
   #freshState(daemon: string, peerAddress: string): RouterState {
     this.#lives += 1;
     const identity = { daemon, zone: 'z0', peerAddress, life: this.#lives };
-    const bounds = {
-      retries: { ratio: 0.2, extra: 60 },
-      drain: 2_000,
-      longestLease: 10_000,
-      processorPower: 1,
-    };
-    return createRouterState(identity, bounds, this.#lives);
+    return createRouterState(identity, BOUNDS, this.#lives);
   }
 
   startDaemon(daemon: Daemon): void {
--- a/test/router/test-feed-lag.ts
+++ b/test/router/test-feed-lag.ts
@@ -3,6 +3,7 @@
 import type { Effect } from '../../src/router/effects.js';
 import { reduce } from '../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../src/router/router-state.js';
+import { BOUNDS } from './support/bounds.js';
 
 let state: RouterState;
 
@@ -26,13 +27,7 @@
 
 describe('a daemon that knows less than others', () => {
   beforeEach(() => {
-    const bounds = {
-      retries: { ratio: 0.2, extra: 60 },
-      drain: 2_000,
-      longestLease: 10_000,
-      processorPower: 1,
-    };
-    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, bounds, 1);
+    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
   });
 
   // Found by a played day: every change of a server made half of the daemons list everything anew.
