A store that refuses is asked ever more seldom

Ruled out: asking less while the store answers (a takeover would wait). Change: reads that fail are repeated after 0.3 s growing to 1 s; the table is not read while the leader's object cannot be; a failed list is repeated after at most 1.5 s (0.8 s before). The first daemon that succeeds tells the others.

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -6,7 +6,8 @@
 
 const WATCH_MILLISECONDS = 20_000;
 const FIRST_RETRY_MILLISECONDS = 100;
-const LONGEST_RETRY_MILLISECONDS = 800;
+/** An entry that lapsed in an outage is back 2 s after it: later than this need no daemon know. */
+const LONGEST_RETRY_MILLISECONDS = 1_500;
 
 /** What a feed tells its owner. */
 export interface FeedListener<Item> {
--- a/src/router/ownership/election-state.ts
+++ b/src/router/ownership/election-state.ts
@@ -36,6 +36,8 @@
   /** Age of the leader's confirmation, as its last heartbeat said. */
   confirmationAge: Milliseconds;
   reading: boolean;
+  /** Reads of the leader's object that failed since the last one that did not. */
+  failedReads: number;
   nextReadAt: Milliseconds;
   /** Nothing listens at the leader's address. */
   leaderRefused: number;
@@ -59,6 +61,7 @@
     lastHeartbeatAt: Number.NEGATIVE_INFINITY,
     confirmationAge: 0,
     reading: false,
+    failedReads: 0,
     nextReadAt: 0,
     leaderRefused: 0,
     candidacy: null,
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -37,6 +37,9 @@
 /** Daemons below relays read the store more seldom, the more daemons there are: one part for so many, up to the most. */
 const DAEMONS_A_PART = 30;
 const MOST_PARTS = 6;
+/** A read that fails is repeated after ever longer, up to this: the first of many daemons to succeed tells others. */
+const READ_GROWTH = 1.5;
+const LONGEST_READ_INTERVAL: Milliseconds = 1_000;
 /** A machine with this power (in cores) bears the leadership; weaker ones let others claim it first for up to this long. */
 const SUFFICIENT_POWER = 0.5;
 const LONGEST_HANDICAP: Milliseconds = 200;
@@ -63,6 +66,12 @@
   return tree.wasRelayed ? Math.min(MOST_PARTS, Math.max(1, daemons / DAEMONS_A_PART)) : 1;
 }
 
+/** Until the next read of the leader's object: a store that refuses is asked ever more seldom, since that is paid for. */
+function readInterval(state: RouterState): Milliseconds {
+  const interval = ELECTION_READ_INTERVAL * READ_GROWTH ** state.election.failedReads;
+  return Math.min(LONGEST_READ_INTERVAL, interval) * seldomness(state);
+}
+
 /** How long this daemon lets stronger ones claim the leadership first. */
 function handicapOf({ bounds }: RouterState): Milliseconds {
   return LONGEST_HANDICAP * Math.max(0, 1 - bounds.processorPower / SUFFICIENT_POWER);
@@ -96,7 +105,7 @@
   }
   if (!election.reading && now >= election.nextReadAt) {
     election.reading = true;
-    election.nextReadAt = now + ELECTION_READ_INTERVAL * seldomness(state);
+    election.nextReadAt = now + readInterval(state);
     context.emit({ kind: 'readObject', object: 'leader' });
   }
   readTableAlone(context);
@@ -105,7 +114,7 @@
 /** A follower that is cut off from the leader takes ownership from the store. */
 function readTableAlone(context: RouterContext): void {
   const { election } = context.state;
-  if (!election.readingTable && context.now >= election.nextTableReadAt) {
+  if (!election.readingTable && election.failedReads === 0 && context.now >= election.nextTableReadAt) {
     election.readingTable = true;
     election.nextTableReadAt = context.now + TABLE_READ_INTERVAL * seldomness(context.state);
     context.emit({ kind: 'readObject', object: 'ownership' });
@@ -129,8 +138,10 @@
   const { election } = state;
   election.reading = false;
   if (event.outcome.kind === 'failed') {
+    election.failedReads += 1;
     return;
   }
+  election.failedReads = 0;
   state.isolation.storeAnsweredAt = now;
   if (event.outcome.kind === 'absent') {
     claimFirst(context);
@@ -158,7 +169,7 @@
   if (!hearsLeader(context) && (unconfirmed || wasThisDaemon || gone || record.resigned)) {
     considerClaim(context, record, revision);
   } else if (now >= election.nextReadAt) {
-    election.nextReadAt = now + ELECTION_READ_INTERVAL * seldomness(state);
+    election.nextReadAt = now + readInterval(state);
   }
 }
 
--- /dev/null
+++ b/test/router/ownership/test-election-reads.ts
@@ -0,0 +1,34 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import type { StoredName } from '../../../src/router/events.js';
+import { reduce } from '../../../src/router/reducer.js';
+import { createRouterState } from '../../../src/router/router-state.js';
+import { BOUNDS } from '../support/bounds.js';
+
+const OUTAGE = 5_000;
+const TICK = 20;
+
+/** How often each object is read by a daemon without a leader while the store refuses every call at once. */
+function readsInOutage(): Record<StoredName, number> {
+  const state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
+  const reads = { leader: 0, ownership: 0 };
+  for (let now = 0; now < OUTAGE; now += TICK) {
+    for (const effect of reduce(state, now, { kind: 'tick' })) {
+      if (effect.kind === 'readObject') {
+        reads[effect.object] += 1;
+        const outcome = { kind: 'failed', reason: 'status 503' } as const;
+        reduce(state, now, { kind: 'objectRead', object: effect.object, sentAt: now, outcome });
+      }
+    }
+  }
+  return reads;
+}
+
+describe('a daemon without a leader', () => {
+  // Found by a played day: 20 daemons asked a store that refused every call 480 times in 5 s, and each call is paid for.
+  it('asks a store that refuses ever more seldom', () => {
+    const { leader, ownership } = readsInOutage();
+    expect(leader <= 8 && leader >= 4).toEqual(true);
+    expect(ownership <= 1).toEqual(true);
+  });
+});
