--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -34,9 +34,9 @@
 const RELAYED_PATIENCE: Milliseconds = 3_000;
 /** The table is not read this soon after the start: a parent sends its view within a few ms. */
 const FIRST_TABLE_READ: Milliseconds = 500;
-/** Daemons below relays read the store more seldom, the more daemons there are: one part for so many, up to the most. */
-const DAEMONS_A_PART = 30;
-const MOST_PARTS = 6;
+/** Daemons below relays poll the store less often the more daemons there are: an interval for so many, up to the most. */
+const DAEMONS_PER_INTERVAL = 30;
+const MOST_INTERVALS = 6;
 /** A read that fails is repeated after ever longer, up to this: the first of many daemons to succeed tells others. */
 const READ_GROWTH = 1.5;
 const LONGEST_READ_INTERVAL: Milliseconds = 1_000;
@@ -62,14 +62,14 @@
 }
 
 /** How many times as long as a child of the leader this daemon waits between two looks into the store. */
-function seldomness({ tree, daemons }: RouterState): number {
-  return tree.wasRelayed ? Math.min(MOST_PARTS, Math.max(1, daemons / DAEMONS_A_PART)) : 1;
+function pollingFactor({ tree, daemons }: RouterState): number {
+  return tree.wasRelayed ? Math.min(MOST_INTERVALS, Math.max(1, daemons / DAEMONS_PER_INTERVAL)) : 1;
 }
 
 /** Until the next read of the leader's object: a store that refuses is asked ever more seldom, since that is paid for. */
 function readInterval(state: RouterState): Milliseconds {
   const interval = ELECTION_READ_INTERVAL * READ_GROWTH ** state.election.failedReads;
-  return Math.min(LONGEST_READ_INTERVAL, interval) * seldomness(state);
+  return Math.min(LONGEST_READ_INTERVAL, interval) * pollingFactor(state);
 }
 
 /** How long this daemon lets stronger ones claim the leadership first. */
@@ -116,7 +116,7 @@
   const { election } = context.state;
   if (!election.readingTable && election.failedReads === 0 && context.now >= election.nextTableReadAt) {
     election.readingTable = true;
-    election.nextTableReadAt = context.now + TABLE_READ_INTERVAL * seldomness(context.state);
+    election.nextTableReadAt = context.now + TABLE_READ_INTERVAL * pollingFactor(context.state);
     context.emit({ kind: 'readObject', object: 'ownership' });
   }
 }
