The load header may have more figures than three

Cause: LOAD_PATTERN took exactly three figures; with a fourth one every daemon was blind to the load of all servers. Ruled out: nothing else reads the header. Change: figures beyond the third are read (how long work takes at present, not yet used) or passed over; a header that cannot be read is counted, and said once for each service.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -2,7 +2,7 @@
  * One attempt at a server: sends the request, reads the answer, and decides what it is: a whole answer of
  * this request, a rejection, or something that tells nothing. Short answers are kept until they are whole.
  */
-import type { AttemptResult } from '../router/events.js';
+import type { AttemptResult, LoadReading } from '../router/events.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { headerValue } from './headers.js';
 import type { ServerConnection } from './server-connections.js';
@@ -174,9 +174,9 @@
     return { kind: 'answered', status: this.#status, load: this.#load() };
   }
 
-  #load(): ReturnType<RequestProtocol['parseLoad']> {
+  #load(): LoadReading {
     const value = headerValue(this.#rawHeaders, this.#protocol.load);
-    return value === null ? null : this.#protocol.parseLoad(value);
+    return value === null ? null : (this.#protocol.parseLoad(value) ?? { unreadable: value });
   }
 
   #classify(): AttemptResult {
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -26,6 +26,7 @@
   'configurations_applied',
   'server_changes',
   'malformed_answers',
+  'malformed_load_reports',
   'malformed_peer_messages',
   'malformed_store_objects',
   'log_lines_dropped',
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -109,15 +109,20 @@
   readonly attempt: number;
   readonly result: AttemptResult;
 }
+/** What an answer says of its server's load: nothing, something that cannot be read, or a load. */
+export type LoadReading = ReportedLoad | UnreadableLoad | null;
+export interface UnreadableLoad {
+  readonly unreadable: string;
+}
 export type AttemptResult =
   /** A whole answer, or the head of a long one, went to the caller. */
-  | { readonly kind: 'answered'; readonly status: number; readonly load: ReportedLoad | null }
+  | { readonly kind: 'answered'; readonly status: number; readonly load: LoadReading }
   /** The server did not run it, and says so. */
   | {
       readonly kind: 'rejected';
       readonly status: number;
       readonly misdirected: boolean;
-      readonly load: ReportedLoad | null;
+      readonly load: LoadReading;
     }
   /** It never left this daemon. */
   | { readonly kind: 'notSent'; readonly reason: string }
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -68,6 +68,10 @@
   request_failed: { when: 'given up: it may have run', fields: REQUEST_FIELDS },
   request_broken_off: { when: 'a long answer broke off', fields: REQUEST_FIELDS },
   caller_left: { when: 'the caller closed its connection', fields: REQUEST_FIELDS },
+  malformed_load_report: {
+    when: 'the first time that a server of a service says of its load what cannot be read',
+    fields: 'server, service, found',
+  },
   malformed_peer_message: { when: 'bytes of a peer cannot be read', fields: 'peer, detail' },
   log_lines_dropped: { when: 'lines of the second before did not fit', fields: 'lines' },
 } as const satisfies Record<string, LogEventDescription>;
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -1,5 +1,5 @@
 /** What the end of an attempt means for its request and its server. */
-import type { AttemptEndedEvent, AttemptResult } from '../events.js';
+import type { AttemptEndedEvent, AttemptResult, LoadReading } from '../events.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import { noteTurnedAway } from '../ownership/isolation.js';
 import type { RouterContext } from '../router-context.js';
@@ -19,6 +19,8 @@
 const ALIVE_WITHIN: Milliseconds = 400;
 /** A server that is full gets nothing for this long. */
 const FULL_AVOIDANCE: Milliseconds = 40;
+/** Characters of a value that cannot be read that are logged. */
+const LONGEST_QUOTE = 60;
 /** When a caller should come back if nothing better is known. */
 const DEFAULT_RETRY_AFTER: Milliseconds = 150;
 
@@ -53,10 +55,7 @@
   const { state, now } = context;
   switch (result.kind) {
     case 'answered':
-      noteAnswered(request, known, result.load, now);
-      if (result.load !== null) {
-        known?.load.report(result.load, now);
-      }
+      noteAnswered(request, known, takeLoad(context, known, result.load), now);
       state.requests.delete(request.id);
       state.counters.answered += 1;
       logEnd(context, request, 'answered', result.status, '');
@@ -78,6 +77,31 @@
   }
 }
 
+/** Takes in what a server said of its load. What cannot be read is counted, and said once for its service. */
+function takeLoad(
+  context: RouterContext,
+  known: KnownServer | undefined,
+  reading: LoadReading,
+): ReportedLoad | null {
+  if (known === undefined || reading === null) {
+    return null;
+  }
+  if (!('unreadable' in reading)) {
+    known.load.report(reading, context.now);
+    return reading;
+  }
+  const { counters, profiles } = context.state;
+  const { id, service } = known.server;
+  const profile = profiles.get(service);
+  counters.malformed_load_reports += 1;
+  if (profile?.saidUnreadable === false) {
+    profile.saidUnreadable = true;
+    const found = reading.unreadable.slice(0, LONGEST_QUOTE);
+    context.log('malformed_load_report', { server: id, service, found }, 'warn');
+  }
+  return null;
+}
+
 function noteAnswered(
   request: ActiveRequest,
   known: KnownServer | undefined,
@@ -101,9 +125,7 @@
   result: Extract<AttemptResult, { kind: 'rejected' }>,
 ): void {
   const { now } = context;
-  if (known !== undefined && result.load !== null) {
-    known.load.report(result.load, now);
-  }
+  takeLoad(context, known, result.load);
   if (request.key !== null && !result.misdirected) {
     noteOverload(context);
   }
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -24,6 +24,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How many times as long as usual work takes there at present, or null when it is not said. */
+  readonly slowdown: number | null;
 }
 
 /** What a daemon has seen of a server's answers and not yet told. */
@@ -79,7 +81,7 @@
 
   /** The server shed a request without a word: it has at least as many waiting as it has slots. */
   noteShed(slots: number, now: Milliseconds): void {
-    this.report({ running: slots, waiting: slots, slots }, now);
+    this.report({ running: slots, waiting: slots, slots, slowdown: null }, now);
   }
 
   /** Takes in how long an answer took; `waited`: the server may have let the request wait for a slot. */
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -10,6 +10,8 @@
 
 /** Shared by the servers of one service: what is expected of a server of which little is known. */
 export class ServiceProfile {
+  /** A server of the service has told of its load what cannot be read, and the log says so. */
+  saidUnreadable = false;
   #mean: Milliseconds = FIRST_TIME;
   #times = 0;
 
--- /dev/null
+++ b/test/router/support/single-daemon.ts
@@ -0,0 +1,131 @@
+/** One daemon with a configuration and three servers, driven event by event. */
+import type { Effect } from '../../../src/router/effects.js';
+import type { AttemptResult, RouterEvent } from '../../../src/router/events.js';
+import type { Configuration } from '../../../src/router/model/configuration.js';
+import type { ServerDescription } from '../../../src/router/model/server.js';
+import { reduce } from '../../../src/router/reducer.js';
+import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
+import { BOUNDS_WITH_RETRIES } from './bounds.js';
+
+/** Two routes to a balanced service, one to a keyed one. */
+export const CONFIGURATION: Configuration = {
+  version: 1,
+  routes: [
+    {
+      name: 'read',
+      host: 'h.example',
+      pathPrefix: '/read/',
+      repeatable: true,
+      timeout: 1_000,
+      latencyObjective: 400,
+      priority: 1,
+      maxAttempts: 2,
+      targets: [{ service: 'logs', weight: 1 }],
+    },
+    {
+      name: 'book',
+      host: 'h.example',
+      pathPrefix: '/book/',
+      repeatable: false,
+      timeout: 1_000,
+      latencyObjective: 400,
+      priority: 1,
+      maxAttempts: 2,
+      targets: [{ service: 'logs', weight: 1 }],
+    },
+    {
+      name: 'rack',
+      host: 'h.example',
+      pathPrefix: '/rack/',
+      repeatable: true,
+      timeout: 1_000,
+      latencyObjective: 400,
+      priority: 1,
+      maxAttempts: 2,
+      targets: [{ service: 'racks', weight: 1 }],
+    },
+  ],
+  services: new Map([
+    [
+      'logs',
+      {
+        name: 'logs',
+        keyed: false,
+        connectionLimit: 10,
+        healthPath: '/health',
+      },
+    ],
+    [
+      'racks',
+      {
+        name: 'racks',
+        keyed: true,
+        connectionLimit: 50,
+        healthPath: '/health',
+      },
+    ],
+  ]),
+  limits: { headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
+};
+
+/** A server of the balanced service. */
+export function server(id: string): ServerDescription {
+  const address = `10.0.0.${id.slice(1)}:80`;
+  return {
+    id,
+    service: 'logs',
+    address,
+    zone: 'z',
+    slots: 2,
+    draining: false,
+    warmupLeft: 0,
+    listedAt: 1,
+    revision: 1,
+  };
+}
+
+/** Time passes in ticks of this length, in milliseconds. */
+const TICK = 20;
+
+export class SingleDaemon {
+  readonly state: RouterState;
+  now = 1_000;
+  effects: Effect[] = [];
+
+  constructor() {
+    const identity = { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 };
+    this.state = createRouterState(identity, BOUNDS_WITH_RETRIES, 1);
+    this.event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
+    this.event({ kind: 'serversListed', servers: [server('s1'), server('s2'), server('s3')], revision: 5 });
+    this.effects = [];
+  }
+
+  event(input: RouterEvent): void {
+    this.effects.push(...reduce(this.state, this.now, input));
+  }
+
+  ticksUntil(end: number): void {
+    for (; this.now < end; this.now += TICK) {
+      this.event({ kind: 'tick' });
+    }
+  }
+
+  arrive(
+    requestId: number,
+    target: string,
+    callerPatience: number | null = 900,
+    key: number | null = null,
+  ): void {
+    const attemptId = `a-${requestId}`;
+    const request = { requestId, attemptId, method: 'GET', host: 'h.example', target, callerPatience, key };
+    this.event({ kind: 'requestArrived', ...request });
+  }
+
+  ended(requestId: number, attempt: number, result: AttemptResult): void {
+    this.event({ kind: 'attemptEnded', requestId, attempt, result });
+  }
+
+  only<Kind extends Effect['kind']>(kind: Kind): Extract<Effect, { kind: Kind }>[] {
+    return this.effects.filter((effect): effect is Extract<Effect, { kind: Kind }> => effect.kind === kind);
+  }
+}
