Evacuated zones get nothing

Cause: nothing read the operators' evacuations. Ways weighed: a message of its own with catching up, as for servers; the whole set in every heartbeat and report (chosen: a zone's name and a revision, about 20 bytes four times a second while one is evacuated; nobody can miss it for longer than it is without a parent). The feed is followed by the daemons that follow the store, and only where the settings allow for evacuations. Change: balanced requests go to other zones at once; units leave the zone with the next plan; keyed requests follow their owner for half of the allowed time. A zone that is evacuated while another is lost, all zones, an unknown one, twice the same, taken back within a second, a lost leader, all daemons started again: a test each. They fail without the change: no daemon knows of the zone.

--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -46,7 +46,8 @@
 
 function boundsOf({ timing, retries, processor }: RouterSettings): RouterBounds {
   const processorPower = processor.share * processor.speed;
-  return { retries, drain: timing.drain, longestLease: timing.longestLease, processorPower };
+  const { drain, longestLease, evacuation } = timing;
+  return { retries, drain, longestLease, evacuation, processorPower };
 }
 
 export class RouterDaemon {
@@ -62,6 +63,7 @@
   readonly #admin: Server;
   readonly #configurationFeed: ObjectFeed<Configuration>;
   readonly #serverFeed: ObjectFeed<ServerDescription>;
+  readonly #evacuationFeed: ObjectFeed<string>;
   #timer: NodeJS.Timeout | undefined;
   /** Those in force at the front. */
   #limits: CallerLimits | null = null;
@@ -94,6 +96,7 @@
     this.#admin = createRouterAdmin(this.state, this.#metrics);
     this.#configurationFeed = this.#createConfigurationFeed(platform.configuration);
     this.#serverFeed = this.#createServerFeed(platform.servers);
+    this.#evacuationFeed = this.#createEvacuationFeed(platform.evacuations);
   }
 
   #createConfigurationFeed(source: FeedSource<Configuration>): ObjectFeed<Configuration> {
@@ -125,6 +128,19 @@
     });
   }
 
+  #createEvacuationFeed(source: FeedSource<string>): ObjectFeed<string> {
+    return new ObjectFeed(source, {
+      onList: (items, revision) => {
+        this.dispatch({ kind: 'evacuationsListed', zones: items.map(({ id }) => id), revision });
+      },
+      onChanges: (changes, revision) => {
+        const orders = changes.map(({ id, item }) => ({ zone: id, evacuated: item !== null }));
+        this.dispatch({ kind: 'evacuationsChanged', changes: orders, revision });
+      },
+      onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
+    });
+  }
+
   /** Opens every port and starts. Rejects when a port is taken. */
   async start(): Promise<void> {
     const { http, readiness, admin, peers } = this.#settings.listen;
@@ -136,6 +152,7 @@
     this.#log.event('info', 'started', { daemon, life, http, peers });
     void this.#configurationFeed.run();
     void this.#serverFeed.run();
+    void this.#evacuationFeed.run();
     this.#timer = setInterval(() => this.dispatch({ kind: 'tick' }), TICK_MILLISECONDS);
     this.dispatch({ kind: 'tick' });
   }
@@ -179,6 +196,7 @@
     clearInterval(this.#timer);
     this.#configurationFeed.close();
     this.#serverFeed.close();
+    this.#evacuationFeed.close();
     this.#front.closeAll();
     this.#readiness.closeAllConnections();
     this.#readiness.close();
@@ -225,14 +243,18 @@
     }
   }
 
-  #followStore({ follows, serversRevision, configurationRevision }: FollowStoreEffect): void {
-    if (!follows) {
+  #followStore(effect: FollowStoreEffect): void {
+    if (!effect.follows) {
       this.#configurationFeed.cease();
       this.#serverFeed.cease();
+      this.#evacuationFeed.cease();
       return;
     }
-    this.#configurationFeed.begin(configurationRevision);
-    this.#serverFeed.begin(serversRevision);
+    this.#configurationFeed.begin(effect.configurationRevision);
+    this.#serverFeed.begin(effect.serversRevision);
+    if (this.state.bounds.evacuation !== null) {
+      this.#evacuationFeed.begin(effect.evacuationsRevision);
+    }
   }
 
   async #control(effect: ControlEffect): Promise<void> {
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -73,6 +73,7 @@
   /** What came up to these revisions of the store is known; null: nothing is. */
   readonly serversRevision: number | null;
   readonly configurationRevision: number | null;
+  readonly evacuationsRevision: number | null;
 }
 /** Connects to a parent; a connection to another address is closed. Null: to none. */
 export interface FollowEffect {
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from './model/configuration.js';
 import type { Key, Milliseconds } from './model/identifiers.js';
 import type { ServerDescription } from './model/server.js';
+import type { EvacuationStatement } from './news/zone-evacuations.js';
 import type { PeerMessage, ServerChange } from './peers/messages.js';
 import type { ReportedLoad } from './request/server-load.js';
 import type { RouterBounds } from './router-state.js';
@@ -29,6 +30,20 @@
   readonly changes: readonly ServerChange[];
   readonly revision: number;
 }
+/** All zones that operators evacuate. */
+export interface EvacuationsListedEvent extends EvacuationStatement {
+  readonly kind: 'evacuationsListed';
+}
+/** A zone's evacuation was ordered or taken back. */
+export interface EvacuationOrder {
+  readonly zone: string;
+  readonly evacuated: boolean;
+}
+export interface EvacuationsChangedEvent {
+  readonly kind: 'evacuationsChanged';
+  readonly changes: readonly EvacuationOrder[];
+  readonly revision: number;
+}
 /** A feed from the store failed or works again. */
 export interface FeedStateEvent {
   readonly kind: 'feedState';
@@ -168,6 +183,8 @@
   | ConfigurationEvent
   | ServersListedEvent
   | ServersChangedEvent
+  | EvacuationsListedEvent
+  | EvacuationsChangedEvent
   | FeedStateEvent
   | ObjectReadEvent
   | ObjectWrittenEvent
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -25,6 +25,11 @@
   server_draining: { when: 'a server leaves: it gets no new work', fields: 'the same' },
   server_ready: { when: 'a draining server takes work again', fields: 'the same' },
   server_gone: { when: 'a server is no longer listed', fields: 'server, service, revision' },
+  zone_evacuated: {
+    when: 'operators evacuate a zone: its servers get nothing more',
+    fields: 'zone, revision',
+  },
+  zone_restored: { when: 'an evacuation is taken back', fields: 'zone, revision' },
   server_silent: { when: 'a server leaves calls of the leader unanswered', fields: 'server, outcome' },
   server_answers: { when: 'it answers again', fields: 'server, outcome' },
   server_ended: { when: 'its address is in other hands', fields: 'server, address, successor' },
--- a/src/router/news/store-following.ts
+++ b/src/router/news/store-following.ts
@@ -58,5 +58,6 @@
   context.log('store_following', { follows, servers: state.serversRevision });
   const { serversRevision } = state;
   const configurationRevision = state.configuration === null ? null : state.configurationRevision;
-  context.emit({ kind: 'followStore', follows, serversRevision, configurationRevision });
+  const evacuationsRevision = state.evacuations.revision === 0 ? null : state.evacuations.revision;
+  context.emit({ kind: 'followStore', follows, serversRevision, configurationRevision, evacuationsRevision });
 }
--- a/src/router/ownership/known-leader.ts
+++ b/src/router/ownership/known-leader.ts
@@ -1,5 +1,6 @@
 /** Which daemon leads, as this one has read in the store or heard from its parent. */
 import { noteVersionsOf } from '../feed-lag.js';
+import { takeEvacuations } from '../news/take-evacuations.js';
 import type { Heartbeat, LeaderIdentity, LeaderNotice } from '../peers/messages.js';
 import { setDaemons } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
@@ -97,6 +98,7 @@
   noteConfirmedRevision(context, heartbeat);
   election.leaderRefused = 0;
   setDaemons(state, heartbeat.daemons);
+  takeEvacuations(context, heartbeat.evacuations);
   noteVersionsOf(context, heartbeat);
 }
 
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -115,6 +115,7 @@
     watchers: [],
     configurationVersion: 0,
     serversRevision: 0,
+    evacuations: null,
   } satisfies Heartbeat;
   context.emit({ kind: 'sendToChildren', link: null, message });
   stepDown(context, 'a planned stop', null);
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -19,9 +19,10 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-function eligible(leadership: Leadership, known: KnownServer): boolean {
-  const lease = leaseOf(leadership, known.server.id);
-  return !known.server.draining && !lease.silent && !lease.ended;
+function eligible(context: RouterContext, leadership: Leadership, { server }: KnownServer): boolean {
+  const lease = leaseOf(leadership, server.id);
+  const isLeaving = server.draining || context.state.evacuations.has(server.zone);
+  return !isLeaving && !lease.silent && !lease.ended;
 }
 
 /** A server that has just started takes this many times as long. */
@@ -55,7 +56,7 @@
 function eligibleServers(context: RouterContext, leadership: Leadership, service: string): EligibleServer[] {
   const known: Map<ServerId, KnownServer> = context.state.serversByService.get(service) ?? new Map();
   return [...known.values()]
-    .filter((server) => eligible(leadership, server))
+    .filter((server) => eligible(context, leadership, server))
     .map((server) => describe(leadership, server, context.now));
 }
 
--- a/src/router/ownership/service-plan.ts
+++ b/src/router/ownership/service-plan.ts
@@ -39,6 +39,7 @@
     this.table = table;
     this.#input = input;
     this.#rates = new KeyRates(input.rates);
+
     for (const server of input.servers) {
       this.#load.set(server.id, 0);
     }
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
+import type { EvacuationStatement } from '../news/zone-evacuations.js';
 
 /** The keys that callers asked for, and how often each. */
 export interface KeySample {
@@ -42,6 +43,8 @@
   readonly overloaded: boolean;
   /** A relay that did not answer, or empty. */
   readonly failedRelay: string;
+  /** Null: the sender's version does not tell. */
+  readonly evacuations: EvacuationStatement | null;
   readonly samples: KeySample[];
   readonly times: ServerTimes[];
 }
@@ -76,6 +79,8 @@
   readonly configurationVersion: number;
   /** The highest revision of a server's entry that the sender knows. */
   readonly serversRevision: number;
+  /** Null: the sender's version does not tell. */
+  readonly evacuations: EvacuationStatement | null;
 }
 /** A unit in a statement of ownership. */
 export interface UnitStatement {
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -71,6 +71,8 @@
   readonly store: ObjectStore;
   readonly configuration: FeedSource<Configuration>;
   readonly servers: FeedSource<ServerDescription>;
+  /** Zones that operators evacuate, by name. */
+  readonly evacuations: FeedSource<string>;
   readonly control: ServerControl;
   readonly protocol: RequestProtocol;
   /** Ends every connection. */
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -21,6 +21,7 @@
 import { receiveOwnership } from './ownership/ownership-statement.js';
 import { receiveControlEnded } from './ownership/unit-control.js';
 import * as news from './news/spread-news.js';
+import { takeEvacuationChanges, takeEvacuationList } from './news/take-evacuations.js';
 import { tickStoreFollowing } from './news/store-following.js';
 import { receiveAttemptEnded } from './request/attempt-outcome.js';
 import { receiveRequest, tickEarlyRequests } from './request/request-arrival.js';
@@ -65,6 +66,10 @@
     case 'serversChanged':
       news.takeServerChanges(context, event);
       return noteServersOfLeader(context);
+    case 'evacuationsListed':
+      return takeEvacuationList(context, event);
+    case 'evacuationsChanged':
+      return takeEvacuationChanges(context, event);
     case 'feedState': {
       const { feed, healthy } = event;
       return context.log(healthy ? 'feed_regained' : 'feed_lost', { feed }, healthy ? 'info' : 'warn');
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -12,8 +12,8 @@
 const USEFUL_PART = 0.95;
 /** Part of the connections that a server takes which the daemons use together. */
 const CONNECTION_PART = 0.9;
-/** Keyed requests follow a draining owner this part of the drain time, while its keys move. */
-const DRAIN_PART = 0.5;
+/** Keyed requests follow an owner that drains, or whose zone is evacuated, this part of the allowed time: its keys move. */
+const LEAVING_PART = 0.5;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
 const FULL_RETRY_AFTER: Milliseconds = 100;
 
@@ -53,7 +53,7 @@
 }
 
 function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
-  const { view, servers, bounds } = context.state;
+  const { view, servers, bounds, evacuations } = context.state;
   const unit = view.unitOf(request.service, key);
   if (unit === undefined || !unit.granted) {
     const reason = unit === undefined ? 'the key has no owner' : `the key is on its way to ${unit.owner}`;
@@ -68,9 +68,14 @@
     return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
   const { drainingSince, load } = known;
-  if (drainingSince !== null && context.now - drainingSince > bounds.drain * DRAIN_PART) {
+  if (drainingSince !== null && context.now - drainingSince > bounds.drain * LEAVING_PART) {
     return { reason: `the owner ${unit.owner} is leaving`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
+  const evacuatedFor = evacuations.age(known.server.zone, context.now);
+  if (evacuatedFor !== null && evacuatedFor > (bounds.evacuation ?? 0) * LEAVING_PART) {
+    const reason = `the zone of the owner ${unit.owner} is evacuated`;
+    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
   if (load.isSilent(context.now)) {
     return { reason: `the owner ${unit.owner} is silent`, hold: false, retryAfter: OWNER_RETRY_AFTER };
   }
@@ -85,7 +90,7 @@
 }
 
 function anyServer(context: RouterContext, request: ActiveRequest): KnownServer | NoDestination {
-  const { serversByService, identity, random } = context.state;
+  const { serversByService, identity, random, evacuations } = context.state;
   const candidates = serversByService.get(request.service);
   const { latencyObjective } = request.route;
   const selection = {
@@ -94,6 +99,7 @@
     zone: identity.zone,
     random,
     tried: request.tried,
+    evacuations,
     mostInFlight: mostInFlight(context, request.service),
   };
   const chosen =
@@ -101,7 +107,10 @@
       ? undefined
       : (selectServer(candidates.values(), selection) as KnownServer | undefined);
   if (chosen === undefined) {
-    return { reason: 'no server takes requests', hold: true, retryAfter: FULL_RETRY_AFTER };
+    const reason = evacuations.isEmpty
+      ? 'no server takes requests'
+      : 'no server outside of evacuated zones takes requests';
+    return { reason, hold: true, retryAfter: FULL_RETRY_AFTER };
   }
   if (isFull(context, chosen, request)) {
     return { reason: 'every server is full', hold: true, retryAfter: FULL_RETRY_AFTER };
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -2,6 +2,8 @@
 import type { SeededRandom } from '../../core/random.js';
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
+import type { ZoneEvacuations } from '../news/zone-evacuations.js';
+
 import type { ServerLoad } from './server-load.js';
 
 /** What a server in another zone costs, as a part of the latency objective: bytes between zones are dear. */
@@ -27,6 +29,9 @@
   readonly random: SeededRandom;
   /** Servers that the request has been sent to. */
   readonly tried: readonly ServerId[];
+
+  /** Zones whose servers get nothing. */
+  readonly evacuations: ZoneEvacuations;
   /** Requests that this daemon may have at one server. */
   readonly mostInFlight: number;
 }
@@ -41,6 +46,7 @@
 function isOpen(candidate: Candidate, context: SelectionContext): boolean {
   return (
     !candidate.server.draining &&
+    !context.evacuations.has(candidate.server.zone) &&
     candidate.load.avoidUntil <= context.now &&
     candidate.load.inFlight.size < context.mostInFlight &&
     !candidate.load.isSilent(context.now) &&
--- a/src/router/router-settings.ts
+++ b/src/router/router-settings.ts
@@ -54,6 +54,8 @@
     configuration: SECONDS,
     /** The longest lease that a server takes. */
     longestLease: SECONDS,
+    /** Servers of a zone that operators evacuate get nothing after this time; null: zones are not evacuated. */
+    evacuation: SECONDS.nullable().default(null),
     retryWindow: SECONDS,
   }),
   retries: z.object({ ratio: z.number().min(0).max(10), extra: z.number().min(0) }),
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -12,8 +12,10 @@
 import { createIsolation, type Isolation } from './ownership/isolation.js';
 import type { Leadership } from './ownership/leadership-state.js';
 import { ServerHistory } from './news/server-history.js';
+import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
+
 import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
@@ -38,6 +40,9 @@
   readonly retries: RetryBudgetLimits;
   readonly drain: Milliseconds;
   readonly longestLease: Milliseconds;
+  /** Servers of an evacuated zone get nothing after this time; null: zones are not evacuated here. */
+  readonly evacuation: Milliseconds | null;
+
   /** In whole cores of usual speed. */
   readonly processorPower: number;
 }
@@ -67,6 +72,7 @@
   /** The highest revision of a server's entry: the same at daemons that know the same entries. */
   newestServerRevision: number;
   readonly serverHistory: ServerHistory;
+  readonly evacuations: ZoneEvacuations;
   /** This daemon lists and watches the store itself. */
   followsStore: boolean;
   readonly tree: TreeState;
@@ -109,6 +115,7 @@
     serversRevision: null,
     newestServerRevision: 0,
     serverHistory: new ServerHistory(),
+    evacuations: new ZoneEvacuations(),
     followsStore: false,
     tree: createTree(),
     feedLags: { configuration: createFeedLag(), servers: createFeedLag() },
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -5,6 +5,7 @@
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import type { ServerChange } from './peers/messages.js';
+
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
 import type { RouterContext } from './router-context.js';
@@ -111,6 +112,7 @@
       server,
       load: new ServerLoad(profileOf(context, server.service)),
       coldUntil: context.now + server.warmupLeft,
+
       knownSince: context.now,
       drainingSince: server.draining ? context.now : null,
     };
@@ -127,6 +129,7 @@
     known.drainingSince = server.draining ? context.now : null;
     noteChange(context, server.draining ? 'server_draining' : 'server_ready', server, revision);
   }
+
   known.server = server;
 }
 
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import { noteVersionsOf } from '../feed-lag.js';
 import { catchUp } from '../news/spread-news.js';
+import { takeEvacuations } from '../news/take-evacuations.js';
 import { wholeStatement } from '../ownership/ownership-statement.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { Report } from '../peers/messages.js';
@@ -26,6 +27,7 @@
 
 /** A child reported. */
 export function receiveReport(context: RouterContext, link: number, report: Report): void {
+  takeEvacuations(context, report.evacuations);
   report.samples.forEach((sample) => tallyKeys(context, sample));
   context.state.tree.times.push(...report.times);
   context.state.tree.started.push(...report.started);
--- a/src/router/tree/heartbeats.ts
+++ b/src/router/tree/heartbeats.ts
@@ -52,6 +52,7 @@
     watchers: [],
     configurationVersion: state.configuration?.version ?? 0,
     serversRevision: state.newestServerRevision,
+    evacuations: state.evacuations.statement(),
   };
 }
 
@@ -74,6 +75,7 @@
     watchers: chooseWatchers(state),
     configurationVersion: state.configuration?.version ?? 0,
     serversRevision: state.newestServerRevision,
+    evacuations: state.evacuations.statement(),
   };
 }
 
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -104,6 +104,7 @@
       started,
       overloaded,
       failedRelay: tree.failedRelay,
+      evacuations: state.evacuations.statement(),
       samples: takeKeySamples(context),
       times: takeTimes(context),
     },
--- a/test/router/news/test-news.ts
+++ b/test/router/news/test-news.ts
@@ -49,7 +49,7 @@
 function heartbeat(change: Partial<Heartbeat> = {}): Heartbeat {
   const leader = { term: 3, leader: 'l', leaderLife: 7, leaderAddress: LEADER };
   const age = { heardAge: 0, confirmationAge: 10, leaderRevision: 4, daemons: 20 };
-  const versions = { watchers: [], configurationVersion: 1, serversRevision: 5 };
+  const versions = { watchers: [], configurationVersion: 1, serversRevision: 5, evacuations: null };
   return { kind: 'heartbeat', ...leader, ...age, ...versions, ...change };
 }
 
@@ -138,6 +138,7 @@
         ownershipSequence: 0,
         daemons: 1,
         started: [],
+        evacuations: null,
         overloaded: false,
         failedRelay: '',
         samples: [],
--- /dev/null
+++ b/test/router/news/test-zone-evacuations.ts
@@ -0,0 +1,131 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { ZoneEvacuations } from '../../../src/router/news/zone-evacuations.js';
+import { RouterWorld, type Daemon } from '../support/router-world.js';
+
+/** Long enough for a plan, releases and grants; the deployment of the tests allows 5 s. */
+const MOVED_WITHIN = 2_500;
+const SETTLED = 6_000;
+
+function zoneOf(world: RouterWorld, id: string): string | undefined {
+  return world.daemons[0]?.state.servers.get(id)?.server.zone;
+}
+
+function ownerZones(world: RouterWorld): (string | undefined)[] {
+  const units = world.leader()?.state.leadership?.table.units ?? [];
+  return [...new Set(units.map((unit) => zoneOf(world, unit.owner)))].sort();
+}
+
+function knowers(world: RouterWorld, zone: string): Daemon[] {
+  return world.daemons.filter(({ state }) => state.evacuations.has(zone));
+}
+
+describe('what is known of evacuated zones', () => {
+  it('does not go back to an older revision', () => {
+    const evacuations = new ZoneEvacuations();
+    expect(evacuations.put({ revision: 7, zones: ['a'] }, 100)).toEqual({ evacuated: ['a'], restored: [] });
+    expect(evacuations.put({ revision: 6, zones: [] }, 200)).toEqual(null);
+    expect(evacuations.put({ revision: 7, zones: [] }, 200)).toEqual(null);
+    expect(evacuations.has('a')).toEqual(true);
+  });
+
+  it('counts the time of an evacuation from the first word of it', () => {
+    const evacuations = new ZoneEvacuations();
+    evacuations.put({ revision: 7, zones: ['a'] }, 100);
+    expect(evacuations.put({ revision: 9, zones: ['a'] }, 600)).toEqual(null);
+    expect(evacuations.age('a', 1_100)).toEqual(1_000);
+    expect(evacuations.age('b', 1_100)).toEqual(null);
+  });
+
+  it('starts anew when a zone is evacuated again', () => {
+    const evacuations = new ZoneEvacuations();
+    evacuations.put({ revision: 7, zones: ['a'] }, 100);
+    expect(evacuations.put({ revision: 8, zones: ['b'] }, 200)).toEqual({
+      evacuated: ['b'],
+      restored: ['a'],
+    });
+    evacuations.put({ revision: 9, zones: ['a', 'b'] }, 300);
+    expect(evacuations.age('a', 350)).toEqual(50);
+  });
+});
+
+describe('an evacuated zone', () => {
+  it('is known at every daemon at once, also at those that the store turns away', () => {
+    const world = new RouterWorld(1, 6, 9);
+    world.clock.runUntil(SETTLED);
+    const cut = world.daemons.filter((daemon) => !daemon.followsStore);
+    cut.forEach((daemon) => (daemon.storeReachable = false));
+    world.evacuate(['z1']);
+    world.clock.runUntil(SETTLED + 300);
+    expect(knowers(world, 'z1').length).toEqual(6);
+    world.evacuate([]);
+    world.clock.runUntil(SETTLED + 600);
+    expect(knowers(world, 'z1')).toEqual([]);
+  });
+
+  it('loses its units in time, and no key is without an owner for long', () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const world = new RouterWorld(seed, 4, 9);
+      world.clock.runUntil(SETTLED);
+      world.evacuate(['z1']);
+      world.clock.runUntil(SETTLED + MOVED_WITHIN);
+      expect(ownerZones(world)).toEqual(['z0', 'z2']);
+      expect(world.unservedKeys()).toEqual([]);
+    }
+  });
+
+  it('stays evacuated when the leader is lost, and when all daemons start again', () => {
+    const world = new RouterWorld(3, 4, 9);
+    world.clock.runUntil(SETTLED);
+    world.evacuate(['z2']);
+    world.clock.runUntil(SETTLED + 100);
+    const leader = world.leader() as Daemon;
+    leader.alive = false;
+    world.clock.runUntil(SETTLED + 6_000);
+    expect(ownerZones(world)).toEqual(['z0', 'z1']);
+    world.daemons.forEach((daemon) => world.startDaemon(daemon));
+    world.clock.runUntil(SETTLED + 12_000);
+    expect(knowers(world, 'z2').length).toEqual(4);
+    expect(ownerZones(world)).toEqual(['z0', 'z1']);
+  });
+
+  it('gets units again once it is taken back and the load calls for it', () => {
+    const world = new RouterWorld(2, 3, 6);
+    world.clock.runUntil(SETTLED);
+    world.evacuate(['z1']);
+    world.clock.runUntil(SETTLED + 1_000);
+    world.evacuate([]);
+    world.clock.runUntil(SETTLED + 2_000);
+    expect(world.leader()?.state.evacuations.isEmpty).toEqual(true);
+    expect(world.unservedKeys()).toEqual([]);
+  });
+
+  it('changes nothing when nobody knows the zone', () => {
+    const world = new RouterWorld(4, 3, 6);
+    world.clock.runUntil(SETTLED);
+    const before = world.leader()?.state.leadership?.table;
+    world.evacuate(['nowhere']);
+    world.clock.runUntil(SETTLED + 1_500);
+    expect(world.leader()?.state.leadership?.table).toEqual(before);
+  });
+
+  it('leaves units where they are when no other zone has servers', () => {
+    const world = new RouterWorld(5, 3, 6);
+    world.clock.runUntil(SETTLED);
+    const before = ownerZones(world);
+    world.evacuate(['z0', 'z1', 'z2']);
+    world.clock.runUntil(SETTLED + 3_000);
+    expect(ownerZones(world)).toEqual(before);
+  });
+
+  it('loses its units beside another zone that is lost', () => {
+    const world = new RouterWorld(6, 3, 9);
+    world.clock.runUntil(SETTLED);
+    world.servers
+      .filter((server) => zoneOf(world, server.id) === 'z2')
+      .forEach((server) => (server.alive = false));
+    world.evacuate(['z1']);
+    world.clock.runUntil(SETTLED + 8_000);
+    expect(ownerZones(world)).toEqual(['z0']);
+  });
+});
--- /dev/null
+++ b/test/router/request/test-zone-requests.ts
@@ -0,0 +1,48 @@
+import { expect } from 'earl';
+import { beforeEach, describe, it } from 'node:test';
+import { OwnershipView } from '../../../src/router/ownership/ownership-view.js';
+import { server, SingleDaemon } from '../support/single-daemon.js';
+
+let daemon: SingleDaemon;
+
+describe('requests while a zone is evacuated or cold', () => {
+  beforeEach(() => {
+    daemon = new SingleDaemon();
+  });
+
+  it('sends nothing to servers of an evacuated zone, and says so when there is no other', () => {
+    daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 6 });
+    daemon.arrive(1, '/read/1');
+    daemon.ticksUntil(1_300);
+    expect(daemon.only('forward')).toEqual([]);
+    expect(daemon.only('answer')[0]?.status).toEqual(503);
+    expect(daemon.only('answer')[0]?.reason).toEqual('no server outside of evacuated zones takes requests');
+    daemon.event({ kind: 'evacuationsChanged', changes: [{ zone: 'z', evacuated: false }], revision: 7 });
+    daemon.ticksUntil(daemon.now + 3_100);
+    daemon.arrive(2, '/read/2');
+    expect(daemon.only('forward').length).toEqual(1);
+  });
+
+  it('follows an owner in an evacuated zone for a part of the allowed time only', () => {
+    const unit = {
+      service: 'racks',
+      from: 0,
+      to: 65_535,
+      owner: 's9',
+      fence: 3,
+      granted: true,
+      releasing: null,
+    };
+    daemon.state.view = new OwnershipView(1, 1, [unit]);
+    const changes = [{ id: 's9', server: { ...server('s9'), service: 'racks' } }];
+    daemon.event({ kind: 'serversChanged', changes, revision: 6 });
+    daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 7 });
+    daemon.arrive(1, '/rack/1', 900, 5);
+    expect(daemon.only('forward').length).toEqual(1);
+    daemon.ticksUntil(daemon.now + 2_600);
+    daemon.arrive(2, '/rack/1', 900, 5);
+    daemon.ticksUntil(daemon.now + 300);
+    expect(daemon.only('forward').length).toEqual(1);
+    expect(daemon.only('answer').at(-1)?.reason).toEqual('the zone of the owner s9 is evacuated');
+  });
+});
--- a/test/router/support/bounds.ts
+++ b/test/router/support/bounds.ts
@@ -5,6 +5,7 @@
   retries: { ratio: 0.2, extra: 60 },
   drain: 2_000,
   longestLease: 10_000,
+  evacuation: 5_000,
   processorPower: 1,
 };
 /** The same with a retry budget that no test spends. */
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -37,7 +37,17 @@
       targets: [{ service: SERVICE, weight: 1 }],
     },
   ],
-  services: new Map([[SERVICE, { name: SERVICE, keyed: true, connectionLimit: 100, healthPath: '/health' }]]),
+  services: new Map([
+    [
+      SERVICE,
+      {
+        name: SERVICE,
+        keyed: true,
+        connectionLimit: 100,
+        healthPath: '/health',
+      },
+    ],
+  ]),
   limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
 };
 
@@ -69,6 +79,7 @@
   #listed: ServerDescription[] = [];
   #revision = 1;
   configuration = CONFIGURATION;
+  #evacuated: readonly string[] = [];
   /** Lists that daemons had from the store. */
   storeLists = 0;
   #lives = 0;
@@ -116,6 +127,12 @@
     this.#publish();
   }
 
+  /** Operators evacuate these zones and no other ones. */
+  evacuate(zones: readonly string[]): void {
+    this.#evacuated = zones;
+    this.#publish();
+  }
+
   #publish(): void {
     this.#revision += 1;
     for (const daemon of this.daemons) {
@@ -140,6 +157,12 @@
   }
 
   #tellServers(daemon: Daemon): void {
+    const evacuations = {
+      kind: 'evacuationsListed',
+      zones: this.#evacuated,
+      revision: this.#revision,
+    } as const;
+    this.#deliver(daemon, daemon.life, evacuations);
     this.#deliver(daemon, daemon.life, {
       kind: 'serversListed',
       servers: this.#listed,
--- a/test/router/test-feed-lag.ts
+++ b/test/router/test-feed-lag.ts
@@ -20,6 +20,7 @@
     daemons: 3,
     configurationVersion,
     serversRevision,
+    evacuations: null,
   };
   const event = { kind: 'peerMessage', link: 0, message: { kind: 'heartbeat', ...message } } as const;
   return reduce(state, now, event).filter((effect) => effect.kind === 'refreshFeed');
