A cold server gets what it can bear, from all daemons together

Cause: a server's warm-up was used once, as a factor of a daemon's own choice. Ways weighed: the bound divided among daemons as token buckets (74 daemons that saved a token each would send 74 at once); a few daemons for each cold server by hashing (daemons do not know each other's names); shares from the leader (nothing while it is away); turns: each daemon may send one request in a turn of 0.25 s, at a time of its own, so far apart that all turns of a second stay under the bound by five deviations (chosen). Change: turns; units go to warm servers while there are any; the servers of a zone that comes back are taken for cold; a later entry's warm-up counts.

--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -44,10 +44,10 @@
 const OK = 200;
 const UNAVAILABLE = 503;
 
-function boundsOf({ timing, retries, processor }: RouterSettings): RouterBounds {
+function boundsOf({ timing, retries, coldStart, processor }: RouterSettings): RouterBounds {
   const processorPower = processor.share * processor.speed;
   const { drain, longestLease, evacuation } = timing;
-  return { retries, drain, longestLease, evacuation, processorPower };
+  return { retries, drain, longestLease, evacuation, coldStart, processorPower };
 }
 
 export class RouterDaemon {
--- a/src/router/model/configuration.ts
+++ b/src/router/model/configuration.ts
@@ -36,6 +36,10 @@
   readonly connectionLimit: number;
   /** Where a server is asked whether it is well. */
   readonly healthPath: string;
+  /** How long a server is cold after its start, or after its zone was evacuated. */
+  readonly coldTime: Milliseconds;
+  /** Requests a second that a cold server bears; 0: as many as a warm one. */
+  readonly coldRequestRate: number;
 }
 
 /** What a caller may send, and how long it may take. */
--- a/src/router/news/take-evacuations.ts
+++ b/src/router/news/take-evacuations.ts
@@ -23,6 +23,19 @@
   takeEvacuations(context, { revision: event.revision, zones: [...zones] });
 }
 
+/**
+ * Servers of a zone that comes back may have turned cold shortly before, and their entries say so only with the next
+ * heartbeat: they are taken for cold.
+ */
+function expectColdServers({ state, now }: RouterContext, zone: string): void {
+  for (const known of state.servers.values()) {
+    if (known.server.zone === zone) {
+      const coldTime = state.configuration?.services.get(known.server.service)?.coldTime ?? 0;
+      known.coldUntil = Math.max(known.coldUntil, now + coldTime);
+    }
+  }
+}
+
 /** A statement came, from the store or from another daemon. One that is not newer changes nothing. */
 export function takeEvacuations(context: RouterContext, statement: EvacuationStatement | null): void {
   const { state, now } = context;
@@ -32,7 +45,10 @@
   }
   const { revision } = statement;
   change.evacuated.forEach((zone) => context.log('zone_evacuated', { zone, revision }));
-  change.restored.forEach((zone) => context.log('zone_restored', { zone, revision }));
+  change.restored.forEach((zone) => {
+    context.log('zone_restored', { zone, revision });
+    expectColdServers(context, zone);
+  });
   hastenHeartbeat(context);
   hastenReport(context);
   if (state.leadership !== null) {
--- a/src/router/ownership/assignment-plan.ts
+++ b/src/router/ownership/assignment-plan.ts
@@ -4,7 +4,7 @@
  */
 import { firstUnits, unitName, type OwnershipTable } from './ownership-table.js';
 import type { EligibleServer, PlanInput } from './plan-input.js';
-import { ServicePlan } from './service-plan.js';
+import { ServicePlan, takersOf } from './service-plan.js';
 
 /** Servers so that neighbours in the list stand in different zones. */
 function spreadZones(servers: readonly EligibleServer[]): EligibleServer[] {
@@ -31,7 +31,7 @@
     return table;
   }
   if (!table.units.some((unit) => unit.service === input.service)) {
-    const owners = spreadZones(input.servers).map((server) => server.id);
+    const owners = spreadZones(takersOf(input.servers)).map((server) => server.id);
     return firstUnits(table, input.service, owners);
   }
   const plan = new ServicePlan(table, input);
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -33,7 +33,7 @@
   const pace = leadership.paces.get(id);
   pace?.judge(slots, now);
   const workTime = pace?.workTime ?? known.load.serviceTime * (known.coldUntil > now ? COLD_FACTOR : 1);
-  return { id, zone, capacity: (slots * MILLISECONDS_PER_SECOND) / workTime };
+  return { id, zone, capacity: (slots * MILLISECONDS_PER_SECOND) / workTime, isCold: known.coldUntil > now };
 }
 
 function containing(units: readonly Unit[], part: Unit): Unit | undefined {
--- a/src/router/ownership/plan-input.ts
+++ b/src/router/ownership/plan-input.ts
@@ -9,6 +9,8 @@
   readonly zone: string;
   /** Requests a second that it can answer. */
   readonly capacity: number;
+  /** It keeps what it has, and gets no more while another server can: it is cold. */
+  readonly isCold: boolean;
 }
 
 /** What a plan for one service is made from. */
--- a/src/router/ownership/service-plan.ts
+++ b/src/router/ownership/service-plan.ts
@@ -28,18 +28,26 @@
   readonly value: number;
 }
 
+/** Warm servers; cold ones only where there are no others. */
+export function takersOf(servers: readonly EligibleServer[]): readonly EligibleServer[] {
+  const warm = servers.filter((server) => !server.isCold);
+  return warm.length > 0 ? warm : servers;
+}
+
 /** A plan under way for one service. */
 export class ServicePlan {
   table: OwnershipTable;
   readonly #input: PlanInput;
   readonly #rates: KeyRates;
   readonly #load = new Map<ServerId, number>();
+  /** Servers that units may go to. */
+  readonly #takers: readonly EligibleServer[];
 
   constructor(table: OwnershipTable, input: PlanInput) {
     this.table = table;
     this.#input = input;
     this.#rates = new KeyRates(input.rates);
-
+    this.#takers = takersOf(input.servers);
     for (const server of input.servers) {
       this.#load.set(server.id, 0);
     }
@@ -76,7 +84,7 @@
     const byNeed = (left: EligibleServer, right: EligibleServer): number =>
       this.#utilisation(left) - this.#utilisation(right) ||
       (counts.get(left.id) ?? 0) - (counts.get(right.id) ?? 0);
-    return [...this.#input.servers].sort(byNeed)[0];
+    return [...this.#takers].sort(byNeed)[0];
   }
 
   #hottest(skipped: ReadonlySet<ServerId>): EligibleServer | undefined {
@@ -155,7 +163,7 @@
 
   /** Servers that load may go to: the least utilised, the one with the most room, the one that can do the most. */
   #targets(hot: EligibleServer): EligibleServer[] {
-    const others = this.#input.servers.filter((server) => server.id !== hot.id);
+    const others = this.#takers.filter((server) => server.id !== hot.id);
     const most = (value: (server: EligibleServer) => number): EligibleServer | undefined =>
       others.reduce<EligibleServer | undefined>(
         (best, server) => (best === undefined || value(server) > value(best) ? server : best),
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -4,7 +4,8 @@
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
-import { selectServer } from './server-selection.js';
+import { turnInterval } from './cold-admission.js';
+import { mayStartCold, selectServer } from './server-selection.js';
 
 /** Requests that may wait at a server for each of its slots before it counts as full. */
 const WAITING_PER_SLOT = 3;
@@ -37,6 +38,16 @@
   return Math.max(1, Math.floor((limit * CONNECTION_PART) / daemons));
 }
 
+/** Time between two turns of this daemon at a cold server of a service; null: nothing bounds what such a server gets. */
+function coldInterval(context: RouterContext, service: ServiceName): Milliseconds | null {
+  const { configuration, daemons, bounds } = context.state;
+  const rate = configuration?.services.get(service)?.coldRequestRate ?? 0;
+  if (bounds.coldStart === null || rate === 0) {
+    return null;
+  }
+  return turnInterval(rate * bounds.coldStart.factor + bounds.coldStart.slack, daemons);
+}
+
 /** A new request there would be shed, or answered too late to be of full use. */
 function isFull(context: RouterContext, known: KnownServer, request: ActiveRequest): boolean {
   const { now } = context;
@@ -76,6 +87,10 @@
     const reason = `the zone of the owner ${unit.owner} is evacuated`;
     return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
+  if (!mayStartCold(known, coldInterval(context, request.service), context.now)) {
+    const retryAfter = Math.max(OWNER_RETRY_AFTER, known.coldUntil - context.now);
+    return { reason: `the owner ${unit.owner} is cold and takes few requests`, hold: false, retryAfter };
+  }
   if (load.isSilent(context.now)) {
     return { reason: `the owner ${unit.owner} is silent`, hold: false, retryAfter: OWNER_RETRY_AFTER };
   }
@@ -99,6 +114,7 @@
     zone: identity.zone,
     random,
     tried: request.tried,
+    coldInterval: coldInterval(context, request.service),
     evacuations,
     mostInFlight: mostInFlight(context, request.service),
   };
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -95,7 +95,7 @@
     request.tried.push(known.server.id);
   }
   known.load.inFlight.set(request.id, context.now);
-
+  known.coldAdmission.use(context.now);
   context.emit({
     kind: 'forward',
     requestId: request.id,
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
 import type { ZoneEvacuations } from '../news/zone-evacuations.js';
-
+import type { ColdAdmission } from './cold-admission.js';
 import type { ServerLoad } from './server-load.js';
 
 /** What a server in another zone costs, as a part of the latency objective: bytes between zones are dear. */
@@ -17,8 +17,9 @@
 export interface Candidate {
   readonly server: ServerDescription;
   readonly load: ServerLoad;
-  /** It is slow until this time. */
+  /** It is cold until this time. */
   readonly coldUntil: Milliseconds;
+  readonly coldAdmission: ColdAdmission;
 }
 
 /** What a choice depends on besides the candidates. */
@@ -29,7 +30,8 @@
   readonly random: SeededRandom;
   /** Servers that the request has been sent to. */
   readonly tried: readonly ServerId[];
-
+  /** Time between two turns of this daemon at a cold server; null: cold servers get what warm ones do. */
+  readonly coldInterval: Milliseconds | null;
   /** Zones whose servers get nothing. */
   readonly evacuations: ZoneEvacuations;
   /** Requests that this daemon may have at one server. */
@@ -43,6 +45,16 @@
   return expected * (1 + JITTER * context.random.fraction()) + way;
 }
 
+/** A cold server gets a request only in a turn of this daemon. */
+export function mayStartCold(
+  candidate: Pick<Candidate, 'coldUntil' | 'coldAdmission'>,
+  coldInterval: Milliseconds | null,
+  now: Milliseconds,
+): boolean {
+  const isBounded = candidate.coldUntil > now && coldInterval !== null;
+  return !isBounded || candidate.coldAdmission.allows(coldInterval, now);
+}
+
 function isOpen(candidate: Candidate, context: SelectionContext): boolean {
   return (
     !candidate.server.draining &&
@@ -50,6 +62,7 @@
     candidate.load.avoidUntil <= context.now &&
     candidate.load.inFlight.size < context.mostInFlight &&
     !candidate.load.isSilent(context.now) &&
+    mayStartCold(candidate, context.coldInterval, context.now) &&
     !context.tried.includes(candidate.server.id)
   );
 }
--- a/src/router/router-settings.ts
+++ b/src/router/router-settings.ts
@@ -58,6 +58,11 @@
     evacuation: SECONDS.nullable().default(null),
     retryWindow: SECONDS,
   }),
+  /** What a server may get in a second while it is cold: `factor` times what it bears, and `slack`. Null: as much as a warm one. */
+  coldStart: z
+    .object({ factor: z.number().min(0).max(100).nullable(), slack: z.number().min(0).nullable() })
+    .default({ factor: null, slack: null })
+    .transform(({ factor, slack }) => (factor === null || slack === null ? null : { factor, slack })),
   retries: z.object({ ratio: z.number().min(0).max(10), extra: z.number().min(0) }),
 });
 
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -15,7 +15,7 @@
 import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
-
+import type { ColdAdmission, ColdStartLimits } from './request/cold-admission.js';
 import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
@@ -42,7 +42,8 @@
   readonly longestLease: Milliseconds;
   /** Servers of an evacuated zone get nothing after this time; null: zones are not evacuated here. */
   readonly evacuation: Milliseconds | null;
-
+  /** Null: nothing bounds what cold servers get. */
+  readonly coldStart: ColdStartLimits | null;
   /** In whole cores of usual speed. */
   readonly processorPower: number;
 }
@@ -51,7 +52,10 @@
 export interface KnownServer {
   server: ServerDescription;
   readonly load: ServerLoad;
-  readonly coldUntil: Milliseconds;
+  /** It is cold, as far as this daemon knows, until then. */
+  coldUntil: Milliseconds;
+  /** What it gets of this daemon while it is cold. */
+  readonly coldAdmission: ColdAdmission;
   /** When this daemon learned of it. */
   readonly knownSince: Milliseconds;
   /** When this daemon learned that it drains, or null. */
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -5,7 +5,7 @@
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import type { ServerChange } from './peers/messages.js';
-
+import { ColdAdmission } from './request/cold-admission.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
 import type { RouterContext } from './router-context.js';
@@ -112,7 +112,7 @@
       server,
       load: new ServerLoad(profileOf(context, server.service)),
       coldUntil: context.now + server.warmupLeft,
-
+      coldAdmission: new ColdAdmission(context.state.random.fraction()),
       knownSince: context.now,
       drainingSince: server.draining ? context.now : null,
     };
@@ -129,7 +129,10 @@
     known.drainingSince = server.draining ? context.now : null;
     noteChange(context, server.draining ? 'server_draining' : 'server_ready', server, revision);
   }
-
+  if (server.revision !== known.server.revision) {
+    // Later entries know better; one that still tells of an earlier moment is taken as if it were new.
+    known.coldUntil = context.now + server.warmupLeft;
+  }
   known.server = server;
 }
 
--- a/test/router/ownership/test-assignment-plan.ts
+++ b/test/router/ownership/test-assignment-plan.ts
@@ -13,7 +13,12 @@
 import { LAST_KEY } from '../../../src/router/model/identifiers.js';
 
 function servers(...capacities: number[]): EligibleServer[] {
-  return capacities.map((capacity, index) => ({ id: `s${index}`, zone: `z${index % 3}`, capacity }));
+  return capacities.map((capacity, index) => ({
+    id: `s${index}`,
+    zone: `z${index % 3}`,
+    capacity,
+    isCold: false,
+  }));
 }
 
 function input(known: EligibleServer[], rates: KeyRate[]): PlanInput {
@@ -220,4 +225,28 @@
     const joined = joinUnits(table, (candidate) => candidate.from !== 10);
     expect(joined).toEqual(table);
   });
+
+  it('gives nothing to cold servers while there are warm ones, and takes nothing from them', () => {
+    const [first, second, third] = servers(20, 20, 20) as [EligibleServer, EligibleServer, EligibleServer];
+    const table = planService(EMPTY_TABLE, input([first, { ...second, isCold: true }, third], []));
+    expect(table.units.some((unit) => unit.owner === 's1')).toEqual(false);
+    const warm = planService(EMPTY_TABLE, input([first, second, third], []));
+    const rates = [
+      { key: 3, rate: 19 },
+      { key: 40_000, rate: 3 },
+    ];
+    const later = settle(
+      warm,
+      input([{ ...first, isCold: true }, { ...second, isCold: true }, third], rates),
+    );
+    for (const unit of later.units.filter(({ owner }) => owner !== 's2')) {
+      const former = warm.units.find((known) => known.from <= unit.from && known.to >= unit.to);
+      expect(unit.owner).toEqual(former?.owner ?? '');
+    }
+  });
+
+  it('gives keys to cold servers when there are no others', () => {
+    const cold = servers(20, 20).map((server) => ({ ...server, isCold: true }));
+    expect(planService(EMPTY_TABLE, input(cold, [])).units.length > 0).toEqual(true);
+  });
 });
--- a/test/router/request/test-zone-requests.ts
+++ b/test/router/request/test-zone-requests.ts
@@ -45,4 +45,21 @@
     expect(daemon.only('forward').length).toEqual(1);
     expect(daemon.only('answer').at(-1)?.reason).toEqual('the zone of the owner s9 is evacuated');
   });
+
+  it('takes the servers of a zone that comes back for cold', () => {
+    daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 6 });
+    daemon.event({ kind: 'evacuationsListed', zones: [], revision: 7 });
+    expect(
+      [...daemon.state.servers.values()].every(({ coldUntil }) => coldUntil === daemon.now + 3_000),
+    ).toEqual(true);
+  });
+
+  it('takes a server for cold when its entry says so again', () => {
+    const changes = [{ id: 's1', server: { ...server('s1'), warmupLeft: 2_000, revision: 9 } }];
+    daemon.event({ kind: 'serversChanged', changes, revision: 9 });
+    expect(daemon.state.servers.get('s1')?.coldUntil).toEqual(daemon.now + 2_000);
+    const later = [{ id: 's1', server: { ...server('s1'), warmupLeft: 0, revision: 10 } }];
+    daemon.event({ kind: 'serversChanged', changes: later, revision: 10 });
+    expect(daemon.state.servers.get('s1')?.coldUntil).toEqual(daemon.now);
+  });
 });
--- a/test/router/support/bounds.ts
+++ b/test/router/support/bounds.ts
@@ -6,6 +6,7 @@
   drain: 2_000,
   longestLease: 10_000,
   evacuation: 5_000,
+  coldStart: { factor: 1.5, slack: 8 },
   processorPower: 1,
 };
 /** The same with a retry budget that no test spends. */
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -45,6 +45,8 @@
         keyed: true,
         connectionLimit: 100,
         healthPath: '/health',
+        coldTime: 3_000,
+        coldRequestRate: 4.2,
       },
     ],
   ]),
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -53,6 +53,8 @@
         keyed: false,
         connectionLimit: 10,
         healthPath: '/health',
+        coldTime: 3_000,
+        coldRequestRate: 4.2,
       },
     ],
     [
@@ -62,6 +64,8 @@
         keyed: true,
         connectionLimit: 50,
         healthPath: '/health',
+        coldTime: 3_000,
+        coldRequestRate: 4.2,
       },
     ],
   ]),
