Windows at owners below one request, and a full owner refuses for all of a caller's try

Cause: a daemon sent a request that a full owner had shed to the same owner again within 10 ms, in vain, and a shed did not shrink its window where owners answer 503. A window was at least one: 17 daemons with a request each fill the queue of an owner of three slots, and all that it answers is late. Retry-After is half of the time that the owner's queue takes: the caller may then still be answered within its objective.

--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -19,6 +19,8 @@
 const ALIVE_WITHIN: Milliseconds = 400;
 /** A server that is full gets nothing for this long. */
 const FULL_AVOIDANCE: Milliseconds = 40;
+/** A caller that a full owner turned away comes back after this long at least. */
+const FULL_RETRY_AFTER: Milliseconds = 100;
 /** Characters of a value that cannot be read that are logged. */
 const LONGEST_QUOTE = 60;
 /** When a caller should come back if nothing better is known. */
@@ -125,9 +127,14 @@
   result: Extract<AttemptResult, { kind: 'rejected' }>,
 ): void {
   const { now } = context;
-  takeLoad(context, known, result.load);
-  if (request.key !== null && !result.misdirected) {
+  const reading = takeLoad(context, known, result.load);
+  if (request.key !== null && known !== undefined && !result.misdirected) {
     noteOverload(context);
+    known.load.window.shed(request.attemptStartedAt, now);
+    const queue = reading === null ? 0 : (reading.waiting / reading.slots) * known.load.serviceTime;
+    const wait = Math.min(queue, request.route.latencyObjective) / 2;
+    giveUp(context, request, `the owner ${known.server.id} is full`, Math.max(FULL_RETRY_AFTER, wait));
+    return;
   }
   if (known !== undefined && !result.misdirected) {
     known.load.avoidUntil = Math.max(known.load.avoidUntil, now + FULL_AVOIDANCE);
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -97,7 +97,7 @@
   if (load.avoidUntil > context.now && load.failures > 1) {
     return { reason: `the owner ${unit.owner} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
-  if (!load.window.allows(load.inFlight.size) || isFull(context, known, request)) {
+  if (!load.window.allows(load.inFlight.size, context.now) || isFull(context, known, request)) {
     noteOverload(context);
     return { reason: `the owner ${unit.owner} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
   }
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -96,6 +96,7 @@
   }
   known.load.inFlight.set(request.id, context.now);
   known.coldAdmission.use(context.now);
+  known.load.window.sent(context.now);
   context.emit({
     kind: 'forward',
     requestId: request.id,
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -41,7 +41,7 @@
   /** Requests of this daemon that are there now, by number, with the time of their sending. */
   readonly inFlight = new Map<number, Milliseconds>();
   /** How many requests for its keys it gets at once. */
-  readonly window = new AdmissionWindow();
+  readonly window: AdmissionWindow;
   /** No new request goes there before this time. */
   avoidUntil: Milliseconds = 0;
   lastAnswerAt: Milliseconds = -1;
@@ -56,9 +56,14 @@
   #others = 0;
   #reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
-  /** @param profile what is known of the service's servers together */
-  constructor(profile: ServiceProfile) {
+  /**
+   * @param profile what is known of the service's servers together
+   * @param slots of the server
+   * @param daemons that share it
+   */
+  constructor(profile: ServiceProfile, slots: number, daemons: number) {
     this.#profile = profile;
+    this.window = new AdmissionWindow(slots, daemons);
   }
 
   /** Average time of a request on an idle slot; that of the service before this server is known. */
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -110,7 +110,7 @@
   if (known === undefined) {
     const added: KnownServer = {
       server,
-      load: new ServerLoad(profileOf(context, server.service)),
+      load: new ServerLoad(profileOf(context, server.service), server.slots, context.state.daemons),
       coldUntil: context.now + server.warmupLeft,
       coldAdmission: new ColdAdmission(context.state.random.fraction()),
       knownSince: context.now,
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -45,6 +45,30 @@
     expect(daemon.only('answer')[0]?.status).toEqual(404);
   });
 
+  // Found by a played day: a full owner was asked again within 10 ms, shed the request again, and that was that.
+  it('refuses a request at once that a full owner turned away, and says when its queue is shorter', () => {
+    const unit = {
+      service: 'racks',
+      from: 0,
+      to: 65_535,
+      owner: 's9',
+      fence: 3,
+      granted: true,
+      releasing: null,
+    };
+    daemon.state.view = new OwnershipView(1, 1, [unit]);
+    const changes = [{ id: 's9', server: { ...server('s9'), service: 'racks' } }];
+    daemon.event({ kind: 'serversChanged', changes, revision: 6 });
+    daemon.arrive(1, '/rack/1', 900, 5);
+    const load = { running: 2, waiting: 12, slots: 2, slowdown: null };
+    daemon.ended(1, 1, { kind: 'rejected', status: 503, misdirected: false, load });
+    expect(daemon.only('forward').length).toEqual(1);
+    expect(daemon.only('answer').map(({ status, reason }) => [status, reason])).toEqual([
+      [503, 'the owner s9 is full'],
+    ]);
+    expect(daemon.only('answer')[0]?.retryAfter).toEqual(200);
+  });
+
   it('counts load reports that cannot be read, and says so once', () => {
     for (const requestId of [1, 2, 3]) {
       daemon.arrive(requestId, '/read/1');
