Fewer daemons ask the store for evacuations; only an owner that says that it has a queue counts as full

Others hear in heartbeats. Change: only an answer that tells of a queue closes the window and refuses; else the request is sent again as before. Two causes in one commit, since the second was found by the measurement of the first.

--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -236,6 +236,8 @@
         return this.#peers.follow(effect.address);
       case 'followStore':
         return this.#followStore(effect);
+      case 'followEvacuations':
+        return effect.follows ? this.#evacuationFeed.begin(effect.revision) : this.#evacuationFeed.cease();
       case 'sendToParent':
         return this.#peers.sendToParent(effect.message);
       case 'sendToChildren':
@@ -247,14 +249,10 @@
     if (!effect.follows) {
       this.#configurationFeed.cease();
       this.#serverFeed.cease();
-      this.#evacuationFeed.cease();
       return;
     }
     this.#configurationFeed.begin(effect.configurationRevision);
     this.#serverFeed.begin(effect.serversRevision);
-    if (this.state.bounds.evacuation !== null) {
-      this.#evacuationFeed.begin(effect.evacuationsRevision);
-    }
   }
 
   async #control(effect: ControlEffect): Promise<void> {
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -73,7 +73,13 @@
   /** What came up to these revisions of the store is known; null: nothing is. */
   readonly serversRevision: number | null;
   readonly configurationRevision: number | null;
-  readonly evacuationsRevision: number | null;
+}
+/** Begins or ceases to follow the evacuations in the store. */
+export interface FollowEvacuationsEffect {
+  readonly kind: 'followEvacuations';
+  readonly follows: boolean;
+  /** What came up to this revision of the store is known; null: nothing is. */
+  readonly revision: number | null;
 }
 /** Connects to a parent; a connection to another address is closed. Null: to none. */
 export interface FollowEffect {
@@ -115,6 +121,7 @@
   | AnswerEffect
   | FollowEffect
   | FollowStoreEffect
+  | FollowEvacuationsEffect
   | SendToParentEffect
   | SendToChildrenEffect
   | RequestEndedEffect
--- a/src/router/news/store-following.ts
+++ b/src/router/news/store-following.ts
@@ -21,6 +21,12 @@
 /** The same below a relay, which follows the store by then: all daemons at once would be too much for it. */
 const RELAYED_PATIENCE: Milliseconds = 5_000;
 
+/**
+ * A daemon that has lost its parent reads evacuations after this long only: the next leader tells sooner as a rule, and the
+ * deployment allows seconds. Saves 150 of 1,110 store calls of a day with trouble of 17 daemons.
+ */
+const EVACUATION_PATIENCE: Milliseconds = 1_500;
+
 function lacksNews(state: RouterState): boolean {
   return state.configuration === null || state.serversRevision === null;
 }
@@ -47,17 +53,42 @@
   return age > (isRelayed(state) ? RELAYED_PATIENCE : UNCONFIRMED_PATIENCE);
 }
 
+/** Who follows the store for longer than a moment reads evacuations there, too; everybody else is told by heartbeats. */
+function shouldFollowEvacuations({ state, now }: RouterContext): boolean {
+  const { followsStore, followsStoreSince, leadership, tree, identity, bounds } = state;
+  if (!followsStore || bounds.evacuation === null) {
+    return false;
+  }
+  const isFollower = leadership !== null || tree.watchers.includes(identity.daemon);
+  return isFollower || now - followsStoreSince >= EVACUATION_PATIENCE;
+}
+
+function tickEvacuationFollowing(context: RouterContext): void {
+  const { state } = context;
+  const follows = shouldFollowEvacuations(context);
+  if (follows !== state.followsEvacuations) {
+    state.followsEvacuations = follows;
+    const { revision } = state.evacuations;
+    context.emit({ kind: 'followEvacuations', follows, revision: revision === 0 ? null : revision });
+  }
+}
+
 /** Begins or ceases to follow the store. */
 export function tickStoreFollowing(context: RouterContext): void {
+  tickServerFollowing(context);
+  tickEvacuationFollowing(context);
+}
+
+function tickServerFollowing(context: RouterContext): void {
   const { state } = context;
   const follows = shouldFollow(context);
   if (follows === state.followsStore) {
     return;
   }
+  state.followsStoreSince = context.now;
   state.followsStore = follows;
   context.log('store_following', { follows, servers: state.serversRevision });
   const { serversRevision } = state;
   const configurationRevision = state.configuration === null ? null : state.configurationRevision;
-  const evacuationsRevision = state.evacuations.revision === 0 ? null : state.evacuations.revision;
-  context.emit({ kind: 'followStore', follows, serversRevision, configurationRevision, evacuationsRevision });
+  context.emit({ kind: 'followStore', follows, serversRevision, configurationRevision });
 }
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -128,10 +128,12 @@
 ): void {
   const { now } = context;
   const reading = takeLoad(context, known, result.load);
-  if (request.key !== null && known !== undefined && !result.misdirected) {
+  if (request.key !== null && !result.misdirected) {
     noteOverload(context);
+  }
+  if (request.key !== null && known !== undefined && reading !== null && hasQueue(reading)) {
     known.load.window.shed(request.attemptStartedAt, now);
-    const queue = reading === null ? 0 : (reading.waiting / reading.slots) * known.load.serviceTime;
+    const queue = (reading.waiting / reading.slots) * known.load.serviceTime;
     const wait = Math.min(queue, request.route.latencyObjective) / 2;
     giveUp(context, request, `the owner ${known.server.id} is full`, Math.max(FULL_RETRY_AFTER, wait));
     return;
@@ -152,6 +154,15 @@
   dispatch(context, request);
 }
 
+/**
+ * Whether a server that turned a request away is full by its own figures. One that has room fails some of its requests, and
+ * may take this one the next time: on a day on which owners shed half of their requests for 8 s, refusing
+ * at once doubled the refusals (638 to 1,051, and 608 to 1,201, of 7,500).
+ */
+function hasQueue({ waiting, slots }: ReportedLoad): boolean {
+  return waiting >= slots;
+}
+
 /** An owner that has just answered others and will not take this request is full, not dead. */
 function isShed(request: ActiveRequest, known: KnownServer, now: Milliseconds): boolean {
   const atOnce = now - request.attemptStartedAt < SHED_WITHIN;
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -79,6 +79,10 @@
   readonly evacuations: ZoneEvacuations;
   /** This daemon lists and watches the store itself. */
   followsStore: boolean;
+  /** Since when that is so, or is not. */
+  followsStoreSince: Milliseconds;
+  /** It follows evacuations there, too. */
+  followsEvacuations: boolean;
   readonly tree: TreeState;
   readonly feedLags: Readonly<Record<FeedName, FeedLag>>;
   readonly servers: Map<ServerId, KnownServer>;
@@ -121,6 +125,8 @@
     serverHistory: new ServerHistory(),
     evacuations: new ZoneEvacuations(),
     followsStore: false,
+    followsStoreSince: 0,
+    followsEvacuations: false,
     tree: createTree(),
     feedLags: { configuration: createFeedLag(), servers: createFeedLag() },
     servers: new Map(),
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -69,6 +69,14 @@
     expect(daemon.only('answer')[0]?.retryAfter).toEqual(200);
   });
 
+  it('sends a request again to an owner that turned it away although it has room', () => {
+    daemon.own('s9');
+    daemon.arrive(1, '/rack/1', 900, 5);
+    const load = { running: 1, waiting: 0, slots: 2, slowdown: null };
+    daemon.ended(1, 1, { kind: 'rejected', status: 503, misdirected: false, load });
+    expect(daemon.only('forward').length).toEqual(2);
+  });
+
   it('counts load reports that cannot be read, and says so once', () => {
     for (const requestId of [1, 2, 3]) {
       daemon.arrive(requestId, '/read/1');
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -164,7 +164,9 @@
       zones: this.#evacuated,
       revision: this.#revision,
     } as const;
-    this.#deliver(daemon, daemon.life, evacuations);
+    if (daemon.state.followsEvacuations) {
+      this.#deliver(daemon, daemon.life, evacuations);
+    }
     this.#deliver(daemon, daemon.life, {
       kind: 'serversListed',
       servers: this.#listed,
@@ -287,6 +289,9 @@
         daemon.followsStore = effect.follows;
         this.clock.after(5, () => this.#tellAll(daemon, life));
         return;
+      case 'followEvacuations':
+        this.clock.after(5, () => this.#tellAll(daemon, life));
+        return;
       case 'sendToParent': {
         const parent = this.daemons.find((other) => other.address === daemon.following);
         return parent === undefined
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -3,6 +3,8 @@
 import type { AttemptResult, RouterEvent } from '../../../src/router/events.js';
 import type { Configuration } from '../../../src/router/model/configuration.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
+import { LAST_KEY } from '../../../src/router/model/identifiers.js';
+import { OwnershipView } from '../../../src/router/ownership/ownership-view.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { BOUNDS_WITH_RETRIES } from './bounds.js';
@@ -129,6 +131,14 @@
     this.event({ kind: 'attemptEnded', requestId, attempt, result });
   }
 
+  /** A server owns every key of the keyed service. */
+  own(owner: string): void {
+    const unit = { service: 'racks', from: 0, to: LAST_KEY, owner, fence: 3, granted: true, releasing: null };
+    this.state.view = new OwnershipView(1, 1, [unit]);
+    const changes = [{ id: owner, server: { ...server(owner), service: 'racks' } }];
+    this.event({ kind: 'serversChanged', changes, revision: 6 });
+  }
+
   only<Kind extends Effect['kind']>(kind: Kind): Extract<Effect, { kind: Kind }>[] {
     return this.effects.filter((effect): effect is Extract<Effect, { kind: Kind }> => effect.kind === kind);
   }
