--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -16,6 +16,7 @@
 import { joinUnits, unitName, type Unit } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
 import { withoutFinishedReleases, writeTable } from './table-write.js';
+import { COLD_FACTOR } from '../request/request-timing.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -25,9 +26,6 @@
   return !isLeaving && !lease.silent && !lease.ended;
 }
 
-/** A server that has just started takes this many times as long. */
-const COLD_FACTOR = 2;
-
 function describe(leadership: Leadership, known: KnownServer, now: Milliseconds): EligibleServer {
   const { id, zone, slots } = known.server;
   const pace = leadership.paces.get(id);
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -8,9 +8,8 @@
 import type { ActiveRequest } from './active-request.js';
 import { avoidAfterFailure, dispatch, endAttempt, giveUp, logEnd, note } from './request-dispatch.js';
 import type { ReportedLoad } from './server-load.js';
+import { DEFAULT_RETRY_AFTER, FULL_RETRY_AFTER, HELD_RETRY } from './request-timing.js';
 
-/** A held request is tried again this often. */
-const HELD_RETRY: Milliseconds = 15;
 /** A keyed request whose owner failed it is sent there again after this long: at once it would fail again. */
 const OWNER_RETRY: Milliseconds = 60;
 /** A connection that is reset this soon, with no answer begun, was most likely shed by a full server. */
@@ -19,12 +18,8 @@
 const ALIVE_WITHIN: Milliseconds = 400;
 /** A server that is full gets nothing for this long. */
 const FULL_AVOIDANCE: Milliseconds = 40;
-/** A caller that a full owner turned away comes back after this long at least. */
-const FULL_RETRY_AFTER: Milliseconds = 100;
 /** Characters of a value that cannot be read that are logged. */
 const LONGEST_QUOTE = 60;
-/** When a caller should come back if nothing better is known. */
-const DEFAULT_RETRY_AFTER: Milliseconds = 150;
 
 /** An attempt ended, one way or another. */
 export function receiveAttemptEnded(context: RouterContext, event: AttemptEndedEvent): void {
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -6,6 +6,7 @@
 import type { ActiveRequest } from './active-request.js';
 import { turnInterval } from './cold-admission.js';
 import { mayStartCold, selectServer } from './server-selection.js';
+import { FULL_RETRY_AFTER } from './request-timing.js';
 
 /** Requests that may wait at a server for each of its slots before it counts as full. */
 const WAITING_PER_SLOT = 3;
@@ -16,7 +17,6 @@
 /** Keyed requests follow an owner that drains, or whose zone is evacuated, this part of the allowed time: its keys move. */
 const LEAVING_PART = 0.5;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
-const FULL_RETRY_AFTER: Milliseconds = 100;
 
 /** Why a request can go nowhere now. */
 export interface NoDestination {
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -6,13 +6,12 @@
 import type { ActiveRequest } from './active-request.js';
 import { tallyKeys } from '../tree/reports.js';
 import { budgetOf, dispatch } from './request-dispatch.js';
+import { HOLD_PART } from './request-timing.js';
 
 /** Status codes of the daemon's own answers. */
 const NOT_FOUND = 404;
 const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
-/** A request is held for this part of its latency objective before it is refused. */
-const HOLD_PART = 0.22;
 const START_RETRY_AFTER: Milliseconds = 300;
 /** A request that comes before the first configuration is held for this long: it is read soon after the start. */
 const START_HOLD: Milliseconds = 120;
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -10,6 +10,7 @@
 import type { ActiveRequest } from './active-request.js';
 import { findDestination, isRefusal } from './destination.js';
 import { RetryBudget } from './retry-budget.js';
+import { DEFAULT_RETRY_AFTER, HELD_RETRY } from './request-timing.js';
 
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
@@ -22,8 +23,6 @@
   broken_off: 'request_broken_off',
   caller_left: 'caller_left',
 };
-/** A held request is tried again this often. */
-const HELD_RETRY: Milliseconds = 15;
 /** Attempts that never left the daemon are repeated this often. */
 const MOST_ATTEMPT_NUMBERS = 6;
 /** A request is no longer sent when less than this part of its latency objective is left. */
@@ -31,8 +30,6 @@
 /** A server that failed gets nothing for this long, doubled with each failure up to the longest. */
 const FIRST_AVOIDANCE: Milliseconds = 150;
 const LONGEST_AVOIDANCE: Milliseconds = 2_000;
-/** When a caller should come back if nothing better is known. */
-const DEFAULT_RETRY_AFTER: Milliseconds = 150;
 
 /** The retry budget of a service. */
 export function budgetOf(context: RouterContext, service: string): RetryBudget {
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -5,16 +5,13 @@
 import { findDestination, isRefusal } from './destination.js';
 import { tickEarlyRequests } from './request-arrival.js';
 import { avoidAfterFailure, budgetOf, cancelAttempt, dispatch, giveUp, logEnd } from './request-dispatch.js';
+import { DEFAULT_RETRY_AFTER, HOLD_PART } from './request-timing.js';
 
-/** A request is held for this part of its latency objective before it is refused. */
-const HOLD_PART = 0.22;
 /** A request at a silent server is sent elsewhere after this part of its objective, and this many usual times. */
 const SILENT_PART = 0.8;
 const SILENT_FACTOR = 3;
 /** The server gives up at the deadline by itself; its answer is awaited for this long. */
 const DEADLINE_SLACK: Milliseconds = 30;
-/** When a caller should come back if nothing better is known. */
-const DEFAULT_RETRY_AFTER: Milliseconds = 150;
 
 /** The caller is gone: its request is cancelled at once. */
 export function receiveCallerLeft(context: RouterContext, requestId: number): void {
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -5,11 +5,10 @@
 import type { ZoneEvacuations } from '../news/zone-evacuations.js';
 import type { ColdAdmission } from './cold-admission.js';
 import type { ServerLoad } from './server-load.js';
+import { COLD_FACTOR } from './request-timing.js';
 
 /** What a server in another zone costs, as a part of the latency objective: bytes between zones are dear. */
 const OTHER_ZONE_PART = 0.3;
-/** A server that has just started takes this many times as long. */
-const COLD_FACTOR = 2;
 /** Servers that are equal but for this share are taken in turn. */
 const JITTER = 0.15;
 
--- a/test/router/test-router-settings.ts
+++ b/test/router/test-router-settings.ts
@@ -19,6 +19,24 @@
     expect(settings.isOk() && settings.value.timing.stopGrace).toEqual(6_000);
   });
 
+  it('has no evacuations and no bound for cold servers where the deployment has none', () => {
+    const coldStart = { factor: null, slack: null };
+    const timing = { ...GOOD.timing, evacuation: null };
+    const settings = checkRouterSettings({ ...GOOD, timing, coldStart }, 'test');
+    expect(settings.isOk() && settings.value.coldStart).toEqual(null);
+    expect(settings.isOk() && settings.value.timing.evacuation).toEqual(null);
+    expect(checkRouterSettings(GOOD, 'test').isOk()).toEqual(true);
+  });
+
+  it('reads how long an evacuation may take and what cold servers may get', () => {
+    const timing = { ...GOOD.timing, evacuation: 5 };
+    const settings = checkRouterSettings({ ...GOOD, timing, coldStart: { factor: 1.5, slack: 8 } }, 'test');
+    expect(settings.isOk() && settings.value.timing.evacuation).toEqual(5_000);
+    expect(settings.isOk() && settings.value.coldStart).toEqual({ factor: 1.5, slack: 8 });
+    const bad = checkRouterSettings({ ...GOOD, coldStart: { factor: -1, slack: 'some' } }, 'test');
+    expect(bad.isErr() && bad.error.faults.length).toEqual(2);
+  });
+
   it('lists every fault at once, with path, what was found and what is allowed', () => {
     const bad = { ...GOOD, zone: 7, listen: { ...GOOD.listen, http: 'nowhere' }, retries: { ratio: 0.2 } };
     const settings = checkRouterSettings(bad, 'test');
--- a/test/wire/test-peer-codec.ts
+++ b/test/wire/test-peer-codec.ts
@@ -27,6 +27,21 @@
       { id: 's2', server: null },
     ],
   },
+  {
+    kind: 'heartbeat',
+    term: 3,
+    leader: 'd1',
+    leaderLife: 2 ** 46,
+    leaderAddress: '10.0.0.1:70',
+    heardAge: 5,
+    confirmationAge: 900,
+    leaderRevision: 8,
+    daemons: 74,
+    watchers: ['d2'],
+    configurationVersion: 7,
+    serversRevision: 9,
+    evacuations: { revision: 2 ** 40, zones: ['z1', 'z2'] },
+  },
   { kind: 'configurationNews', revision: 4, configuration: CONFIGURATION },
   { kind: 'configurationNews', revision: 5, configuration: LARGE },
 ];
@@ -39,6 +54,12 @@
     });
   }
 
+  it('tell of no evacuations when the sender knows nothing of them', () => {
+    const heartbeat = { term: 3, leader: 'd1', leaderAddress: '10.0.0.1:70' };
+    const decoded = decodePeerMessage(router.Frame.encode({ heartbeat }).finish(), 'peer');
+    expect(decoded.isOk() && decoded.value.kind === 'heartbeat' && decoded.value.evacuations).toEqual(null);
+  });
+
   it('are short even for a configuration of 1,400 routes', () => {
     const bytes = encodePeerMessage({ kind: 'configurationNews', revision: 5, configuration: LARGE });
     expect(bytes.length < 30_000).toEqual(true);
