--- a/test/router/request/test-zone-requests.ts
+++ b/test/router/request/test-zone-requests.ts
@@ -1,6 +1,5 @@
 import { expect } from 'earl';
 import { beforeEach, describe, it } from 'node:test';
-import { OwnershipView } from '../../../src/router/ownership/ownership-view.js';
 import { server, SingleDaemon } from '../support/single-daemon.js';
 
 let daemon: SingleDaemon;
@@ -24,18 +23,7 @@
   });
 
   it('follows an owner in an evacuated zone for a part of the allowed time only', () => {
-    const unit = {
-      service: 'racks',
-      from: 0,
-      to: 65_535,
-      owner: 's9',
-      fence: 3,
-      granted: true,
-      releasing: null,
-    };
-    daemon.state.view = new OwnershipView(1, 1, [unit]);
-    const changes = [{ id: 's9', server: { ...server('s9'), service: 'racks' } }];
-    daemon.event({ kind: 'serversChanged', changes, revision: 6 });
+    daemon.own('s9');
     daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 7 });
     daemon.arrive(1, '/rack/1', 900, 5);
     expect(daemon.only('forward').length).toEqual(1);
