Logs and metrics tell how the calls of feeds end, and from whom a configuration came

The incident's record can't tell a watch that was begun while the store was away from one that went silent later, nor whether news was kept back between daemons. feed_lost now says which call ended, how long it was waited for and why; configuration_applied says its source and revision; fennelferry_router_feed_age_seconds tells the age of the store's last answer to each feed, feed_failures_total counts. No change of what is decided.

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -1,6 +1,7 @@
 /**
  * Follows a list in the platform while it is wanted: lists it, watches it, and lists anew when the watch lost its place.
  */
+import type { Milliseconds } from '../router/model/identifiers.js';
 import type { FeedChange, FeedSource } from '../router/ports.js';
 import { WatchPacing } from './watch-pacing.js';
 
@@ -9,12 +10,25 @@
 /** An entry that lapsed in an outage is back 2 s after it: later than this need no daemon know. */
 const LONGEST_RETRY_MILLISECONDS = 1_500;
 
+/** A watch that was ended for a list, or with the feed. */
+const SUPERSEDED = Symbol('superseded');
+
+/** A call that ended without an answer that can be used. */
+export interface FeedFailure {
+  readonly call: 'list' | 'watch';
+  /** How long it took until it was given up. */
+  readonly waited: Milliseconds;
+  readonly reason: string;
+}
+
 /** What a feed tells its owner. */
 export interface FeedListener<Item> {
   onList(items: readonly FeedChange<Item>[], revision: number): void;
   onChanges(changes: readonly FeedChange<Item>[], revision: number): void;
-  /** The store stopped, or began again, to answer. */
-  onHealth(healthy: boolean): void;
+  /** The store answered a call. */
+  onAnswer(): void;
+  /** A call ended without an answer that can be used. */
+  onFailure(failure: FeedFailure): void;
 }
 
 export class ObjectFeed<Item> {
@@ -22,7 +36,6 @@
   readonly #listener: FeedListener<Item>;
   #revision: number | null = null;
   #closed = false;
-  #healthy = true;
   #failures = 0;
   readonly #pacing = new WatchPacing();
   #refreshWanted = false;
@@ -52,9 +65,18 @@
     this.#abort = new AbortController();
     this.#refreshWanted = false;
     const startedAt = performance.now();
-    const succeeded = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
-    this.#noteHealth(succeeded);
-    await this.#pause(succeeded ? this.#pacing.next(performance.now() - startedAt) : this.#retryDelay());
+    const call = this.#revision === null ? 'list' : 'watch';
+    const failure = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
+    const waited = performance.now() - startedAt;
+    if (failure === null) {
+      this.#failures = 0;
+      this.#listener.onAnswer();
+    } else if (failure !== SUPERSEDED) {
+      this.#failures += 1;
+      this.#listener.onFailure({ call, waited, reason: failure });
+      return this.#pause(this.#retryDelay());
+    }
+    await this.#pause(this.#pacing.next(waited));
   }
 
   /** Begins to follow the list after a revision up to which everything is known; null: nothing is. */
@@ -86,39 +108,33 @@
     this.#wake();
   }
 
-  async #list(): Promise<boolean> {
+  /** Why the list failed, or null. */
+  async #list(): Promise<string | null> {
     const outcome = await this.#source.list();
     if (outcome.kind === 'failed') {
-      return false;
+      return outcome.reason;
     }
     this.#revision = outcome.revision;
     this.#listener.onList(outcome.items, outcome.revision);
-    return true;
+    return null;
   }
 
-  async #watch(revision: number): Promise<boolean> {
+  /** Why the watch failed, or null; superseded, when this daemon ended it itself. */
+  async #watch(revision: number): Promise<string | typeof SUPERSEDED | null> {
     const outcome = await this.#source.watch(revision, WATCH_MILLISECONDS, this.#abort.signal);
     if (this.#refreshWanted || this.#closed) {
-      return true;
+      return SUPERSEDED;
     }
     if (outcome.kind === 'changes') {
       this.#revision = Math.max(revision, outcome.revision);
       if (outcome.changes.length > 0) {
         this.#listener.onChanges(outcome.changes, outcome.revision);
       }
-      return true;
+      return null;
     }
     // The list says what the watch may have missed.
     this.#revision = null;
-    return outcome.kind === 'forgotten';
-  }
-
-  #noteHealth(succeeded: boolean): void {
-    this.#failures = succeeded ? 0 : this.#failures + 1;
-    if (succeeded !== this.#healthy) {
-      this.#healthy = succeeded;
-      this.#listener.onHealth(succeeded);
-    }
+    return outcome.kind === 'forgotten' ? null : outcome.reason;
   }
 
   #retryDelay(): number {
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -15,6 +15,7 @@
 } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
 import type { CallerLimits, Configuration } from '../router/model/configuration.js';
+import type { FeedName } from '../router/model/identifiers.js';
 import type { ServerDescription } from '../router/model/server.js';
 import type { FeedChange, FeedSource, Platform } from '../router/ports.js';
 import { reduce } from '../router/reducer.js';
@@ -28,7 +29,7 @@
 import { CallerFront } from './caller-front.js';
 import { EventLog } from './event-log.js';
 import { listen } from './listen.js';
-import { ObjectFeed } from './object-feed.js';
+import { type FeedListener, ObjectFeed } from './object-feed.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
 import { RouterMetrics } from './router-metrics.js';
@@ -99,6 +100,14 @@
     this.#evacuationFeed = this.#createEvacuationFeed(platform.evacuations);
   }
 
+  /** Tells the reducer how the calls of a feed end. */
+  #feedHealth(feed: FeedName): Pick<FeedListener<unknown>, 'onAnswer' | 'onFailure'> {
+    return {
+      onAnswer: () => this.dispatch({ kind: 'feedAnswered', feed }),
+      onFailure: (failure) => this.dispatch({ kind: 'feedFailed', feed, ...failure }),
+    };
+  }
+
   #createConfigurationFeed(source: FeedSource<Configuration>): ObjectFeed<Configuration> {
     const take = (changes: readonly FeedChange<Configuration>[], revision: number): void => {
       for (const { item } of changes) {
@@ -110,7 +119,7 @@
     return new ObjectFeed(source, {
       onList: take,
       onChanges: take,
-      onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
+      ...this.#feedHealth('configuration'),
     });
   }
 
@@ -124,7 +133,7 @@
         const taken = changes.map(({ id, item }) => ({ id, server: item }));
         this.dispatch({ kind: 'serversChanged', changes: taken, revision });
       },
-      onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
+      ...this.#feedHealth('servers'),
     });
   }
 
@@ -137,7 +146,7 @@
         const orders = changes.map(({ id, item }) => ({ zone: id, evacuated: item !== null }));
         this.dispatch({ kind: 'evacuationsChanged', changes: orders, revision });
       },
-      onHealth: (healthy) => this.dispatch({ kind: 'feedState', feed: source.name, healthy }),
+      ...this.#feedHealth('evacuations'),
     });
   }
 
@@ -231,7 +240,7 @@
       case 'writeObject':
         return void this.#write(effect);
       case 'refreshFeed':
-        return (effect.feed === 'servers' ? this.#serverFeed : this.#configurationFeed).refresh();
+        return this.#feedOf(effect.feed).refresh();
       case 'follow':
         return this.#peers.follow(effect.address);
       case 'followStore':
@@ -245,6 +254,17 @@
     }
   }
 
+  #feedOf(feed: FeedName): ObjectFeed<unknown> {
+    switch (feed) {
+      case 'configuration':
+        return this.#configurationFeed;
+      case 'servers':
+        return this.#serverFeed;
+      case 'evacuations':
+        return this.#evacuationFeed;
+    }
+  }
+
   #followStore(effect: FollowStoreEffect): void {
     if (!effect.follows) {
       this.#configurationFeed.cease();
--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -7,6 +7,8 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5];
 
+const UNKNOWN_AGE = -1;
+
 /** The figures of one daemon. */
 export class RouterMetrics {
   readonly registry = new Registry();
@@ -38,9 +40,27 @@
     this.#gauge('units_without_grant', () => state.view.units.filter((unit) => !unit.granted).length);
     this.#gauge('leads', () => (state.leadership === null ? 0 : 1));
     this.#gauge('requests_in_flight', () => state.requests.size);
+    this.#feedAges(state);
     this.#gauge('resident_bytes', () => process.memoryUsage.rss());
   }
 
+  /** Age of the store's last answer to each feed that is followed. */
+  #feedAges(state: RouterState): void {
+    new Gauge({
+      name: 'fennelferry_router_feed_age_seconds',
+      help: "seconds since the store last answered a feed's list or watch; -1: not followed, or never",
+      labelNames: ['feed'],
+      registers: [this.registry],
+      collect() {
+        for (const [feed, { answeredAt }] of Object.entries(state.feeds)) {
+          const isKnown = state.followsStore && Number.isFinite(answeredAt);
+          const age = (performance.now() - answeredAt) / MILLISECONDS_PER_SECOND;
+          this.set({ feed }, isKnown ? age : UNKNOWN_AGE);
+        }
+      },
+    });
+  }
+
   /** Takes in the end of a request. */
   requestEnded({ outcome, duration }: RequestEndedEffect): void {
     this.#latency.observe({ outcome }, duration / MILLISECONDS_PER_SECOND);
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -25,6 +25,7 @@
   'leaderships_lost',
   'configurations_applied',
   'server_changes',
+  'feed_failures',
   'malformed_answers',
   'malformed_load_reports',
   'malformed_peer_messages',
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -1,7 +1,7 @@
 /** Everything a daemon can do. The reducer returns these as data; the runtime performs them. */
 import type { StoredName } from './events.js';
 import type { LogEventName } from './log-events.js';
-import type { Fence, Key, Milliseconds, ServerId } from './model/identifiers.js';
+import type { FeedName, Fence, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { PeerMessage } from './peers/messages.js';
 
 export interface ReadObjectEffect {
@@ -15,8 +15,6 @@
   /** The revision that is replaced, or null to create the object. */
   readonly revision: number | null;
 }
-/** What is read from the store and watched there. */
-export type FeedName = 'configuration' | 'servers';
 /** Reads a feed anew: what is believed may be old. */
 export interface RefreshFeedEffect {
   readonly kind: 'refreshFeed';
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -1,6 +1,6 @@
 /** Everything that can happen to a daemon. The reducer knows nothing else of the world. */
 import type { Configuration } from './model/configuration.js';
-import type { Key, Milliseconds } from './model/identifiers.js';
+import type { FeedName, Key, Milliseconds } from './model/identifiers.js';
 import type { ServerDescription } from './model/server.js';
 import type { EvacuationStatement } from './news/zone-evacuations.js';
 import type { PeerMessage, ServerChange } from './peers/messages.js';
@@ -44,11 +44,19 @@
   readonly changes: readonly EvacuationOrder[];
   readonly revision: number;
 }
-/** A feed from the store failed or works again. */
-export interface FeedStateEvent {
-  readonly kind: 'feedState';
-  readonly feed: string;
-  readonly healthy: boolean;
+/** The store answered a list or a watch of a feed. */
+export interface FeedAnsweredEvent {
+  readonly kind: 'feedAnswered';
+  readonly feed: FeedName;
+}
+/** A list or a watch of a feed ended without an answer that can be used. */
+export interface FeedFailedEvent {
+  readonly kind: 'feedFailed';
+  readonly feed: FeedName;
+  readonly call: 'list' | 'watch';
+  /** How long the call took until it was given up. */
+  readonly waited: Milliseconds;
+  readonly reason: string;
 }
 
 /** An object of the daemons' own was read. */
@@ -185,7 +193,8 @@
   | ServersChangedEvent
   | EvacuationsListedEvent
   | EvacuationsChangedEvent
-  | FeedStateEvent
+  | FeedAnsweredEvent
+  | FeedFailedEvent
   | ObjectReadEvent
   | ObjectWrittenEvent
   | ControlEndedEvent
--- a/src/router/model/identifiers.ts
+++ b/src/router/model/identifiers.ts
@@ -15,3 +15,5 @@
 
 /** The largest key. */
 export const LAST_KEY: Key = 65_535;
+/** What is listed and watched in the store. */
+export type FeedName = 'configuration' | 'servers' | 'evacuations';
--- a/src/router/news/spread-news.ts
+++ b/src/router/news/spread-news.ts
@@ -4,7 +4,14 @@
  */
 import type { ConfigurationEvent, ServersChangedEvent, ServersListedEvent } from '../events.js';
 import type { Child } from '../tree/tree-state.js';
-import type { ConfigurationNews, PeerMessage, Report, ServerChange, ServerNews } from '../peers/messages.js';
+import type {
+  ConfigurationNews,
+  NewsSource,
+  PeerMessage,
+  Report,
+  ServerChange,
+  ServerNews,
+} from '../peers/messages.js';
 import { hastenReport } from '../tree/reports.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
@@ -13,9 +20,6 @@
 /** A whole list or configuration is not sent to a child again within this time: the last one may be on its way. */
 const WHOLE_REPEAT: Milliseconds = 1_000;
 
-/** Where news come from; they are not sent back there. */
-export type NewsSource = 'store' | 'parent' | 'child';
-
 function spread(context: RouterContext, message: PeerMessage, source: NewsSource): void {
   context.emit({ kind: 'sendToChildren', link: null, message });
   if (source !== 'parent') {
@@ -29,7 +33,7 @@
   event: ConfigurationEvent,
   source: NewsSource,
 ): void {
-  if (directory.receiveConfiguration(context, event)) {
+  if (directory.receiveConfiguration(context, event, source)) {
     const { configuration, revision } = event;
     spread(context, { kind: 'configurationNews', revision, configuration }, source);
   }
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -105,6 +105,8 @@
   readonly kind: 'redirect';
   readonly address: string;
 }
+/** Where news come from; they are not sent back there. */
+export type NewsSource = 'store' | 'parent' | 'child';
 /** One server's entry after a change. */
 export interface ServerChange {
   readonly id: ServerId;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -20,6 +20,7 @@
 import { receiveTableWritten } from './ownership/table-write.js';
 import { receiveOwnership } from './ownership/ownership-statement.js';
 import { receiveControlEnded } from './ownership/unit-control.js';
+import { receiveFeedAnswered, receiveFeedFailed } from './news/feed-health.js';
 import * as news from './news/spread-news.js';
 import { takeEvacuationChanges, takeEvacuationList } from './news/take-evacuations.js';
 import { tickStoreFollowing } from './news/store-following.js';
@@ -70,10 +71,10 @@
       return takeEvacuationList(context, event);
     case 'evacuationsChanged':
       return takeEvacuationChanges(context, event);
-    case 'feedState': {
-      const { feed, healthy } = event;
-      return context.log(healthy ? 'feed_regained' : 'feed_lost', { feed }, healthy ? 'info' : 'warn');
-    }
+    case 'feedAnswered':
+      return receiveFeedAnswered(context, event);
+    case 'feedFailed':
+      return receiveFeedFailed(context, event);
     case 'objectRead':
       return receiveObjectRead(context, event);
     case 'objectWritten':
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -1,16 +1,16 @@
 /** All that one daemon knows. The reducer changes it in place; nothing else does. */
 import { SeededRandom } from '../core/random.js';
 import { createRouterCounters, type RouterCounters } from './counters.js';
-import type { FeedName } from './effects.js';
-import { createFeedLag, type FeedLag } from './feed-lag.js';
+import { type ComparedFeed, createFeedLag, type FeedLag } from './feed-lag.js';
 import type { Configuration } from './model/configuration.js';
-import type { DaemonName, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
+import type { DaemonName, FeedName, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import { DoubtedUnits } from './ownership/doubted-units.js';
 import { createElection, type ElectionState } from './ownership/election-state.js';
 import { createIsolation, type Isolation } from './ownership/isolation.js';
 import type { Leadership } from './ownership/leadership-state.js';
+import { createFeedHealths, type FeedHealth } from './news/feed-health.js';
 import { ServerHistory } from './news/server-history.js';
 import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
@@ -84,7 +84,8 @@
   /** It follows evacuations there, too. */
   followsEvacuations: boolean;
   readonly tree: TreeState;
-  readonly feedLags: Readonly<Record<FeedName, FeedLag>>;
+  readonly feedLags: Readonly<Record<ComparedFeed, FeedLag>>;
+  readonly feeds: Readonly<Record<FeedName, FeedHealth>>;
   readonly servers: Map<ServerId, KnownServer>;
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
   readonly profiles: Map<ServiceName, ServiceProfile>;
@@ -129,6 +130,7 @@
     followsEvacuations: false,
     tree: createTree(),
     feedLags: { configuration: createFeedLag(), servers: createFeedLag() },
+    feeds: createFeedHealths(),
     servers: new Map(),
     serversByService: new Map(),
     profiles: new Map(),
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -4,7 +4,7 @@
 import type { ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
-import type { ServerChange } from './peers/messages.js';
+import type { NewsSource, ServerChange } from './peers/messages.js';
 import { ColdAdmission } from './request/cold-admission.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
@@ -12,7 +12,11 @@
 import type { KnownServer } from './router-state.js';
 
 /** A configuration was read. Returns whether it is newer than the one in force. */
-export function receiveConfiguration(context: RouterContext, event: ConfigurationEvent): boolean {
+export function receiveConfiguration(
+  context: RouterContext,
+  event: ConfigurationEvent,
+  source: NewsSource,
+): boolean {
   const { state } = context;
   const { configuration, revision } = event;
   state.configurationRevision = Math.max(state.configurationRevision, revision);
@@ -24,7 +28,7 @@
   state.routes = new RouteTable(configuration.routes);
   state.counters.configurations_applied += 1;
   const { version, routes } = configuration;
-  context.log('configuration_applied', { version, former, routes: routes.length });
+  context.log('configuration_applied', { version, former, routes: routes.length, source, revision });
   return true;
 }
 
