The feeds of the store run in virtual time, in the tests' world as in a daemon

Until now the world handed every change to whoever followed the store, so that no test could show what a list or a watch does when the store doesn't answer. ObjectFeed tells its calls by callbacks and takes its time from injected timers; StoreFeeds holds the three feeds of a daemon for RouterDaemon and for the world. The model of the store lists and watches kinds of objects, with one counter of revisions, calls that are never answered because they came while it was away, watches that go silent, and histories that are forgotten. A refreshed feed lists at once in place of after a pause; nothing else changes. The tree's test counts lists of servers, as many as before.

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -2,16 +2,14 @@
  * Follows a list in the platform while it is wanted: lists it, watches it, and lists anew when the watch lost its place.
  */
 import type { Milliseconds } from '../router/model/identifiers.js';
-import type { FeedChange, FeedSource } from '../router/ports.js';
+import type { EndCall, FeedChange, FeedSource, ListOutcome, WatchOutcome } from '../router/ports.js';
+import type { CancelTimer, Timers } from './timers.js';
 import { WatchPacing } from './watch-pacing.js';
 
-const WATCH_MILLISECONDS = 20_000;
-const FIRST_RETRY_MILLISECONDS = 100;
+const WATCH_TIME: Milliseconds = 20_000;
+const FIRST_RETRY: Milliseconds = 100;
 /** An entry that lapsed in an outage is back 2 s after it: later than this need no daemon know. */
-const LONGEST_RETRY_MILLISECONDS = 1_500;
-
-/** A watch that was ended for a list, or with the feed. */
-const SUPERSEDED = Symbol('superseded');
+const LONGEST_RETRY: Milliseconds = 1_500;
 
 /** A call that ended without an answer that can be used. */
 export interface FeedFailure {
@@ -31,59 +29,37 @@
   onFailure(failure: FeedFailure): void;
 }
 
+interface CallUnderWay {
+  readonly kind: FeedFailure['call'];
+  readonly startedAt: Milliseconds;
+  end: EndCall;
+}
+
 export class ObjectFeed<Item> {
   readonly #source: FeedSource<Item>;
   readonly #listener: FeedListener<Item>;
+  readonly #timers: Timers;
+  readonly #pacing = new WatchPacing();
+  /** Everything up to here is known; null: nothing is. */
   #revision: number | null = null;
+  #wanted = false;
+  #refreshWanted = false;
   #closed = false;
   #failures = 0;
-  readonly #pacing = new WatchPacing();
-  #refreshWanted = false;
-  #wanted = false;
-  #wake: () => void = () => undefined;
-  #abort = new AbortController();
+  #call: CallUnderWay | null = null;
+  #cancelPause: CancelTimer | null = null;
 
-  constructor(source: FeedSource<Item>, listener: FeedListener<Item>) {
+  constructor(source: FeedSource<Item>, listener: FeedListener<Item>, timers: Timers) {
     this.#source = source;
     this.#listener = listener;
-  }
-
-  /** Works until it is closed. */
-  async run(): Promise<void> {
-    while (!this.#closed) {
-      if (this.#wanted || this.#refreshWanted) {
-        await this.#followOnce();
-      } else {
-        await new Promise<void>((resolve) => {
-          this.#wake = resolve;
-        });
-      }
-    }
-  }
-
-  async #followOnce(): Promise<void> {
-    this.#abort = new AbortController();
-    this.#refreshWanted = false;
-    const startedAt = performance.now();
-    const call = this.#revision === null ? 'list' : 'watch';
-    const failure = this.#revision === null ? await this.#list() : await this.#watch(this.#revision);
-    const waited = performance.now() - startedAt;
-    if (failure === null) {
-      this.#failures = 0;
-      this.#listener.onAnswer();
-    } else if (failure !== SUPERSEDED) {
-      this.#failures += 1;
-      this.#listener.onFailure({ call, waited, reason: failure });
-      return this.#pause(this.#retryDelay());
-    }
-    await this.#pause(this.#pacing.next(waited));
+    this.#timers = timers;
   }
 
   /** Begins to follow the list after a revision up to which everything is known; null: nothing is. */
   begin(revision: number | null): void {
     this.#wanted = true;
     this.#revision = revision ?? this.#revision;
-    this.#wake();
+    this.#proceed();
   }
 
   /** Follows the list no more. A watch that waits goes on waiting: it is paid for, and its news are taken. */
@@ -93,55 +69,104 @@
 
   /** Lists anew at once: what is known may be old. */
   refresh(): void {
-    if (!this.#refreshWanted) {
-      this.#refreshWanted = true;
-      this.#revision = null;
-      this.#abort.abort();
-      this.#wake();
+    this.#refreshWanted = true;
+    this.#revision = null;
+    if (this.#call?.kind === 'watch') {
+      this.#endCall();
     }
+    this.#proceed();
   }
 
   /** Ends the feed. */
   close(): void {
     this.#closed = true;
-    this.#abort.abort();
-    this.#wake();
+    this.#endCall();
+    this.#cancelPause?.();
   }
 
-  /** Why the list failed, or null. */
-  async #list(): Promise<string | null> {
-    const outcome = await this.#source.list();
+  #endCall(): void {
+    this.#call?.end();
+    this.#call = null;
+  }
+
+  /** Makes the next call, unless one is under way or its time has not come. */
+  #proceed(): void {
+    const isIdle = this.#call === null && this.#cancelPause === null;
+    if (this.#closed || !isIdle || !(this.#wanted || this.#refreshWanted)) {
+      return;
+    }
+    this.#refreshWanted = false;
+    if (this.#revision === null) {
+      this.#list();
+    } else {
+      this.#watch(this.#revision);
+    }
+  }
+
+  #list(): void {
+    const call = this.#begin('list');
+    call.end = this.#source.list((outcome) => this.#receiveList(call, outcome));
+  }
+
+  #watch(revision: number): void {
+    const call = this.#begin('watch');
+    call.end = this.#source.watch(revision, WATCH_TIME, (outcome) =>
+      this.#receiveWatch(call, revision, outcome),
+    );
+  }
+
+  #begin(kind: FeedFailure['call']): CallUnderWay {
+    const call = { kind, startedAt: this.#timers.now(), end: () => undefined };
+    this.#call = call;
+    return call;
+  }
+
+  #receiveList(call: CallUnderWay, outcome: ListOutcome<Item>): void {
+    this.#call = null;
     if (outcome.kind === 'failed') {
-      return outcome.reason;
+      this.#noteFailure(call, outcome.reason);
+      return;
     }
     this.#revision = outcome.revision;
     this.#listener.onList(outcome.items, outcome.revision);
-    return null;
+    this.#noteAnswer(call);
   }
 
-  /** Why the watch failed, or null; superseded, when this daemon ended it itself. */
-  async #watch(revision: number): Promise<string | typeof SUPERSEDED | null> {
-    const outcome = await this.#source.watch(revision, WATCH_MILLISECONDS, this.#abort.signal);
-    if (this.#refreshWanted || this.#closed) {
-      return SUPERSEDED;
-    }
+  #receiveWatch(call: CallUnderWay, revision: number, outcome: WatchOutcome<Item>): void {
+    this.#call = null;
     if (outcome.kind === 'changes') {
       this.#revision = Math.max(revision, outcome.revision);
       if (outcome.changes.length > 0) {
         this.#listener.onChanges(outcome.changes, outcome.revision);
       }
-      return null;
+      this.#noteAnswer(call);
+      return;
     }
     // The list says what the watch may have missed.
     this.#revision = null;
-    return outcome.kind === 'forgotten' ? null : outcome.reason;
+    if (outcome.kind === 'forgotten') {
+      this.#noteAnswer(call);
+    } else {
+      this.#noteFailure(call, outcome.reason);
+    }
+  }
+
+  #noteAnswer({ startedAt }: CallUnderWay): void {
+    this.#failures = 0;
+    this.#listener.onAnswer();
+    this.#pause(this.#pacing.next(this.#timers.now() - startedAt));
   }
 
-  #retryDelay(): number {
-    return Math.min(LONGEST_RETRY_MILLISECONDS, FIRST_RETRY_MILLISECONDS * 2 ** (this.#failures - 1));
+  #noteFailure({ kind, startedAt }: CallUnderWay, reason: string): void {
+    this.#failures += 1;
+    this.#listener.onFailure({ call: kind, waited: this.#timers.now() - startedAt, reason });
+    this.#pause(Math.min(LONGEST_RETRY, FIRST_RETRY * 2 ** (this.#failures - 1)));
   }
 
-  #pause(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  #pause(delay: Milliseconds): void {
+    this.#cancelPause = this.#timers.after(delay, () => {
+      this.#cancelPause = null;
+      this.#proceed();
+    });
   }
 }
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -6,18 +6,10 @@
 import { createServer, type Server } from 'node:http';
 import { randomInt } from 'node:crypto';
 import type { SettingsError } from '../errors.js';
-import type {
-  ControlEffect,
-  Effect,
-  FollowStoreEffect,
-  ReadObjectEffect,
-  WriteObjectEffect,
-} from '../router/effects.js';
+import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
-import type { CallerLimits, Configuration } from '../router/model/configuration.js';
-import type { FeedName } from '../router/model/identifiers.js';
-import type { ServerDescription } from '../router/model/server.js';
-import type { FeedChange, FeedSource, Platform } from '../router/ports.js';
+import type { CallerLimits } from '../router/model/configuration.js';
+import type { Platform } from '../router/ports.js';
 import { reduce } from '../router/reducer.js';
 import type { RouterSettings } from '../router/router-settings.js';
 import {
@@ -29,11 +21,12 @@
 import { CallerFront } from './caller-front.js';
 import { EventLog } from './event-log.js';
 import { listen } from './listen.js';
-import { type FeedListener, ObjectFeed } from './object-feed.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
 import { RouterMetrics } from './router-metrics.js';
 import { ServerConnections } from './server-connections.js';
+import { StoreFeeds } from './store-feeds.js';
+import { PROCESS_TIMERS } from './timers.js';
 
 const TICK_MILLISECONDS = 20;
 const LARGEST_LIFE = 2 ** 47;
@@ -62,9 +55,7 @@
   readonly #readiness: Server;
   readonly #metrics: RouterMetrics;
   readonly #admin: Server;
-  readonly #configurationFeed: ObjectFeed<Configuration>;
-  readonly #serverFeed: ObjectFeed<ServerDescription>;
-  readonly #evacuationFeed: ObjectFeed<string>;
+  readonly #feeds: StoreFeeds;
   #timer: NodeJS.Timeout | undefined;
   /** Those in force at the front. */
   #limits: CallerLimits | null = null;
@@ -95,59 +86,7 @@
     });
     this.#metrics = new RouterMetrics(this.state);
     this.#admin = createRouterAdmin(this.state, this.#metrics);
-    this.#configurationFeed = this.#createConfigurationFeed(platform.configuration);
-    this.#serverFeed = this.#createServerFeed(platform.servers);
-    this.#evacuationFeed = this.#createEvacuationFeed(platform.evacuations);
-  }
-
-  /** Tells the reducer how the calls of a feed end. */
-  #feedHealth(feed: FeedName): Pick<FeedListener<unknown>, 'onAnswer' | 'onFailure'> {
-    return {
-      onAnswer: () => this.dispatch({ kind: 'feedAnswered', feed }),
-      onFailure: (failure) => this.dispatch({ kind: 'feedFailed', feed, ...failure }),
-    };
-  }
-
-  #createConfigurationFeed(source: FeedSource<Configuration>): ObjectFeed<Configuration> {
-    const take = (changes: readonly FeedChange<Configuration>[], revision: number): void => {
-      for (const { item } of changes) {
-        if (item !== null) {
-          this.dispatch({ kind: 'configuration', configuration: item, revision });
-        }
-      }
-    };
-    return new ObjectFeed(source, {
-      onList: take,
-      onChanges: take,
-      ...this.#feedHealth('configuration'),
-    });
-  }
-
-  #createServerFeed(source: FeedSource<ServerDescription>): ObjectFeed<ServerDescription> {
-    return new ObjectFeed(source, {
-      onList: (items, revision) => {
-        const servers = items.map(({ item }) => item).filter((item) => item !== null);
-        this.dispatch({ kind: 'serversListed', servers, revision });
-      },
-      onChanges: (changes, revision) => {
-        const taken = changes.map(({ id, item }) => ({ id, server: item }));
-        this.dispatch({ kind: 'serversChanged', changes: taken, revision });
-      },
-      ...this.#feedHealth('servers'),
-    });
-  }
-
-  #createEvacuationFeed(source: FeedSource<string>): ObjectFeed<string> {
-    return new ObjectFeed(source, {
-      onList: (items, revision) => {
-        this.dispatch({ kind: 'evacuationsListed', zones: items.map(({ id }) => id), revision });
-      },
-      onChanges: (changes, revision) => {
-        const orders = changes.map(({ id, item }) => ({ zone: id, evacuated: item !== null }));
-        this.dispatch({ kind: 'evacuationsChanged', changes: orders, revision });
-      },
-      ...this.#feedHealth('evacuations'),
-    });
+    this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), PROCESS_TIMERS);
   }
 
   /** Opens every port and starts. Rejects when a port is taken. */
@@ -159,9 +98,6 @@
     await listen(this.#admin, admin);
     const { daemon, life } = this.state.identity;
     this.#log.event('info', 'started', { daemon, life, http, peers });
-    void this.#configurationFeed.run();
-    void this.#serverFeed.run();
-    void this.#evacuationFeed.run();
     this.#timer = setInterval(() => this.dispatch({ kind: 'tick' }), TICK_MILLISECONDS);
     this.dispatch({ kind: 'tick' });
   }
@@ -203,9 +139,7 @@
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MILLISECONDS));
     }
     clearInterval(this.#timer);
-    this.#configurationFeed.close();
-    this.#serverFeed.close();
-    this.#evacuationFeed.close();
+    this.#feeds.close();
     this.#front.closeAll();
     this.#readiness.closeAllConnections();
     this.#readiness.close();
@@ -240,13 +174,13 @@
       case 'writeObject':
         return void this.#write(effect);
       case 'refreshFeed':
-        return this.#feedOf(effect.feed).refresh();
+        return this.#feeds.refresh(effect.feed);
       case 'follow':
         return this.#peers.follow(effect.address);
       case 'followStore':
-        return this.#followStore(effect);
+        return this.#feeds.followStore(effect);
       case 'followEvacuations':
-        return effect.follows ? this.#evacuationFeed.begin(effect.revision) : this.#evacuationFeed.cease();
+        return this.#feeds.followEvacuations(effect);
       case 'sendToParent':
         return this.#peers.sendToParent(effect.message);
       case 'sendToChildren':
@@ -254,27 +188,6 @@
     }
   }
 
-  #feedOf(feed: FeedName): ObjectFeed<unknown> {
-    switch (feed) {
-      case 'configuration':
-        return this.#configurationFeed;
-      case 'servers':
-        return this.#serverFeed;
-      case 'evacuations':
-        return this.#evacuationFeed;
-    }
-  }
-
-  #followStore(effect: FollowStoreEffect): void {
-    if (!effect.follows) {
-      this.#configurationFeed.cease();
-      this.#serverFeed.cease();
-      return;
-    }
-    this.#configurationFeed.begin(effect.configurationRevision);
-    this.#serverFeed.begin(effect.serversRevision);
-  }
-
   async #control(effect: ControlEffect): Promise<void> {
     const outcome = await this.#platform.control.call(effect);
     this.dispatch({ kind: 'controlEnded', callId: effect.callId, outcome });
--- /dev/null
+++ b/src/router-runtime/store-feeds.ts
@@ -0,0 +1,115 @@
+/** The feeds of one daemon: what it lists and watches in the store, as events for the reducer. */
+import type { FollowEvacuationsEffect, FollowStoreEffect } from '../router/effects.js';
+import type { RouterEvent } from '../router/events.js';
+import type { Configuration } from '../router/model/configuration.js';
+import type { FeedName } from '../router/model/identifiers.js';
+import type { ServerDescription } from '../router/model/server.js';
+import type { FeedChange, FeedSources } from '../router/ports.js';
+import { type FeedListener, ObjectFeed } from './object-feed.js';
+import type { Timers } from './timers.js';
+
+type Dispatch = (event: RouterEvent) => void;
+
+/** Tells the reducer how the calls of a feed end. */
+function healthListener(
+  feed: FeedName,
+  dispatch: Dispatch,
+): Pick<FeedListener<unknown>, 'onAnswer' | 'onFailure'> {
+  return {
+    onAnswer: () => dispatch({ kind: 'feedAnswered', feed }),
+    onFailure: (failure) => dispatch({ kind: 'feedFailed', feed, ...failure }),
+  };
+}
+
+function configurationListener(dispatch: Dispatch): FeedListener<Configuration> {
+  const take = (changes: readonly FeedChange<Configuration>[], revision: number): void => {
+    for (const { item } of changes) {
+      if (item !== null) {
+        dispatch({ kind: 'configuration', configuration: item, revision });
+      }
+    }
+  };
+  return { onList: take, onChanges: take, ...healthListener('configuration', dispatch) };
+}
+
+function serverListener(dispatch: Dispatch): FeedListener<ServerDescription> {
+  return {
+    onList: (items, revision) => {
+      const servers = items.map(({ item }) => item).filter((item) => item !== null);
+      dispatch({ kind: 'serversListed', servers, revision });
+    },
+    onChanges: (changes, revision) => {
+      const taken = changes.map(({ id, item }) => ({ id, server: item }));
+      dispatch({ kind: 'serversChanged', changes: taken, revision });
+    },
+    ...healthListener('servers', dispatch),
+  };
+}
+
+function evacuationListener(dispatch: Dispatch): FeedListener<string> {
+  return {
+    onList: (items, revision) => {
+      dispatch({ kind: 'evacuationsListed', zones: items.map(({ id }) => id), revision });
+    },
+    onChanges: (changes, revision) => {
+      const orders = changes.map(({ id, item }) => ({ zone: id, evacuated: item !== null }));
+      dispatch({ kind: 'evacuationsChanged', changes: orders, revision });
+    },
+    ...healthListener('evacuations', dispatch),
+  };
+}
+
+export class StoreFeeds {
+  readonly #configuration: ObjectFeed<Configuration>;
+  readonly #servers: ObjectFeed<ServerDescription>;
+  readonly #evacuations: ObjectFeed<string>;
+
+  constructor(sources: FeedSources, dispatch: Dispatch, timers: Timers) {
+    this.#configuration = new ObjectFeed(sources.configuration, configurationListener(dispatch), timers);
+    this.#servers = new ObjectFeed(sources.servers, serverListener(dispatch), timers);
+    this.#evacuations = new ObjectFeed(sources.evacuations, evacuationListener(dispatch), timers);
+  }
+
+  /** Begins or ceases to follow configuration and servers. */
+  followStore({ follows, configurationRevision, serversRevision }: FollowStoreEffect): void {
+    if (follows) {
+      this.#configuration.begin(configurationRevision);
+      this.#servers.begin(serversRevision);
+    } else {
+      this.#configuration.cease();
+      this.#servers.cease();
+    }
+  }
+
+  /** Begins or ceases to follow evacuations. */
+  followEvacuations({ follows, revision }: FollowEvacuationsEffect): void {
+    if (follows) {
+      this.#evacuations.begin(revision);
+    } else {
+      this.#evacuations.cease();
+    }
+  }
+
+  /** Lists a feed anew. */
+  refresh(feed: FeedName): void {
+    this.#feedOf(feed).refresh();
+  }
+
+  /** Ends all of them. */
+  close(): void {
+    this.#configuration.close();
+    this.#servers.close();
+    this.#evacuations.close();
+  }
+
+  #feedOf(feed: FeedName): ObjectFeed<unknown> {
+    switch (feed) {
+      case 'configuration':
+        return this.#configuration;
+      case 'servers':
+        return this.#servers;
+      case 'evacuations':
+        return this.#evacuations;
+    }
+  }
+}
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -33,12 +33,23 @@
   | { readonly kind: 'listed'; readonly items: readonly FeedChange<Item>[]; readonly revision: number }
   | { readonly kind: 'failed'; readonly reason: string };
 
-/** A list in the platform that can be watched. Calls never throw. */
+/** Ends a call whose outcome is not wanted any more: it is not told. */
+export type EndCall = () => void;
+
+/** A list in the platform that can be watched. Calls never throw, and tell one outcome unless they are ended. */
 export interface FeedSource<Item> {
   readonly name: string;
-  list(): Promise<ListOutcome<Item>>;
+  list(done: (outcome: ListOutcome<Item>) => void): EndCall;
   /** Waits for changes after a revision. */
-  watch(revision: number, wait: Milliseconds, signal: AbortSignal): Promise<WatchOutcome<Item>>;
+  watch(revision: number, wait: Milliseconds, done: (outcome: WatchOutcome<Item>) => void): EndCall;
+}
+
+/** Everything that is followed in the platform's store. */
+export interface FeedSources {
+  readonly configuration: FeedSource<Configuration>;
+  readonly servers: FeedSource<ServerDescription>;
+  /** Zones that operators evacuate, by name. */
+  readonly evacuations: FeedSource<string>;
 }
 
 /** Grants and releases at servers. Calls never throw. */
@@ -69,10 +80,7 @@
 /** A platform, whole. */
 export interface Platform {
   readonly store: ObjectStore;
-  readonly configuration: FeedSource<Configuration>;
-  readonly servers: FeedSource<ServerDescription>;
-  /** Zones that operators evacuate, by name. */
-  readonly evacuations: FeedSource<string>;
+  readonly feeds: FeedSources;
   readonly control: ServerControl;
   readonly protocol: RequestProtocol;
   /** Ends every connection. */
--- a/test/router/news/test-zone-evacuations.ts
+++ b/test/router/news/test-zone-evacuations.ts
@@ -53,7 +53,7 @@
   it('is known at every daemon at once, also at those that the store turns away', () => {
     const world = new RouterWorld(1, 6, 9);
     world.clock.runUntil(SETTLED);
-    const cut = world.daemons.filter((daemon) => !daemon.followsStore);
+    const cut = world.daemons.filter((daemon) => !daemon.state.followsStore);
     cut.forEach((daemon) => (daemon.storeReachable = false));
     world.evacuate(['z1']);
     world.clock.runUntil(SETTLED + 300);
--- a/test/router/support/model-store.ts
+++ b/test/router/support/model-store.ts
@@ -29,24 +29,39 @@
     this.#random = random;
   }
 
-  #latency(): number {
+  /** Of the last change of anything. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Counts a change of something that is kept elsewhere: all kinds share one counter. */
+  nextRevision(): number {
+    this.#revision += 1;
+    return this.#revision;
+  }
+
+  fraction(): number {
+    return this.#random.fraction();
+  }
+
+  latency(): number {
     return (1 + this.#random.fraction() * 4) * this.slowness;
   }
 
-  get #down(): boolean {
+  get isDown(): boolean {
     return this.#clock.now < this.downUntil;
   }
 
   read(object: StoredName, reachable: boolean, answer: (outcome: ReadOutcome) => void): void {
     this.reads += 1;
-    if (this.#down || !reachable) {
+    if (this.isDown || !reachable) {
       this.#clock.after(CALL_TIMEOUT, () => answer({ kind: 'failed', reason: 'no answer' }));
       return;
     }
-    this.#clock.after(this.#latency(), () => {
+    this.#clock.after(this.latency(), () => {
       const found = this.#objects.get(object);
       const outcome: ReadOutcome = found === undefined ? { kind: 'absent' } : { kind: 'found', ...found };
-      this.#clock.after(this.#latency(), () => answer(outcome));
+      this.#clock.after(this.latency(), () => answer(outcome));
     });
   }
 
@@ -58,19 +73,19 @@
     answer: (outcome: WriteOutcome) => void,
   ): void {
     const unknown: WriteOutcome = { kind: 'unknown', reason: 'no answer' };
-    if (this.#down || !reachable) {
+    if (this.isDown || !reachable) {
       this.#clock.after(CALL_TIMEOUT, () => answer(unknown));
       return;
     }
     if (this.#random.fraction() < this.lostShare) {
-      const late = this.#random.fraction() < 0.5 ? 1_000 + this.#random.fraction() * 5_000 : this.#latency();
+      const late = this.#random.fraction() < 0.5 ? 1_000 + this.#random.fraction() * 5_000 : this.latency();
       this.#clock.after(late, () => this.#apply(object, value, revision));
       this.#clock.after(CALL_TIMEOUT, () => answer(unknown));
       return;
     }
-    this.#clock.after(this.#latency(), () => {
+    this.#clock.after(this.latency(), () => {
       const outcome = this.#apply(object, value, revision);
-      this.#clock.after(this.#latency(), () => answer(outcome));
+      this.#clock.after(this.latency(), () => answer(outcome));
     });
   }
 
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -6,8 +6,10 @@
 import type { ServerDescription } from '../../../src/router/model/server.js';
 import type { PeerMessage } from '../../../src/router/peers/messages.js';
 import { reduce } from '../../../src/router/reducer.js';
+import { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { ModelServer, carryCall, OwnerChecker, WATCHED_KEYS, type CallTroubles } from './model-server.js';
+import { ModelFeed } from './model-feed.js';
 import { ModelStore } from './model-store.js';
 import { VirtualClock } from './virtual-clock.js';
 import { BOUNDS } from './bounds.js';
@@ -16,8 +18,6 @@
 const LINK_DELAY = 1;
 /** A link that broke is opened again after this long. */
 const LINK_RETRY = 150;
-/** A list that failed is asked for again after this long. */
-const STORE_RETRY = 300;
 /** The link on which a daemon hears its parent. */
 const PARENT_LINK = -1;
 export const SERVICE = 'racks';
@@ -65,8 +65,8 @@
   /** Its process stands still until this time; what reaches it waits. */
   frozenUntil: number;
   following: string | null;
-  /** It lists and watches the store itself. */
-  followsStore: boolean;
+  /** What it lists and watches in the store; null before its first start. */
+  feeds: StoreFeeds | null;
 }
 
 export class RouterWorld {
@@ -78,18 +78,21 @@
   readonly daemons: Daemon[] = [];
   readonly troubles: CallTroubles = { lateShare: 0 };
   readonly events: string[] = [];
-  #listed: ServerDescription[] = [];
-  #revision = 1;
-  configuration = CONFIGURATION;
+  readonly configurations: ModelFeed<Configuration>;
+  readonly serverEntries: ModelFeed<ServerDescription>;
+  readonly evacuations: ModelFeed<string>;
   #evacuated: readonly string[] = [];
-  /** Lists that daemons had from the store. */
-  storeLists = 0;
+  readonly #entries = new Map<string, ServerDescription>();
   #lives = 0;
   #nextServer = 0;
 
   constructor(seed: number, daemonCount = 3, serverCount = 5) {
     this.random = new SeededRandom(seed);
     this.store = new ModelStore(this.clock, this.random);
+    this.configurations = new ModelFeed('configuration', this.clock, this.store);
+    this.serverEntries = new ModelFeed('servers', this.clock, this.store);
+    this.evacuations = new ModelFeed('evacuations', this.clock, this.store);
+    this.configure(CONFIGURATION);
     for (let index = 0; index < serverCount; index += 1) {
       this.addServer(`10.0.1.${index}:80`);
     }
@@ -103,7 +106,7 @@
     this.#nextServer += 1;
     const server = new ModelServer(`s${this.#nextServer}`, address, this.clock, this.checker);
     this.servers.push(server);
-    this.#listed.push({
+    this.#list({
       id: server.id,
       service: SERVICE,
       address,
@@ -112,66 +115,47 @@
       draining: false,
       warmupLeft: 0,
       listedAt: this.#nextServer,
-      revision: this.#revision,
+      revision: 0,
     });
-    this.#publish();
     return server;
   }
 
+  /** Writes a server's entry at the store's next revision. */
+  #list(entry: ServerDescription): void {
+    const revision = this.store.revision + 1;
+    this.#entries.set(entry.id, { ...entry, revision });
+    this.serverEntries.put(entry.id, { ...entry, revision });
+  }
+
+  /** Operators put another configuration into the store. */
+  configure(configuration: Configuration): void {
+    this.configurations.put('main', configuration);
+  }
+
   /** Takes a server off the list. */
   unlist(id: string): void {
-    this.#listed = this.#listed.filter((server) => server.id !== id);
-    this.#publish();
+    this.#entries.delete(id);
+    this.serverEntries.put(id, null);
   }
 
   drain(id: string): void {
-    this.#listed = this.#listed.map((server) => (server.id === id ? { ...server, draining: true } : server));
-    this.#publish();
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) {
+      this.#list({ ...entry, draining: true });
+    }
   }
 
   /** Operators evacuate these zones and no other ones. */
   evacuate(zones: readonly string[]): void {
+    const former = this.#evacuated;
     this.#evacuated = zones;
-    this.#publish();
+    zones.filter((zone) => !former.includes(zone)).forEach((zone) => this.evacuations.put(zone, zone));
+    former.filter((zone) => !zones.includes(zone)).forEach((zone) => this.evacuations.put(zone, null));
   }
 
-  #publish(): void {
-    this.#revision += 1;
-    for (const daemon of this.daemons) {
-      if (daemon.alive && daemon.storeReachable && daemon.followsStore) {
-        this.clock.after(2 + this.random.fraction() * 10, () => this.#tellServers(daemon));
-      }
-    }
-  }
-
-  /** Gives a daemon that begins to follow the store what is there, as soon as it reaches it. */
-  #tellAll(daemon: Daemon, life: number): void {
-    if (daemon.life !== life || !daemon.followsStore) {
-      return;
-    }
-    if (!daemon.storeReachable || this.clock.now < this.store.downUntil) {
-      this.clock.after(STORE_RETRY, () => this.#tellAll(daemon, life));
-      return;
-    }
-    this.storeLists += 1;
-    this.#deliver(daemon, life, { kind: 'configuration', configuration: this.configuration, revision: 1 });
-    this.#tellServers(daemon);
-  }
-
-  #tellServers(daemon: Daemon): void {
-    const evacuations = {
-      kind: 'evacuationsListed',
-      zones: this.#evacuated,
-      revision: this.#revision,
-    } as const;
-    if (daemon.state.followsEvacuations) {
-      this.#deliver(daemon, daemon.life, evacuations);
-    }
-    this.#deliver(daemon, daemon.life, {
-      kind: 'serversListed',
-      servers: this.#listed,
-      revision: this.#revision,
-    });
+  /** Connections to the store on which daemons wait go silent, without a reset. */
+  silenceWatches(): void {
+    [this.configurations, this.serverEntries, this.evacuations].forEach((feed) => feed.silenceWatches());
   }
 
   #addDaemon(name: string, address: string): void {
@@ -184,7 +168,7 @@
       storeReachable: true,
       frozenUntil: 0,
       following: null,
-      followsStore: false,
+      feeds: null,
     };
     this.daemons.push(daemon);
     this.startDaemon(daemon);
@@ -202,7 +186,18 @@
     daemon.life = this.#lives;
     daemon.alive = true;
     daemon.following = null;
-    daemon.followsStore = false;
+    daemon.feeds?.close();
+    daemon.feeds = this.#createFeeds(daemon, daemon.life);
+  }
+
+  #createFeeds(daemon: Daemon, life: number): StoreFeeds {
+    const isReachable = (): boolean => daemon.storeReachable;
+    const sources = {
+      configuration: this.configurations.sourceFor(isReachable),
+      servers: this.serverEntries.sourceFor(isReachable),
+      evacuations: this.evacuations.sourceFor(isReachable),
+    };
+    return new StoreFeeds(sources, (event) => this.#deliver(daemon, life, event), this.clock.timers());
   }
 
   /** A planned stop: the process goes on for a while, and another one starts after it. */
@@ -286,12 +281,11 @@
         this.#watchLink(daemon, life, effect.address, false);
         return;
       case 'followStore':
-        daemon.followsStore = effect.follows;
-        this.clock.after(5, () => this.#tellAll(daemon, life));
-        return;
+        return daemon.feeds?.followStore(effect);
       case 'followEvacuations':
-        this.clock.after(5, () => this.#tellAll(daemon, life));
-        return;
+        return daemon.feeds?.followEvacuations(effect);
+      case 'refreshFeed':
+        return daemon.feeds?.refresh(effect.feed);
       case 'sendToParent': {
         const parent = this.daemons.find((other) => other.address === daemon.following);
         return parent === undefined
--- a/test/router/tree/test-tree-world.ts
+++ b/test/router/tree/test-tree-world.ts
@@ -51,7 +51,7 @@
     const world = settledWorld(2);
     const followers = world.daemons.filter(({ state }) => state.followsStore);
     expect(followers.length).toEqual(3);
-    expect(world.storeLists <= 6).toEqual(true);
+    expect(world.serverEntries.lists <= 6).toEqual(true);
   });
 
   it('tells everybody of a server that leaves within half a second', () => {
