--- /dev/null
+++ b/test/support/known-failures.ts
@@ -0,0 +1,48 @@
+/** The list of tests that fail for a fault that is known and not mended yet: KNOWN-RED.txt at the root. */
+
+/** One line of the list. */
+export interface KnownFailure {
+  /** Path of the test's source. */
+  readonly file: string;
+  readonly test: string;
+  readonly cause: string;
+  readonly issue: string;
+}
+
+/** More must not wait at a time. */
+export const MOST_KNOWN_FAILURES = 3;
+const SEPARATOR = '|';
+const FIELDS = 4;
+
+/**
+ * Reads the list: a line for each test, `file | test | cause | issue`. Throws at a malformed line, and when there are too many.
+ *
+ * @example
+ * parseKnownFailures('test/a.ts | adds | the carry is lost | issue 7');
+ */
+export function parseKnownFailures(text: string): KnownFailure[] {
+  const lines = text.split('\n').filter((line) => line.trim() !== '');
+  if (lines.length > MOST_KNOWN_FAILURES) {
+    throw new Error(`KNOWN-RED.txt: ${lines.length} lines; at most ${MOST_KNOWN_FAILURES}`);
+  }
+  return lines.map((line, index) => {
+    const fields = line.split(SEPARATOR).map((field) => field.trim());
+    const [file, test, cause, issue] = fields;
+    if (fields.length !== FIELDS || !file || !test || !cause || !issue) {
+      throw new Error(`KNOWN-RED.txt, line ${index + 1}: not "file | test | cause | issue"`);
+    }
+    return { file, test, cause, issue };
+  });
+}
+
+/** A test that failed, by its compiled file or its source's. */
+export interface FailedTest {
+  readonly file: string;
+  readonly test: string;
+}
+
+/** Whether a failed test is the one of a line. */
+export function isKnown(failed: FailedTest, known: KnownFailure): boolean {
+  const source = known.file.replace(/\.ts$/, '');
+  return failed.test === known.test && failed.file.replace(/\.(js|ts)$/, '').endsWith(source);
+}
