--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -145,6 +145,14 @@
     }
   }
 
+  /** A server's entry tells another number of slots. */
+  resize(id: string, slots: number): void {
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) {
+      this.#list({ ...entry, slots });
+    }
+  }
+
   /** Operators evacuate these zones and no other ones. */
   evacuate(zones: readonly string[]): void {
     const former = this.#evacuated;
