A call without an answer replaces all connections that were open beside it

Cause, the same as of the incident: a connection that went silent is found out only by a call's time-out, and then only that one. With six open ones to the store a daemon could hear nothing for six time-outs of 1.5 s; with six to a server the leader's calls went unanswered more than three times in a row, which makes the server count as silent and moves its keys.

--- a/src/http-client/index.ts
+++ b/src/http-client/index.ts
@@ -13,3 +13,4 @@
 
 export { Agent, Client, Dispatcher, Pool };
 export { buildResettingConnector } from './resetting-connector.js';
+export { RenewablePool } from './renewable-pool.js';
--- a/test/platform/test-server-api.ts
+++ b/test/platform/test-server-api.ts
@@ -3,6 +3,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { ServerApi } from '../../platform/server-api.js';
+import { MutingServer } from '../support/muting-server.js';
 import type { ControlEffect } from '../../src/router/effects.js';
 
 const EMPTY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
@@ -16,6 +17,7 @@
 let server: Server;
 let address: string;
 let sockets: Socket[];
+let muting: MutingServer | null;
 
 function grant(patience: number, fence = GIVEN_UP_FENCE): ControlEffect {
   const keys = { from: 0, to: 9, fence, hold: 2_500, handover: null };
@@ -34,13 +36,15 @@
 describe('calls to servers', () => {
   beforeEach(async () => {
     sockets = [];
+    muting = null;
     server = createServer((socket) => sockets.push(socket));
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   });
 
-  afterEach(() => {
+  afterEach(async () => {
+    await muting?.close();
     sockets.forEach((socket) => socket.destroy());
     server.close();
   });
@@ -89,6 +93,22 @@
     expect(received.includes(`"fence":${GIVEN_UP_FENCE}`)).toEqual(false);
     api.close();
   });
+
+  // Three calls in a row without an answer make a server count as silent, and its keys move.
+  it('lose one time-out, and not one for each connection, when connections to a server go silent', async () => {
+    const connections = 6;
+    muting = await MutingServer.start((socket) => void socket.write(EMPTY_ANSWER));
+    address = muting.address;
+    const api = new ServerApi();
+    muting.holdUntil(connections);
+    await Promise.all(Array.from({ length: connections }, () => api.call(grant(LONG_PATIENCE))));
+    expect(muting.connections).toEqual(connections);
+    await new Promise((resolve) => setImmediate(resolve));
+    muting.mute();
+    expect((await api.call(grant(SHORT_PATIENCE))).kind).toEqual('unanswered');
+    expect((await api.call(grant(1_000))).kind).toEqual('accepted');
+    api.close();
+  });
 });
 
 /** Keeps the loop busy, so that a timer that is due runs before a connection that has come up is noticed. */
