--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -4,23 +4,19 @@
 import { catchUp } from '../news/spread-news.js';
 import { takeEvacuations } from '../news/take-evacuations.js';
 import { wholeStatement } from '../ownership/ownership-statement.js';
-import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { Report } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 import { buildHeartbeat } from './heartbeats.js';
 import { chooseRelay } from './relay-choice.js';
 import { noteOverload, tallyKeys } from './reports.js';
-import type { Child } from './tree-state.js';
-
-/** A child that has not reported for this long is not counted. */
-const CHILD_PATIENCE: Milliseconds = 4 * REPORT_INTERVAL;
+import { type Child, isReporting } from './tree-state.js';
 
 /** Daemons below this one that report. */
 export function daemonsBelow(state: RouterState, now: Milliseconds): number {
   let daemons = 0;
   for (const child of state.tree.children.values()) {
-    daemons += now - child.lastReportAt < CHILD_PATIENCE ? child.daemons : 0;
+    daemons += isReporting(child, now) ? child.daemons : 0;
   }
   return daemons;
 }
@@ -55,11 +51,12 @@
 }
 
 /** Only the leader sends daemons elsewhere, and only those without children of their own. */
-function relayFor({ state }: RouterContext, report: Report): Child | undefined {
+function relayFor({ state, now }: RouterContext, report: Report): Child | undefined {
   if (state.leadership === null || report.daemons > 1) {
     return undefined;
   }
-  return chooseRelay([...state.tree.children.values()], report.zone, report.failedRelay);
+  const children = [...state.tree.children.values()].filter((child) => isReporting(child, now));
+  return chooseRelay(children, report.zone, report.failedRelay);
 }
 
 function addChild(context: RouterContext, link: number, report: Report): void {
--- a/src/router/tree/heartbeats.ts
+++ b/src/router/tree/heartbeats.ts
@@ -8,8 +8,7 @@
 import { newsAge } from '../news/news-age.js';
 import type { Heartbeat } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
-import type { RouterState } from '../router-state.js';
-import type { Child } from './tree-state.js';
+import { type Child, isReporting } from './tree-state.js';
 
 /** Children of the leader that follow the store beside it. */
 const WATCHERS = 2;
@@ -19,9 +18,11 @@
 const LONGEST_AGE: Milliseconds = 3_000;
 
 /** The children that follow the store: those that have been there longest, of different zones if there are some. */
-export function chooseWatchers({ tree, identity }: RouterState): string[] {
+export function chooseWatchers({ state, now }: RouterContext): string[] {
+  const { tree, identity } = state;
   const chosen: Child[] = [];
-  const children = [...tree.children.values()];
+  // Watchers that are gone can't tell of a change that the leader misses.
+  const children = [...tree.children.values()].filter((child) => isReporting(child, now));
   const isOfNewZone = ({ zone }: Child): boolean =>
     zone !== identity.zone && chosen.every((other) => other.zone !== zone);
   while (chosen.length < Math.min(WATCHERS, children.length)) {
@@ -76,7 +77,7 @@
     leaderRevision: leadership.leaderRevision,
     newsAge: Math.round(newsAge(context)),
     daemons: state.daemons,
-    watchers: chooseWatchers(state),
+    watchers: chooseWatchers(context),
     configurationVersion: state.configuration?.version ?? 0,
     serversRevision: state.newestServerRevision,
     evacuations: state.evacuations.statement(),
--- a/src/router/tree/tree-state.ts
+++ b/src/router/tree/tree-state.ts
@@ -3,6 +3,7 @@
  * to its parent; reports go up, heartbeats, ownership and news of the store go down.
  */
 import type { DaemonName, Milliseconds } from '../model/identifiers.js';
+import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { DaemonLife, ServerTimes } from '../peers/messages.js';
 import type { RouterState } from '../router-state.js';
 
@@ -18,6 +19,14 @@
   configurationSentAt: Milliseconds;
 }
 
+/** A child that has not reported for this long is not counted on. */
+const CHILD_PATIENCE: Milliseconds = 4 * REPORT_INTERVAL;
+
+/** Whether a child still reports. Nothing ends the connection of one whose machine has lost power. */
+export function isReporting({ lastReportAt }: Child, now: Milliseconds): boolean {
+  return now - lastReportAt < CHILD_PATIENCE;
+}
+
 /** A daemon's place in the tree. */
 export interface TreeState {
   /** Address of the parent, or null for none. */
--- /dev/null
+++ b/test/router/tree/test-watchers.ts
@@ -0,0 +1,39 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { RouterContext } from '../../../src/router/router-context.js';
+import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
+import { chooseWatchers } from '../../../src/router/tree/heartbeats.js';
+import type { Child } from '../../../src/router/tree/tree-state.js';
+import { BOUNDS } from '../support/bounds.js';
+
+const NOW = 60_000;
+
+function child(daemon: string, zone: string, lastReportAt: number): Child {
+  const sent = { serversSentAt: 0, configurationSentAt: 0 };
+  return { daemon, life: 1, address: `${daemon}:70`, zone, lastReportAt, daemons: 1, ...sent };
+}
+
+function leaderWith(children: readonly Child[]): RouterState {
+  const identity = { daemon: 'l', zone: 'z0', peerAddress: '10.0.0.9:1', life: 1 };
+  const state = createRouterState(identity, BOUNDS, 1);
+  children.forEach((each, link) => state.tree.children.set(link, each));
+  return state;
+}
+
+function watchers(children: readonly Child[]): string[] {
+  return chooseWatchers(new RouterContext(leaderWith(children), NOW));
+}
+
+describe('the choice of watchers', () => {
+  it('takes those that have been there longest, of different zones', () => {
+    const children = [child('a', 'z1', NOW), child('b', 'z1', NOW), child('c', 'z2', NOW)];
+    expect(watchers(children)).toEqual(['a', 'c']);
+  });
+
+  // A machine without power, or a connection that went silent, leaves a child that nothing ends: the leader's two watchers
+  // were daemons that could no longer tell it anything.
+  it('passes by children that no longer report', () => {
+    const children = [child('a', 'z1', NOW - 10_000), child('b', 'z2', NOW - 2_500), child('c', 'z2', NOW)];
+    expect(watchers(children)).toEqual(['c']);
+  });
+});
