First core: a watch of the store waits for 1 s, and a call without an answer replaces its connections

The incident's cause in the first core: watches of 8 s and 3 s more, one pool whose silent connections are found out one by one.

--- a/src/runtime/store-client.ts
+++ b/src/runtime/store-client.ts
@@ -2,14 +2,17 @@
  * The platform's object API over HTTP.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { Pool } from 'undici';
 import * as z from 'zod';
 import type { ReadObjectEffect, WriteObjectEffect } from '../core/effects.js';
 import type { ObjectReadEvent, ObjectWrittenEvent } from '../core/events.js';
 import { StoreError } from '../errors.js';
+import { RenewablePool } from '../http-client/index.js';
 
 const CALL_TIMEOUT_MILLISECONDS = 3_000;
-const WATCH_MILLISECONDS = 8_000;
+/** A watch that the store got while it was away is never answered: after a long one, news came 11 s late. */
+const WATCH_MILLISECONDS = 1_000;
+/** A watch is answered this much later than asked at the latest. */
+const WATCH_SLACK_MILLISECONDS = 600;
 const CONNECTIONS = 4;
 
 const objectSchema = z.object({ version: z.number(), value: z.string(), writeId: z.string() });
@@ -17,21 +20,25 @@
 
 /** Reads and writes objects; never throws. */
 export class StoreClient {
-  readonly #pool: Pool;
+  readonly #pool: RenewablePool;
   readonly #origin: string;
   readonly #abort = new AbortController();
 
   /** @param origin for example `http://127.0.0.1:7400` */
   constructor(origin: string) {
     this.#origin = origin;
-    this.#pool = new Pool(origin, { connections: CONNECTIONS, connectTimeout: CALL_TIMEOUT_MILLISECONDS });
+    this.#pool = new RenewablePool(origin, {
+      connections: CONNECTIONS,
+      connectTimeout: CALL_TIMEOUT_MILLISECONDS,
+    });
   }
 
   /** Reads an object, or waits for a newer version of it. */
   async read(effect: ReadObjectEffect): Promise<ObjectReadEvent> {
     const { name, afterVersion } = effect;
     const query = afterVersion === null ? '' : `?after=${afterVersion}&wait=${WATCH_MILLISECONDS}`;
-    const patience = CALL_TIMEOUT_MILLISECONDS + (afterVersion === null ? 0 : WATCH_MILLISECONDS);
+    const isWatch = afterVersion !== null;
+    const patience = isWatch ? WATCH_MILLISECONDS + WATCH_SLACK_MILLISECONDS : CALL_TIMEOUT_MILLISECONDS;
     const answer = await this.#call('GET', `${objectPath(name)}${query}`, null, patience);
     const parsed =
       answer.isOk() && answer.value.status === 200 ? objectSchema.safeParse(answer.value.body) : null;
@@ -62,7 +69,7 @@
   /** Ends every call under way. */
   close(): void {
     this.#abort.abort();
-    void this.#pool.destroy();
+    this.#pool.destroy();
   }
 
   async #call(
@@ -72,10 +79,10 @@
     patience: number,
   ): Promise<Result<{ status: number; body: unknown }, StoreError>> {
     try {
-      const signal = AbortSignal.any([AbortSignal.timeout(patience), this.#abort.signal]);
       const headers = { 'content-type': 'application/json' };
-      const answer = await this.#pool.request({ method, path, body, headers, signal });
-      return ok({ status: answer.statusCode, body: await answer.body.json() });
+      const request = { method, path, body, headers };
+      const { answer, text } = await this.#pool.request(request, patience, this.#abort.signal);
+      return ok({ status: answer.statusCode, body: JSON.parse(text) });
     } catch (cause) {
       const detail = cause instanceof Error ? cause.message : String(cause);
       return err(new StoreError(`${method} ${path}`, this.#origin, detail));
--- a/test/support/muting-server.ts
+++ b/test/support/muting-server.ts
@@ -7,6 +7,8 @@
 export class MutingServer {
   /** Connections that were ever accepted. */
   connections = 0;
+  /** First lines of the requests. */
+  readonly requests: string[] = [];
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #silent = new WeakSet<Socket>();
@@ -18,7 +20,10 @@
       this.#sockets.add(socket);
       socket.on('error', () => undefined);
       socket.on('close', () => this.#sockets.delete(socket));
-      socket.on('data', () => this.#receive(socket, respond));
+      socket.on('data', (bytes: Buffer) => {
+        this.requests.push(bytes.toString('latin1').split('\r\n')[0] ?? '');
+        this.#receive(socket, respond);
+      });
     });
   }
 
