A seeded soak of the daemons as processes: store, servers and callers as stand-ins, overlapping troubles, promises checked

What tests of this class lacked: real daemons, a store that does not answer, changes that go on. Callers keep their connections until the process is gone; daemons are killed, stopped as planned and paused, several at a time; the store is silent, busy, or its connections go silent; versions come in series; servers leave and are replaced, zones are evacuated. Checked: changes in force in time, one owner, at most once, a true not-run, no answer lost at a planned stop, leaving servers and evacuated zones, service that comes back.

--- /dev/null
+++ b/test/soak/caller.ts
@@ -0,0 +1,71 @@
+/** Callers of one daemon: requests over connections that are kept open until the daemon ends them. */
+import { Agent, request } from 'node:http';
+import type { DaemonProcess } from './daemon-process.js';
+import { HOST } from './deployment.js';
+import type { CallerOutcome, Promises } from './promises.js';
+
+const TIMEOUT_MILLISECONDS = 2_500;
+const CONNECTIONS = 3;
+const LAST_KEY = 65_535;
+/** The caller left: nothing is promised for that. */
+export const GAVE_UP = -1;
+
+export class Caller {
+  readonly daemon: DaemonProcess;
+  readonly #promises: Promises;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS });
+  #next = 1;
+
+  constructor(daemon: DaemonProcess, promises: Promises) {
+    this.daemon = daemon;
+    this.#promises = promises;
+  }
+
+  /** Sends a request; resolves with what became of it. */
+  call(path: string, key = 0): Promise<CallerOutcome> {
+    const attemptId = `${this.daemon.name}-${this.#next}`;
+    this.#next += 1;
+    const sentAt = performance.now();
+    return new Promise((resolve) => {
+      let isOver = false;
+      const end = (status: number): void => {
+        if (isOver) {
+          return;
+        }
+        isOver = true;
+        const plannedStop = this.daemon.stopping && !this.daemon.paused;
+        const { name: daemon } = this.daemon;
+        const outcome = { attemptId, path, daemon, sentAt, endedAt: performance.now(), status, plannedStop };
+        this.#promises.noteOutcome(outcome);
+        resolve(outcome);
+      };
+      this.#send(path, attemptId, key, end);
+    });
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #send(path: string, attemptId: string, key: number, end: (status: number) => void): void {
+    const [host, port] = this.daemon.ports.http.split(':');
+    const method = path.startsWith('/once/') ? 'POST' : 'GET';
+    const headers = {
+      host: HOST,
+      'fennelferry-attempt-id': attemptId,
+      'fennelferry-deadline-ms': String(TIMEOUT_MILLISECONDS),
+      'fennelferry-shard-key': String(key % (LAST_KEY + 1)),
+    };
+    const sent = request({ host, port, path, method, headers, agent: this.#agent }, (answer) => {
+      answer.resume();
+      answer.on('end', () => end(answer.complete ? (answer.statusCode ?? 0) : 0));
+      answer.on('error', () => end(0));
+    });
+    sent.setTimeout(TIMEOUT_MILLISECONDS, () => {
+      end(GAVE_UP);
+      sent.destroy();
+    });
+    sent.on('error', () => end(0));
+    sent.end();
+  }
+}
--- /dev/null
+++ b/test/soak/daemon-process.ts
@@ -0,0 +1,82 @@
+/** A router daemon as a process of its own, as the soak starts, signals and replaces it. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { createWriteStream, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+/** The daemon's program: this build's. */
+export const PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
+
+/** Where a daemon listens: `ip:port` each. */
+export interface DaemonPorts {
+  readonly http: string;
+  readonly readiness: string;
+  readonly admin: string;
+  readonly peers: string;
+}
+
+export class DaemonProcess {
+  readonly name: string;
+  readonly ports: DaemonPorts;
+  /** Its last trouble (start, signal) was at this time, in ms. */
+  troubledAt = 0;
+  /** A planned stop of the present process is under way. */
+  stopping = false;
+  paused = false;
+  readonly #settings: object;
+  readonly #folder: string;
+  readonly #program: string;
+  #child: ChildProcess | null = null;
+  #starts = 0;
+
+  constructor(name: string, ports: DaemonPorts, settings: object, folder: string, program: string) {
+    this.name = name;
+    this.ports = ports;
+    this.#settings = settings;
+    this.#folder = folder;
+    this.#program = program;
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== null;
+  }
+
+  start(): void {
+    const path = join(this.#folder, `${this.name}.json`);
+    writeFileSync(path, JSON.stringify({ ...this.#settings, firstStart: this.#starts === 0 }));
+    this.#starts += 1;
+    const child = spawn(process.execPath, [this.#program, path], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const log = createWriteStream(join(this.#folder, `${this.name}.log`), { flags: 'a' });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    this.#child = child;
+    this.stopping = false;
+    this.troubledAt = performance.now();
+    child.once('exit', () => {
+      if (this.#child === child) {
+        this.#child = null;
+        this.paused = false;
+        this.troubledAt = performance.now();
+      }
+      log.end();
+    });
+  }
+
+  /** Sends a signal to this process, and to no other one. */
+  signal(name: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT'): void {
+    this.troubledAt = performance.now();
+    this.stopping ||= name === 'SIGTERM';
+    if (name === 'SIGSTOP' || name === 'SIGCONT') {
+      this.paused = name === 'SIGSTOP';
+    }
+    this.#child?.kill(name);
+  }
+
+  /** Resolves when the present process has ended. */
+  async ended(): Promise<void> {
+    const child = this.#child;
+    if (child !== null && child.exitCode === null && child.signalCode === null) {
+      await new Promise((resolve) => child.once('exit', resolve));
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,55 @@
+/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3`. */
+import { parseArgs } from 'node:util';
+import { PROGRAM } from './daemon-process.js';
+import { runSoak, type SoakReport } from './soak.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: 'string', default: '1..5' },
+    daemons: { type: 'string', default: '5' },
+    servers: { type: 'string', default: '4' },
+    seconds: { type: 'string', default: '25' },
+    program: { type: 'string', default: PROGRAM },
+    'at-once': { type: 'string', default: '1' },
+  },
+});
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function tell({ seed, violations, requests, answered, versions, troubles, folder }: SoakReport): void {
+  const verdict = violations.length === 0 ? 'all promises kept' : `${violations.length} BROKEN`;
+  print(
+    `seed ${seed}: ${verdict}; ${requests} requests, ${answered} answered; ${versions} versions; ${troubles.length} troubles`,
+  );
+  if (violations.length > 0) {
+    violations.slice(0, 10).forEach((violation) => print(`  ${violation}`));
+    troubles.forEach((trouble) => print(`    at ${trouble}`));
+    print(`  logs: ${folder}`);
+  }
+}
+
+const [first = 1, last = first] = values.seeds.split('..').map(Number);
+const seeds = Array.from({ length: last - first + 1 }, (_, index) => first + index);
+let broken = 0;
+
+async function work(): Promise<void> {
+  for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+    const report = await runSoak({
+      seed,
+      daemons: Number(values.daemons),
+      servers: Number(values.servers),
+      program: values.program,
+      length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
+    });
+    tell(report);
+    broken += report.violations.length > 0 ? 1 : 0;
+  }
+}
+
+await Promise.all(Array.from({ length: Number(values['at-once']) }, work));
+print(`${broken} of ${last - first + 1} runs broke a promise`);
+process.exitCode = broken === 0 ? 0 : 1;
--- /dev/null
+++ b/test/soak/server-stand-in.ts
@@ -0,0 +1,137 @@
+/** A server as the platform's pages describe it, for the soak: runs requests, holds keys by grants, and says what it saw. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface Grant {
+  readonly from: number;
+  readonly to: number;
+  readonly fence: number;
+  readonly until: number;
+}
+
+/** What servers tell the checks. */
+export interface ServerObserver {
+  /** A request arrived; whether it is run. */
+  onArrival(server: ServerStandIn, attemptId: string, runs: boolean): void;
+  /** A grant was taken. */
+  onGrant(server: ServerStandIn, from: number, to: number): void;
+}
+
+const WORK_MILLISECONDS = 15;
+
+export class ServerStandIn {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly keyed: boolean;
+  #address = '';
+  #grants: Grant[] = [];
+  #highestFence: { from: number; to: number; fence: number }[] = [];
+  readonly #observer: ServerObserver;
+  readonly #server: Server;
+
+  constructor(id: string, service: string, zone: string, keyed: boolean, observer: ServerObserver) {
+    this.id = id;
+    this.service = service;
+    this.zone = zone;
+    this.keyed = keyed;
+    this.#observer = observer;
+    this.#server = createServer({ keepAliveTimeout: 60_000 }, (request, response) =>
+      this.#receive(request, response),
+    );
+  }
+
+  get address(): string {
+    return this.#address;
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    this.#address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /** Whether it holds any key of a range now. */
+  holdsAnyOf(from: number, to: number): boolean {
+    const now = performance.now();
+    return this.#grants.some((grant) => grant.until > now && grant.from <= to && from <= grant.to);
+  }
+
+  #receive(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const body = Buffer.concat(chunks).toString();
+      if (request.url === '/health') {
+        response.writeHead(200, { 'fennelferry-instance-id': this.id }).end();
+      } else if (request.url === '/api/grant') {
+        this.#grant(response, JSON.parse(body) as GrantBody);
+      } else if (request.url === '/api/release') {
+        this.#release(response, JSON.parse(body) as GrantBody);
+      } else {
+        this.#run(request, response);
+      }
+    });
+  }
+
+  #grant(response: ServerResponse, { from, targetVersion: to, fence, holdS }: GrantBody): void {
+    const isPast = this.#highestFence.some(
+      (seen) => seen.from <= to && from <= seen.to && seen.fence > fence,
+    );
+    if (isPast) {
+      response.writeHead(409).end();
+      return;
+    }
+    this.#highestFence.push({ from, to, fence });
+    this.#grants = [
+      ...this.#without(from, to),
+      { from, to, fence, until: performance.now() + (holdS ?? 0) * 1_000 },
+    ];
+    this.#observer.onGrant(this, from, to);
+    response.writeHead(200).end();
+  }
+
+  #release(response: ServerResponse, { from, targetVersion: to, fence }: GrantBody): void {
+    this.#highestFence.push({ from, to, fence });
+    this.#grants = this.#without(from, to);
+    response.writeHead(200, { 'fennelferry-handover': 'h' }).end();
+  }
+
+  /** What is left of the grants without a range. */
+  #without(from: number, to: number): Grant[] {
+    return this.#grants
+      .flatMap((grant) => [
+        { ...grant, to: Math.min(grant.to, from - 1) },
+        { ...grant, from: Math.max(grant.from, to + 1) },
+      ])
+      .filter((grant) => grant.from <= grant.to);
+  }
+
+  #run(request: IncomingMessage, response: ServerResponse): void {
+    const attemptId = String(request.headers['fennelferry-attempt-id'] ?? '');
+    const isOther = request.headers['fennelferry-expect-instance'] !== this.id;
+    const key = Number(request.headers['fennelferry-shard-key']);
+    const runs = !isOther && (!this.keyed || this.holdsAnyOf(key, key));
+    this.#observer.onArrival(this, attemptId, runs);
+    if (!runs) {
+      const headers = { 'fennelferry-not-executed': '1', 'fennelferry-instance-id': this.id };
+      response.writeHead(421, headers).end();
+      return;
+    }
+    setTimeout(() => {
+      const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
+      response.writeHead(200, headers).end(this.id);
+    }, WORK_MILLISECONDS);
+  }
+}
+
+interface GrantBody {
+  readonly from: number;
+  readonly targetVersion: number;
+  readonly fence: number;
+  readonly holdS?: number;
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,378 @@
+/**
+ * One run of the soak: real daemons as processes, the store and the servers as stand-ins in this process, callers that keep
+ * their connections, troubles from a seed, and the promises checked while it runs.
+ */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Caller } from './caller.js';
+import { DaemonProcess } from './daemon-process.js';
+import { configurationOf, freePorts, settingsOf, TIMING, ZONES } from './deployment.js';
+import { type CallerOutcome, Promises } from './promises.js';
+import { drawSchedule, type Trouble } from './schedule.js';
+import { ServerStandIn } from './server-stand-in.js';
+import { StoreStandIn } from './store-stand-in.js';
+
+/** What a run is asked for. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly daemons: number;
+  readonly servers: number;
+  /** The daemons' program: another build shows what a soak would have found there. */
+  readonly program: string;
+  /** Milliseconds of troubles. */
+  readonly length: number;
+}
+
+/** What a run came to. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly requests: number;
+  readonly answered: number;
+  readonly versions: number;
+  readonly troubles: readonly string[];
+  /** Where the daemons' logs are; they are kept when a promise was broken. */
+  readonly folder: string;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** A daemon is in touch when neither it nor the store had trouble for this long. */
+const CONTACT = 3_000;
+/** Checked at twice the time that the daemons are set to: this process and they share a machine that may be busy. */
+const LENIENCE = 2;
+const APPLY = LENIENCE * TIMING.configuration * MILLISECONDS_PER_SECOND;
+const LEAVE = LENIENCE * TIMING.drain * MILLISECONDS_PER_SECOND;
+const EVACUATE = LENIENCE * TIMING.evacuation * MILLISECONDS_PER_SECOND;
+const SETTLE = 5_000;
+/** Without troubles at the end: everything has to be served again. */
+const CALM = 9_000;
+const CALL_INTERVAL = 60;
+/** A daemon that is paused for longer than the time in which it has to stop is killed by the platform. */
+const STOP_LIMIT = TIMING.stopGrace * MILLISECONDS_PER_SECOND + 2_000;
+
+export class Soak {
+  readonly #options: SoakOptions;
+  readonly #store = new StoreStandIn();
+  readonly #promises = new Promises();
+  readonly #daemons: DaemonProcess[] = [];
+  readonly #callers: Caller[] = [];
+  readonly #servers: ServerStandIn[] = [];
+  readonly #folder = mkdtempSync(join(tmpdir(), 'fennelferry-soak-'));
+  /** When each version was written, by number. */
+  readonly #writtenAt = new Map<number, number>();
+  readonly #leavingSince = new Map<ServerStandIn, number>();
+  readonly #evacuatedSince = new Map<string, number>();
+  #version = 0;
+  #nextServer = 0;
+  #storeTroubleUntil = 0;
+  #finished = false;
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+  }
+
+  async run(): Promise<SoakReport> {
+    const { seed, length, daemons, servers } = this.#options;
+    const schedule = drawSchedule(seed, length, daemons, servers);
+    await this.#start();
+    const calls = this.#callers.map((caller) => this.#callAllTheTime(caller));
+    await pause(SETTLE);
+    const startedAt = performance.now();
+    const troubles: Promise<void>[] = [];
+    for (const { at, trouble } of schedule) {
+      await pause(startedAt + at - performance.now());
+      troubles.push(this.#perform(trouble));
+    }
+    await Promise.all(troubles);
+    await pause(CALM);
+    await this.#checkServedAgain();
+    this.#finished = true;
+    await Promise.all(calls);
+    this.#promises.finish();
+    return this.#report(schedule.map(({ at, trouble }) => `${at} ${JSON.stringify(trouble)}`));
+  }
+
+  /** Ends every process of this run, and no other one. */
+  async end(): Promise<void> {
+    this.#finished = true;
+    this.#callers.forEach((caller) => caller.close());
+    const ended = this.#daemons.map((daemon) => daemon.ended());
+    this.#daemons.forEach((daemon) => daemon.signal('SIGKILL'));
+    await Promise.all(ended);
+    this.#servers.forEach((server) => server.stop());
+    this.#store.stop();
+    if (this.#promises.violations.length === 0) {
+      rmSync(this.#folder, { recursive: true, force: true });
+    }
+  }
+
+  async #start(): Promise<void> {
+    const { daemons, servers } = this.#options;
+    const storeAddress = await this.#store.start();
+    this.#promises.onArrivalAt = (server, attemptId) => this.#checkArrival(server, attemptId);
+    this.#change();
+    for (let index = 0; index < servers; index += 1) {
+      await this.#addServer('keyed');
+      await this.#addServer('plain');
+    }
+    const ports = await freePorts(4 * daemons);
+    for (let index = 0; index < daemons; index += 1) {
+      const [http, readiness, admin, peers] = ports
+        .slice(4 * index, 4 * index + 4)
+        .map((port) => `127.0.0.1:${port}`) as [string, string, string, string];
+      const places = { http, readiness, admin, peers };
+      const settings = settingsOf(index, places, storeAddress);
+      const daemon = new DaemonProcess(`d${index}`, places, settings, this.#folder, this.#options.program);
+      this.#daemons.push(daemon);
+      this.#callers.push(new Caller(daemon, this.#promises));
+      daemon.start();
+    }
+  }
+
+  #change(): void {
+    this.#version += 1;
+    this.#store.put('config', 'main', configurationOf(this.#version));
+    this.#writtenAt.set(this.#version, performance.now());
+  }
+
+  async #addServer(service: 'keyed' | 'plain'): Promise<void> {
+    this.#nextServer += 1;
+    const zone = ZONES[this.#nextServer % ZONES.length] as string;
+    const isKeyed = service === 'keyed';
+    const server = new ServerStandIn(`s${this.#nextServer}`, service, zone, isKeyed, this.#promises);
+    await server.start();
+    this.#servers.push(server);
+    this.#promises.servers.push(server);
+    this.#putEntry(server, 'ready');
+  }
+
+  #putEntry({ id, service, address, zone }: ServerStandIn, state: 'ready' | 'draining'): void {
+    this.#store.put('servers', id, {
+      service,
+      address,
+      zone,
+      version: '1',
+      capacity: 8,
+      state,
+      warmupLeftS: 0,
+    });
+  }
+
+  async #perform(trouble: Trouble): Promise<void> {
+    switch (trouble.kind) {
+      case 'change':
+        for (let index = 0; index < trouble.count; index += 1) {
+          this.#change();
+          await pause(100);
+        }
+        return;
+      case 'storeSilent':
+      case 'storeBusy':
+        return this.#storeAway(trouble.kind === 'storeSilent' ? 'silent' : 'busy', trouble.lasts);
+      case 'muteStore':
+        this.#store.muteConnections();
+        this.#storeTroubleUntil = Math.max(this.#storeTroubleUntil, performance.now());
+        return;
+      case 'kill':
+      case 'stop':
+        return this.#replaceAll(trouble.daemons, trouble.kind, trouble.lasts);
+      case 'pause':
+        await Promise.all(trouble.daemons.map((index) => this.#pauseDaemon(index, trouble.lasts)));
+        return;
+      case 'drain':
+        return this.#drain(trouble.server, false);
+      case 'replace':
+        return this.#drain(trouble.server, true);
+      case 'evacuate':
+        return this.#evacuate(ZONES[trouble.zone] as string, trouble.lasts);
+    }
+  }
+
+  async #storeAway(mode: 'silent' | 'busy', lasts: number): Promise<void> {
+    const until = performance.now() + lasts;
+    this.#storeTroubleUntil = Math.max(this.#storeTroubleUntil, until);
+    this.#store.mode = mode;
+    await pause(lasts);
+    if (performance.now() >= this.#storeTroubleUntil) {
+      this.#store.mode = 'well';
+    }
+  }
+
+  async #replaceAll(indexes: readonly number[], how: 'kill' | 'stop', delay: number): Promise<void> {
+    await Promise.all(indexes.map((index) => this.#replace(index, how, delay)));
+  }
+
+  async #replace(index: number, how: 'kill' | 'stop', delay: number): Promise<void> {
+    const daemon = this.#daemons[index] as DaemonProcess;
+    if (!daemon.isRunning || daemon.stopping) {
+      return;
+    }
+    const ended = daemon.ended();
+    daemon.signal(how === 'kill' ? 'SIGKILL' : 'SIGTERM');
+    const isInTime = await Promise.race([ended.then(() => true), pause(STOP_LIMIT).then(() => false)]);
+    if (!isInTime) {
+      this.#promises.fail('a planned stop ends in time', daemon.name);
+      daemon.signal('SIGKILL');
+      await ended;
+    }
+    await pause(delay);
+    daemon.start();
+  }
+
+  async #pauseDaemon(index: number, lasts: number): Promise<void> {
+    const daemon = this.#daemons[index] as DaemonProcess;
+    if (!daemon.isRunning || daemon.stopping || daemon.paused) {
+      return;
+    }
+    daemon.signal('SIGSTOP');
+    await pause(lasts);
+    daemon.signal('SIGCONT');
+  }
+
+  /** A server leaves, after saying so or not; another one has come before. */
+  async #drain(index: number, isSilent: boolean): Promise<void> {
+    const server = this.#servers.filter((each) => !this.#leavingSince.has(each))[index];
+    if (server === undefined) {
+      return;
+    }
+    await this.#addServer(server.keyed ? 'keyed' : 'plain');
+    this.#leavingSince.set(server, performance.now());
+    if (!isSilent) {
+      this.#putEntry(server, 'draining');
+      await pause(TIMING.drain * MILLISECONDS_PER_SECOND);
+    }
+    this.#store.remove('servers', server.id);
+  }
+
+  async #evacuate(zone: string, lasts: number): Promise<void> {
+    if (this.#evacuatedSince.size > 0) {
+      return;
+    }
+    this.#store.put('evacuations', zone, {});
+    this.#evacuatedSince.set(zone, performance.now());
+    await pause(lasts);
+    this.#store.remove('evacuations', zone);
+    this.#evacuatedSince.delete(zone);
+  }
+
+  /** Whether neither a daemon nor the store has had trouble for so long before a moment. */
+  #inTouchSince(daemon: DaemonProcess, from: number): boolean {
+    const { isRunning, paused, stopping, troubledAt } = daemon;
+    const calmSince = Math.max(troubledAt, this.#storeTroubleUntil);
+    return isRunning && !paused && !stopping && calmSince + CONTACT <= from;
+  }
+
+  async #callAllTheTime(caller: Caller): Promise<void> {
+    let turn = 0;
+    while (!this.#finished) {
+      turn += 1;
+      void this.#callOnce(caller, turn);
+      await pause(CALL_INTERVAL);
+    }
+  }
+
+  async #callOnce(caller: Caller, turn: number): Promise<void> {
+    switch (turn % 4) {
+      case 0:
+        return void (await caller.call('/once/'));
+      case 1:
+        return void (await caller.call('/keyed/', turn * 7_919));
+      default:
+        return this.#probeConfiguration(caller, turn);
+    }
+  }
+
+  /** The newest version that must be in force at a moment. */
+  #versionInForce(at: number): number {
+    const written = [...this.#writtenAt].filter(([, when]) => when + APPLY <= at);
+    return Math.max(0, ...written.map(([version]) => version));
+  }
+
+  /** A route that is new must be there in time, and one that was dropped must be gone. */
+  async #probeConfiguration(caller: Caller, turn: number): Promise<void> {
+    const sentAt = performance.now();
+    const inForce = this.#versionInForce(sentAt);
+    const isForNew = turn % 4 === 2;
+    const probed = isForNew ? inForce : inForce - 2;
+    if (probed < 1) {
+      return;
+    }
+    const outcome = await caller.call(`/added-${probed}/`);
+    if (!this.#inTouchSince(caller.daemon, sentAt)) {
+      return;
+    }
+    this.#judgeProbe(outcome, probed, inForce, isForNew);
+  }
+
+  #judgeProbe(
+    { status, daemon, path }: CallerOutcome,
+    probed: number,
+    inForce: number,
+    isForNew: boolean,
+  ): void {
+    const told = `${path} at ${daemon}: ${status}, where version ${inForce} must be in force`;
+    if (isForNew && status === 404 && this.#version < probed + 2) {
+      this.#promises.fail('a change is in force in time', `${told}, and ${this.#version} is the newest`);
+    }
+    if (!isForNew && status === 200) {
+      this.#promises.fail('a change is in force in time', told);
+    }
+  }
+
+  /** A request reached a server: it must not be one that left, or whose zone is evacuated. */
+  #checkArrival(server: ServerStandIn, attemptId: string): void {
+    const daemon = this.#daemons.find(({ name }) => attemptId.startsWith(`${name}-`));
+    const now = performance.now();
+    if (daemon === undefined || !this.#inTouchSince(daemon, now)) {
+      return;
+    }
+    const leavingSince = this.#leavingSince.get(server) ?? Number.POSITIVE_INFINITY;
+    if (now > leavingSince + LEAVE) {
+      this.#promises.fail('a leaving server gets nothing', `${attemptId} at ${server.id}`);
+    }
+    const evacuatedSince = this.#evacuatedSince.get(server.zone) ?? Number.POSITIVE_INFINITY;
+    if (now > evacuatedSince + EVACUATE) {
+      this.#promises.fail('an evacuated zone gets nothing', `${attemptId} at ${server.id}`);
+    }
+  }
+
+  /** After the calm, every daemon serves everything under the newest version. */
+  async #checkServedAgain(): Promise<void> {
+    for (const caller of this.#callers) {
+      for (const path of [`/added-${this.#version}/`, '/keyed/', '/once/']) {
+        const { status } = await caller.call(path, 4_711);
+        if (status !== 200) {
+          this.#promises.fail('service comes back', `${path} at ${caller.daemon.name}: status ${status}`);
+        }
+      }
+    }
+  }
+
+  #report(troubles: string[]): SoakReport {
+    const { outcomes, violations } = this.#promises;
+    return {
+      seed: this.#options.seed,
+      violations,
+      requests: outcomes.length,
+      answered: outcomes.filter(({ status }) => status === 200).length,
+      versions: this.#version,
+      troubles,
+      folder: this.#folder,
+    };
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, milliseconds)));
+}
+
+/** Runs once, and ends all that it has started. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const soak = new Soak(options);
+  try {
+    return await soak.run();
+  } finally {
+    await soak.end();
+  }
+}
