--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -1,5 +1,5 @@
 /** What the soak runs: settings of the daemons, configurations, and which routes each version has. */
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import type { DaemonPorts } from './daemon-process.js';
 
 /** In the daemons' settings, in seconds. */
@@ -51,13 +51,32 @@
   };
 }
 
-/** Ports of loopback that nobody listens on. */
+/**
+ * Below the ports that systems give to outgoing connections: one of those may be taken while the daemon that had it is down,
+ * and then it can't start again.
+ */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+/** Those that this process has given away. */
+const taken = new Set<number>();
+
+function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** Ports of loopback that nobody listens on; other processes draw theirs from elsewhere. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  await Promise.all(
-    servers.map((server) => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports: number[] = [];
+  for (let port = FIRST_PORT + ((process.pid * 137) % PORTS); ports.length < count; port += 1) {
+    const candidate = FIRST_PORT + ((port - FIRST_PORT) % PORTS);
+    if (!taken.has(candidate) && (await isFree(candidate))) {
+      taken.add(candidate);
+      ports.push(candidate);
+    }
+  }
   return ports;
 }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -11,7 +11,7 @@
 import { type CallerOutcome, Promises } from './promises.js';
 import { drawSchedule, type Trouble } from './schedule.js';
 import { ServerStandIn } from './server-stand-in.js';
-import { StoreStandIn } from './store-stand-in.js';
+import { type StoreMode, StoreStandIn } from './store-stand-in.js';
 
 /** What a run is asked for. */
 export interface SoakOptions {
@@ -65,7 +65,9 @@
   readonly #evacuatedSince = new Map<string, number>();
   #version = 0;
   #nextServer = 0;
-  #storeTroubleUntil = 0;
+  /** Outages of the store that are under way. */
+  readonly #outages: { readonly mode: StoreMode }[] = [];
+  #storeTroubledAt = 0;
   #finished = false;
 
   constructor(options: SoakOptions) {
@@ -172,7 +174,7 @@
         return this.#storeAway(trouble.kind === 'storeSilent' ? 'silent' : 'busy', trouble.lasts);
       case 'muteStore':
         this.#store.muteConnections();
-        this.#storeTroubleUntil = Math.max(this.#storeTroubleUntil, performance.now());
+        this.#storeTroubledAt = performance.now();
         return;
       case 'kill':
       case 'stop':
@@ -189,14 +191,19 @@
     }
   }
 
-  async #storeAway(mode: 'silent' | 'busy', lasts: number): Promise<void> {
-    const until = performance.now() + lasts;
-    this.#storeTroubleUntil = Math.max(this.#storeTroubleUntil, until);
-    this.#store.mode = mode;
+  async #storeAway(mode: StoreMode, lasts: number): Promise<void> {
+    const outage = { mode };
+    this.#outages.push(outage);
+    this.#applyOutages();
     await pause(lasts);
-    if (performance.now() >= this.#storeTroubleUntil) {
-      this.#store.mode = 'well';
-    }
+    this.#outages.splice(this.#outages.indexOf(outage), 1);
+    this.#applyOutages();
+  }
+
+  /** Of outages that overlap, the last that began shows; the store is well when none is left. */
+  #applyOutages(): void {
+    this.#store.mode = this.#outages.at(-1)?.mode ?? 'well';
+    this.#storeTroubledAt = performance.now();
   }
 
   async #replaceAll(indexes: readonly number[], how: 'kill' | 'stop', delay: number): Promise<void> {
@@ -259,8 +266,9 @@
   /** Whether neither a daemon nor the store has had trouble for so long before a moment. */
   #inTouchSince(daemon: DaemonProcess, from: number): boolean {
     const { isRunning, paused, stopping, troubledAt } = daemon;
-    const calmSince = Math.max(troubledAt, this.#storeTroubleUntil);
-    return isRunning && !paused && !stopping && calmSince + CONTACT <= from;
+    const isCalm =
+      this.#outages.length === 0 && Math.max(troubledAt, this.#storeTroubledAt) + CONTACT <= from;
+    return isCalm && isRunning && !paused && !stopping;
   }
 
   async #callAllTheTime(caller: Caller): Promise<void> {
