Logs tell which tries are the same request when the connection of an attempt ended

Cause: each try of a caller has an id of its own, so that no log says whether several servers ended under one request. No logic changes. Measured, loops of 100,000 and 500 digests: head 4.5 us; a body of 1.5 KB 6 us, of 256 KB 1,100 us; worked out for such lines only.

--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -10,6 +10,7 @@
 import type { RequestProtocol } from '../router/ports.js';
 import { Attempt, type AnswerSink } from './attempt.js';
 import { forwardedHeaders, headerValue } from './headers.js';
+import { LazyFingerprint } from './lazy-fingerprint.js';
 import { listen } from './listen.js';
 import type { ServerConnections } from './server-connections.js';
 
@@ -133,15 +134,20 @@
     const exchange: Exchange = { incoming, outgoing, body, attemptId, attempt: null, attemptNumber: 0 };
     this.#exchanges.set(requestId, exchange);
     outgoing.on('close', () => this.#ended(requestId, outgoing.writableFinished));
+    const method = incoming.method ?? 'GET';
+    const host = incoming.headers.host ?? '';
+    const target = incoming.url ?? '/';
+    const caller = headerValue(rawHeaders, this.#protocol.credentials) ?? incoming.socket.remoteAddress ?? '';
     this.#dispatch({
       kind: 'requestArrived',
       requestId,
       attemptId,
-      method: incoming.method ?? 'GET',
-      host: incoming.headers.host ?? '',
-      target: incoming.url ?? '/',
+      method,
+      host,
+      target,
       callerPatience: this.#readPatience(rawHeaders),
       key,
+      fingerprint: new LazyFingerprint({ method, host, target, caller, body }),
     });
   }
 
--- /dev/null
+++ b/src/router-runtime/lazy-fingerprint.ts
@@ -0,0 +1,45 @@
+/** Fingerprints of callers' requests, by Node's own SHA-256. */
+import { createHash } from 'node:crypto';
+import { HEAD_CHARACTERS, type RequestFingerprint } from '../router/model/request-fingerprint.js';
+
+/** What a fingerprint is made of. */
+export interface FingerprintParts {
+  readonly method: string;
+  readonly host: string;
+  readonly target: string;
+  /** The caller's credentials, or its address where it sends none. */
+  readonly caller: string;
+  readonly body: Buffer | null;
+}
+
+function digest(bytes: string | Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex').slice(0, HEAD_CHARACTERS);
+}
+
+/**
+ * Digests on first use. A head takes 4.5 microseconds; a body of 1.5 KB 6, one of 256 KB 1,100 (loops of 100,000 and
+ * 500 digests): only requests whose head is suspected pay for their bodies.
+ *
+ * @example
+ * new LazyFingerprint({ method: 'GET', host: 'h.example', target: '/a', caller: '10.0.0.1', body: null }).value;
+ */
+export class LazyFingerprint implements RequestFingerprint {
+  readonly #parts: FingerprintParts;
+  #head: string | null = null;
+  #body: string | null = null;
+
+  constructor(parts: FingerprintParts) {
+    this.#parts = parts;
+  }
+
+  get head(): string {
+    const { method, host, target, caller, body } = this.#parts;
+    this.#head ??= digest(JSON.stringify([method, host, target, caller, body?.length ?? 0]));
+    return this.#head;
+  }
+
+  get value(): string {
+    this.#body ??= digest(this.#parts.body ?? '');
+    return this.head + this.#body;
+  }
+}
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -1,6 +1,7 @@
 /** Everything that can happen to a daemon. The reducer knows nothing else of the world. */
 import type { Configuration } from './model/configuration.js';
 import type { FeedName, Key, Milliseconds } from './model/identifiers.js';
+import type { RequestFingerprint } from './model/request-fingerprint.js';
 import type { ServerDescription } from './model/server.js';
 import type { EvacuationStatement } from './news/zone-evacuations.js';
 import type { PeerMessage, ServerChange } from './peers/messages.js';
@@ -119,6 +120,7 @@
   /** Milliseconds that the caller will wait, or null when it does not say. */
   readonly callerPatience: Milliseconds | null;
   readonly key: Key | null;
+  readonly fingerprint: RequestFingerprint;
 }
 /** The caller closed its connection. */
 export interface CallerLeftEvent {
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -7,7 +7,7 @@
 }
 
 const REQUEST_FIELDS =
-  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds';
+  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; fingerprint (the same for each try of one request, at any daemon) when the connection of an attempt ended before its answer';
 
 /** Every event, in the order of the page. */
 export const LOG_EVENTS = {
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -70,6 +70,8 @@
   /** A server's proof that an answer is its own. */
   readonly seal: string;
   readonly key: string;
+  /** Says who the caller is. */
+  readonly credentials: string;
   readonly load: string;
   /** Reads the value of the load header; null when it is malformed. */
   parseLoad(value: string): ReportedLoad | null;
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -1,6 +1,7 @@
 /** A request between its arrival and its final answer. */
 import type { RequestArrivedEvent } from '../events.js';
 import type { Route } from '../model/configuration.js';
+import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import type { Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 
 /** A request that came before the first configuration. */
@@ -13,6 +14,7 @@
 export interface ActiveRequest {
   readonly id: number;
   readonly attemptId: string;
+  readonly fingerprint: RequestFingerprint;
   readonly route: Route;
   readonly service: ServiceName;
   /** Null when any server of the service can run it. */
@@ -34,6 +36,8 @@
   /** A held request is tried again at this time. */
   retryAt: Milliseconds;
   readonly tried: ServerId[];
+  /** The connection of some attempt ended before its answer. */
+  lostAttempt: boolean;
   /** Some attempt may have run. */
   mayHaveRun: boolean;
   /** What each attempt came to, for the log. */
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -188,6 +188,7 @@
   result: Extract<AttemptResult, { kind: 'lost' }>,
 ): void {
   const { now } = context;
+  request.lostAttempt = true;
   request.mayHaveRun = true;
   noteLost(request, known, now);
   if (result.answerBegun) {
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -83,6 +83,7 @@
   return {
     id: event.requestId,
     attemptId: event.attemptId,
+    fingerprint: event.fingerprint,
     route,
     service,
     key,
@@ -96,6 +97,7 @@
     sentToFreeSlot: false,
     retryAt: 0,
     tried: [],
+    lostAttempt: false,
     mayHaveRun: false,
     notes: [],
   };
--- /dev/null
+++ b/test/router-runtime/test-lazy-fingerprint.ts
@@ -0,0 +1,44 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { LazyFingerprint } from '../../src/router-runtime/lazy-fingerprint.js';
+import { HEAD_CHARACTERS, headOf } from '../../src/router/model/request-fingerprint.js';
+
+const PARTS = {
+  method: 'POST',
+  host: 'h.example',
+  target: '/a/1',
+  caller: '10.0.0.1',
+  body: Buffer.from('abc'),
+};
+
+describe('the fingerprint of a request', () => {
+  it('is the same for the same parts', () => {
+    const other = new LazyFingerprint({ ...PARTS, body: Buffer.from('abc') });
+    expect(new LazyFingerprint(PARTS).value).toEqual(other.value);
+  });
+
+  it('is another one when any part differs', () => {
+    const changes = [
+      { method: 'PUT' },
+      { host: 'g.example' },
+      { target: '/a/2' },
+      { caller: '10.0.0.2' },
+      { body: Buffer.from('abd') },
+      { body: null },
+    ];
+    const values = changes.map((change) => new LazyFingerprint({ ...PARTS, ...change }).value);
+    expect(new Set([...values, new LazyFingerprint(PARTS).value]).size).toEqual(changes.length + 1);
+  });
+
+  it('begins with its head, which does not depend on what is in the body', () => {
+    const fingerprint = new LazyFingerprint(PARTS);
+    const other = new LazyFingerprint({ ...PARTS, body: Buffer.from('abd') });
+    expect(fingerprint.value.length).toEqual(2 * HEAD_CHARACTERS);
+    expect(headOf(fingerprint.value)).toEqual(other.head);
+  });
+
+  it('tells nothing of the parts', () => {
+    const { value } = new LazyFingerprint({ ...PARTS, caller: 'Bearer secret' });
+    expect(/^[0-9a-f]+$/.test(value)).toEqual(true);
+  });
+});
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -6,6 +6,7 @@
 import { createRouterState, missingForCallers, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION, SERVICE } from '../support/router-world.js';
 import { BOUNDS_WITH_RETRIES } from '../support/bounds.js';
+import { fingerprintOf } from '../support/fingerprints.js';
 
 const TURNED_AWAY: AttemptResult = { kind: 'rejected', status: 421, misdirected: true, load: null };
 
@@ -54,7 +55,8 @@
     const requestId = this.#nextRequest;
     this.#nextRequest += 1;
     const place = { method: 'GET', host: 'h.example', target: '/racks/1', callerPatience: 900, key: 7 };
-    this.event({ kind: 'requestArrived', requestId, attemptId: `a-${requestId}`, ...place });
+    const fingerprint = fingerprintOf(`request ${requestId}`);
+    this.event({ kind: 'requestArrived', requestId, attemptId: `a-${requestId}`, fingerprint, ...place });
     this.event({ kind: 'attemptEnded', requestId, attempt: 1, result: TURNED_AWAY });
     this.event({ kind: 'tick' });
   }
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -8,6 +8,7 @@
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { BOUNDS_WITH_RETRIES } from './bounds.js';
+import { fingerprintOf } from './fingerprints.js';
 
 /** Two routes to a balanced service, one to a keyed one. */
 export const CONFIGURATION: Configuration = {
@@ -124,7 +125,7 @@
   ): void {
     const attemptId = `a-${requestId}`;
     const request = { requestId, attemptId, method: 'GET', host: 'h.example', target, callerPatience, key };
-    this.event({ kind: 'requestArrived', ...request });
+    this.event({ kind: 'requestArrived', ...request, fingerprint: fingerprintOf(target) });
   }
 
   ended(requestId: number, attempt: number, result: AttemptResult): void {
