--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -178,12 +178,16 @@
   forward(effect: ForwardEffect): void {
     const exchange = this.#exchanges.get(effect.requestId);
     if (exchange === undefined) {
-      this.#attemptEnded(effect, { kind: 'notSent', reason: 'the caller left' });
+      this.#attemptEnded(effect, { kind: 'notSent', reason: 'the caller left', refused: false });
       return;
     }
     const connection = this.#connections.take(effect.address);
     if (connection === null) {
-      this.#attemptEnded(effect, { kind: 'notSent', reason: 'too many connections are open' });
+      this.#attemptEnded(effect, {
+        kind: 'notSent',
+        reason: 'too many connections are open',
+        refused: false,
+      });
       return;
     }
     const { incoming, body, attemptId } = exchange;
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -105,8 +105,8 @@
   | { readonly kind: 'otherInstance' }
   | { readonly kind: 'rejected'; readonly status: number }
   | { readonly kind: 'unanswered'; readonly reason: string }
-  /** The call never reached the server. */
-  | { readonly kind: 'notSent'; readonly reason: string };
+  /** The call never reached the server; `refused`: nothing listens at its address. */
+  | { readonly kind: 'notSent'; readonly reason: string; readonly refused: boolean };
 
 /** A caller's whole request was read. */
 export interface RequestArrivedEvent {
@@ -149,10 +149,17 @@
       readonly misdirected: boolean;
       readonly load: LoadReading;
     }
-  /** It never left this daemon. */
-  | { readonly kind: 'notSent'; readonly reason: string }
-  /** It may have run; `answerBegun` when part of an answer went to the caller. */
-  | { readonly kind: 'lost'; readonly reason: string; readonly answerBegun: boolean };
+  /** It never left this daemon; `refused`: nothing listens at the server's address. */
+  | { readonly kind: 'notSent'; readonly reason: string; readonly refused: boolean }
+  /** It may have run. */
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      /** Part of an answer went to the caller. */
+      readonly answerBegun: boolean;
+      /** The server's side ended the connection, as its process does when it crashes. */
+      readonly connectionEnded: boolean;
+    };
 
 /** A message from another daemon. */
 export interface PeerMessageEvent {
--- /dev/null
+++ b/test/router/support/request-traffic.ts
@@ -0,0 +1,263 @@
+/**
+ * Callers' requests in the virtual world: servers run them slot by slot, and end under those that are marked as deadly.
+ * What reaches servers and what callers are told is kept for the checks.
+ */
+import type { Effect, ForwardEffect } from '../../../src/router/effects.js';
+import type { AttemptResult } from '../../../src/router/events.js';
+import type { Configuration, Route, Service } from '../../../src/router/model/configuration.js';
+import { fingerprintOf } from './fingerprints.js';
+import type { ModelServer } from './model-server.js';
+import {
+  CONFIGURATION as KEYED_CONFIGURATION,
+  type Daemon,
+  type RequestCarrier,
+  type RouterWorld,
+  SERVICE as KEYED,
+} from './router-world.js';
+
+/** A service whose requests any server can run. */
+export const PLAIN = 'logs';
+const NETWORK_DELAY = 1;
+const CONNECT_TIMEOUT = 700;
+const SLOTS = 2;
+/** A server that has more waiting sheds requests. */
+const LONGEST_WAIT = 300;
+const SHORTEST_WORK = 30;
+const LONGEST_WORK = 120;
+/** A crashed server is back, as a new life at the same address, after this long and up to half a second more. */
+const RESTART = 3_000;
+const RESTART_SPREAD = 500;
+/** The entry of a server that has crashed stays for three of its heartbeats. */
+const ENTRY_LAPSE = 4_500;
+const PATIENCE = 800;
+
+function routeTo(service: string, repeatable: boolean): Route {
+  const [route] = KEYED_CONFIGURATION.routes;
+  const name = repeatable ? service : `${service}-once`;
+  return {
+    ...(route as Route),
+    name,
+    pathPrefix: `/${name}/`,
+    repeatable,
+    maxAttempts: 3,
+    targets: [{ service, weight: 1 }],
+  };
+}
+
+/** A keyed service and a plain one, each with a route that may be repeated and one that may not. */
+export const CONFIGURATION: Configuration = {
+  ...KEYED_CONFIGURATION,
+  version: 2,
+  routes: [KEYED, PLAIN].flatMap((service) => [routeTo(service, true), routeTo(service, false)]),
+  services: new Map([
+    ...KEYED_CONFIGURATION.services,
+    [PLAIN, { ...(KEYED_CONFIGURATION.services.get(KEYED) as Service), name: PLAIN, keyed: false }],
+  ]),
+};
+
+/** A request as callers repeat it: the same name means the same method, path, caller and body. */
+export interface NamedRequest {
+  readonly name: string;
+  /** Of the route. */
+  readonly route: string;
+  readonly key: number;
+}
+
+/** A request that reached a server. */
+export interface Send {
+  readonly name: string;
+  readonly server: string;
+  readonly daemon: Daemon;
+  readonly at: number;
+}
+
+/** What a caller was told. */
+export interface Told {
+  readonly name: string;
+  readonly status: number;
+  readonly reason: string;
+  readonly at: number;
+}
+
+interface RunningAttempt {
+  readonly name: string;
+  readonly daemon: Daemon;
+  readonly life: number;
+  readonly effect: ForwardEffect;
+  isOver: boolean;
+}
+
+export class RequestTraffic implements RequestCarrier {
+  /** Names of requests under which each server ends that runs them. */
+  readonly deadly = new Set<string>();
+  readonly sends: Send[] = [];
+  readonly crashes: { readonly name: string; readonly server: string; readonly at: number }[] = [];
+  readonly told: Told[] = [];
+  readonly #world: RouterWorld;
+  readonly #names = new Map<string, string>();
+  readonly #running = new Map<ModelServer, RunningAttempt[]>();
+  readonly #slotFreeAt = new Map<ModelServer, number[]>();
+  #nextRequest = 1;
+
+  constructor(world: RouterWorld, plainServers: number) {
+    this.#world = world;
+    world.requests = this;
+    world.configure(CONFIGURATION);
+    for (let index = 0; index < plainServers; index += 1) {
+      world.addServer(`10.0.3.${index}:80`, PLAIN);
+    }
+  }
+
+  /** A caller's try at a daemon. */
+  ask(daemon: Daemon, { name, route, key }: NamedRequest): void {
+    if (!daemon.alive) {
+      return;
+    }
+    const requestId = this.#nextRequest;
+    this.#nextRequest += 1;
+    this.#names.set(this.#keyOf(daemon, requestId), name);
+    this.#world.deliver(daemon, {
+      kind: 'requestArrived',
+      requestId,
+      attemptId: `a-${requestId}`,
+      method: 'GET',
+      host: 'h.example',
+      target: `/${route}/${name}`,
+      callerPatience: PATIENCE,
+      key,
+      fingerprint: fingerprintOf(name),
+    });
+  }
+
+  perform(daemon: Daemon, effect: Effect): void {
+    const { now } = this.#world.clock;
+    if (effect.kind === 'forward') {
+      this.#forward(daemon, effect);
+    } else if (effect.kind === 'cancel') {
+      this.#cancel(daemon, effect.requestId);
+    } else if (effect.kind === 'answer') {
+      const name = this.#names.get(this.#keyOf(daemon, effect.requestId)) ?? '';
+      this.told.push({ name, status: effect.status, reason: effect.reason, at: now });
+    }
+  }
+
+  /** A server's process ends, whatever it was running. */
+  crash(server: ModelServer, comesBack = true): void {
+    const { clock } = this.#world;
+    server.alive = false;
+    server.refuses = true;
+    this.reset(server);
+    clock.after(ENTRY_LAPSE, () => this.#world.unlist(server.id));
+    if (comesBack) {
+      const service = server.address.startsWith('10.0.3.') ? PLAIN : KEYED;
+      const delay = RESTART + this.#world.random.fraction() * RESTART_SPREAD;
+      clock.after(delay, () => this.#world.addServer(server.address, service));
+    }
+  }
+
+  /** Every connection to a server is reset; what it was running is lost. */
+  reset(server: ModelServer): void {
+    const lost = this.#running.get(server) ?? [];
+    this.#running.delete(server);
+    this.#slotFreeAt.delete(server);
+    for (const attempt of lost) {
+      const reason = 'other side closed';
+      this.#end(attempt, { kind: 'lost', reason, answerBegun: false, connectionEnded: true });
+    }
+  }
+
+  #keyOf(daemon: Daemon, requestId: number): string {
+    return `${daemon.name}/${requestId}`;
+  }
+
+  #forward(daemon: Daemon, effect: ForwardEffect): void {
+    const name = this.#names.get(this.#keyOf(daemon, effect.requestId)) ?? '';
+    const attempt: RunningAttempt = { name, daemon, life: daemon.life, effect, isOver: false };
+    const server = this.#world.servers.findLast(({ address }) => address === effect.address);
+    if (server === undefined || !server.reachable || (!server.alive && !server.refuses)) {
+      this.#endAfter(CONNECT_TIMEOUT, attempt, { kind: 'notSent', reason: 'timeout', refused: false });
+    } else if (!server.alive) {
+      this.#endAfter(NETWORK_DELAY, attempt, { kind: 'notSent', reason: 'ECONNREFUSED', refused: true });
+    } else {
+      this.#world.clock.after(NETWORK_DELAY, () => this.#arrive(server, attempt));
+    }
+  }
+
+  #arrive(server: ModelServer, attempt: RunningAttempt): void {
+    const { clock, random } = this.#world;
+    const { effect, daemon, name } = attempt;
+    if (!server.alive) {
+      this.#end(attempt, { kind: 'lost', reason: 'reset', answerBegun: false, connectionEnded: true });
+      return;
+    }
+    const isKeyed = !server.address.startsWith('10.0.3.');
+    const key = daemon.state.requests.get(effect.requestId)?.key ?? null;
+    if (server.id !== effect.server || (isKeyed && key !== null && !server.holds(key))) {
+      this.#endAfter(NETWORK_DELAY, attempt, {
+        kind: 'rejected',
+        status: 421,
+        misdirected: true,
+        load: null,
+      });
+      return;
+    }
+    this.sends.push({ name, server: server.id, daemon, at: clock.now });
+    const slots = this.#slotFreeAt.get(server) ?? Array.from({ length: SLOTS }, () => 0);
+    this.#slotFreeAt.set(server, slots);
+    const slot = slots.indexOf(Math.min(...slots));
+    const startsAt = Math.max(clock.now, slots[slot] as number);
+    if (startsAt - clock.now > LONGEST_WAIT) {
+      this.#end(attempt, { kind: 'lost', reason: 'reset', answerBegun: false, connectionEnded: true });
+      return;
+    }
+    const work = SHORTEST_WORK + random.fraction() * (LONGEST_WORK - SHORTEST_WORK);
+    slots[slot] = startsAt + work;
+    this.#running.set(server, [...(this.#running.get(server) ?? []), attempt]);
+    clock.after(startsAt + work - clock.now, () => this.#finish(server, attempt));
+  }
+
+  #finish(server: ModelServer, attempt: RunningAttempt): void {
+    if (attempt.isOver || !server.alive) {
+      return;
+    }
+    if (this.deadly.has(attempt.name)) {
+      this.crashes.push({ name: attempt.name, server: server.id, at: this.#world.clock.now });
+      this.crash(server);
+      return;
+    }
+    const others = this.#running.get(server) ?? [];
+    this.#running.set(
+      server,
+      others.filter((other) => other !== attempt),
+    );
+    const { name } = attempt;
+    this.told.push({ name, status: 200, reason: '', at: this.#world.clock.now });
+    this.#endAfter(NETWORK_DELAY, attempt, { kind: 'answered', status: 200, load: null });
+  }
+
+  #cancel(daemon: Daemon, requestId: number): void {
+    for (const attempts of this.#running.values()) {
+      const found = attempts.find(
+        (attempt) => attempt.daemon === daemon && attempt.effect.requestId === requestId && !attempt.isOver,
+      );
+      if (found !== undefined) {
+        found.isOver = true;
+      }
+    }
+  }
+
+  #endAfter(delay: number, attempt: RunningAttempt, result: AttemptResult): void {
+    this.#world.clock.after(delay, () => this.#end(attempt, result));
+  }
+
+  /** The daemon learns how an attempt ended, unless it has given it up or is another life by now. */
+  #end(attempt: RunningAttempt, result: AttemptResult): void {
+    const { daemon, life, effect } = attempt;
+    if (attempt.isOver || daemon.life !== life) {
+      return;
+    }
+    attempt.isOver = true;
+    const { requestId, attempt: number } = effect;
+    this.#world.deliver(daemon, { kind: 'attemptEnded', requestId, attempt: number, result });
+  }
+}
