Requests under which three servers have ended are kept from servers

Cause: the end of a server was a lost attempt like any other; nothing outlived the request, at no daemon. Change: ends of servers, told from broken connections by what follows, are counted by server over all daemons; a success clears them; three that stay put the request into quarantine, which the leader keeps in the store.

--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -41,8 +41,8 @@
 
 function boundsOf({ timing, retries, coldStart, processor }: RouterSettings): RouterBounds {
   const processorPower = processor.share * processor.speed;
-  const { configuration, drain, longestLease, evacuation } = timing;
-  return { retries, configuration, drain, longestLease, evacuation, coldStart, processorPower };
+  const { configuration, drain, contact, longestLease, evacuation } = timing;
+  return { retries, configuration, drain, contact, longestLease, evacuation, coldStart, processorPower };
 }
 
 export class RouterDaemon {
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -90,7 +90,7 @@
   | { readonly kind: 'unknown'; readonly reason: string };
 
 /** The objects that the daemons keep in the store. */
-export type StoredName = 'leader' | 'ownership';
+export type StoredName = 'leader' | 'ownership' | 'quarantines';
 
 /** A grant or a release ended. */
 export interface ControlEndedEvent {
@@ -190,6 +190,12 @@
   /** What is wrong with bad settings, a line each. */
   readonly faults: readonly string[];
 }
+/** An operator lets a request in quarantine go to servers again. */
+export interface QuarantineLiftedEvent {
+  readonly kind: 'quarantineLifted';
+  /** The value of its fingerprint. */
+  readonly fingerprint: string;
+}
 /** A planned stop begins. */
 export interface StoppingEvent {
   readonly kind: 'stopping';
@@ -215,4 +221,5 @@
   | ParentLinkOpenedEvent
   | ParentLinkClosedEvent
   | SettingsReadEvent
+  | QuarantineLiftedEvent
   | StoppingEvent;
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -43,6 +43,18 @@
   zone_restored: { when: 'an evacuation is taken back', fields: 'zone, revision' },
   server_silent: { when: 'a server leaves calls of the leader unanswered', fields: 'server, outcome' },
   server_answers: { when: 'it answers again', fields: 'server, outcome' },
+  server_crashed: {
+    when: 'a server ended a connection under requests of this daemon, and its process is gone',
+    fields: 'server, service, address, evidence, requests (how many), fingerprints (up to 8)',
+  },
+  quarantine_begun: {
+    when: 'enough servers have ended under a request: it is kept from servers',
+    fields: 'fingerprint, servers',
+  },
+  quarantine_ended: {
+    when: 'it may be sent to servers again',
+    fields: 'fingerprint, reason (a server answered it, an operator lifted it)',
+  },
   server_ended: { when: 'its address is in other hands', fields: 'server, address, successor' },
   leader_seen: {
     when: "the leader's object names another leader",
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
+import type { CrashRecord } from '../quarantine/crash-table.js';
 import type { EvacuationStatement } from '../news/zone-evacuations.js';
 
 /** The keys that callers asked for, and how often each. */
@@ -131,5 +132,11 @@
   readonly configuration: Configuration;
 }
 
+/** Requests under which servers ended: what is new, or all there is for a daemon that has just connected. */
+export interface CrashNews {
+  readonly kind: 'crashNews';
+  readonly records: CrashRecord[];
+}
+
 export type PeerMessage =
-  Report | Heartbeat | LeaderNotice | Ownership | Redirect | ServerNews | ConfigurationNews;
+  Report | Heartbeat | LeaderNotice | Ownership | Redirect | ServerNews | ConfigurationNews | CrashNews;
--- /dev/null
+++ b/src/router/quarantine/quarantine.ts
@@ -0,0 +1,160 @@
+/**
+ * Crash attribution: counts the servers that ended under a request over all daemons, and keeps a request from servers once there are
+ * enough. What ran at a server that ended shares the blame; a success elsewhere clears it. docs/design/quarantine.md
+ * tells why nobody innocent stays in quarantine, and the ways weighed.
+ */
+import type { CrashNews, NewsSource } from '../peers/messages.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import { headOf, type RequestFingerprint } from '../model/request-fingerprint.js';
+import type { ServerDescription } from '../model/server.js';
+import type { ActiveRequest } from '../request/active-request.js';
+import { cancelAttempt, giveUp } from '../request/request-dispatch.js';
+import type { RouterContext } from '../router-context.js';
+import type { CrashRecord } from './crash-table.js';
+
+/**
+ * Part of the time in which daemons that are in touch have to agree, for which a request is suspected before it is kept from servers.
+ * Servers that are lost at the same moment have the same hot request in flight; meanwhile it is answered elsewhere and cleared. The
+ * rest is for finding out that a server has ended (0.2 s) and for the way through the tree when a relay was just lost (1.2 s).
+ */
+const CONFIRMATION_PART = 0.4;
+/** Records expire within minutes: a look in a second is enough. */
+const EXPIRY_INTERVAL: Milliseconds = 1_000;
+const FIRST_SERVER_FAILURE = 500;
+/** Fingerprints that one line of the log names. */
+const MOST_LOGGED = 8;
+/** What a caller is told. */
+export const QUARANTINE_REASON = 'servers have ended under this request: it is not sent to any other';
+
+/** Where records come from: this daemon's own observations among them. */
+type RecordSource = NewsSource | 'observed';
+
+/** Records that changed here go to the neighbours that don't know of it. */
+function spread(context: RouterContext, records: readonly CrashRecord[], source: RecordSource): void {
+  if (records.length === 0) {
+    return;
+  }
+  const message: CrashNews = { kind: 'crashNews', records: [...records] };
+  context.emit({ kind: 'sendToChildren', link: null, message });
+  if (source !== 'parent') {
+    context.emit({ kind: 'sendToParent', message });
+  }
+}
+
+/** A server has ended; all that it was running for this daemon is suspected. */
+export function noteCrash(
+  context: RouterContext,
+  server: ServerDescription,
+  requests: ReadonlySet<RequestFingerprint>,
+  evidence: string,
+): void {
+  const { id, service, address } = server;
+  const fingerprints = [...new Set([...requests].map(({ value }) => value))];
+  context.state.counters.server_ends += 1;
+  context.log('server_crashed', {
+    server: id,
+    service,
+    address,
+    evidence,
+    requests: fingerprints.length,
+    fingerprints: fingerprints.slice(0, MOST_LOGGED),
+  });
+  takeRecords(
+    context,
+    fingerprints.map((fingerprint) => ({ fingerprint, ended: [id], exonerated: [], quarantined: false })),
+    'observed',
+  );
+}
+
+/** A server answered a request. */
+export function noteServerAlive(context: RouterContext, server: ServerId, sentAt: Milliseconds): void {
+  const { crashes } = context.state;
+  if (!crashes.isEmpty) {
+    spread(context, crashes.noteAlive(server, sentAt, context.now), 'observed');
+  }
+}
+
+/** A server answered a request. A failure may have come before it got to the point at which servers end. */
+export function noteRequestAnswered(context: RouterContext, request: ActiveRequest, status: number): void {
+  if (!context.state.crashes.isEmpty && status < FIRST_SERVER_FAILURE) {
+    clear(context, request.fingerprint, 'a server answered it');
+  }
+}
+
+/** An operator says that a request may be sent to servers again. */
+export function liftQuarantine(context: RouterContext, fingerprint: string): void {
+  clear(context, { head: headOf(fingerprint), value: fingerprint }, 'an operator lifted it');
+}
+
+function clear(context: RouterContext, fingerprint: RequestFingerprint, reason: string): void {
+  const { crashes } = context.state;
+  const wasQuarantined = crashes.isQuarantined(fingerprint);
+  const record = crashes.clear(fingerprint, context.now);
+  if (record === null) {
+    return;
+  }
+  if (wasQuarantined) {
+    context.log('quarantine_ended', { fingerprint: fingerprint.value, reason });
+  }
+  spread(context, [record], 'observed');
+}
+
+/** Takes in what this daemon has seen, or what another one or the store tells. */
+export function takeRecords(
+  context: RouterContext,
+  records: readonly CrashRecord[],
+  source: RecordSource,
+): void {
+  const { crashes } = context.state;
+  const changed = records
+    .map((record) => crashes.merge(record, context.now))
+    .filter((record) => record !== null);
+  spread(context, changed, source);
+  changed.filter(({ quarantined }) => quarantined).forEach((record) => beginQuarantine(context, record));
+}
+
+/** Another daemon told of servers that ended. */
+export function receiveCrashNews(context: RouterContext, { records }: CrashNews, source: NewsSource): void {
+  takeRecords(context, records, source);
+}
+
+/** Tells a daemon that has just connected, or a parent that was just found, all there is. */
+export function describeCrashes({ state }: RouterContext): CrashNews | null {
+  return state.crashes.isEmpty ? null : { kind: 'crashNews', records: state.crashes.records() };
+}
+
+/** The copies of a request that are held, wait for a retry, or are under way end at once. */
+function beginQuarantine(context: RouterContext, { fingerprint, ended }: CrashRecord): void {
+  const { state } = context;
+  state.counters.quarantines += 1;
+  context.log('quarantine_begun', { fingerprint, servers: ended }, 'warn');
+  for (const request of [...state.requests.values()]) {
+    if (state.crashes.isQuarantined(request.fingerprint)) {
+      refuseQuarantined(context, request);
+    }
+  }
+}
+
+/** Ends a request in quarantine: at once, and without a time to come back. */
+export function refuseQuarantined(context: RouterContext, request: ActiveRequest): void {
+  request.mayHaveRun ||= request.server !== null;
+  cancelAttempt(context, request, 'cancelled, the request is in quarantine');
+  context.state.counters.requests_quarantined += 1;
+  giveUp(context, request, QUARANTINE_REASON, null);
+}
+
+/** Puts requests into quarantine whose suspicion has stood for long enough. */
+export function tickQuarantine(context: RouterContext): void {
+  const { state, now } = context;
+  const { crashes, bounds } = state;
+  if (crashes.isEmpty) {
+    return;
+  }
+  const confirmed = crashes.confirmSuspicions(bounds.contact * CONFIRMATION_PART, now);
+  spread(context, confirmed, 'observed');
+  confirmed.forEach((record) => beginQuarantine(context, record));
+  if (now >= state.nextCrashExpiryAt) {
+    state.nextCrashExpiryAt = now + EXPIRY_INTERVAL;
+    crashes.expire(now);
+  }
+}
--- /dev/null
+++ b/src/router/quarantine/stored-quarantines.ts
@@ -0,0 +1,135 @@
+/**
+ * Keeps the requests in quarantine in the store, so that they outlast the loss of all daemons at once. Only the leader reads
+ * and writes them: one read a leadership, one write for each change. Suspicions are not stored: after such a loss a request
+ * would end three more servers at most before it is known again.
+ */
+import * as z from 'zod';
+import type { ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
+import type { Milliseconds } from '../model/identifiers.js';
+import { HEAD_CHARACTERS } from '../model/request-fingerprint.js';
+import { CONFIRMATION_VALIDITY } from '../ownership/ownership-timing.js';
+import type { RouterContext } from '../router-context.js';
+import type { CrashRecord } from './crash-table.js';
+import { takeRecords } from './quarantine.js';
+
+/** Between two calls: those that are refused are paid for, too. */
+const CALL_INTERVAL: Milliseconds = 500;
+const FINGERPRINT = z
+  .string()
+  .length(2 * HEAD_CHARACTERS)
+  .regex(/^[0-9a-f]+$/);
+
+const quarantinesSchema = z.object({
+  quarantines: z.array(z.object({ fingerprint: FINGERPRINT, servers: z.array(z.string()) })),
+});
+type QuarantinesRecord = z.infer<typeof quarantinesSchema>;
+
+/** What a leader knows of the stored object. */
+export interface StoredQuarantines {
+  /** The leadership for which it was read, or null. */
+  term: number | null;
+  /** Null: there is no object. */
+  revision: number | null;
+  /** The requests that it names, as text. */
+  content: string;
+  /** Those that are being written, or null. */
+  writing: string | null;
+  nextCallAt: Milliseconds;
+}
+
+/** Nothing has been read. */
+export function createStoredQuarantines(): StoredQuarantines {
+  return { term: null, revision: null, content: '', writing: null, nextCallAt: 0 };
+}
+
+function currentRecord({ state }: RouterContext): QuarantinesRecord {
+  const quarantines = state.crashes
+    .quarantines()
+    .map(({ fingerprint, ended }) => ({ fingerprint, servers: [...ended] }));
+  return { quarantines };
+}
+
+/** Further ends under a request that is in quarantine are not worth a write. */
+function contentOf({ quarantines }: QuarantinesRecord): string {
+  return quarantines
+    .map(({ fingerprint }) => fingerprint)
+    .sort()
+    .join();
+}
+
+/** Reads what earlier leaders stored, then stores what changes. */
+export function tickStoredQuarantines(context: RouterContext): void {
+  const { state, now } = context;
+  const { leadership, storedQuarantines: stored } = state;
+  if (
+    leadership === null ||
+    now - leadership.confirmedAt > CONFIRMATION_VALIDITY ||
+    now < stored.nextCallAt
+  ) {
+    return;
+  }
+  if (stored.term !== leadership.term) {
+    stored.nextCallAt = now + CALL_INTERVAL;
+    stored.writing = null;
+    context.emit({ kind: 'readObject', object: 'quarantines' });
+    return;
+  }
+  const value = currentRecord(context);
+  const content = contentOf(value);
+  if (stored.writing === null && content !== stored.content) {
+    stored.nextCallAt = now + CALL_INTERVAL;
+    stored.writing = content;
+    context.emit({ kind: 'writeObject', object: 'quarantines', value, revision: stored.revision });
+  }
+}
+
+function takeStored(context: RouterContext, value: unknown, revision: number): void {
+  const { state } = context;
+  const parsed = quarantinesSchema.safeParse(value);
+  state.storedQuarantines.revision = revision;
+  if (!parsed.success) {
+    // It is written anew with the next change.
+    state.storedQuarantines.content = '';
+    state.counters.malformed_store_objects += 1;
+    return;
+  }
+  state.storedQuarantines.content = contentOf(parsed.data);
+  const records: CrashRecord[] = parsed.data.quarantines.map(({ fingerprint, servers }) => ({
+    fingerprint,
+    ended: servers,
+    exonerated: [],
+    quarantined: true,
+  }));
+  takeRecords(context, records, 'store');
+}
+
+/** The object was read by the leader. */
+export function receiveQuarantinesRead(context: RouterContext, { outcome }: ObjectReadEvent): void {
+  const { leadership, storedQuarantines: stored } = context.state;
+  if (leadership === null || outcome.kind === 'failed') {
+    return;
+  }
+  stored.term = leadership.term;
+  if (outcome.kind === 'found') {
+    takeStored(context, outcome.value, outcome.revision);
+  } else {
+    stored.revision = null;
+    stored.content = '';
+  }
+}
+
+/** The leader's write ended. */
+export function receiveQuarantinesWritten(context: RouterContext, { outcome }: ObjectWrittenEvent): void {
+  const { storedQuarantines: stored } = context.state;
+  const { writing } = stored;
+  stored.writing = null;
+  if (outcome.kind === 'written' && writing !== null) {
+    stored.revision = outcome.revision;
+    stored.content = writing;
+  } else if (outcome.kind === 'conflict') {
+    takeStored(context, outcome.value, outcome.revision);
+  } else if (outcome.kind === 'unknown') {
+    // It may be written, or may be later: read before anything is done on it.
+    stored.term = null;
+  }
+}
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -4,6 +4,7 @@
  */
 import type { Effect } from './effects.js';
 import type {
+  ControlEndedEvent,
   ObjectReadEvent,
   ObjectWrittenEvent,
   PeerMessageEvent,
@@ -25,6 +26,13 @@
 import * as news from './news/spread-news.js';
 import { takeEvacuationChanges, takeEvacuationList } from './news/take-evacuations.js';
 import { tickStoreFollowing } from './news/store-following.js';
+import * as quarantine from './quarantine/quarantine.js';
+import { noteListedServers, receiveEndProbe, tickServerEnds } from './quarantine/server-ends.js';
+import {
+  receiveQuarantinesRead,
+  receiveQuarantinesWritten,
+  tickStoredQuarantines,
+} from './quarantine/stored-quarantines.js';
 import { receiveAttemptEnded } from './request/attempt-outcome.js';
 import { receiveRequest, tickEarlyRequests } from './request/request-arrival.js';
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
@@ -48,7 +56,6 @@
 }
 
 function dispatch(context: RouterContext, event: RouterEvent): void {
-  const { state } = context;
   switch (event.kind) {
     case 'tick':
       return tick(context);
@@ -64,10 +71,10 @@
     case 'serversListed':
       news.takeServerList(context, event);
       tickEarlyRequests(context);
-      return noteServersOfLeader(context);
+      return noteServerChanges(context);
     case 'serversChanged':
       news.takeServerChanges(context, event);
-      return noteServersOfLeader(context);
+      return noteServerChanges(context);
     case 'evacuationsListed':
       return takeEvacuationList(context, event);
     case 'evacuationsChanged':
@@ -81,18 +88,20 @@
     case 'objectWritten':
       return receiveObjectWritten(context, event);
     case 'controlEnded':
-      return state.leadership === null ? undefined : receiveControlEnded(context, state.leadership, event);
+      return receiveControl(context, event);
     case 'peerMessage':
       return receivePeerMessage(context, event);
     case 'peerLeft':
       return forgetChild(context, event.link);
     case 'parentLinkOpened':
-      return reportAtOnce(context);
+      return greetParent(context);
     case 'parentLinkClosed':
       election.noteLeaderUnreachable(context, event);
       return receiveParentClosed(context, event);
     case 'settingsRead':
       return takeSettings(context, event);
+    case 'quarantineLifted':
+      return quarantine.liftQuarantine(context, event.fingerprint);
     case 'stopping':
       return stop(context);
   }
@@ -111,9 +120,21 @@
   tickStoreFollowing(context);
   tickNewsAge(context);
   tickIsolation(context);
+  tickServerEnds(context);
+  quarantine.tickQuarantine(context);
+  tickStoredQuarantines(context);
   tickRequests(context);
 }
 
+/** The connection to a parent is new: it may lack what this daemon has seen. */
+function greetParent(context: RouterContext): void {
+  reportAtOnce(context);
+  const crashes = quarantine.describeCrashes(context);
+  if (crashes !== null) {
+    context.emit({ kind: 'sendToParent', message: crashes });
+  }
+}
+
 function takeSettings(context: RouterContext, { bounds, faults }: SettingsReadEvent): void {
   if (bounds === null) {
     context.log('settings_rejected', { faults }, 'warn');
@@ -136,8 +157,16 @@
   }
 }
 
-function noteServersOfLeader(context: RouterContext): void {
+function receiveControl(context: RouterContext, event: ControlEndedEvent): void {
+  const { leadership } = context.state;
+  if (!receiveEndProbe(context, event.callId, event.outcome) && leadership !== null) {
+    receiveControlEnded(context, leadership, event);
+  }
+}
+
+function noteServerChanges(context: RouterContext): void {
   const { leadership } = context.state;
+  noteListedServers(context);
   if (leadership !== null) {
     noteServers(context, leadership);
   }
@@ -145,7 +174,9 @@
 
 function receiveObjectRead(context: RouterContext, event: ObjectReadEvent): void {
   const { leadership } = context.state;
-  if (event.object === 'leader') {
+  if (event.object === 'quarantines') {
+    receiveQuarantinesRead(context, event);
+  } else if (event.object === 'leader') {
     if (leadership === null) {
       election.receiveLeaderObject(context, event);
     } else {
@@ -158,7 +189,9 @@
 
 function receiveObjectWritten(context: RouterContext, event: ObjectWrittenEvent): void {
   const { leadership } = context.state;
-  if (event.object === 'leader') {
+  if (event.object === 'quarantines') {
+    receiveQuarantinesWritten(context, event);
+  } else if (event.object === 'leader') {
     if (leadership === null) {
       candidacy.receiveClaimWritten(context, event);
     } else {
@@ -188,9 +221,11 @@
     case 'serverNews':
       news.receiveServerNews(context, message, source);
       tickEarlyRequests(context);
-      return noteServersOfLeader(context);
+      return noteServerChanges(context);
     case 'configurationNews':
       news.receiveConfigurationNews(context, message, source);
       return tickEarlyRequests(context);
+    case 'crashNews':
+      return quarantine.receiveCrashNews(context, message, source);
   }
 }
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -4,6 +4,8 @@
 import { noteTurnedAway } from '../ownership/isolation.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
+import { noteRequestAnswered } from '../quarantine/quarantine.js';
+import { noteAttemptAt, noteConnectionEnded } from '../quarantine/server-ends.js';
 import { noteOverload } from '../tree/reports.js';
 import type { ActiveRequest } from './active-request.js';
 import { avoidAfterFailure, dispatch, endAttempt, giveUp, logEnd, note } from './request-dispatch.js';
@@ -28,6 +30,7 @@
     return;
   }
   note(context, request, describe(event.result));
+  noteAttemptAt(context, request.server, request.attemptStartedAt, event.result);
   const known = endAttempt(context, request);
   conclude(context, request, known, event.result);
 }
@@ -55,6 +58,7 @@
       noteAnswered(request, known, takeLoad(context, known, result.load), now);
       state.requests.delete(request.id);
       state.counters.answered += 1;
+      noteRequestAnswered(context, request, result.status);
       logEnd(context, request, 'answered', result.status, '');
       return;
     case 'rejected':
@@ -191,6 +195,9 @@
   request.lostAttempt = true;
   request.mayHaveRun = true;
   noteLost(request, known, now);
+  if (result.connectionEnded) {
+    noteConnectionEnded(context, request, known);
+  }
   if (result.answerBegun) {
     context.state.requests.delete(request.id);
     context.state.counters.failed += 1;
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
+import { refuseQuarantined } from '../quarantine/quarantine.js';
 import { tallyKeys } from '../tree/reports.js';
 import { budgetOf, dispatch } from './request-dispatch.js';
 import { HOLD_PART } from './request-timing.js';
@@ -65,6 +66,10 @@
   }
   budgetOf(context, service).addRequest();
   const request = createRequest(event, route, service, keyed ? event.key : null, arrivedAt);
+  if (state.crashes.isQuarantined(event.fingerprint)) {
+    refuseQuarantined(context, request);
+    return;
+  }
   state.requests.set(request.id, request);
   if (request.key !== null) {
     tallyKeys(context, { service: request.service, keys: [request.key], counts: [1] });
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -110,7 +110,7 @@
   context: RouterContext,
   request: ActiveRequest,
   reason: string,
-  retryAfter: Milliseconds,
+  retryAfter: Milliseconds | null,
 ): void {
   const { state, now } = context;
   state.requests.delete(request.id);
--- a/src/router/router-settings.ts
+++ b/src/router/router-settings.ts
@@ -7,6 +7,8 @@
 import { SettingsError } from '../errors.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Long enough for word of anything to pass through the tree after the loss of the leader. */
+const DEFAULT_CONTACT_MILLISECONDS = 3_000;
 const NAME = z.string().min(1);
 const ADDRESS = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'allowed: <ip number>:<port>');
 /** Written in seconds, kept in milliseconds. */
@@ -50,6 +52,8 @@
     stopGrace: SECONDS,
     /** A leaving server gets no new work after this time. */
     drain: SECONDS,
+    /** Daemons that have been connected for this long know what the others have seen. */
+    contact: SECONDS.default(DEFAULT_CONTACT_MILLISECONDS),
     /** A configuration is in force within this time. */
     configuration: SECONDS,
     /** The longest lease that a server takes. */
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -15,6 +15,9 @@
 import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
+import { CrashTable } from './quarantine/crash-table.js';
+import { createServerEnds, type ServerEnds } from './quarantine/server-ends.js';
+import { createStoredQuarantines, type StoredQuarantines } from './quarantine/stored-quarantines.js';
 import type { ColdAdmission, ColdStartLimits } from './request/cold-admission.js';
 import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
@@ -41,6 +44,8 @@
   /** A change of the configuration is in force within this time. */
   readonly configuration: Milliseconds;
   readonly drain: Milliseconds;
+  /** Daemons that have been connected for this long know what the others have seen. */
+  readonly contact: Milliseconds;
   readonly longestLease: Milliseconds;
   /** Servers of an evacuated zone get nothing after this time; null: zones are not evacuated here. */
   readonly evacuation: Milliseconds | null;
@@ -106,6 +111,12 @@
   readonly rotation: TargetRotation;
   /** Keys that callers asked for, here and below, since the last report. */
   readonly keyTallies: Map<ServiceName, KeyTally>;
+  /** Under which requests servers have ended. */
+  readonly crashes: CrashTable;
+  nextCrashExpiryAt: Milliseconds;
+  readonly serverEnds: ServerEnds;
+  /** What the store has of the quarantines, while this daemon leads. */
+  readonly storedQuarantines: StoredQuarantines;
   nextCallId: number;
   stopping: boolean;
 }
@@ -147,6 +158,10 @@
     budgets: new Map(),
     rotation: new TargetRotation(),
     keyTallies: new Map(),
+    crashes: new CrashTable(),
+    nextCrashExpiryAt: 0,
+    serverEnds: createServerEnds(),
+    storedQuarantines: createStoredQuarantines(),
     nextCallId: 1,
     stopping: false,
   };
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -5,6 +5,7 @@
 import { takeEvacuations } from '../news/take-evacuations.js';
 import { wholeStatement } from '../ownership/ownership-statement.js';
 import type { Report } from '../peers/messages.js';
+import { describeCrashes } from '../quarantine/quarantine.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 import { buildHeartbeat } from './heartbeats.js';
@@ -79,6 +80,10 @@
   if (heartbeat !== null) {
     context.emit({ kind: 'sendToChildren', link, message: heartbeat });
   }
+  const crashes = describeCrashes(context);
+  if (crashes !== null) {
+    context.emit({ kind: 'sendToChildren', link, message: crashes });
+  }
   tellWhatIsMissed(context, link, child, report);
 }
 
--- a/test/router/ownership/test-election-reads.ts
+++ b/test/router/ownership/test-election-reads.ts
@@ -11,7 +11,7 @@
 /** How often each object is read by a daemon without a leader while the store refuses every call at once. */
 function readsInOutage(): Record<StoredName, number> {
   const state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
-  const reads = { leader: 0, ownership: 0 };
+  const reads = { leader: 0, ownership: 0, quarantines: 0 };
   for (let now = 0; now < OUTAGE; now += TICK) {
     for (const effect of reduce(state, now, { kind: 'tick' })) {
       if (effect.kind === 'readObject') {
@@ -27,8 +27,9 @@
 describe('a daemon without a leader', () => {
   // Found by a played day: 20 daemons asked a store that refused every call 480 times in 5 s, and each call is paid for.
   it('asks a store that refuses ever more seldom', () => {
-    const { leader, ownership } = readsInOutage();
+    const { leader, ownership, quarantines } = readsInOutage();
     expect(leader <= 8 && leader >= 4).toEqual(true);
     expect(ownership <= 1).toEqual(true);
+    expect(quarantines).toEqual(0);
   });
 });
--- a/test/router/support/bounds.ts
+++ b/test/router/support/bounds.ts
@@ -5,6 +5,7 @@
   retries: { ratio: 0.2, extra: 60 },
   configuration: 2_000,
   drain: 2_000,
+  contact: 3_000,
   longestLease: 10_000,
   evacuation: 5_000,
   coldStart: { factor: 1.5, slack: 8 },
