--- a/src/router-runtime/event-log.ts
+++ b/src/router-runtime/event-log.ts
@@ -4,6 +4,7 @@
  */
 import { createConsola, type ConsolaInstance } from 'consola/core';
 import { write } from 'node:fs';
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { RouterCounters } from '../router/counters.js';
 import type { LogEventName } from '../router/log-events.js';
 
@@ -52,7 +53,7 @@
   }
 
   #hasRoom(): boolean {
-    const second = Math.floor(performance.now() / MILLISECONDS_PER_SECOND);
+    const second = Math.floor(PROCESS_CLOCK.now() / MILLISECONDS_PER_SECOND);
     if (second !== this.#second) {
       this.#second = second;
       this.#linesInSecond = 0;
@@ -72,7 +73,7 @@
 
   #append(entry: LogEntry): void {
     const [event, fields] = entry.args as [LogEventName, Record<string, unknown>];
-    const at = Math.round(performance.now());
+    const at = Math.round(PROCESS_CLOCK.now());
     const head = {
       time: new Date().toISOString(),
       uptime_ms: at,
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow';
 import { createServer, type Server } from 'node:http';
 import { randomInt } from 'node:crypto';
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { SettingsError } from '../errors.js';
 import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
@@ -108,7 +109,7 @@
 
   /** Takes one event through the reducer and performs the effects. */
   dispatch(event: RouterEvent): void {
-    for (const effect of reduce(this.state, performance.now(), event)) {
+    for (const effect of reduce(this.state, PROCESS_CLOCK.now(), event)) {
       this.#perform(effect);
     }
     const limits = this.state.configuration?.limits;
@@ -132,8 +133,8 @@
   /** Stops as planned: takes no new callers, finishes what is in flight, and ends within the grace. */
   async stop(): Promise<void> {
     const { stopGrace } = this.#settings.timing;
-    const startedAt = performance.now();
-    const elapsed = (): number => performance.now() - startedAt;
+    const startedAt = PROCESS_CLOCK.now();
+    const elapsed = (): number => PROCESS_CLOCK.now() - startedAt;
     this.dispatch({ kind: 'stopping' });
     this.#front.closeConnections(true);
     const linger = Math.min(LINGER_MILLISECONDS, stopGrace / 2);
@@ -198,13 +199,13 @@
   }
 
   async #read({ object }: ReadObjectEffect): Promise<void> {
-    const sentAt = performance.now();
+    const sentAt = PROCESS_CLOCK.now();
     const outcome = await this.#platform.store.read(object);
     this.dispatch({ kind: 'objectRead', object, sentAt, outcome });
   }
 
   async #write({ object, value, revision }: WriteObjectEffect): Promise<void> {
-    const sentAt = performance.now();
+    const sentAt = PROCESS_CLOCK.now();
     const outcome = await this.#platform.store.write(object, value, revision);
     this.dispatch({ kind: 'objectWritten', object, sentAt, outcome });
   }
--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -1,5 +1,6 @@
 /** Counters, gauges and latency histograms in the Prometheus text form, by the `prom-client` library. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import { ROUTER_COUNTER_NAMES } from '../router/counters.js';
 import type { RequestEndedEffect } from '../router/effects.js';
 import { newsAge } from '../router/news/news-age.js';
@@ -44,7 +45,7 @@
     this.#gauge('requests_in_flight', () => state.requests.size);
     this.#gauge(
       'news_age_seconds',
-      () => newsAge(new RouterContext(state, performance.now())) / MILLISECONDS_PER_SECOND,
+      () => newsAge(new RouterContext(state, PROCESS_CLOCK.now())) / MILLISECONDS_PER_SECOND,
     );
     this.#feedAges(state);
     this.#gauge('resident_bytes', () => process.memoryUsage.rss());
@@ -60,7 +61,7 @@
       collect() {
         for (const [feed, { answeredAt }] of Object.entries(state.feeds)) {
           const isKnown = state.followsStore && Number.isFinite(answeredAt);
-          const age = (performance.now() - answeredAt) / MILLISECONDS_PER_SECOND;
+          const age = (PROCESS_CLOCK.now() - answeredAt) / MILLISECONDS_PER_SECOND;
           this.set({ feed }, isKnown ? age : UNKNOWN_AGE);
         }
       },
--- a/src/router-runtime/timers.ts
+++ b/src/router-runtime/timers.ts
@@ -1,4 +1,5 @@
 /** Time as the runtime's own decisions see it: the process's steady clock, or virtual time in tests. */
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { Milliseconds } from '../router/model/identifiers.js';
 
 /** Undoes a timer that has not fired. */
@@ -12,7 +13,7 @@
 
 /** Those of this process. */
 export const PROCESS_TIMERS: Timers = {
-  now: () => performance.now(),
+  now: () => PROCESS_CLOCK.now(),
   after(delay, action) {
     const timer = setTimeout(action, delay);
     return () => clearTimeout(timer);
--- a/src/runtime/daemon.ts
+++ b/src/runtime/daemon.ts
@@ -6,6 +6,7 @@
 import { Hono } from 'hono';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { ConsolaInstance } from 'consola';
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import { createDaemonState, type DaemonState } from '../core/daemon-state.js';
 import type { Effect } from '../core/effects.js';
 import type { DaemonEvent } from '../core/events.js';
@@ -75,7 +76,7 @@
     });
     this.#store = new StoreClient(settings.store);
     const dispatch = (event: DaemonEvent): void => this.dispatch(event);
-    this.#bridge = new RequestBridge(this.#servers, dispatch, () => performance.now());
+    this.#bridge = new RequestBridge(this.#servers, dispatch, () => PROCESS_CLOCK.now());
     this.#front = this.#createFront();
     this.#admin = createAdaptorServer({ fetch: this.#createAdmin().fetch }) as Server;
   }
@@ -93,7 +94,7 @@
 
   /** Takes one event through the reducer and performs the effects. */
   dispatch(event: DaemonEvent): void {
-    for (const effect of reduce(this.state, { now: performance.now(), event })) {
+    for (const effect of reduce(this.state, { now: PROCESS_CLOCK.now(), event })) {
       this.#perform(effect);
     }
   }
@@ -103,9 +104,9 @@
     this.dispatch({ kind: 'stopping' });
     this.#bridge.closing = true;
     this.#front.close();
-    const giveUpAt = performance.now() + this.#settings.limits.drainMilliseconds;
+    const giveUpAt = PROCESS_CLOCK.now() + this.#settings.limits.drainMilliseconds;
     await new Promise((resolve) => setTimeout(resolve, LEAST_STOP_MILLISECONDS));
-    while (this.#bridge.inFlight > 0 && performance.now() < giveUpAt) {
+    while (this.#bridge.inFlight > 0 && PROCESS_CLOCK.now() < giveUpAt) {
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MILLISECONDS));
     }
     clearInterval(this.#timer);
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -7,6 +7,8 @@
 import type { PeerMessage } from '../../../src/router/peers/messages.js';
 import { watchTime } from '../../../src/router/news/news-timing.js';
 import { reduce } from '../../../src/router/reducer.js';
+import { DaemonClock } from '../../../src/clock/daemon-clock.js';
+import type { Timers } from '../../../src/router-runtime/timers.js';
 import { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { ModelServer, carryCall, OwnerChecker, WATCHED_KEYS, type CallTroubles } from './model-server.js';
@@ -54,6 +56,11 @@
   limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
 };
 
+interface Suspended {
+  readonly from: number;
+  readonly until: number;
+}
+
 /** One life of a daemon. */
 export interface Daemon {
   readonly name: string;
@@ -67,6 +74,9 @@
   storeReachable: boolean;
   /** Its process stands still until this time; what reaches it waits. */
   frozenUntil: number;
+  /** When its machine was suspended: its steady clock lacks these times. */
+  readonly suspensions: Suspended[];
+  clock: DaemonClock;
   following: string | null;
   /** What it lists and watches in the store; null before its first start. */
   feeds: StoreFeeds | null;
@@ -86,6 +96,8 @@
   readonly daemons: Daemon[] = [];
   readonly troubles: CallTroubles = { lateShare: 0 };
   readonly events: string[] = [];
+  /** What a machine's boot-time clock shows at a moment: to 10 ms. */
+  bootClock: (now: number) => number = (now) => Math.floor(now / 10) * 10;
   /** Carries out what daemons do with requests; null: nobody asks for anything. */
   requests: RequestCarrier | null = null;
   readonly configurations: ModelFeed<Configuration>;
@@ -186,6 +198,8 @@
       peersReachable: true,
       storeReachable: true,
       frozenUntil: 0,
+      suspensions: [],
+      clock: this.#clockOf([]),
       following: null,
       feeds: null,
     };
@@ -201,6 +215,7 @@
   }
 
   startDaemon(daemon: Daemon): void {
+    daemon.clock = this.#clockOf(daemon.suspensions);
     daemon.state = this.#freshState(daemon.name, daemon.address);
     daemon.life = this.#lives;
     daemon.alive = true;
@@ -217,11 +232,61 @@
       evacuations: this.evacuations.sourceFor(isReachable),
     };
     return new StoreFeeds(sources, (event) => this.#deliver(daemon, life, event), {
-      timers: this.clock.timers(),
+      timers: this.#timersOf(daemon),
       watchTime: () => watchTime(daemon.state.bounds),
     });
   }
 
+  /** The machine's clocks: the steady one lacks the suspensions. */
+  #clockOf(suspensions: readonly Suspended[]): DaemonClock {
+    return new DaemonClock({
+      steady: () => this.#steadyTime(suspensions),
+      boot: () => this.bootClock(this.clock.now),
+      timeOfDay: () => this.clock.now,
+    });
+  }
+
+  #steadyTime(suspensions: readonly Suspended[]): number {
+    const { now } = this.clock;
+    const lost = suspensions.map(({ from, until }) => Math.min(now, until) - from);
+    return now - lost.reduce((sum, length) => sum + length, 0);
+  }
+
+  /** Timers run on the steady clock: a suspension makes them late. */
+  #timersOf(daemon: Daemon): Timers {
+    const steady = (): number => this.#steadyTime(daemon.suspensions);
+    return {
+      now: () => daemon.clock.now(),
+      after: (delay, action) => {
+        let cancelled = false;
+        const dueAt = steady() + delay;
+        const look = (): void => {
+          if (!cancelled && steady() >= dueAt) {
+            action();
+          } else if (!cancelled) {
+            this.clock.after(dueAt - steady(), look);
+          }
+        };
+        this.clock.after(delay, look);
+        return () => {
+          cancelled = true;
+        };
+      },
+    };
+  }
+
+  /** Suspends a daemon's machine: what reaches it waits, and its steady clock stands still. */
+  suspend(daemon: Daemon, length: number): void {
+    if (daemon.frozenUntil > this.clock.now) {
+      return;
+    }
+    const until = this.clock.now + length;
+    daemon.frozenUntil = until;
+    daemon.suspensions.push({ from: this.clock.now, until });
+    // A timer may fire before what waits in the sockets is read.
+    this.clock.after(length, () => this.deliver(daemon, { kind: 'tick' }));
+  }
+
   /** A planned stop: the process goes on for a while, and another one starts after it. */
   stopDaemon(daemon: Daemon, lingering: number): void {
     const { life } = daemon;
@@ -267,14 +332,14 @@
       this.clock.after(daemon.frozenUntil - this.clock.now, () => this.#deliver(daemon, life, event));
       return;
     }
-    for (const effect of reduce(daemon.state, this.clock.now, event)) {
+    for (const effect of reduce(daemon.state, daemon.clock.now(), event)) {
       this.#perform(daemon, effect);
     }
   }
 
   #perform(daemon: Daemon, effect: Effect): void {
     const { life } = daemon;
-    const sentAt = this.clock.now;
+    const sentAt = daemon.clock.now();
     switch (effect.kind) {
       case 'readObject':
         return this.store.read(effect.object, daemon.storeReachable, (outcome) => {
@@ -324,7 +389,7 @@
         return;
       case 'log':
         this.events.push(
-          `${Math.round(sentAt)} ${daemon.name} ${effect.event} ${JSON.stringify(effect.fields)}`,
+          `${Math.round(this.clock.now)} ${daemon.name} ${effect.event} ${JSON.stringify(effect.fields)}`,
         );
         return;
       default:
--- a/test/router/support/virtual-clock.ts
+++ b/test/router/support/virtual-clock.ts
@@ -1,6 +1,5 @@
 /** Virtual time: things happen in the order of their times, by the `tinyqueue` library. */
 import TinyQueue from 'tinyqueue';
-import type { Timers } from '../../../src/router-runtime/timers.js';
 
 interface Planned {
   readonly at: number;
@@ -22,24 +21,6 @@
     this.#queue.push({ at: this.now + delay, order: this.#order, action });
   }
 
-  /** The clock as the runtime's timers. */
-  timers(): Timers {
-    return {
-      now: () => this.now,
-      after: (delay, action) => {
-        let cancelled = false;
-        this.after(delay, () => {
-          if (!cancelled) {
-            action();
-          }
-        });
-        return () => {
-          cancelled = true;
-        };
-      },
-    };
-  }
-
   /** Lets everything happen up to a time. */
   runUntil(end: number): void {
     for (let next = this.#queue.peek(); next !== undefined && next.at <= end; next = this.#queue.peek()) {
