Soak: servers that end under requests, and suspended machines

A harsh run has a caller that comes again and again with requests under which servers end, and daemons whose steady clock stands still while they are stopped.

--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -28,14 +28,15 @@
     const sentAt = performance.now();
     return new Promise((resolve) => {
       let isOver = false;
-      const end = (status: number): void => {
+      const end = (status: number, reason = ''): void => {
         if (isOver) {
           return;
         }
         isOver = true;
         const plannedStop = this.daemon.stopping && !this.daemon.paused;
         const { name: daemon } = this.daemon;
-        const outcome = { attemptId, path, daemon, sentAt, endedAt: performance.now(), status, plannedStop };
+        const endedAt = performance.now();
+        const outcome = { attemptId, path, daemon, sentAt, endedAt, status, reason, plannedStop };
         this.#promises.noteOutcome(outcome);
         resolve(outcome);
       };
@@ -47,7 +48,7 @@
     this.#agent.destroy();
   }
 
-  #send(path: string, attemptId: string, key: number, end: (status: number) => void): void {
+  #send(path: string, attemptId: string, key: number, end: (status: number, reason?: string) => void): void {
     const [host, port] = this.daemon.ports.http.split(':');
     const method = path.startsWith('/once/') ? 'POST' : 'GET';
     const headers = {
@@ -57,8 +58,11 @@
       'fennelferry-shard-key': String(key % (LAST_KEY + 1)),
     };
     const sent = request({ host, port, path, method, headers, agent: this.#agent }, (answer) => {
-      answer.resume();
-      answer.on('end', () => end(answer.complete ? (answer.statusCode ?? 0) : 0));
+      const chunks: Buffer[] = [];
+      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+      answer.on('end', () =>
+        end(answer.complete ? (answer.statusCode ?? 0) : 0, Buffer.concat(chunks).toString()),
+      );
       answer.on('error', () => end(0));
     });
     sent.setTimeout(TIMEOUT_MILLISECONDS, () => {
--- a/test/soak/daemon-process.ts
+++ b/test/soak/daemon-process.ts
@@ -7,6 +7,9 @@
 /** The daemon's program: this build's. */
 export const PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
 
+/** Makes the steady clock of a process stand still while it is stopped. */
+const SUSPENDED_CLOCK = new URL('suspended-clock.js', import.meta.url).href;
+
 /** Where a daemon listens: `ip:port` each. */
 export interface DaemonPorts {
   readonly http: string;
@@ -26,15 +29,23 @@
   readonly #settings: object;
   readonly #folder: string;
   readonly #program: string;
+  /** A pause of it is a suspension of its machine. */
+  readonly #suspends: boolean;
   #child: ChildProcess | null = null;
   #starts = 0;
 
-  constructor(name: string, ports: DaemonPorts, settings: object, folder: string, program: string) {
+  constructor(
+    name: string,
+    ports: DaemonPorts,
+    settings: object,
+    { folder, program, suspends }: { folder: string; program: string; suspends: boolean },
+  ) {
     this.name = name;
     this.ports = ports;
     this.#settings = settings;
     this.#folder = folder;
     this.#program = program;
+    this.#suspends = suspends;
   }
 
   get isRunning(): boolean {
@@ -45,7 +56,10 @@
     const path = join(this.#folder, `${this.name}.json`);
     writeFileSync(path, JSON.stringify({ ...this.#settings, firstStart: this.#starts === 0 }));
     this.#starts += 1;
-    const child = spawn(process.execPath, [this.#program, path], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const flags = this.#suspends ? ['--import', SUSPENDED_CLOCK] : [];
+    const child = spawn(process.execPath, [...flags, this.#program, path], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     const log = createWriteStream(join(this.#folder, `${this.name}.log`), { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,7 +1,8 @@
-/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3`. */
+/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh`. */
 import { parseArgs } from 'node:util';
 import { PROGRAM } from './daemon-process.js';
-import { runSoak, type SoakReport } from './soak.js';
+import type { SoakReport } from './soak-report.js';
+import { runSoak } from './soak.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -13,6 +14,7 @@
     seconds: { type: 'string', default: '25' },
     program: { type: 'string', default: PROGRAM },
     'at-once': { type: 'string', default: '1' },
+    harsh: { type: 'boolean', default: false },
   },
 });
 
@@ -21,10 +23,11 @@
 }
 
 function tell(report: SoakReport): void {
-  const { seed, violations, requests, answered, versions, longestStall, troubles, folder } = report;
+  const { seed, violations, requests, answered, versions, longestStall, troubles, folder, serverEnds } =
+    report;
   const verdict = violations.length === 0 ? 'all promises kept' : `${violations.length} BROKEN`;
   print(
-    `seed ${seed}: ${verdict}; ${requests} requests, ${answered} answered; ${versions} versions; ${troubles.length} troubles; longest stall ${longestStall} ms`,
+    `seed ${seed}: ${verdict}; ${requests} requests, ${answered} answered; ${versions} versions; ${serverEnds} servers ended; ${troubles.length} troubles; longest stall ${longestStall} ms`,
   );
   if (violations.length > 0) {
     violations.slice(0, 10).forEach((violation) => print(`  ${violation}`));
@@ -44,6 +47,7 @@
       daemons: Number(values.daemons),
       servers: Number(values.servers),
       program: values.program,
+      isHarsh: values.harsh,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
     tell(report);
--- a/test/soak/promises.ts
+++ b/test/soak/promises.ts
@@ -1,5 +1,6 @@
 /** Checks what callers and servers see against what the product promises, while a soak runs. */
-import type { ServerObserver, ServerStandIn } from './server-stand-in.js';
+import { QUARANTINE_REASON } from '../../src/router/quarantine/quarantine.js';
+import { DEADLY_MARK, type ServerObserver, type ServerStandIn } from './server-stand-in.js';
 
 /** What a caller saw of one request. */
 export interface CallerOutcome {
@@ -10,6 +11,8 @@
   readonly endedAt: number;
   /** 0: the connection ended without an answer. */
   readonly status: number;
+  /** The answer's body. */
+  readonly reason: string;
   /** The daemon was stopping as planned, and was not killed. */
   readonly plannedStop: boolean;
 }
@@ -27,6 +30,8 @@
   readonly #runs = new Map<string, Runs>();
   readonly #outcomes: CallerOutcome[] = [];
   readonly servers: ServerStandIn[] = [];
+  /** Ends a server under a request. */
+  onDeadly: (server: ServerStandIn, attemptId: string) => void = () => undefined;
   /** Requests that reached a server that takes no more, if their daemon is bound by that. */
   onArrivalAt: (server: ServerStandIn, attemptId: string) => void = () => undefined;
 
@@ -60,7 +65,7 @@
 
   /** At the end of a run: what can only be said once nothing is under way any more. */
   finish(): void {
-    for (const { attemptId, path, status, plannedStop, daemon } of this.#outcomes) {
+    for (const { attemptId, path, status, reason, plannedStop, daemon } of this.#outcomes) {
       const runs = this.#runs.get(attemptId)?.count ?? 0;
       const told = `${attemptId} ${path} at ${daemon}: status ${status}, ${runs} runs`;
       if (path.startsWith('/once/') && runs > 1) {
@@ -69,6 +74,9 @@
       if (NOT_RUN_STATUSES.has(status) && path.startsWith('/once/') && runs > 0) {
         this.fail('not run is true', told);
       }
+      if (reason.includes(QUARANTINE_REASON) && !path.includes(DEADLY_MARK)) {
+        this.fail('nobody innocent is in quarantine', told);
+      }
       if (status === 0 && plannedStop && runs > 0) {
         this.fail('a planned stop loses no answer', told);
       }
--- a/test/soak/server-stand-in.ts
+++ b/test/soak/server-stand-in.ts
@@ -13,11 +13,15 @@
 export interface ServerObserver {
   /** A request arrived; whether it is run. */
   onArrival(server: ServerStandIn, attemptId: string, runs: boolean): void;
+  /** A request is about to end the server that runs it. */
+  onDeadly(server: ServerStandIn, attemptId: string): void;
   /** A grant was taken. */
   onGrant(server: ServerStandIn, from: number, to: number): void;
 }
 
 const WORK_MILLISECONDS = 15;
+/** Requests with this in their path end each server that runs them. */
+export const DEADLY_MARK = 'deadly';
 
 export class ServerStandIn {
   readonly id: string;
@@ -45,8 +49,19 @@
     return this.#address;
   }
 
-  async start(): Promise<void> {
-    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+  get port(): number {
+    return Number(this.#address.split(':')[1]);
+  }
+
+  /** Its process has ended: it holds nothing, and connections to it are refused. */
+  crash(): void {
+    this.#grants = [];
+    this.stop();
+  }
+
+  /** Listens at a port, or at any. */
+  async start(port = 0): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(port, '127.0.0.1', resolve));
     this.#address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
@@ -123,6 +138,10 @@
       return;
     }
     setTimeout(() => {
+      if (request.url?.includes(DEADLY_MARK) === true) {
+        this.#observer.onDeadly(this, attemptId);
+        return;
+      }
       const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
       response.writeHead(200, headers).end(this.id);
     }, WORK_MILLISECONDS);
--- /dev/null
+++ b/test/soak/soak-report.ts
@@ -0,0 +1,30 @@
+/** What a run of the soak is asked for, and what it comes to. */
+
+/** What a run is asked for. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly daemons: number;
+  readonly servers: number;
+  /** The daemons' program: another build shows what a soak would have found there. */
+  readonly program: string;
+  /** Milliseconds of troubles. */
+  readonly length: number;
+  /** Callers send requests under which servers end, and pauses of daemons are suspensions of their machines. */
+  readonly isHarsh: boolean;
+}
+
+/** What a run came to. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly requests: number;
+  readonly answered: number;
+  readonly versions: number;
+  /** Servers that ended under requests. */
+  readonly serverEnds: number;
+  /** The longest that this process, the store and the servers among it, stood still, in ms: beside too much load it is long. */
+  readonly longestStall: number;
+  readonly troubles: readonly string[];
+  /** Where the daemons' logs are; they are kept when a promise was broken. */
+  readonly folder: string;
+}
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -8,37 +8,15 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Caller } from './caller.js';
 import { DaemonProcess } from './daemon-process.js';
+import { DeadlyRequests } from './deadly-requests.js';
 import { configurationOf, freePorts, settingsOf, TIMING, ZONES } from './deployment.js';
+import { Outages } from './outages.js';
 import { type CallerOutcome, Promises } from './promises.js';
 import { drawSchedule, type Trouble } from './schedule.js';
-import { ServerStandIn } from './server-stand-in.js';
+import type { SoakOptions, SoakReport } from './soak-report.js';
+import { DEADLY_MARK, ServerStandIn } from './server-stand-in.js';
 import { type StoreMode, StoreStandIn } from './store-stand-in.js';
 
-/** What a run is asked for. */
-export interface SoakOptions {
-  readonly seed: number;
-  readonly daemons: number;
-  readonly servers: number;
-  /** The daemons' program: another build shows what a soak would have found there. */
-  readonly program: string;
-  /** Milliseconds of troubles. */
-  readonly length: number;
-}
-
-/** What a run came to. */
-export interface SoakReport {
-  readonly seed: number;
-  readonly violations: readonly string[];
-  readonly requests: number;
-  readonly answered: number;
-  readonly versions: number;
-  /** The longest that this process, the store and the servers among it, stood still, in ms: beside too much load it is long. */
-  readonly longestStall: number;
-  readonly troubles: readonly string[];
-  /** Where the daemons' logs are; they are kept when a promise was broken. */
-  readonly folder: string;
-}
-
 const MILLISECONDS_PER_SECOND = 1_000;
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 /** A daemon is in touch when neither it nor the store had trouble for this long. */
@@ -49,9 +27,14 @@
 const LEAVE = LENIENCE * TIMING.drain * MILLISECONDS_PER_SECOND;
 const EVACUATE = LENIENCE * TIMING.evacuation * MILLISECONDS_PER_SECOND;
 const SETTLE = 5_000;
+/** A server that has crashed is back after this long. */
+const SERVER_RESTART = 2_000;
+/** And its former life's entry is gone after three heartbeats. */
+const ENTRY_LAPSE = 4_000;
 /** Without troubles at the end: everything has to be served again. */
 const CALM = 9_000;
 const CALL_INTERVAL = 60;
+const INSIST_INTERVAL = 900;
 /** A daemon that is paused for longer than the time in which it has to stop is killed by the platform. */
 const STOP_LIMIT = TIMING.stopGrace * MILLISECONDS_PER_SECOND + 2_000;
 
@@ -68,11 +51,13 @@
   readonly #writtenAt = new Map<number, number>();
   readonly #leavingSince = new Map<ServerStandIn, number>();
   readonly #evacuatedSince = new Map<string, number>();
+  readonly #deadly = new DeadlyRequests(this.#promises, {
+    isInTouch: (attemptId) => this.#isInTouch(attemptId),
+    replace: (server) => this.#replaceCrashed(server),
+  });
   #version = 0;
   #nextServer = 0;
-  /** Outages of the store that are under way. */
-  readonly #outages: { readonly mode: StoreMode }[] = [];
-  #storeTroubledAt = 0;
+  readonly #outages = new Outages(this.#store);
   #finished = false;
 
   constructor(options: SoakOptions) {
@@ -85,6 +70,9 @@
     await this.#start();
     this.#stalls.enable();
     const calls = this.#callers.map((caller) => this.#callAllTheTime(caller));
+    if (this.#options.isHarsh) {
+      calls.push(this.#insist());
+    }
     await pause(SETTLE);
     const startedAt = performance.now();
     const troubles: Promise<void>[] = [];
@@ -120,6 +108,8 @@
     const { daemons, servers } = this.#options;
     const storeAddress = await this.#store.start();
     this.#promises.onArrivalAt = (server, attemptId) => this.#checkArrival(server, attemptId);
+    this.#promises.onDeadly = (server, attemptId) =>
+      void this.#deadly.crash(server, server.service, attemptId);
     this.#change();
     for (let index = 0; index < servers; index += 1) {
       await this.#addServer('keyed');
@@ -132,7 +122,9 @@
         .map((port) => `127.0.0.1:${port}`) as [string, string, string, string];
       const places = { http, readiness, admin, peers };
       const settings = settingsOf(index, places, storeAddress);
-      const daemon = new DaemonProcess(`d${index}`, places, settings, this.#folder, this.#options.program);
+      const { program, isHarsh: suspends } = this.#options;
+      const process = { folder: this.#folder, program, suspends };
+      const daemon = new DaemonProcess(`d${index}`, places, settings, process);
       this.#daemons.push(daemon);
       this.#callers.push(new Caller(daemon, this.#promises));
       daemon.start();
@@ -145,12 +137,12 @@
     this.#writtenAt.set(this.#version, performance.now());
   }
 
-  async #addServer(service: 'keyed' | 'plain'): Promise<void> {
+  async #addServer(service: 'keyed' | 'plain', port = 0): Promise<void> {
     this.#nextServer += 1;
     const zone = ZONES[this.#nextServer % ZONES.length] as string;
     const isKeyed = service === 'keyed';
     const server = new ServerStandIn(`s${this.#nextServer}`, service, zone, isKeyed, this.#promises);
-    await server.start();
+    await server.start(port);
     this.#servers.push(server);
     this.#promises.servers.push(server);
     this.#putEntry(server, 'ready');
@@ -180,9 +172,7 @@
       case 'storeBusy':
         return this.#storeAway(trouble.kind === 'storeSilent' ? 'silent' : 'busy', trouble.lasts);
       case 'muteStore':
-        this.#store.muteConnections();
-        this.#storeTroubledAt = performance.now();
-        return;
+        return this.#outages.mute();
       case 'kill':
       case 'stop':
         return this.#replaceAll(trouble.daemons, trouble.kind, trouble.lasts);
@@ -199,18 +189,9 @@
   }
 
   async #storeAway(mode: StoreMode, lasts: number): Promise<void> {
-    const outage = { mode };
-    this.#outages.push(outage);
-    this.#applyOutages();
+    const end = this.#outages.begin(mode);
     await pause(lasts);
-    this.#outages.splice(this.#outages.indexOf(outage), 1);
-    this.#applyOutages();
-  }
-
-  /** Of outages that overlap, the last that began shows; the store is well when none is left. */
-  #applyOutages(): void {
-    this.#store.mode = this.#outages.at(-1)?.mode ?? 'well';
-    this.#storeTroubledAt = performance.now();
+    end();
   }
 
   async #replaceAll(indexes: readonly number[], how: 'kill' | 'stop', delay: number): Promise<void> {
@@ -274,7 +255,7 @@
   #inTouchSince(daemon: DaemonProcess, from: number): boolean {
     const { isRunning, paused, stopping, troubledAt } = daemon;
     const isCalm =
-      this.#outages.length === 0 && Math.max(troubledAt, this.#storeTroubledAt) + CONTACT <= from;
+      !this.#outages.areUnderWay && Math.max(troubledAt, this.#outages.troubledAt) + CONTACT <= from;
     return isCalm && isRunning && !paused && !stopping;
   }
 
@@ -287,6 +268,15 @@
     }
   }
 
+  /** A caller that comes again and again, each time at another daemon, with requests under which servers end. */
+  async #insist(): Promise<void> {
+    for (let turn = 0; !this.#finished; turn += 1) {
+      const caller = this.#callers[(turn * 7) % this.#callers.length];
+      void caller?.call(turn % 2 === 0 ? `/keyed/${DEADLY_MARK}` : `/once/${DEADLY_MARK}`, 77);
+      await pause(INSIST_INTERVAL);
+    }
+  }
+
   async #callOnce(caller: Caller, turn: number): Promise<void> {
     switch (turn % 4) {
       case 0:
@@ -335,13 +325,31 @@
     }
   }
 
+  /** Whether the daemon that sent a request is in touch now. */
+  #isInTouch(attemptId: string): boolean {
+    const daemon = this.#daemons.find(({ name }) => attemptId.startsWith(`${name}-`));
+    return daemon !== undefined && this.#inTouchSince(daemon, performance.now());
+  }
+
+  /** The entry of a server that has crashed lapses; another life comes at its address. */
+  async #replaceCrashed(server: ServerStandIn): Promise<void> {
+    this.#servers.splice(this.#servers.indexOf(server), 1);
+    this.#promises.servers.splice(this.#promises.servers.indexOf(server), 1);
+    await pause(SERVER_RESTART);
+    if (!this.#finished) {
+      await this.#addServer(server.keyed ? 'keyed' : 'plain', server.port);
+    }
+    await pause(ENTRY_LAPSE - SERVER_RESTART);
+    this.#store.remove('servers', server.id);
+  }
+
   /** A request reached a server: it must not be one that left, or whose zone is evacuated. */
   #checkArrival(server: ServerStandIn, attemptId: string): void {
-    const daemon = this.#daemons.find(({ name }) => attemptId.startsWith(`${name}-`));
     const now = performance.now();
-    if (daemon === undefined || !this.#inTouchSince(daemon, now)) {
+    if (!this.#isInTouch(attemptId)) {
       return;
     }
+
     const leavingSince = this.#leavingSince.get(server) ?? Number.POSITIVE_INFINITY;
     if (now > leavingSince + LEAVE) {
       this.#promises.fail('a leaving server gets nothing', `${attemptId} at ${server.id}`);
@@ -372,6 +380,7 @@
       requests: outcomes.length,
       answered: outcomes.filter(({ status }) => status === 200).length,
       versions: this.#version,
+      serverEnds: this.#deadly.ends,
       longestStall: Math.round(this.#stalls.max / NANOSECONDS_PER_MILLISECOND),
       troubles,
       folder: this.#folder,
