A request is the same whatever address it comes from

Cause: the fingerprint took in the caller's address, which servers never see; the same bytes from callers of several zones were counted as several requests. Change: method, host, target, credentials, body.

--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -137,7 +137,7 @@
     const method = incoming.method ?? 'GET';
     const host = incoming.headers.host ?? '';
     const target = incoming.url ?? '/';
-    const caller = headerValue(rawHeaders, this.#protocol.credentials) ?? incoming.socket.remoteAddress ?? '';
+    const credentials = headerValue(rawHeaders, this.#protocol.credentials);
     this.#dispatch({
       kind: 'requestArrived',
       requestId,
@@ -147,7 +147,7 @@
       target,
       callerPatience: this.#readPatience(rawHeaders),
       key,
-      fingerprint: new LazyFingerprint({ method, host, target, caller, body }),
+      fingerprint: new LazyFingerprint({ method, host, target, credentials, body }),
     });
   }
 
--- a/src/router-runtime/lazy-fingerprint.ts
+++ b/src/router-runtime/lazy-fingerprint.ts
@@ -7,8 +7,11 @@
   readonly method: string;
   readonly host: string;
   readonly target: string;
-  /** The caller's credentials, or its address where it sends none. */
-  readonly caller: string;
+  /**
+   * The caller's credentials, or null where it sends none. Its address is no part: servers never see it, and with it the ends under one
+   * request that came from several zones did not add up.
+   */
+  readonly credentials: string | null;
   readonly body: Buffer | null;
 }
 
@@ -21,7 +24,7 @@
  * 500 digests): only requests whose head is suspected pay for their bodies.
  *
  * @example
- * new LazyFingerprint({ method: 'GET', host: 'h.example', target: '/a', caller: '10.0.0.1', body: null }).value;
+ * new LazyFingerprint({ method: 'GET', host: 'h.example', target: '/a', credentials: null, body: null }).value;
  */
 export class LazyFingerprint implements RequestFingerprint {
   readonly #parts: FingerprintParts;
@@ -33,8 +36,8 @@
   }
 
   get head(): string {
-    const { method, host, target, caller, body } = this.#parts;
-    this.#head ??= digest(JSON.stringify([method, host, target, caller, body?.length ?? 0]));
+    const { method, host, target, credentials, body } = this.#parts;
+    this.#head ??= digest(JSON.stringify([method, host, target, credentials, body?.length ?? 0]));
     return this.#head;
   }
 
--- a/src/router/model/request-fingerprint.ts
+++ b/src/router/model/request-fingerprint.ts
@@ -1,8 +1,8 @@
-/** What makes two requests the same one: equal for every try of one caller, at any daemon. */
+/** What makes two requests the same one: all that a server sees of them, and equal for every try, at any daemon. */
 
 /** Worked out when it is first asked for: most requests never need it. Digests tell nothing of what they are made of. */
 export interface RequestFingerprint {
-  /** A digest of method, host, target, caller and the length of the body: a first look that never reads the body. */
+  /** A digest of method, host, target, credentials and the length of the body: a first look that never reads the body. */
   readonly head: string;
   /** The head, and a digest of the body. */
   readonly value: string;
--- a/test/router-runtime/test-lazy-fingerprint.ts
+++ b/test/router-runtime/test-lazy-fingerprint.ts
@@ -7,7 +7,7 @@
   method: 'POST',
   host: 'h.example',
   target: '/a/1',
-  caller: '10.0.0.1',
+  credentials: 'Bearer one',
   body: Buffer.from('abc'),
 };
 
@@ -22,7 +22,8 @@
       { method: 'PUT' },
       { host: 'g.example' },
       { target: '/a/2' },
-      { caller: '10.0.0.2' },
+      { credentials: 'Bearer two' },
+      { credentials: null },
       { body: Buffer.from('abd') },
       { body: null },
     ];
@@ -38,7 +39,7 @@
   });
 
   it('tells nothing of the parts', () => {
-    const { value } = new LazyFingerprint({ ...PARTS, caller: 'Bearer secret' });
+    const { value } = new LazyFingerprint({ ...PARTS, credentials: 'Bearer secret' });
     expect(/^[0-9a-f]+$/.test(value)).toEqual(true);
   });
 });
