--- /dev/null
+++ b/test/router/quarantine/test-server-ends.ts
@@ -0,0 +1,87 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import type { AttemptResult, ControlOutcome } from '../../../src/router/events.js';
+import { fingerprintOf } from '../support/fingerprints.js';
+import { server, SingleDaemon } from '../support/single-daemon.js';
+
+const BROKEN: AttemptResult = {
+  kind: 'lost',
+  reason: 'other side closed',
+  answerBegun: false,
+  connectionEnded: true,
+};
+const ANSWERED: AttemptResult = { kind: 'answered', status: 200, load: null };
+const REQUEST = '/book/1';
+const PLACE = 's1';
+/** Known to others in time only if it is known here by then: 3 s are allowed from an end to the last send. */
+const KNOWN_WITHIN = 1_700;
+
+/** A daemon whose request was at its only server, which ended the connection. */
+function afterBrokenConnection(): SingleDaemon {
+  const daemon = new SingleDaemon();
+  daemon.event({ kind: 'serversListed', servers: [server(PLACE)], revision: 6 });
+  daemon.arrive(1, REQUEST);
+  daemon.ticksUntil(daemon.now + 100);
+  daemon.ended(1, 1, BROKEN);
+  return daemon;
+}
+
+/** Lets time pass; probes come to an outcome at once. */
+function probed(daemon: SingleDaemon, outcome: ControlOutcome): void {
+  const end = daemon.now + KNOWN_WITHIN;
+  while (daemon.now < end) {
+    daemon.effects = [];
+    daemon.ticksUntil(daemon.now + 20);
+    for (const { callId } of daemon.only('control')) {
+      daemon.event({ kind: 'controlEnded', callId, outcome });
+    }
+  }
+}
+
+function ends(daemon: SingleDaemon): number {
+  return daemon.state.crashes.endsUnder(fingerprintOf(REQUEST));
+}
+
+describe('a server whose side ended the connection of a request', () => {
+  const outcomes: readonly [string, ControlOutcome, number][] = [
+    ['refuses connections', { kind: 'notSent', reason: 'refused', refused: true }, 1],
+    ['is another life', { kind: 'otherInstance' }, 1],
+    ['is not there at all', { kind: 'notSent', reason: 'connect timeout', refused: false }, 1],
+    ['answers nothing', { kind: 'unanswered', reason: 'timeout' }, 1],
+    ['answers', { kind: 'accepted', handover: null }, 0],
+  ];
+  for (const [name, outcome, expected] of outcomes) {
+    it(`has ${expected === 1 ? '' : 'not '}ended when it ${name}`, () => {
+      const daemon = afterBrokenConnection();
+      probed(daemon, outcome);
+      expect(ends(daemon)).toEqual(expected);
+    });
+  }
+
+  it('has ended when its entry goes', () => {
+    const daemon = afterBrokenConnection();
+    daemon.event({ kind: 'serversChanged', changes: [{ id: PLACE, server: null }], revision: 9 });
+    expect(ends(daemon)).toEqual(1);
+  });
+
+  it('has not ended when it answers what was sent afterwards', () => {
+    const daemon = afterBrokenConnection();
+    daemon.ticksUntil(daemon.now + 300);
+    daemon.arrive(2, '/read/2');
+    daemon.ended(2, 1, ANSWERED);
+    daemon.event({ kind: 'serversChanged', changes: [{ id: PLACE, server: null }], revision: 9 });
+    expect(ends(daemon)).toEqual(0);
+  });
+
+  it('ends as planned when it drains', () => {
+    const daemon = new SingleDaemon();
+    daemon.event({ kind: 'serversListed', servers: [server(PLACE)], revision: 6 });
+    daemon.arrive(1, REQUEST);
+    const draining = { ...server(PLACE), draining: true };
+    daemon.event({ kind: 'serversChanged', changes: [{ id: PLACE, server: draining }], revision: 8 });
+    daemon.ticksUntil(daemon.now + 100);
+    daemon.ended(1, 1, BROKEN);
+    probed(daemon, { kind: 'notSent', reason: 'refused', refused: true });
+    expect(ends(daemon)).toEqual(0);
+  });
+});
