A server that ended connections and answers no probe has ended

Cause: silence after a broken connection was left to the entry, which lapses about 4 s after the end, later than the bound allows. Change: three probes without an answer decide, 1.2 s after the end.

--- a/src/router/quarantine/server-ends.ts
+++ b/src/router/quarantine/server-ends.ts
@@ -1,6 +1,6 @@
 /**
  * Tells the end of a server's process from a connection that merely broke. When a server's side ends a connection under a request,
- * what follows decides: a refused connection, another life at the address, or the entry's end say that the process has
+ * what follows decides: a refused connection, another life at the address, the entry's end, or silence say that the process has
  * ended; an answer says that it has not. Whoever resets connections because it is full answers the next request or probe.
  */
 import type { AttemptResult, ControlOutcome } from '../events.js';
@@ -16,7 +16,10 @@
 const FIRST_PROBE: Milliseconds = 120;
 const PROBE_INTERVAL: Milliseconds = 400;
 const PROBE_PATIENCE: Milliseconds = 300;
-/** After so many probes without an answer the entry decides: the server is silent, not gone. */
+/**
+ * A server that ended connections and answers none of so many probes has ended: its entry would tell 4 s after, and the request must reach no
+ * more servers 3 s after.
+ */
 const MOST_PROBES = 3;
 /** The entry of a server that has crashed is gone by then: it lapses after three missed heartbeats. */
 const DECISION_TIME: Milliseconds = 10_000;
@@ -137,6 +140,10 @@
   state.serverEnds.probes.set(callId, id);
 }
 
+function isSilence({ kind }: ControlOutcome): boolean {
+  return kind === 'unanswered' || kind === 'notSent';
+}
+
 /** Whether a call that ended was a probe of this module; takes its outcome in. */
 export function receiveEndProbe(context: RouterContext, callId: number, outcome: ControlOutcome): boolean {
   const { serverEnds } = context.state;
@@ -155,6 +162,8 @@
     decide(context, entry, 'connections are refused');
   } else if (outcome.kind === 'accepted') {
     serverEnds.broken.delete(server);
+  } else if (entry.probes >= MOST_PROBES && isSilence(outcome)) {
+    decide(context, entry, 'no probe is answered');
   }
   return true;
 }
