Soak: callers of each daemon have an address of their own, and no daemon is started twice; less time for the table and the clock

The quarantine's tick looked at every record, 50 times a second; now at those with enough ends. Each event read the clocks twice. Not measured by itself.

--- a/src/clock/daemon-clock.ts
+++ b/src/clock/daemon-clock.ts
@@ -67,9 +67,8 @@
     return steady + this.#counted;
   }
 
-  /** A suspension that was noticed and not yet taken, or null. */
+  /** A suspension that was noticed when the clock was last read, and not yet taken; or null. */
   takeSuspension(): Suspension | null {
-    this.now();
     const suspension = this.#suspension;
     this.#suspension = null;
     return suspension;
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -109,11 +109,12 @@
 
   /** Takes one event through the reducer and performs the effects. */
   dispatch(event: RouterEvent): void {
+    const now = PROCESS_CLOCK.now();
     const suspension = PROCESS_CLOCK.takeSuspension();
     if (suspension !== null) {
-      this.#reduce({ kind: 'resumed', ...suspension });
+      this.#reduce(now, { kind: 'resumed', ...suspension });
     }
-    this.#reduce(event);
+    this.#reduce(now, event);
     const limits = this.state.configuration?.limits;
     if (limits !== undefined && limits !== this.#limits) {
       this.#limits = limits;
@@ -124,8 +125,8 @@
     }
   }
 
-  #reduce(event: RouterEvent): void {
-    for (const effect of reduce(this.state, PROCESS_CLOCK.now(), event)) {
+  #reduce(now: number, event: RouterEvent): void {
+    for (const effect of reduce(this.state, now, event)) {
       this.#perform(effect);
     }
   }
--- a/src/router/quarantine/crash-table.ts
+++ b/src/router/quarantine/crash-table.ts
@@ -87,6 +87,8 @@
   readonly #entries = new Map<string, Entry>();
   /** How many entries have each head. */
   readonly #heads = new Map<string, number>();
+  /** Those with enough ends that are not in quarantine yet: few, so that each tick can look at them. */
+  readonly #ripe = new Set<Entry>();
   /** For each server that ended, as far as that counts. */
   readonly #byServer = new Map<ServerId, Blame>();
 
@@ -165,7 +167,7 @@
 
   /** Puts requests into quarantine that have been suspected for long enough; returns their records. */
   confirmSuspicions(confirmation: Milliseconds, now: Milliseconds): CrashRecord[] {
-    return [...this.#entries.values()]
+    return [...this.#ripe]
       .filter(({ suspectedAt }) => now - suspectedAt >= confirmation)
       .filter((entry) => spanOf(entry) >= LONGEST_BURST && this.#confirm(entry))
       .map((entry) => recordOf(entry, now));
@@ -235,6 +237,9 @@
     }
     entry.suspectedAt = entry.ended.size === 0 ? now : entry.suspectedAt;
     entry.ended.set(server, at);
+    if (entry.ended.size >= CRASHES_FOR_QUARANTINE && !entry.quarantined) {
+      this.#ripe.add(entry);
+    }
     const blame = this.#byServer.get(server) ?? { fingerprints: new Set(), heardAt: now };
     blame.fingerprints.add(entry.fingerprint);
     this.#byServer.set(server, blame);
@@ -269,9 +274,12 @@
     return true;
   }
 
-  #dropEnd({ ended, fingerprint }: Entry, server: ServerId): void {
-    ended.delete(server);
-    this.#forgetBlame(server, fingerprint);
+  #dropEnd(entry: Entry, server: ServerId): void {
+    entry.ended.delete(server);
+    if (entry.ended.size < CRASHES_FOR_QUARANTINE) {
+      this.#ripe.delete(entry);
+    }
+    this.#forgetBlame(server, entry.fingerprint);
   }
 
   #forgetBlame(server: ServerId, fingerprint: string): void {
@@ -289,6 +297,7 @@
     }
     entry.quarantined = true;
     entry.refusals = 0;
+    this.#ripe.delete(entry);
     return true;
   }
 
@@ -296,8 +305,10 @@
     entry.changedAt = now;
     this.#entries.delete(entry.fingerprint);
     this.#entries.set(entry.fingerprint, entry);
-    this.#removeOldest(true, MOST_QUARANTINES);
-    this.#removeOldest(false, MOST_SUSPICIONS);
+    if (this.#entries.size > Math.min(MOST_QUARANTINES, MOST_SUSPICIONS)) {
+      this.#removeOldest(true, MOST_QUARANTINES);
+      this.#removeOldest(false, MOST_SUSPICIONS);
+    }
   }
 
   /** A quarantine never goes for a suspicion. */
--- a/test/clock/test-daemon-clock.ts
+++ b/test/clock/test-daemon-clock.ts
@@ -39,10 +39,11 @@
     machine.run(6_000);
     const before = machine.clock.now();
     machine.suspended += 4_000;
+    machine.clock.now();
     machine.clock.takeSuspension();
     machine.suspended += 300;
-    expect(machine.clock.takeSuspension()?.length).toEqual(300);
     expect(machine.clock.now() - before).toEqual(4_300);
+    expect(machine.clock.takeSuspension()?.length).toEqual(300);
   });
 
   it('takes no notice of a time of day that is set, ahead or back', () => {
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -288,6 +288,7 @@
       this.clock.after(daemon.frozenUntil - this.clock.now, () => this.#deliver(daemon, life, event));
       return;
     }
+    daemon.clock.now();
     const suspension = daemon.clock.takeSuspension();
     if (suspension !== null) {
       this.#reduce(daemon, { kind: 'resumed', ...suspension });
--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -13,12 +13,15 @@
 export class Caller {
   readonly daemon: DaemonProcess;
   readonly #promises: Promises;
+  /** Of its connections: callers of each daemon come from an address of their own. */
+  readonly #address: string;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS });
   #next = 1;
 
-  constructor(daemon: DaemonProcess, promises: Promises) {
+  constructor(daemon: DaemonProcess, promises: Promises, address: string) {
     this.daemon = daemon;
     this.#promises = promises;
+    this.#address = address;
   }
 
   /** Sends a request; resolves with what became of it. */
@@ -57,7 +60,8 @@
       'fennelferry-deadline-ms': String(TIMEOUT_MILLISECONDS),
       'fennelferry-shard-key': String(key % (LAST_KEY + 1)),
     };
-    const sent = request({ host, port, path, method, headers, agent: this.#agent }, (answer) => {
+    const place = { host, port, path, localAddress: this.#address, agent: this.#agent };
+    const sent = request({ ...place, method, headers }, (answer) => {
       const chunks: Buffer[] = [];
       answer.on('data', (chunk: Buffer) => chunks.push(chunk));
       answer.on('end', () =>
--- a/test/soak/daemon-process.ts
+++ b/test/soak/daemon-process.ts
@@ -52,7 +52,11 @@
     return this.#child !== null;
   }
 
+  /** Starts a process, unless two troubles have each started one: nobody would end the first. */
   start(): void {
+    if (this.#child !== null) {
+      return;
+    }
     const path = join(this.#folder, `${this.name}.json`);
     writeFileSync(path, JSON.stringify({ ...this.#settings, firstStart: this.#starts === 0 }));
     this.#starts += 1;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -33,6 +33,8 @@
 const ENTRY_LAPSE = 4_000;
 /** Without troubles at the end: everything has to be served again. */
 const CALM = 9_000;
+/** Last part of the first caller's address. */
+const FIRST_CALLER = 2;
 const CALL_INTERVAL = 60;
 const INSIST_INTERVAL = 900;
 /** A daemon that is paused for longer than the time in which it has to stop is killed by the platform. */
@@ -126,7 +128,7 @@
       const process = { folder: this.#folder, program, suspends };
       const daemon = new DaemonProcess(`d${index}`, places, settings, process);
       this.#daemons.push(daemon);
-      this.#callers.push(new Caller(daemon, this.#promises));
+      this.#callers.push(new Caller(daemon, this.#promises, `127.0.0.${index + FIRST_CALLER}`));
       daemon.start();
     }
   }
