--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -3,6 +3,7 @@
  * this request, a rejection, or something that tells nothing. Short answers are kept until they are whole.
  */
 import type { AttemptResult, LoadReading } from '../router/events.js';
+import type { ServerNotice } from '../router/model/server-notice.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { headerValue } from './headers.js';
 import type { ServerConnection } from './server-connections.js';
@@ -38,14 +39,20 @@
   breakOff(): void;
 }
 
-type Finish = (result: AttemptResult, reusable: boolean) => void;
+/** Told how an attempt goes. */
+export interface AttemptListener {
+  /** The answer's head, or its trailers, say something of the server: told at once, however the attempt ends. */
+  noticed(notice: ServerNotice): void;
+  /** Called once. `reusable`: so is the connection. */
+  finished(result: AttemptResult, reusable: boolean): void;
+}
 
 export class Attempt {
   readonly #request: OutgoingRequest;
   readonly #protocol: RequestProtocol;
   readonly #sink: AnswerSink;
   readonly #connection: ServerConnection;
-  readonly #finish: Finish;
+  readonly #listener: AttemptListener;
   #finished = false;
   #sent = false;
   #abort: ((reason?: Error) => void) | undefined;
@@ -61,13 +68,13 @@
     protocol: RequestProtocol,
     connection: ServerConnection,
     sink: AnswerSink,
-    finish: Finish,
+    listener: AttemptListener,
   ) {
     this.#request = request;
     this.#protocol = protocol;
     this.#connection = connection;
     this.#sink = sink;
-    this.#finish = finish;
+    this.#listener = listener;
   }
 
   /** Sends the request. */
@@ -79,7 +86,7 @@
         onConnect: (abort) => this.#onConnect(abort),
         onHeaders: (status, raw, resume) => this.#onHeaders(status, raw, resume),
         onData: (chunk) => this.#onData(chunk),
-        onComplete: () => this.#onComplete(),
+        onComplete: (trailers) => this.#onComplete(trailers),
         onError: (error) => this.#onError(error),
       },
     );
@@ -93,7 +100,7 @@
         this.#sink.breakOff();
       }
       this.#abort?.(new Error('cancelled'));
-      this.#finish(this.#lost('cancelled', false), false);
+      this.#listener.finished(this.#lost('cancelled', false), false);
     }
   }
 
@@ -114,6 +121,7 @@
     this.#status = status;
     this.#resume = resume;
     this.#rawHeaders = raw.map((part) => part.toString('latin1'));
+    this.#readNotice(this.#rawHeaders);
     const echoed = headerValue(this.#rawHeaders, this.#protocol.attemptId);
     const isForeign = echoed !== null && echoed !== this.#request.attemptId;
     const needsEcho = status < FIRST_FAILURE_STATUS;
@@ -140,10 +148,13 @@
     return this.#sink.begin(this.#status, this.#rawHeaders, begun, () => this.#resume());
   }
 
-  #onComplete(): void {
+  #onComplete(trailers: readonly (Buffer | string)[] | null): void {
     if (this.#finished) {
       return;
     }
+    if (trailers !== null && trailers.length > 0) {
+      this.#readNotice(trailers.map((part) => part.toString('latin1')));
+    }
     const endsWithConnection = this.#endsWithConnection();
     if (endsWithConnection && this.#connection.failed) {
       this.#fail('the answer was reset', true);
@@ -153,14 +164,21 @@
     const reusable = !endsWithConnection;
     if (this.#streaming) {
       this.#sink.end();
-      this.#finish(this.#answered(), reusable);
+      this.#listener.finished(this.#answered(), reusable);
       return;
     }
     const result = this.#classify();
     if (result.kind === 'answered') {
       this.#sink.whole(this.#status, this.#rawHeaders, Buffer.concat(this.#chunks), reusable);
     }
-    this.#finish(result, reusable);
+    this.#listener.finished(result, reusable);
+  }
+
+  #readNotice(raw: readonly string[]): void {
+    const notice = this.#protocol.readNotice(this.#status, raw);
+    if (notice !== null) {
+      this.#listener.noticed(notice);
+    }
   }
 
   #endsWithConnection(): boolean {
@@ -201,13 +219,16 @@
     const code = error.code ?? '';
     this.#finished = true;
     if (!this.#sent) {
-      this.#finish({ kind: 'notSent', reason: error.message, refused: code === 'ECONNREFUSED' }, false);
+      this.#listener.finished(
+        { kind: 'notSent', reason: error.message, refused: code === 'ECONNREFUSED' },
+        false,
+      );
       return;
     }
     if (this.#streaming) {
       this.#sink.breakOff();
     }
-    this.#finish(this.#lost(error.message, ENDED_CODES.has(code)), false);
+    this.#listener.finished(this.#lost(error.message, ENDED_CODES.has(code)), false);
   }
 
   #lost(reason: string, connectionEnded: boolean): AttemptResult {
@@ -220,6 +241,6 @@
       this.#sink.breakOff();
     }
     this.#abort?.(new Error(reason));
-    this.#finish(this.#lost(reason, connectionEnded), false);
+    this.#listener.finished(this.#lost(reason, connectionEnded), false);
   }
 }
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -8,7 +8,7 @@
 import type { CallerLimits } from '../router/model/configuration.js';
 import { LAST_KEY } from '../router/model/identifiers.js';
 import type { RequestProtocol } from '../router/ports.js';
-import { Attempt, type AnswerSink } from './attempt.js';
+import { Attempt, type AnswerSink, type AttemptListener } from './attempt.js';
 import { forwardedHeaders, headerValue } from './headers.js';
 import { LazyFingerprint } from './lazy-fingerprint.js';
 import { listen } from './listen.js';
@@ -195,15 +195,18 @@
     headers.push(this.#protocol.timeLeft, String(Math.max(1, Math.floor(effect.timeLeft))));
     headers.push(this.#protocol.expectedServer, effect.server);
     const request = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers, body, attemptId };
-    const finish = (result: AttemptResult, reusable: boolean): void => {
-      this.#connections.release(effect.address, connection, reusable);
-      if (exchange.attempt === attempt) {
-        exchange.attempt = null;
-      }
-      this.#attemptEnded(effect, result);
+    const listener: AttemptListener = {
+      noticed: (notice) => this.#dispatch({ kind: 'serverNoticed', server: effect.server, notice }),
+      finished: (result, reusable) => {
+        this.#connections.release(effect.address, connection, reusable);
+        if (exchange.attempt === attempt) {
+          exchange.attempt = null;
+        }
+        this.#attemptEnded(effect, result);
+      },
     };
     const sink = this.#sinkFor(exchange);
-    const attempt = new Attempt(request, this.#protocol, connection, sink, finish);
+    const attempt = new Attempt(request, this.#protocol, connection, sink, listener);
     exchange.attempt = attempt;
     exchange.attemptNumber = effect.attempt;
     attempt.start();
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -203,7 +203,9 @@
   }
 
   async #control(effect: ControlEffect): Promise<void> {
-    const outcome = await this.#platform.control.call(effect);
+    const outcome = await this.#platform.control.call(effect, (notice) =>
+      this.dispatch({ kind: 'serverNoticed', server: effect.server, notice }),
+    );
     this.dispatch({ kind: 'controlEnded', callId: effect.callId, outcome });
   }
 
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -1,8 +1,9 @@
 /** Everything that can happen to a daemon. The reducer knows nothing else of the world. */
 import type { Configuration } from './model/configuration.js';
-import type { FeedName, Key, Milliseconds } from './model/identifiers.js';
+import type { FeedName, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { RequestFingerprint } from './model/request-fingerprint.js';
 import type { ServerDescription } from './model/server.js';
+import type { ServerNotice } from './model/server-notice.js';
 import type { EvacuationStatement } from './news/zone-evacuations.js';
 import type { PeerMessage, ServerChange } from './peers/messages.js';
 import type { ReportedLoad } from './request/server-load.js';
@@ -171,6 +172,13 @@
       readonly connectionEnded: boolean;
     };
 
+/** An answer of a server, to a request, a probe or a call, says something of the server itself. */
+export interface ServerNoticedEvent {
+  readonly kind: 'serverNoticed';
+  readonly server: ServerId;
+  readonly notice: ServerNotice;
+}
+
 /** A message from another daemon. */
 export interface PeerMessageEvent {
   readonly kind: 'peerMessage';
@@ -227,6 +235,7 @@
   | RequestArrivedEvent
   | CallerLeftEvent
   | AttemptEndedEvent
+  | ServerNoticedEvent
   | PeerMessageEvent
   | PeerLeftEvent
   | ParentLinkOpenedEvent
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -39,6 +39,18 @@
   server_added: { when: 'a server is listed', fields: 'server, service, address, zone, slots, revision' },
   server_draining: { when: 'a server leaves: it gets no new work', fields: 'the same' },
   server_ready: { when: 'a draining server takes work again', fields: 'the same' },
+  server_says_leaving: {
+    when: 'the first answer of a server, to whatever, that says that it leaves',
+    fields: 'server, service, address',
+  },
+  server_asks_rest: {
+    when: 'a server rejects with a time for which it wants nothing from this daemon',
+    fields: 'server, service, milliseconds',
+  },
+  malformed_rest_request: {
+    when: 'the first time that a server of a service asks for a rest that cannot be read',
+    fields: 'server, service, found',
+  },
   server_gone: { when: 'a server is no longer listed', fields: 'server, service, revision' },
   zone_evacuated: {
     when: 'operators evacuate a zone: its servers get nothing more',
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from './model/configuration.js';
 import type { Milliseconds } from './model/identifiers.js';
 import type { ServerDescription } from './model/server.js';
+import type { ServerNotice } from './model/server-notice.js';
 import type { ReportedLoad } from './request/server-load.js';
 
 /** The daemons' own objects, written by compare-and-swap. Calls never throw. */
@@ -52,9 +53,10 @@
   readonly evacuations: FeedSource<string>;
 }
 
-/** Grants and releases at servers. Calls never throw. */
+/** Grants, releases and probes at servers. Calls never throw. */
 export interface ServerControl {
-  call(effect: ControlEffect): Promise<ControlOutcome>;
+  /** Tells of a notice in the answer before the outcome. */
+  call(effect: ControlEffect, onNotice: (notice: ServerNotice) => void): Promise<ControlOutcome>;
 }
 
 /** Names of headers, in lower case, and how their values are read. */
@@ -75,6 +77,8 @@
   readonly load: string;
   /** Reads the value of the load header; null when it is malformed. */
   parseLoad(value: string): ReportedLoad | null;
+  /** Reads what an answer with this status and these raw headers, or trailers, says of its server; null: nothing. */
+  readNotice(status: number, rawHeaders: readonly string[]): ServerNotice | null;
   /** Path at which readiness is asked for. */
   readonly readinessPath: string;
 }
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -38,6 +38,7 @@
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
 import { doubtRead, doubtWrite, resume } from './resume.js';
 import { RouterContext } from './router-context.js';
+import { receiveServerNotice } from './server-notices.js';
 import type { RouterState } from './router-state.js';
 import { forgetChild, receiveReport } from './tree/children.js';
 import { tickHeartbeats } from './tree/heartbeats.js';
@@ -66,6 +67,8 @@
       return receiveRequest(context, event);
     case 'attemptEnded':
       return receiveAttemptEnded(context, event);
+    case 'serverNoticed':
+      return receiveServerNotice(context, event);
     case 'callerLeft':
       return receiveCallerLeft(context, event.requestId);
     case 'configuration':
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -12,6 +12,8 @@
 export class ServiceProfile {
   /** A server of the service has told of its load what cannot be read, and the log says so. */
   saidUnreadable = false;
+  /** The same of a rest that it asked for. */
+  saidUnreadableRest = false;
   #mean: Milliseconds = FIRST_TIME;
   #times = 0;
 
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -67,6 +67,8 @@
   readonly knownSince: Milliseconds;
   /** When this daemon learned that it drains, or null. */
   drainingSince: Milliseconds | null;
+  /** When an answer first said that it leaves, or null. */
+  saidLeavingAt: Milliseconds | null;
 }
 
 export interface RouterState {
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -119,6 +119,7 @@
       coldAdmission: new ColdAdmission(context.state.random.fraction()),
       knownSince: context.now,
       drainingSince: server.draining ? context.now : null,
+      saidLeavingAt: null,
     };
     servers.set(server.id, added);
     const ofService = serversByService.get(server.service) ?? new Map<ServerId, KnownServer>();
--- /dev/null
+++ b/src/router/server-notices.ts
@@ -0,0 +1,49 @@
+/** Takes in what servers say of themselves in answers: once a server and life for leaving, once a rest for rest. */
+import type { ServerNoticedEvent } from './events.js';
+import type { RestReading } from './model/server-notice.js';
+import type { RouterContext } from './router-context.js';
+import type { KnownServer } from './router-state.js';
+
+/** Characters of a value that cannot be read that are logged. */
+const LONGEST_QUOTE = 60;
+
+/** An answer of a server said that it leaves, or that it wants rest. */
+export function receiveServerNotice(context: RouterContext, { server, notice }: ServerNoticedEvent): void {
+  const known = context.state.servers.get(server);
+  if (known === undefined) {
+    return;
+  }
+  if (notice.leaving) {
+    noteLeaving(context, known);
+  }
+  noteRest(context, known, notice.rest);
+}
+
+function noteLeaving(context: RouterContext, known: KnownServer): void {
+  context.state.counters.leaving_answers += 1;
+  if (known.saidLeavingAt === null) {
+    known.saidLeavingAt = context.now;
+    const { id, service, address } = known.server;
+    context.log('server_says_leaving', { server: id, service, address });
+  }
+}
+
+function noteRest(context: RouterContext, known: KnownServer, rest: RestReading): void {
+  const { counters, profiles } = context.state;
+  const { id, service } = known.server;
+  if (rest === null) {
+    return;
+  }
+  if (typeof rest === 'number') {
+    counters.rest_requests += 1;
+    context.log('server_asks_rest', { server: id, service, milliseconds: Math.round(rest) });
+    return;
+  }
+  counters.malformed_rest_requests += 1;
+  const profile = profiles.get(service);
+  if (profile?.saidUnreadableRest === false) {
+    profile.saidUnreadableRest = true;
+    const found = rest.unreadable.slice(0, LONGEST_QUOTE);
+    context.log('malformed_rest_request', { server: id, service, found }, 'warn');
+  }
+}
--- a/test/platform/test-server-api.ts
+++ b/test/platform/test-server-api.ts
@@ -5,7 +5,10 @@
 import { ServerApi } from '../../platform/server-api.js';
 import { MutingServer } from '../support/muting-server.js';
 import type { ControlEffect } from '../../src/router/effects.js';
+import type { ServerNotice } from '../../src/router/model/server-notice.js';
 
+/** For calls whose answers' notices don't matter. */
+const IGNORE = (): void => undefined;
 const EMPTY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
 const LONG_PATIENCE = 30_000;
 const SHORT_PATIENCE = 60;
@@ -64,10 +67,10 @@
         });
       });
     });
-    expect(await api.call(grant(LONG_PATIENCE))).toEqual({ kind: 'accepted', handover: null });
+    expect(await api.call(grant(LONG_PATIENCE), IGNORE)).toEqual({ kind: 'accepted', handover: null });
     // The connection is at rest again, and taken for the next call, a turn of the loop after its answer.
     await new Promise((resolve) => setImmediate(resolve));
-    expect((await api.call(grant(SHORT_PATIENCE))).kind).toEqual('unanswered');
+    expect((await api.call(grant(SHORT_PATIENCE), IGNORE)).kind).toEqual('unanswered');
     expect(await ended).toEqual('ECONNRESET');
     api.close();
   });
@@ -84,11 +87,14 @@
         socket.write(EMPTY_ANSWER);
       });
     });
-    const givenUp = api.call(grant(NO_PATIENCE, GIVEN_UP_FENCE));
+    const givenUp = api.call(grant(NO_PATIENCE, GIVEN_UP_FENCE), IGNORE);
     blockLoop();
     expect((await givenUp).kind).toEqual('unanswered');
     // A later call is written after all that the first one could have left behind.
-    expect(await api.call(grant(LONG_PATIENCE, LATER_FENCE))).toEqual({ kind: 'accepted', handover: null });
+    expect(await api.call(grant(LONG_PATIENCE, LATER_FENCE), IGNORE)).toEqual({
+      kind: 'accepted',
+      handover: null,
+    });
     expect(received.includes(`"fence":${LATER_FENCE}`)).toEqual(true);
     expect(received.includes(`"fence":${GIVEN_UP_FENCE}`)).toEqual(false);
     api.close();
@@ -101,16 +107,31 @@
     address = muting.address;
     const api = new ServerApi();
     muting.holdUntil(connections);
-    await Promise.all(Array.from({ length: connections }, () => api.call(grant(LONG_PATIENCE))));
+    await Promise.all(Array.from({ length: connections }, () => api.call(grant(LONG_PATIENCE), IGNORE)));
     expect(muting.connections).toEqual(connections);
     await new Promise((resolve) => setImmediate(resolve));
     muting.mute();
-    expect((await api.call(grant(SHORT_PATIENCE))).kind).toEqual('unanswered');
-    expect((await api.call(grant(1_000))).kind).toEqual('accepted');
+    expect((await api.call(grant(SHORT_PATIENCE), IGNORE)).kind).toEqual('unanswered');
+    expect((await api.call(grant(1_000), IGNORE)).kind).toEqual('accepted');
     api.close();
   });
-});
 
+  it('tells what the answer to a call or a probe says of the server', async () => {
+    const head = 'Server-Leaving: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n';
+    server.on('connection', (socket) =>
+      socket.on('data', () => socket.write(`HTTP/1.1 503 Full\r\n${head}\r\n`)),
+    );
+    const api = new ServerApi();
+    const notices: ServerNotice[] = [];
+    await api.call(grant(LONG_PATIENCE), (notice) => notices.push(notice));
+    await api.call({ ...grant(LONG_PATIENCE), action: 'probe' }, (notice) => notices.push(notice));
+    expect(notices).toEqual([
+      { leaving: true, rest: 2_000 },
+      { leaving: true, rest: 2_000 },
+    ]);
+    api.close();
+  });
+});
 /** Keeps the loop busy, so that a timer that is due runs before a connection that has come up is noticed. */
 function blockLoop(): void {
   const until = performance.now() + BLOCKED_MILLISECONDS;
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -1,9 +1,10 @@
 import { expect } from 'earl';
 import { afterEach, describe, it } from 'node:test';
 import type { Socket } from 'node:net';
-import { Attempt, type AnswerSink } from '../../src/router-runtime/attempt.js';
+import { Attempt, type AnswerSink, type AttemptListener } from '../../src/router-runtime/attempt.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { AttemptResult } from '../../src/router/events.js';
+import type { ServerNotice } from '../../src/router/model/server-notice.js';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
 
@@ -15,6 +16,7 @@
   readonly reusable: boolean;
   readonly body: string | null;
   readonly hasLength: boolean;
+  readonly notices: readonly ServerNotice[];
 }
 
 let server: RawServer | undefined;
@@ -51,11 +53,15 @@
       body: null,
       attemptId: ID,
     };
-    const finish = (result: AttemptResult, reusable: boolean): void => {
-      connections.release(address, connection, reusable);
-      resolve({ result, reusable, body, hasLength });
+    const notices: ServerNotice[] = [];
+    const listener: AttemptListener = {
+      noticed: (notice) => notices.push(notice),
+      finished: (result, reusable) => {
+        connections.release(address, connection, reusable);
+        resolve({ result, reusable, body, hasLength, notices });
+      },
     };
-    new Attempt(request, REQUEST_PROTOCOL, connection, sink, finish).start();
+    new Attempt(request, REQUEST_PROTOCOL, connection, sink, listener).start();
   });
 }
 
@@ -105,6 +111,32 @@
     expect(outcome.body).toEqual(null);
   });
 
+  it('tells what the head and the trailers say of the server, whatever becomes of the answer', async () => {
+    const whole = await answerTo((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${OWN}Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n`);
+    });
+    expect(whole.notices).toEqual([{ leaving: true, rest: null }]);
+    await server?.close();
+    const rejected = await answerTo((socket) => {
+      const head = 'Fennelferry-Not-Executed: 1\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n';
+      socket.write(`HTTP/1.1 503 Full\r\n${head}\r\n`);
+    });
+    expect(rejected.notices).toEqual([{ leaving: false, rest: 2_500 }]);
+    await server?.close();
+    const broken = await answerTo((socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${OWN}Server-Leaving: 1\r\nContent-Length: 10\r\n\r\npart`);
+    });
+    expect(broken.result.kind).toEqual('lost');
+    expect(broken.notices).toEqual([{ leaving: true, rest: null }]);
+    await server?.close();
+    const trailing = await answerTo((socket) => {
+      const head = `${OWN}Transfer-Encoding: chunked\r\nTrailer: Server-Leaving\r\n`;
+      socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n2\r\nok\r\n0\r\nServer-Leaving: 1\r\n\r\n`);
+    });
+    expect(trailing.result.kind).toEqual('answered');
+    expect(trailing.notices).toEqual([{ leaving: true, rest: null }]);
+  });
+
   it('does not pass the answer to another request on', async () => {
     const outcome = await answerTo((socket) => {
       const head = 'Fennelferry-Attempt-Id: other\r\nFennelferry-Server-Seal: s.1\r\nContent-Length: 4\r\n';
