Servers that say in an answer that they leave get no work after the bound; all daemons hear of it along the tree

Cause: nothing read the header, so that with the store away the only word of leaving, the server's entry, came 12 s late. Now each answer's notice counts from its head's arrival, the earliest moment wins, and no entry takes it back. One message a link and server; the leader moves keys at once. While all of a service leave, they get work for half of the bound. Ruled out: requests that were held or retried (one attempt each, answered in 40 and 68 ms).

--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -40,8 +40,9 @@
   server_draining: { when: 'a server leaves: it gets no new work', fields: 'the same' },
   server_ready: { when: 'a draining server takes work again', fields: 'the same' },
   server_says_leaving: {
-    when: 'the first answer of a server, to whatever, that says that it leaves',
-    fields: 'server, service, address',
+    when: 'the first answer of a server, to whatever, that says that it leaves: it gets new work for a short time only',
+    fields:
+      'server, service, address, source (answer: to this daemon; or the daemon above or below that told), age (ms)',
   },
   server_asks_rest: {
     when: 'a server rejects with a time for which it wants nothing from this daemon',
--- a/src/router/server-notices.ts
+++ b/src/router/notices/server-notices.ts
@@ -1,30 +1,21 @@
-/** Takes in what servers say of themselves in answers: once a server and life for leaving, once a rest for rest. */
-import type { ServerNoticedEvent } from './events.js';
-import type { RestReading } from './model/server-notice.js';
-import type { RouterContext } from './router-context.js';
-import type { KnownServer } from './router-state.js';
+/** Takes in what servers say of themselves in answers. */
+import type { ServerNoticedEvent } from '../events.js';
+import type { RestReading } from '../model/server-notice.js';
+import type { RouterContext } from '../router-context.js';
+import type { KnownServer } from '../router-state.js';
+import { noteLeavingAnswer } from './leaving-news.js';
 
 /** Characters of a value that cannot be read that are logged. */
 const LONGEST_QUOTE = 60;
 
 /** An answer of a server said that it leaves, or that it wants rest. */
 export function receiveServerNotice(context: RouterContext, { server, notice }: ServerNoticedEvent): void {
-  const known = context.state.servers.get(server);
-  if (known === undefined) {
-    return;
-  }
   if (notice.leaving) {
-    noteLeaving(context, known);
+    noteLeavingAnswer(context, server);
   }
-  noteRest(context, known, notice.rest);
-}
-
-function noteLeaving(context: RouterContext, known: KnownServer): void {
-  context.state.counters.leaving_answers += 1;
-  if (known.saidLeavingAt === null) {
-    known.saidLeavingAt = context.now;
-    const { id, service, address } = known.server;
-    context.log('server_says_leaving', { server: id, service, address });
+  const known = context.state.servers.get(server);
+  if (known !== undefined) {
+    noteRest(context, known, notice.rest);
   }
 }
 
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -20,9 +20,10 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-function eligible(context: RouterContext, leadership: Leadership, { server }: KnownServer): boolean {
+function eligible(context: RouterContext, leadership: Leadership, known: KnownServer): boolean {
+  const { server, drainingSince } = known;
   const lease = leaseOf(leadership, server.id);
-  const isLeaving = server.draining || context.state.evacuations.has(server.zone);
+  const isLeaving = drainingSince !== null || context.state.evacuations.has(server.zone);
   return !isLeaving && !lease.silent && !lease.ended;
 }
 
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
+import type { LeavingServer } from '../notices/leaving-servers.js';
 import type { CrashRecord } from '../quarantine/crash-table.js';
 import type { EvacuationStatement } from '../news/zone-evacuations.js';
 
@@ -138,5 +139,19 @@
   readonly records: CrashRecord[];
 }
 
+/** Servers that leave, as answers said it: what is new, or all there is for a daemon that has just connected. */
+export interface LeavingNews {
+  readonly kind: 'leavingNews';
+  readonly servers: LeavingServer[];
+}
+
 export type PeerMessage =
-  Report | Heartbeat | LeaderNotice | Ownership | Redirect | ServerNews | ConfigurationNews | CrashNews;
+  | Report
+  | Heartbeat
+  | LeaderNotice
+  | Ownership
+  | Redirect
+  | ServerNews
+  | ConfigurationNews
+  | CrashNews
+  | LeavingNews;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -26,6 +26,8 @@
 import * as news from './news/spread-news.js';
 import { takeEvacuationChanges, takeEvacuationList } from './news/take-evacuations.js';
 import { tickStoreFollowing } from './news/store-following.js';
+import { describeLeaving, receiveLeavingNews } from './notices/leaving-news.js';
+import { receiveServerNotice } from './notices/server-notices.js';
 import * as quarantine from './quarantine/quarantine.js';
 import { noteListedServers, receiveEndProbe, tickServerEnds } from './quarantine/server-ends.js';
 import {
@@ -38,7 +40,6 @@
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
 import { doubtRead, doubtWrite, resume } from './resume.js';
 import { RouterContext } from './router-context.js';
-import { receiveServerNotice } from './server-notices.js';
 import type { RouterState } from './router-state.js';
 import { forgetChild, receiveReport } from './tree/children.js';
 import { tickHeartbeats } from './tree/heartbeats.js';
@@ -139,6 +140,10 @@
   if (crashes !== null) {
     context.emit({ kind: 'sendToParent', message: crashes });
   }
+  const leaving = describeLeaving(context);
+  if (leaving !== null) {
+    context.emit({ kind: 'sendToParent', message: leaving });
+  }
 }
 
 function takeSettings(context: RouterContext, { bounds, faults }: SettingsReadEvent): void {
@@ -233,5 +238,7 @@
       return tickEarlyRequests(context);
     case 'crashNews':
       return quarantine.receiveCrashNews(context, message, source);
+    case 'leavingNews':
+      return receiveLeavingNews(context, message, source);
   }
 }
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -1,11 +1,11 @@
 /** Where a request goes now: to the owner of its key, or to the server that should answer first. */
-import type { Milliseconds, ServiceName } from '../model/identifiers.js';
+import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import { noteOverload } from '../tree/reports.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
 import { turnInterval } from './cold-admission.js';
-import { mayStartCold, selectServer } from './server-selection.js';
+import { mayStartCold, selectServer, type SelectionContext } from './server-selection.js';
 import { FULL_RETRY_AFTER } from './request-timing.js';
 
 /** Requests that may wait at a server for each of its slots before it counts as full. */
@@ -14,7 +14,10 @@
 const USEFUL_PART = 0.95;
 /** Part of the connections that a server takes which the daemons use together. */
 const CONNECTION_PART = 0.9;
-/** Keyed requests follow an owner that drains, or whose zone is evacuated, this part of the allowed time: its keys move. */
+/**
+ * Requests follow an owner that leaves, or whose zone is evacuated, this part of the allowed time: its keys move. The rest is for
+ * connections that take long to come up, so that no request arrives after the time.
+ */
 const LEAVING_PART = 0.5;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
 
@@ -79,8 +82,11 @@
     return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
   const { drainingSince, load } = known;
-  if (drainingSince !== null && context.now - drainingSince > bounds.drain * LEAVING_PART) {
-    return { reason: `the owner ${unit.owner} is leaving`, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  const leavingFor = drainingSince === null ? 0 : context.now - drainingSince;
+  if (leavingFor > bounds.drain * LEAVING_PART) {
+    // Keys that have not moved by the bound wait for the store: no caller should wait with them.
+    const hold = leavingFor <= bounds.drain;
+    return { reason: `the owner ${unit.owner} is leaving`, hold, retryAfter: OWNER_RETRY_AFTER };
   }
   const evacuatedFor = evacuations.age(known.server.zone, context.now);
   if (evacuatedFor !== null && evacuatedFor > (bounds.evacuation ?? 0) * LEAVING_PART) {
@@ -104,8 +110,27 @@
   return known;
 }
 
+/** Of the servers that stay; while all of a service leave at once, of those that have done so for a short time. */
+function chooseServer(
+  candidates: ReadonlyMap<ServerId, KnownServer>,
+  selection: SelectionContext,
+  drain: Milliseconds,
+): KnownServer | undefined {
+  const chosen = selectServer(candidates.values(), selection);
+  const areLeaving = chosen === undefined && [...candidates.values()].every(isLeaving);
+  return (
+    areLeaving
+      ? selectServer(candidates.values(), { ...selection, leavingGrace: drain * LEAVING_PART })
+      : chosen
+  ) as KnownServer | undefined;
+}
+
+function isLeaving({ drainingSince }: KnownServer): boolean {
+  return drainingSince !== null;
+}
+
 function anyServer(context: RouterContext, request: ActiveRequest): KnownServer | NoDestination {
-  const { serversByService, identity, random, evacuations } = context.state;
+  const { serversByService, identity, random, evacuations, bounds } = context.state;
   const candidates = serversByService.get(request.service);
   const { latencyObjective } = request.route;
   const selection = {
@@ -117,11 +142,9 @@
     coldInterval: coldInterval(context, request.service),
     evacuations,
     mostInFlight: mostInFlight(context, request.service),
+    leavingGrace: 0,
   };
-  const chosen =
-    candidates === undefined
-      ? undefined
-      : (selectServer(candidates.values(), selection) as KnownServer | undefined);
+  const chosen = candidates === undefined ? undefined : chooseServer(candidates, selection, bounds.drain);
   if (chosen === undefined) {
     const reason = evacuations.isEmpty
       ? 'no server takes requests'
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -19,6 +19,8 @@
   /** It is cold until this time. */
   readonly coldUntil: Milliseconds;
   readonly coldAdmission: ColdAdmission;
+  /** It leaves since then, or null. */
+  readonly drainingSince: Milliseconds | null;
 }
 
 /** What a choice depends on besides the candidates. */
@@ -33,6 +35,8 @@
   readonly coldInterval: Milliseconds | null;
   /** Zones whose servers get nothing. */
   readonly evacuations: ZoneEvacuations;
+  /** Servers that leave get nothing once they have for longer than this. */
+  readonly leavingGrace: Milliseconds;
   /** Requests that this daemon may have at one server. */
   readonly mostInFlight: number;
 }
@@ -56,9 +60,14 @@
   return !isBounded || candidate.coldAdmission.allows(coldInterval, now);
 }
 
+/** A server that leaves gets nothing, or nothing after the grace. */
+function isStaying({ drainingSince }: Candidate, { now, leavingGrace }: SelectionContext): boolean {
+  return drainingSince === null || now - drainingSince < leavingGrace;
+}
+
 function isOpen(candidate: Candidate, context: SelectionContext): boolean {
   return (
-    !candidate.server.draining &&
+    isStaying(candidate, context) &&
     !context.evacuations.has(candidate.server.zone) &&
     candidate.load.avoidUntil <= context.now &&
     candidate.load.inFlight.size < context.mostInFlight &&
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -12,6 +12,7 @@
 import type { Leadership } from './ownership/leadership-state.js';
 import { createFeedHealths, type FeedHealth } from './news/feed-health.js';
 import { ServerHistory } from './news/server-history.js';
+import { LeavingServers } from './notices/leaving-servers.js';
 import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
@@ -65,10 +66,8 @@
   readonly coldAdmission: ColdAdmission;
   /** When this daemon learned of it. */
   readonly knownSince: Milliseconds;
-  /** When this daemon learned that it drains, or null. */
+  /** When this daemon learned that it leaves, by its entry or by an answer, whichever came first; null: it doesn't. */
   drainingSince: Milliseconds | null;
-  /** When an answer first said that it leaves, or null. */
-  saidLeavingAt: Milliseconds | null;
 }
 
 export interface RouterState {
@@ -97,6 +96,8 @@
   readonly feeds: Readonly<Record<FeedName, FeedHealth>>;
   readonly servers: Map<ServerId, KnownServer>;
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
+  /** What answers said of servers that leave. */
+  readonly leaving: LeavingServers;
   readonly profiles: Map<ServiceName, ServiceProfile>;
   /** Daemons that share the retry budget, as last heard. */
   daemons: number;
@@ -150,6 +151,7 @@
     feeds: createFeedHealths(),
     servers: new Map(),
     serversByService: new Map(),
+    leaving: new LeavingServers(),
     profiles: new Map(),
     daemons: FIRST_DAEMONS,
     view: EMPTY_VIEW,
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -1,7 +1,7 @@
 /** Takes configurations and the list of servers in. Neither ever goes back. */
 import type { ConfigurationEvent, ServersListedEvent } from './events.js';
 import type { LogEventName } from './log-events.js';
-import type { ServerId, ServiceName } from './model/identifiers.js';
+import type { Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import type { NewsSource, ServerChange } from './peers/messages.js';
@@ -118,8 +118,7 @@
       coldUntil: context.now + server.warmupLeft,
       coldAdmission: new ColdAdmission(context.state.random.fraction()),
       knownSince: context.now,
-      drainingSince: server.draining ? context.now : null,
-      saidLeavingAt: null,
+      drainingSince: drainingSince(context, server),
     };
     servers.set(server.id, added);
     const ofService = serversByService.get(server.service) ?? new Map<ServerId, KnownServer>();
@@ -131,7 +130,6 @@
     return;
   }
   if (server.draining !== known.server.draining) {
-    known.drainingSince = server.draining ? context.now : null;
     noteChange(context, server.draining ? 'server_draining' : 'server_ready', server, revision);
   }
   if (server.revision !== known.server.revision) {
@@ -139,6 +137,16 @@
     known.coldUntil = context.now + server.warmupLeft;
   }
   known.server = server;
+  known.drainingSince =
+    known.drainingSince === null || !server.draining ? drainingSince(context, server) : known.drainingSince;
+}
+
+/** Since when a server leaves that this daemon has just heard of, or whose entry has changed. */
+function drainingSince(
+  { state, now }: RouterContext,
+  { id, draining }: ServerDescription,
+): Milliseconds | null {
+  return state.leaving.since(id) ?? (draining ? now : null);
 }
 
 function noteChange(
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -3,6 +3,7 @@
 import { noteVersionsOf } from '../feed-lag.js';
 import { catchUp } from '../news/spread-news.js';
 import { takeEvacuations } from '../news/take-evacuations.js';
+import { describeLeaving } from '../notices/leaving-news.js';
 import { wholeStatement } from '../ownership/ownership-statement.js';
 import type { Report } from '../peers/messages.js';
 import { describeCrashes } from '../quarantine/quarantine.js';
@@ -84,6 +85,10 @@
   if (crashes !== null) {
     context.emit({ kind: 'sendToChildren', link, message: crashes });
   }
+  const leaving = describeLeaving(context);
+  if (leaving !== null) {
+    context.emit({ kind: 'sendToChildren', link, message: leaving });
+  }
   tellWhatIsMissed(context, link, child, report);
 }
 
--- a/test/router/request/test-server-load.ts
+++ b/test/router/request/test-server-load.ts
@@ -12,7 +12,7 @@
 
 function candidate(id: string): Candidate {
   const load = new ServerLoad(new ServiceProfile(), 2, 1);
-  return { server: server(id), load, coldUntil: 0, coldAdmission: new ColdAdmission(0) };
+  return { server: server(id), load, coldUntil: 0, drainingSince: null, coldAdmission: new ColdAdmission(0) };
 }
 
 /** How often the first of two servers is chosen. */
@@ -24,6 +24,7 @@
     const best = selectServer([first, second], {
       ...context,
       coldInterval: null,
+      leavingGrace: 0,
       evacuations: new ZoneEvacuations(),
     });
     chosen += best === first ? 1 : 0;
