Servers that ask for rest get it whole: no request before its end, one at a time until one is answered

Cause: the time in a rejection was not read; 40 ms were kept instead, and by requests for keys not even those (two attempts 2 ms apart). Now the rest counts from the answer's head, a shorter word never cuts it, what has not been sent is taken back, probes wait; callers are refused at once with what is left, spread over a quarter beyond. Owners that ask two daemons for 1 s or more give their keys up until as long again has passed. Ruled out: keys that had moved there, held requests (each try reached the server at once).

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -104,6 +104,14 @@
     }
   }
 
+  /** Gives the attempt up if it has not been sent. */
+  withdraw(): void {
+    if (!this.#finished && !this.#sent) {
+      this.#finished = true;
+      this.#listener.finished({ kind: 'notSent', reason: 'withdrawn', refused: false }, false);
+    }
+  }
+
   #onConnect(abort: (reason?: Error) => void): void {
     this.#abort = abort;
     if (this.#finished) {
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -3,7 +3,7 @@
  * runtime's own HTTP server: a layer above it would cost more than the work itself.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AnswerEffect, CancelEffect, ForwardEffect } from '../router/effects.js';
+import type { AnswerEffect, CancelEffect, ForwardEffect, WithdrawEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import { LAST_KEY } from '../router/model/identifiers.js';
@@ -255,6 +255,14 @@
     }
   }
 
+  /** Takes an attempt back unless it has been sent. */
+  withdraw(effect: WithdrawEffect): void {
+    const exchange = this.#exchanges.get(effect.requestId);
+    if (exchange?.attemptNumber === effect.attempt) {
+      exchange.attempt?.withdraw();
+    }
+  }
+
   /** Answers a caller without a server. */
   answer(effect: AnswerEffect): void {
     const exchange = this.#exchanges.get(effect.requestId);
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -175,6 +175,8 @@
         return this.#front.forward(effect);
       case 'cancel':
         return this.#front.cancel(effect);
+      case 'withdraw':
+        return this.#front.withdraw(effect);
       case 'answer':
         return this.#front.answer(effect);
       case 'requestEnded':
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -55,6 +55,12 @@
   readonly requestId: number;
   readonly attempt: number;
 }
+/** Takes an attempt back unless it has been sent: its connection may not have come up yet. */
+export interface WithdrawEffect {
+  readonly kind: 'withdraw';
+  readonly requestId: number;
+  readonly attempt: number;
+}
 /** The daemon's own final answer. */
 export interface AnswerEffect {
   readonly kind: 'answer';
@@ -116,6 +122,7 @@
   | ControlEffect
   | ForwardEffect
   | CancelEffect
+  | WithdrawEffect
   | AnswerEffect
   | FollowEffect
   | FollowStoreEffect
--- a/src/router/notices/server-notices.ts
+++ b/src/router/notices/server-notices.ts
@@ -1,9 +1,12 @@
 /** Takes in what servers say of themselves in answers. */
 import type { ServerNoticedEvent } from '../events.js';
+import type { Milliseconds } from '../model/identifiers.js';
 import type { RestReading } from '../model/server-notice.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
+import { noteOverload } from '../tree/reports.js';
 import { noteLeavingAnswer } from './leaving-news.js';
+import { SHORTEST_MOVED_REST } from './rest-reports.js';
 
 /** Characters of a value that cannot be read that are logged. */
 const LONGEST_QUOTE = 60;
@@ -19,6 +22,29 @@
   }
 }
 
+function beginRest(context: RouterContext, known: KnownServer, rest: Milliseconds): void {
+  const { state, now } = context;
+  const { id, service } = known.server;
+  if (known.rest.ask(rest, now)) {
+    context.log('server_asks_rest', { server: id, service, milliseconds: Math.round(rest) });
+  }
+  withdrawFrom(context, known);
+  if (state.configuration?.services.get(service)?.keyed === true && rest >= SHORTEST_MOVED_REST) {
+    state.tree.rests.push({ server: id, daemon: state.identity.daemon, left: rest });
+    noteOverload(context);
+  }
+}
+
+/** Requests whose connection has not come up yet would arrive in the rest, in whatever number they wait. */
+function withdrawFrom(context: RouterContext, { load }: KnownServer): void {
+  for (const requestId of load.inFlight.keys()) {
+    const attempt = context.state.requests.get(requestId)?.attemptNumber;
+    if (attempt !== undefined) {
+      context.emit({ kind: 'withdraw', requestId, attempt });
+    }
+  }
+}
+
 function noteRest(context: RouterContext, known: KnownServer, rest: RestReading): void {
   const { counters, profiles } = context.state;
   const { id, service } = known.server;
@@ -27,7 +53,7 @@
   }
   if (typeof rest === 'number') {
     counters.rest_requests += 1;
-    context.log('server_asks_rest', { server: id, service, milliseconds: Math.round(rest) });
+    beginRest(context, known, rest);
     return;
   }
   counters.malformed_rest_requests += 1;
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -1,4 +1,5 @@
 /** The first moment of a leadership: what is known of former leaders, and the units as they are found. */
+import { RestReports } from '../notices/rest-reports.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import { hastenHeartbeat } from '../tree/heartbeats.js';
@@ -43,6 +44,7 @@
     leases: new Map(),
     calls: new Map(),
     addresses: new Map(),
+    rests: new RestReports(),
     keyLoad: new Map(),
     paces: new Map(),
     lateOrderSeenAt: Number.NEGATIVE_INFINITY,
--- a/src/router/ownership/leader-intake.ts
+++ b/src/router/ownership/leader-intake.ts
@@ -49,6 +49,8 @@
   leadership.nextIntakeAt = now + INTAKE_INTERVAL;
   takeLoad(context, leadership);
   noteStarted(context, leadership);
+  state.tree.rests.forEach((rest) => leadership.rests.add(rest, now));
+  state.tree.rests = [];
   if (state.tree.overloaded) {
     state.tree.overloaded = false;
     leadership.nextPlanAt = Math.min(leadership.nextPlanAt, leadership.plannedAt + HASTENED_PLAN_INTERVAL);
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -24,7 +24,8 @@
   const { server, drainingSince } = known;
   const lease = leaseOf(leadership, server.id);
   const isLeaving = drainingSince !== null || context.state.evacuations.has(server.zone);
-  return !isLeaving && !lease.silent && !lease.ended;
+  const isResting = leadership.rests.isResting(server.id, context.state.daemons, context.now);
+  return !isLeaving && !isResting && !lease.silent && !lease.ended;
 }
 
 function describe(leadership: Leadership, known: KnownServer, now: Milliseconds): EligibleServer {
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -4,6 +4,7 @@
 import type { OwnershipTable } from './ownership-table.js';
 import type { RecentPeak } from './recent-peak.js';
 import type { ServerPace } from './server-pace.js';
+import type { RestReports } from '../notices/rest-reports.js';
 import type { LeaderRecord } from './stored-objects.js';
 
 /** Where a unit stands between its former owner and its owner. */
@@ -88,6 +89,8 @@
   readonly keyLoad: Map<ServiceName, KeyLoad>;
   /** How fast servers work. */
   readonly paces: Map<ServerId, ServerPace>;
+  /** Owners that asked daemons for rest. */
+  readonly rests: RestReports;
   lateOrderSeenAt: Milliseconds;
   plannedAt: Milliseconds;
   nextPlanAt: Milliseconds;
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -96,7 +96,8 @@
 /** Asks a server that left a call unanswered whether it lives, and whether it is the same one still. */
 function probe(context: RouterContext, leadership: Leadership, unit: Unit): void {
   const lease = leaseOf(leadership, unit.owner);
-  if (lease.probeInFlight || context.now < lease.nextProbeAt) {
+  const rest = context.state.servers.get(unit.owner)?.rest.left(context.now) ?? 0;
+  if (lease.probeInFlight || context.now < lease.nextProbeAt || rest > 0) {
     return;
   }
   lease.nextProbeAt = context.now + PROBE_INTERVAL;
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
+import type { RestReport } from '../notices/rest-reports.js';
 import type { LeavingServer } from '../notices/leaving-servers.js';
 import type { CrashRecord } from '../quarantine/crash-table.js';
 import type { EvacuationStatement } from '../news/zone-evacuations.js';
@@ -49,6 +50,8 @@
   readonly evacuations: EvacuationStatement | null;
   readonly samples: KeySample[];
   readonly times: ServerTimes[];
+  /** Owners of keys that asked this daemon, or one below it, for rest since the last report. */
+  readonly rests: RestReport[];
 }
 /** Which daemon leads. */
 export interface LeaderIdentity {
--- a/src/router/quarantine/server-ends.ts
+++ b/src/router/quarantine/server-ends.ts
@@ -113,12 +113,18 @@
   for (const [id, entry] of broken) {
     if (context.now - entry.brokenAt > DECISION_TIME) {
       broken.delete(id);
-    } else if (context.now >= entry.nextProbeAt && entry.probes < MOST_PROBES) {
+    } else if (isProbeDue(context, entry)) {
       probe(context, entry);
     }
   }
 }
 
+/** A server that wants rest isn't probed: it has answered, and a probe is one more request. */
+function isProbeDue({ state, now }: RouterContext, entry: BrokenConnection): boolean {
+  const rest = state.servers.get(entry.server.id)?.rest.left(now) ?? 0;
+  return now >= entry.nextProbeAt && entry.probes < MOST_PROBES && rest === 0;
+}
+
 function probe(context: RouterContext, entry: BrokenConnection): void {
   const { state, now } = context;
   const { id, address, service } = entry.server;
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -74,7 +74,9 @@
     case 'notSent':
       state.counters.attempts_not_sent += 1;
       request.attempts -= 1;
-      avoidAfterFailure(known, now);
+      if (known?.rest.left(now) === 0) {
+        avoidAfterFailure(known, now);
+      }
       dispatch(context, request);
       return;
     case 'lost':
@@ -116,6 +118,7 @@
   now: Milliseconds,
 ): void {
   const duration = now - request.attemptStartedAt;
+  known?.rest.noteAnswered(request.attemptStartedAt);
   known?.load.answered(duration, now, hasWaited(request, load));
   known?.load.window.answered(duration, request.route.latencyObjective, known.load.inFlight.size, now);
 }
@@ -133,6 +136,11 @@
 ): void {
   const { now } = context;
   const reading = takeLoad(context, known, result.load);
+  if (known !== undefined && known.rest.left(now) > 0) {
+    // The rest says all there is to say: it goes elsewhere, or is refused with the time that is left.
+    dispatch(context, request);
+    return;
+  }
   if (request.key !== null && !result.misdirected) {
     noteOverload(context);
   }
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -19,6 +19,8 @@
  * connections that take long to come up, so that no request arrives after the time.
  */
 const LEAVING_PART = 0.5;
+/** Callers that are refused for a rest come back over this part of it, beyond its end: not all at once. */
+const RETURN_SPREAD = 0.25;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
 
 /** Why a request can go nowhere now. */
@@ -66,6 +68,17 @@
   return late || busy >= server.slots * (1 + WAITING_PER_SLOT);
 }
 
+/** A request waits for the end of a rest only if that comes in time; else it is refused at once, with the time that is left. */
+function restRefusal(
+  { now, state }: RouterContext,
+  request: ActiveRequest,
+  reason: string,
+  left: Milliseconds,
+): NoDestination {
+  const retryAfter = left * (1 + RETURN_SPREAD * state.random.fraction());
+  return { reason, hold: now + left <= request.holdUntil, retryAfter };
+}
+
 function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
   const { view, servers, bounds, evacuations } = context.state;
   const unit = view.unitOf(request.service, key);
@@ -88,6 +101,14 @@
     const hold = leavingFor <= bounds.drain;
     return { reason: `the owner ${unit.owner} is leaving`, hold, retryAfter: OWNER_RETRY_AFTER };
   }
+  const restLeft = known.rest.left(context.now);
+  if (restLeft > 0) {
+    return restRefusal(context, request, `the owner ${unit.owner} wants rest`, restLeft);
+  }
+  if (!known.rest.allows(load.inFlight.size, context.now)) {
+    const reason = `the owner ${unit.owner} takes one request at a time after its rest`;
+    return { reason, hold: true, retryAfter: FULL_RETRY_AFTER };
+  }
   const evacuatedFor = evacuations.age(known.server.zone, context.now);
   if (evacuatedFor !== null && evacuatedFor > (bounds.evacuation ?? 0) * LEAVING_PART) {
     const reason = `the zone of the owner ${unit.owner} is evacuated`;
@@ -125,6 +146,15 @@
   ) as KnownServer | undefined;
 }
 
+/** The time until the first of the servers that stay takes requests again, if all of them rest; else 0. */
+function restOfAll(
+  candidates: ReadonlyMap<ServerId, KnownServer> | undefined,
+  now: Milliseconds,
+): Milliseconds {
+  const staying = [...(candidates?.values() ?? [])].filter((known) => !isLeaving(known));
+  return staying.length === 0 ? 0 : Math.min(...staying.map(({ rest }) => rest.left(now)));
+}
+
 function isLeaving({ drainingSince }: KnownServer): boolean {
   return drainingSince !== null;
 }
@@ -145,6 +175,10 @@
     leavingGrace: 0,
   };
   const chosen = candidates === undefined ? undefined : chooseServer(candidates, selection, bounds.drain);
+  const restLeft = chosen === undefined ? restOfAll(candidates, context.now) : 0;
+  if (restLeft > 0) {
+    return restRefusal(context, request, 'every server wants rest', restLeft);
+  }
   if (chosen === undefined) {
     const reason = evacuations.isEmpty
       ? 'no server takes requests'
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
 import type { ZoneEvacuations } from '../news/zone-evacuations.js';
+import type { ServerRest } from '../notices/server-rest.js';
 import type { ColdAdmission } from './cold-admission.js';
 import type { ServerLoad } from './server-load.js';
 import { COLD_FACTOR } from './request-timing.js';
@@ -19,6 +20,8 @@
   /** It is cold until this time. */
   readonly coldUntil: Milliseconds;
   readonly coldAdmission: ColdAdmission;
+  /** The rest that it wants from this daemon. */
+  readonly rest: ServerRest;
   /** It leaves since then, or null. */
   readonly drainingSince: Milliseconds | null;
 }
@@ -69,6 +72,7 @@
   return (
     isStaying(candidate, context) &&
     !context.evacuations.has(candidate.server.zone) &&
+    candidate.rest.allows(candidate.load.inFlight.size, context.now) &&
     candidate.load.avoidUntil <= context.now &&
     candidate.load.inFlight.size < context.mostInFlight &&
     !candidate.load.isSilent(context.now) &&
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -12,6 +12,7 @@
 import type { Leadership } from './ownership/leadership-state.js';
 import { createFeedHealths, type FeedHealth } from './news/feed-health.js';
 import { ServerHistory } from './news/server-history.js';
+import { ServerRest } from './notices/server-rest.js';
 import { LeavingServers } from './notices/leaving-servers.js';
 import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
@@ -66,6 +67,8 @@
   readonly coldAdmission: ColdAdmission;
   /** When this daemon learned of it. */
   readonly knownSince: Milliseconds;
+  /** The rest that it wants from this daemon. */
+  readonly rest: ServerRest;
   /** When this daemon learned that it leaves, by its entry or by an answer, whichever came first; null: it doesn't. */
   drainingSince: Milliseconds | null;
 }
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -5,6 +5,7 @@
 import { RouteTable } from './model/route-table.js';
 import type { ServerDescription } from './model/server.js';
 import type { NewsSource, ServerChange } from './peers/messages.js';
+import { ServerRest } from './notices/server-rest.js';
 import { ColdAdmission } from './request/cold-admission.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
@@ -117,6 +118,7 @@
       load: new ServerLoad(profileOf(context, server.service), server.slots, context.state.daemons),
       coldUntil: context.now + server.warmupLeft,
       coldAdmission: new ColdAdmission(context.state.random.fraction()),
+      rest: new ServerRest(),
       knownSince: context.now,
       drainingSince: drainingSince(context, server),
     };
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -29,10 +29,11 @@
   report.samples.forEach((sample) => tallyKeys(context, sample));
   context.state.tree.times.push(...report.times);
   context.state.tree.started.push(...report.started);
+  context.state.tree.rests.push(...report.rests);
   if (context.state.leadership !== null) {
     noteVersionsOf(context, report);
   }
-  if (report.overloaded) {
+  if (report.overloaded || report.rests.length > 0) {
     noteOverload(context);
   }
   const known = context.state.tree.children.get(link);
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -85,8 +85,9 @@
   }
   election.lastReportAt = now;
   election.nextReportAt = now + (tree.children.size > 0 ? RELAY_REPORT_INTERVAL : REPORT_INTERVAL);
-  const { started, overloaded } = tree;
+  const { started, overloaded, rests } = tree;
   tree.started = [];
+  tree.rests = [];
   tree.overloaded = false;
   context.emit({
     kind: 'sendToParent',
@@ -107,6 +108,7 @@
       evacuations: state.evacuations.statement(),
       samples: takeKeySamples(context),
       times: takeTimes(context),
+      rests,
     },
   });
 }
--- a/src/router/tree/tree-state.ts
+++ b/src/router/tree/tree-state.ts
@@ -5,6 +5,7 @@
 import type { DaemonName, Milliseconds } from '../model/identifiers.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { DaemonLife, ServerTimes } from '../peers/messages.js';
+import type { RestReport } from '../notices/rest-reports.js';
 import type { RouterState } from '../router-state.js';
 
 /** A daemon that is connected to this one and reports to it. */
@@ -50,6 +51,8 @@
   /** Not yet told to the parent: daemons that have joined below, and times of servers that they told. */
   started: DaemonLife[];
   times: ServerTimes[];
+  /** Not yet told: owners that asked for rest, here and below. */
+  rests: RestReport[];
   /** Not yet told to the parent: an owner of keys has too much to do. */
   overloaded: boolean;
   nextHeartbeatAt: Milliseconds;
@@ -70,6 +73,7 @@
     children: new Map(),
     started: [],
     times: [],
+    rests: [],
     overloaded: false,
     nextHeartbeatAt: 0,
   };
--- a/test/router/news/test-news.ts
+++ b/test/router/news/test-news.ts
@@ -143,6 +143,7 @@
         failedRelay: '',
         samples: [],
         times: [],
+        rests: [],
       },
       1,
     );
--- /dev/null
+++ b/test/router/notices/test-rest-reports.ts
@@ -0,0 +1,54 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { RestReports } from '../../../src/router/notices/rest-reports.js';
+import { type Daemon, RouterWorld } from '../support/router-world.js';
+
+const SETTLED = 6_000;
+const REST = 3_000;
+
+function owns(world: RouterWorld, server: string): boolean {
+  return (world.leader()?.state.view.units ?? []).some(({ owner }) => owner === server);
+}
+
+describe('owners that ask for rest', () => {
+  it('give their keys up when they ask more daemons than one', () => {
+    const world = new RouterWorld(3, 6, 5);
+    world.clock.runUntil(SETTLED);
+    const askedAt = world.clock.now;
+    world.daemons.slice(0, 3).forEach((daemon) => {
+      world.deliver(daemon, { kind: 'serverNoticed', server: 's2', notice: { leaving: false, rest: REST } });
+    });
+    world.clock.runUntil(askedAt + 1_000);
+    expect(owns(world, 's2')).toEqual(false);
+    expect(world.unservedKeys()).toEqual([]);
+    expect(world.checker.violations).toEqual([]);
+  });
+
+  it('keep them when they ask one daemon alone, and while no other server is left', () => {
+    const world = new RouterWorld(3, 6, 2);
+    world.clock.runUntil(SETTLED);
+    const notice = { leaving: false, rest: REST };
+    world.deliver(world.daemons[0] as Daemon, { kind: 'serverNoticed', server: 's2', notice });
+    world.clock.runUntil(world.clock.now + 1_000);
+    expect(owns(world, 's2')).toEqual(true);
+    for (const daemon of world.daemons) {
+      world.deliver(daemon, { kind: 'serverNoticed', server: 's1', notice });
+      world.deliver(daemon, { kind: 'serverNoticed', server: 's2', notice });
+    }
+    world.clock.runUntil(world.clock.now + 1_000);
+    expect(world.unservedKeys()).toEqual([]);
+    expect(world.checker.violations).toEqual([]);
+  });
+
+  it('count for as long again as their rest, and not for short ones', () => {
+    const reports = new RestReports();
+    reports.add({ server: 's1', daemon: 'd1', left: REST }, 0);
+    expect(reports.isResting('s1', 5, 10)).toEqual(false);
+    expect(reports.isResting('s1', 1, 10)).toEqual(true);
+    reports.add({ server: 's1', daemon: 'd2', left: 500 }, 10);
+    expect(reports.isResting('s1', 5, 20)).toEqual(false);
+    reports.add({ server: 's1', daemon: 'd2', left: REST }, 20);
+    expect(reports.isResting('s1', 5, 30)).toEqual(true);
+    expect(reports.isResting('s1', 5, 2 * REST + 10)).toEqual(false);
+  });
+});
--- a/test/router/request/test-server-load.ts
+++ b/test/router/request/test-server-load.ts
@@ -1,3 +1,4 @@
+import { ServerRest } from '../../../src/router/notices/server-rest.js';
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 import { SeededRandom } from '../../../src/core/random.js';
@@ -12,7 +13,14 @@
 
 function candidate(id: string): Candidate {
   const load = new ServerLoad(new ServiceProfile(), 2, 1);
-  return { server: server(id), load, coldUntil: 0, drainingSince: null, coldAdmission: new ColdAdmission(0) };
+  return {
+    server: server(id),
+    load,
+    coldUntil: 0,
+    drainingSince: null,
+    rest: new ServerRest(),
+    coldAdmission: new ColdAdmission(0),
+  };
 }
 
 /** How often the first of two servers is chosen. */
