--- a/test/router/support/model-server.ts
+++ b/test/router/support/model-server.ts
@@ -1,6 +1,7 @@
 /** Servers that hold keys by grants, as a model in virtual time, and the checker for at most one owner. */
 import type { SeededRandom } from '../../../src/core/random.js';
 import type { ControlOutcome } from '../../../src/router/events.js';
+import { instanceOf } from '../../../src/router/model/server-life.js';
 import type { ControlEffect } from '../../../src/router/effects.js';
 import type { VirtualClock } from './virtual-clock.js';
 
@@ -47,6 +48,8 @@
   alive = true;
   /** Its process has ended and its machine is there: connections are refused. */
   refuses = false;
+  /** It refuses calls that are for a server of another name. */
+  checksName = true;
   /** Daemons reach it. */
   reachable = true;
   readonly holdings = new Map<number, Holding>();
@@ -116,7 +119,8 @@
     clock.after(delay, () => answer({ kind: 'notSent', reason: 'no connection', refused }));
     return;
   }
-  if (server.id !== effect.server) {
+  const isNamed = instanceOf(server.id) === instanceOf(effect.server);
+  if (!isNamed && server.checksName) {
     clock.after(1, () => answer({ kind: 'otherInstance' }));
     return;
   }
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -3,6 +3,7 @@
 import type { Effect } from '../../../src/router/effects.js';
 import type { RouterEvent } from '../../../src/router/events.js';
 import type { Configuration } from '../../../src/router/model/configuration.js';
+import { buildServerId, instanceOf } from '../../../src/router/model/server-life.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
 import type { PeerMessage } from '../../../src/router/peers/messages.js';
 import { watchTime } from '../../../src/router/news/news-timing.js';
@@ -117,29 +118,54 @@
     this.clock.after(0, () => this.#tickAll());
   }
 
-  addServer(address: string, service = SERVICE): ModelServer {
+  /** Times in ms: how much later its entry comes, and how long it is cold then. */
+  addServer(
+    address: string,
+    service = SERVICE,
+    { listedAfter = 0, warmupLeft = 0 }: { listedAfter?: number; warmupLeft?: number } = {},
+  ): ModelServer {
     this.#nextServer += 1;
     const server = new ModelServer(`s${this.#nextServer}`, address, this.clock, this.checker);
     this.servers.push(server);
-    this.#list({
+    const entry = {
       id: server.id,
       service,
       address,
       zone: `z${this.#nextServer % 3}`,
       slots: 2,
       draining: false,
-      warmupLeft: 0,
+      warmupLeft,
       listedAt: this.#nextServer,
       revision: 0,
-    });
+    };
+    if (listedAfter === 0) {
+      this.#list(entry);
+    } else {
+      this.clock.after(listedAfter, () => this.#list(entry));
+    }
     return server;
   }
 
   /** Writes a server's entry at the store's next revision. */
   #list(entry: ServerDescription): void {
     const revision = this.store.revision + 1;
-    this.#entries.set(entry.id, { ...entry, revision });
-    this.serverEntries.put(entry.id, { ...entry, revision });
+    const instance = instanceOf(entry.id);
+    this.#entries.set(instance, { ...entry, revision });
+    this.serverEntries.put(instance, { ...entry, revision });
+  }
+
+  /** A server crashes and starts again at its address, under the name that it had; its entry never goes. */
+  restartServer(server: ModelServer, born: number): ModelServer {
+    const entry = this.#entries.get(instanceOf(server.id));
+    if (entry === undefined) {
+      throw new Error(`${server.id} is not listed`);
+    }
+    server.alive = false;
+    const id = buildServerId(instanceOf(server.id), born);
+    const next = new ModelServer(id, server.address, this.clock, this.checker);
+    this.servers.push(next);
+    this.#list({ ...entry, id });
+    return next;
   }
 
   /** Operators put another configuration into the store. */
