One type for a life of a server, by name and birth; what a successor may have taken is released before keys move; odd entries name no server

Cause of the harsh soak's break (reproduced in virtual time): an owner's renewals reached the next server at its address, which took them; the list then named that server, the owner counted as ended, and its keys went to a third server at once. Now the successor at the address or under the name is asked to release them; who only refuses a call proves nothing if it may be the owner. Ids inside are those of lives, so rest, leaving, load, ends and fences never pass on; an entry that was written before says nothing. Entries: every field is required and checked; each object of a list or a watch is read by itself; a known server whose entry turns odd is gone. Tests: test-server-lives (the first failed before), test-odd-objects, test-documents.

--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -7,6 +7,7 @@
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import { LAST_KEY } from '../router/model/identifiers.js';
+import { instanceOf } from '../router/model/server-life.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { Attempt, type AnswerSink, type AttemptListener } from './attempt.js';
 import { forwardedHeaders, headerValue } from './headers.js';
@@ -193,7 +194,7 @@
     const { incoming, body, attemptId } = exchange;
     const headers = forwardedHeaders(incoming.rawHeaders, this.#notForwarded);
     headers.push(this.#protocol.timeLeft, String(Math.max(1, Math.floor(effect.timeLeft))));
-    headers.push(this.#protocol.expectedServer, effect.server);
+    headers.push(this.#protocol.expectedServer, instanceOf(effect.server));
     const request = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers, body, attemptId };
     const listener: AttemptListener = {
       noticed: (notice) => this.#dispatch({ kind: 'serverNoticed', server: effect.server, notice }),
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -37,6 +37,10 @@
 /** A planned stop ends this long before the grace does. */
 const STOP_MARGIN_MILLISECONDS = 500;
 const STOP_POLL_MILLISECONDS = 20;
+/** Malformed objects that the log names in one life of the process; all are counted. */
+const MOST_SAID_MALFORMED = 200;
+/** Characters of a name that are logged. */
+const LONGEST_NAME = 100;
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -59,6 +63,8 @@
   readonly #admin: Server;
   readonly #feeds: StoreFeeds;
   #timer: NodeJS.Timeout | undefined;
+  /** Objects of the store that the log has named. */
+  readonly #saidMalformed = new Set<string>();
   /** Those in force at the front. */
   #limits: CallerLimits | null = null;
 
@@ -139,6 +145,16 @@
     );
   }
 
+  /** An object of the store cannot be read. Counted each time, said once for its name. */
+  noteMalformedObject(kind: string, name: string): void {
+    this.state.counters.malformed_store_objects += 1;
+    const id = `${kind}/${name}`;
+    if (!this.#saidMalformed.has(id) && this.#saidMalformed.size < MOST_SAID_MALFORMED) {
+      this.#saidMalformed.add(id);
+      this.#log.event('warn', 'malformed_store_object', { kind, name: name.slice(0, LONGEST_NAME) });
+    }
+  }
+
   /** Stops as planned: takes no new callers, finishes what is in flight, and ends within the grace. */
   async stop(): Promise<void> {
     const { stopGrace } = this.#settings.timing;
@@ -177,6 +193,8 @@
         return this.#front.cancel(effect);
       case 'withdraw':
         return this.#front.withdraw(effect);
+      case 'forgetConnections':
+        return this.#connections.forget(effect.address);
       case 'answer':
         return this.#front.answer(effect);
       case 'requestEnded':
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -61,6 +61,11 @@
   readonly requestId: number;
   readonly attempt: number;
 }
+/** Closes the idle connections to an address: the server that was there is gone, and the next one knows nothing of them. */
+export interface ForgetConnectionsEffect {
+  readonly kind: 'forgetConnections';
+  readonly address: string;
+}
 /** The daemon's own final answer. */
 export interface AnswerEffect {
   readonly kind: 'answer';
@@ -123,6 +128,7 @@
   | ForwardEffect
   | CancelEffect
   | WithdrawEffect
+  | ForgetConnectionsEffect
   | AnswerEffect
   | FollowEffect
   | FollowStoreEffect
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -121,6 +121,10 @@
     when: 'the first time that a server of a service says of its load what cannot be read',
     fields: 'server, service, found',
   },
+  malformed_store_object: {
+    when: 'the first time that an object of the store cannot be read: it is passed over, and names no server',
+    fields: 'kind, name',
+  },
   malformed_peer_message: { when: 'bytes of a peer cannot be read', fields: 'peer, detail' },
   log_lines_dropped: { when: 'lines of the second before did not fit', fields: 'lines' },
 } as const satisfies Record<string, LogEventDescription>;
--- a/src/router/model/identifiers.ts
+++ b/src/router/model/identifiers.ts
@@ -1,6 +1,6 @@
 /** Names of things in the router, as plain strings and numbers with a type each. */
 
-/** A server's id. Every start of a server is a new life with a new id. */
+/** The id of one life of a server: see `server-life.ts`. */
 export type ServerId = string;
 /** A service's name from the configuration. */
 export type ServiceName = string;
--- a/src/router/news/spread-news.ts
+++ b/src/router/news/spread-news.ts
@@ -111,7 +111,7 @@
 }
 
 function wholeList(context: RouterContext, revision: number): ServerNews {
-  const changes = [...context.state.servers.values()].map(({ server }) => ({ id: server.id, server }));
+  const changes = [...context.state.servers.values()].map(({ server }) => directory.changeTo(server));
   return { kind: 'serverNews', base: 0, revision, changes };
 }
 
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -38,8 +38,12 @@
   probeInFlight: boolean;
   /** It does not answer: it gets no units. */
   silent: boolean;
-  /** The process has ended for certain. */
+  /** The process has ended for certain: it is called no more. */
   ended: boolean;
+  /** What it held is free: whoever is at its address refuses calls that are meant for it. */
+  heldByNobody: boolean;
+  /** Who has come after it, at its address or under its name, and may have taken renewals that were meant for it; null: nobody known. */
+  successor: ServerId | null;
 }
 
 /** A call to a server that is under way. */
--- a/src/router/ownership/server-lease.ts
+++ b/src/router/ownership/server-lease.ts
@@ -1,5 +1,5 @@
 /** What a leader knows of one server's leases, and whether the server answers. */
-import type { Milliseconds } from '../model/identifiers.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { Leadership, PendingCall, ServerLease } from './leadership-state.js';
 import {
   LATE_ORDER,
@@ -24,6 +24,8 @@
       probeInFlight: false,
       silent: false,
       ended: false,
+      heldByNobody: false,
+      successor: null,
     };
     leadership.leases.set(server, lease);
   }
@@ -34,9 +36,9 @@
   return now - leadership.lateOrderSeenAt < LATE_ORDER_MEMORY;
 }
 
-/** After this time the server holds nothing, whether or not it answers. */
+/** After this time neither the server nor its successor holds anything by its grants, whether or not it answers. */
 export function leaseEnd(leadership: Leadership, lease: ServerLease, now: Milliseconds): Milliseconds {
-  if (lease.ended) {
+  if (lease.heldByNobody) {
     return Number.NEGATIVE_INFINITY;
   }
   const lateness = lateOrdersExpected(leadership, now) ? LATE_ORDER : 0;
@@ -91,9 +93,21 @@
   lease.silent ||= lease.unanswered >= limit;
 }
 
-/** The server's process has ended: another one answers at its address. */
-export function noteEnded(leadership: Leadership, server: string): void {
+/** The server's process has ended: another one at its address refused a call that was meant for it. */
+export function noteRefusedByOther(leadership: Leadership, server: ServerId): void {
   const lease = leaseOf(leadership, server);
   lease.ended = true;
   lease.silent = true;
+  lease.heldByNobody = true;
+}
+
+/**
+ * The server's process has ended: the list names another life at its address, or under its name. That one may have taken renewals that were
+ * meant for this one, so that keys were held twice when they moved on at once; it is asked to release them first.
+ */
+export function noteSucceeded(leadership: Leadership, server: ServerId, successor: ServerId): void {
+  const lease = leaseOf(leadership, server);
+  lease.ended = true;
+  lease.silent = true;
+  lease.successor = successor;
 }
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -13,7 +13,14 @@
   RENEWAL_INTERVAL,
 } from './ownership-timing.js';
 import { takeFences, unitName, unitNamed, withUnits, type Unit } from './ownership-table.js';
-import { leaseEnd, leaseOf, noteAnswer, noteEnded, noteGrantSent, noteNoAnswer } from './server-lease.js';
+import {
+  leaseEnd,
+  leaseOf,
+  noteAnswer,
+  noteGrantSent,
+  noteNoAnswer,
+  noteRefusedByOther,
+} from './server-lease.js';
 import { writeTable } from './table-write.js';
 
 const DEFAULT_HEALTH_PATH = '/health';
@@ -41,7 +48,8 @@
   progress: UnitProgress,
 ): void {
   const former = unit.releasing;
-  if (former === null || context.now > leaseEnd(leadership, leaseOf(leadership, former), context.now)) {
+  const lease = former === null ? null : leaseOf(leadership, former);
+  if (former === null || lease === null || context.now > leaseEnd(leadership, lease, context.now)) {
     progress.phase = 'granting';
     progress.nextCallAt = context.now;
     context.log('release_waited_out', { unit: unitName(unit), fence: unit.fence, former });
@@ -51,7 +59,8 @@
     return;
   }
   progress.nextCallAt = context.now + RELEASE_REPEAT;
-  callServer(context, leadership, unit, former, 'release', unit.fence - 1, 0, RELEASE_PATIENCE);
+  const holder = lease.successor ?? former;
+  callServer(context, leadership, unit, holder, 'release', unit.fence - 1, 0, RELEASE_PATIENCE);
 }
 
 /**
@@ -161,7 +170,7 @@
     return;
   }
   if (call.action === 'release' && call.fence === unit.fence - 1) {
-    concludeRelease(context, progress, unit, event.outcome);
+    concludeRelease(context, progress, unit, call.server, event.outcome);
   } else if (call.action === 'grant' && call.fence === unit.fence) {
     progress.callsInFlight = Math.max(0, progress.callsInFlight - 1);
     concludeGrant(context, leadership, unit, progress, event.outcome);
@@ -188,7 +197,7 @@
       noteNoAnswer(leadership, call, outcome.kind === 'unanswered', context.now);
       break;
     case 'otherInstance':
-      noteEnded(leadership, call.server);
+      noteRefusedByOther(leadership, call.server);
       break;
     default:
       noteAnswer(leadership, call, context.now);
@@ -204,12 +213,15 @@
   context: RouterContext,
   progress: UnitProgress,
   unit: Unit,
+  called: ServerId,
   outcome: ControlOutcome,
 ): void {
   if (progress.phase !== 'releasing') {
     return;
   }
-  if (outcome.kind === 'accepted' || outcome.kind === 'otherInstance') {
+  // Whoever refuses a call for a successor may be the former owner itself, if an entry named a wrong address.
+  const isGone = outcome.kind === 'otherInstance' && called === unit.releasing;
+  if (outcome.kind === 'accepted' || isGone) {
     progress.phase = 'granting';
     progress.handover = outcome.kind === 'accepted' ? outcome.handover : null;
     progress.nextCallAt = context.now;
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -1,6 +1,7 @@
 /** The messages between daemons, told apart by `kind`. Mirrors proto/router.proto. */
 import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { InstanceName } from '../model/server-life.js';
 import type { ServerDescription } from '../model/server.js';
 import type { RestReport } from '../notices/rest-reports.js';
 import type { LeavingServer } from '../notices/leaving-servers.js';
@@ -116,7 +117,8 @@
 export type NewsSource = 'store' | 'parent' | 'child';
 /** One server's entry after a change. */
 export interface ServerChange {
-  readonly id: ServerId;
+  /** The name of the entry. */
+  readonly id: InstanceName;
   /** Null: it is no longer listed. */
   readonly server: ServerDescription | null;
 }
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from './model/configuration.js';
 import type { DaemonName, FeedName, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
+import type { InstanceName } from './model/server-life.js';
 import type { ServerDescription } from './model/server.js';
 import { DoubtedUnits } from './ownership/doubted-units.js';
 import { createElection, type ElectionState } from './ownership/election-state.js';
@@ -97,7 +98,10 @@
   readonly tree: TreeState;
   readonly feedLags: Readonly<Record<ComparedFeed, FeedLag>>;
   readonly feeds: Readonly<Record<FeedName, FeedHealth>>;
+  /** Listed servers, each in the life that its entry tells of. */
   readonly servers: Map<ServerId, KnownServer>;
+  /** The life that the list has under each name. */
+  readonly lives: Map<InstanceName, ServerId>;
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
   /** What answers said of servers that leave. */
   readonly leaving: LeavingServers;
@@ -153,6 +157,7 @@
     feedLags: { configuration: createFeedLag(), servers: createFeedLag() },
     feeds: createFeedHealths(),
     servers: new Map(),
+    lives: new Map(),
     serversByService: new Map(),
     leaving: new LeavingServers(),
     profiles: new Map(),
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -3,6 +3,7 @@
 import type { LogEventName } from './log-events.js';
 import type { Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
+import { instanceOf } from './model/server-life.js';
 import type { ServerDescription } from './model/server.js';
 import type { NewsSource, ServerChange } from './peers/messages.js';
 import { ServerRest } from './notices/server-rest.js';
@@ -33,12 +34,17 @@
   return true;
 }
 
-function differs(context: RouterContext, { id, server }: ServerChange): boolean {
-  const known = context.state.servers.get(id)?.server;
+/** Whether a change says something new. An entry that was written before the one that is known says nothing, whatever its life. */
+function differs({ state }: RouterContext, { id, server }: ServerChange): boolean {
+  const life = state.lives.get(id);
+  const known = life === undefined ? undefined : state.servers.get(life)?.server;
   if (known === undefined || server === null) {
     return known !== undefined || server !== null;
   }
-  return server.revision !== known.revision || server.draining !== known.draining;
+  return (
+    server.revision > known.revision ||
+    (server.revision === known.revision && server.draining !== known.draining)
+  );
 }
 
 /** All servers were listed. Returns what differs from what was known; null when more is known already. */
@@ -46,12 +52,10 @@
   context: RouterContext,
   { servers, revision }: ServersListedEvent,
 ): ServerChange[] | null {
-  const listed = new Set(servers.map((server) => server.id));
-  const gone = [...context.state.servers.keys()].filter((id) => !listed.has(id));
-  const changes: ServerChange[] = [
-    ...gone.map((id) => ({ id, server: null })),
-    ...servers.map((server) => ({ id: server.id, server })),
-  ];
+  const listed = servers.map(changeTo);
+  const names = new Set(listed.map(({ id }) => id));
+  const gone = [...context.state.lives.keys()].filter((id) => !names.has(id));
+  const changes: ServerChange[] = [...gone.map((id) => ({ id, server: null })), ...listed];
   return receiveServerChanges(context, changes, revision);
 }
 
@@ -69,9 +73,12 @@
   state.serversRevision = revision;
   const effective = changes.filter((change) => differs(context, change));
   for (const { id, server } of effective) {
-    if (server === null) {
-      removeServer(context, id, revision);
-    } else {
+    const former = state.lives.get(id);
+    if (former !== undefined && former !== server?.id) {
+      removeServer(context, former, revision);
+    }
+    if (server !== null) {
+      state.lives.set(id, server.id);
       putServer(context, server, revision, isFirstList);
     }
   }
@@ -82,11 +89,18 @@
   return effective;
 }
 
+/** The change that an entry makes. */
+export function changeTo(server: ServerDescription): ServerChange {
+  return { id: instanceOf(server.id), server };
+}
+
 function removeServer(context: RouterContext, id: ServerId, revision: number): void {
-  const { servers, serversByService, counters } = context.state;
+  const { servers, lives, serversByService, counters } = context.state;
   const known = servers.get(id);
   if (known !== undefined) {
     servers.delete(id);
+    lives.delete(instanceOf(id));
+    context.emit({ kind: 'forgetConnections', address: known.server.address });
     serversByService.get(known.server.service)?.delete(id);
     counters.server_changes += 1;
     context.log('server_gone', { server: id, service: known.server.service, revision });
--- a/test/router/ownership/test-server-lives.ts
+++ b/test/router/ownership/test-server-lives.ts
@@ -6,7 +6,12 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 import { type ModelServer } from '../support/model-server.js';
+import { buildServerId, instanceOf } from '../../../src/router/model/server-life.js';
+import type { ServerChange } from '../../../src/router/peers/messages.js';
+import { CrashTable } from '../../../src/router/quarantine/crash-table.js';
+import { fingerprintOf } from '../support/fingerprints.js';
 import { RouterWorld } from '../support/router-world.js';
+import { server, SingleDaemon } from '../support/single-daemon.js';
 
 const SETTLED = 6_000;
 /** An owner's renewals go on meanwhile: one each 850 ms. */
@@ -38,4 +43,79 @@
       expect(world.unservedKeys()).toEqual([]);
     }
   });
+
+  it('are granted anew under a higher fence when it is back under its name within a heartbeat', () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const world = new RouterWorld(seed, 3, 5);
+      world.clock.runUntil(SETTLED + seed * 37);
+      const former = ownerIn(world);
+      const next = world.restartServer(former, 2);
+      world.clock.runUntil(SETTLED + 8_000);
+      expect(world.checker.violations).toEqual([]);
+      expect(world.unservedKeys()).toEqual([]);
+      const owners = new Set(world.leader()?.state.view.units.map(({ owner }) => owner));
+      expect(owners.has(former.id)).toEqual(false);
+      expect(next.holdings.size === 0 || owners.has(next.id)).toEqual(true);
+    }
+  });
+
+  it('are granted anew though its clock was set back meanwhile', () => {
+    const world = new RouterWorld(7, 3, 5);
+    world.clock.runUntil(SETTLED);
+    const former = ownerIn(world);
+    const later = world.restartServer(former, 900);
+    world.clock.runUntil(SETTLED + 6_000);
+    const last = world.restartServer(later, 100);
+    world.clock.runUntil(SETTLED + 14_000);
+    expect(world.unservedKeys()).toEqual([]);
+    expect(world.checker.violations).toEqual([]);
+    const known = world.daemons.map(
+      ({ state }) => state.servers.has(last.id) && !state.servers.has(later.id),
+    );
+    expect(known).toEqual(known.map(() => true));
+  });
+});
+
+describe('what is known of a life', () => {
+  it('is not known of the next one under its name', () => {
+    const daemon = new SingleDaemon();
+    const changes = [{ id: 's1', server: { ...server('s1#1'), address: '10.0.0.1:80', revision: 6 } }];
+    daemon.event({ kind: 'serversChanged', changes, revision: 6 });
+    daemon.event({ kind: 'serverNoticed', server: 's1#1', notice: { leaving: true, rest: 5_000 } });
+    const next = [{ id: 's1', server: { ...server('s1#2'), address: '10.0.0.1:80', revision: 7 } }];
+    daemon.event({ kind: 'serversChanged', changes: next, revision: 7 });
+    expect(daemon.only('forgetConnections').map(({ address }) => address)).toInclude('10.0.0.1:80');
+    const known = daemon.state.servers.get('s1#2');
+    expect([known?.drainingSince, known?.rest.left(daemon.now)]).toEqual([null, 0]);
+    daemon.event({ kind: 'serverNoticed', server: 's1#1', notice: { leaving: true, rest: 5_000 } });
+    expect([known?.drainingSince, known?.rest.left(daemon.now)]).toEqual([null, 0]);
+  });
+
+  it('is not brought back by an entry that was written before', () => {
+    const daemon = new SingleDaemon();
+    const entry = (born: number, revision: number): ServerChange => ({
+      id: 's1',
+      server: { ...server(`s1#${born}`), address: '10.0.0.1:80', revision },
+    });
+    daemon.event({ kind: 'serversChanged', changes: [entry(2, 7)], revision: 7 });
+    daemon.event({ kind: 'serversChanged', changes: [entry(1, 6)], revision: 8 });
+    expect([...daemon.state.servers.keys()]).toInclude('s1#2');
+    expect([...daemon.state.servers.keys()]).not.toInclude('s1#1');
+  });
+
+  it('makes three ends under one name three ends', () => {
+    const table = new CrashTable();
+    const ended = [1, 2, 3].map((born) => ({ server: buildServerId('s1', born), age: born * 1_000 }));
+    const none = { exonerated: [], quarantined: false, retested: false };
+    table.merge({ fingerprint: fingerprintOf('deadly').value, ended, ...none }, 10_000);
+    expect(table.endsUnder(fingerprintOf('deadly'))).toEqual(3);
+  });
+
+  it('has an id from which its name can be read, whatever the name is', () => {
+    for (const name of ['i-1', 'i#1', 'i#', '#', 'i-1#2#']) {
+      expect(instanceOf(buildServerId(name, null))).toEqual(name);
+      expect(instanceOf(buildServerId(name, 7))).toEqual(name);
+      expect(buildServerId(name, 7) === buildServerId(name, null)).toEqual(false);
+    }
+  });
 });
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -17,6 +17,9 @@
 import { ModelStore } from './model-store.js';
 import { VirtualClock } from './virtual-clock.js';
 import { BOUNDS } from './bounds.js';
+import { CONFIGURATION, SERVICE } from './world-configuration.js';
+
+export { CONFIGURATION, SERVICE };
 
 const TICK = 20;
 const LINK_DELAY = 1;
@@ -24,39 +27,6 @@
 const LINK_RETRY = 150;
 /** The link on which a daemon hears its parent. */
 const PARENT_LINK = -1;
-export const SERVICE = 'racks';
-
-export const CONFIGURATION: Configuration = {
-  version: 1,
-  routes: [
-    {
-      name: 'racks',
-      host: 'h.example',
-      pathPrefix: '/racks/',
-      repeatable: true,
-      timeout: 1_000,
-      latencyObjective: 200,
-      priority: 1,
-      maxAttempts: 2,
-      targets: [{ service: SERVICE, weight: 1 }],
-    },
-  ],
-  services: new Map([
-    [
-      SERVICE,
-      {
-        name: SERVICE,
-        keyed: true,
-        connectionLimit: 100,
-        healthPath: '/health',
-        coldTime: 3_000,
-        coldRequestRate: 4.2,
-      },
-    ],
-  ]),
-  limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
-};
-
 /** One life of a daemon. */
 export interface Daemon {
   readonly name: string;
--- /dev/null
+++ b/test/router/support/world-configuration.ts
@@ -0,0 +1,35 @@
+/** The configuration of a world of router daemons: one keyed service. */
+import type { Configuration } from '../../../src/router/model/configuration.js';
+
+export const SERVICE = 'racks';
+
+export const CONFIGURATION: Configuration = {
+  version: 1,
+  routes: [
+    {
+      name: 'racks',
+      host: 'h.example',
+      pathPrefix: '/racks/',
+      repeatable: true,
+      timeout: 1_000,
+      latencyObjective: 200,
+      priority: 1,
+      maxAttempts: 2,
+      targets: [{ service: SERVICE, weight: 1 }],
+    },
+  ],
+  services: new Map([
+    [
+      SERVICE,
+      {
+        name: SERVICE,
+        keyed: true,
+        connectionLimit: 100,
+        healthPath: '/health',
+        coldTime: 3_000,
+        coldRequestRate: 4.2,
+      },
+    ],
+  ]),
+  limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeout: 3_000, idleTimeout: 15_000 },
+};
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -159,6 +159,7 @@
       capacity: 8,
       state,
       warmupLeftS: 0,
+      sequence: 1,
     });
   }
 
