--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -86,7 +86,7 @@
   if (lease.ended || progress.callsInFlight > 0 || progress.fenceRefused) {
     return;
   }
-  if (lease.unanswered > 0) {
+  if (lease.unanswered > 0 && !wantsRest(context, unit.owner)) {
     probe(context, leadership, unit);
     return;
   }
@@ -102,11 +102,15 @@
   }
 }
 
+/** A probe is a request, which a server that wants rest is spared; renewals are none. */
+function wantsRest({ state, now }: RouterContext, server: ServerId): boolean {
+  return (state.servers.get(server)?.rest.left(now) ?? 0) > 0;
+}
+
 /** Asks a server that left a call unanswered whether it lives, and whether it is the same one still. */
 function probe(context: RouterContext, leadership: Leadership, unit: Unit): void {
   const lease = leaseOf(leadership, unit.owner);
-  const rest = context.state.servers.get(unit.owner)?.rest.left(context.now) ?? 0;
-  if (lease.probeInFlight || context.now < lease.nextProbeAt || rest > 0) {
+  if (lease.probeInFlight || context.now < lease.nextProbeAt) {
     return;
   }
   lease.nextProbeAt = context.now + PROBE_INTERVAL;
