--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,4 +1,4 @@
-/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh`. */
+/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices`. */
 import { parseArgs } from 'node:util';
 import { PROGRAM } from './daemon-process.js';
 import type { SoakReport } from './soak-report.js';
@@ -15,6 +15,7 @@
     program: { type: 'string', default: PROGRAM },
     'at-once': { type: 'string', default: '1' },
     harsh: { type: 'boolean', default: false },
+    notices: { type: 'boolean', default: false },
   },
 });
 
@@ -48,6 +49,7 @@
       servers: Number(values.servers),
       program: values.program,
       isHarsh: values.harsh,
+      hasNotices: values.notices,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
     tell(report);
--- a/test/soak/promises.ts
+++ b/test/soak/promises.ts
@@ -35,11 +35,22 @@
   /** Requests that reached a server that takes no more, if their daemon is bound by that. */
   onArrivalAt: (server: ServerStandIn, attemptId: string) => void = () => undefined;
 
+  /** Each arrival that is run or rejected for rest, and each answer, for checks of what servers say of themselves. */
+  onArrivalAnywhere: (server: ServerStandIn, attemptId: string) => void = () => undefined;
+  onAnswerOf: (server: ServerStandIn, attemptId: string) => void = () => undefined;
+
   fail(promise: string, detail: string): void {
     this.violations.push(`${promise}: ${detail}`);
   }
 
+  onAnswer(server: ServerStandIn, attemptId: string): void {
+    this.onAnswerOf(server, attemptId);
+  }
+
   onArrival(server: ServerStandIn, attemptId: string, runs: boolean): void {
+    if (runs || server.isResting) {
+      this.onArrivalAnywhere(server, attemptId);
+    }
     if (runs) {
       const known = this.#runs.get(attemptId) ?? { count: 0 };
       known.count += 1;
--- a/test/soak/server-stand-in.ts
+++ b/test/soak/server-stand-in.ts
@@ -13,6 +13,8 @@
 export interface ServerObserver {
   /** A request arrived; whether it is run. */
   onArrival(server: ServerStandIn, attemptId: string, runs: boolean): void;
+  /** An answer goes out. */
+  onAnswer(server: ServerStandIn, attemptId: string): void;
   /** A request is about to end the server that runs it. */
   onDeadly(server: ServerStandIn, attemptId: string): void;
   /** A grant was taken. */
@@ -28,6 +30,12 @@
   readonly service: string;
   readonly zone: string;
   readonly keyed: boolean;
+  /** Unix milliseconds of its start, if it says so. */
+  born: number | null = null;
+  /** Its answers say that it leaves. */
+  leaves = false;
+  /** It rejects each request and asks for so much rest; null: it takes them. */
+  restSeconds: number | null = null;
   #address = '';
   #grants: Grant[] = [];
   #highestFence: { from: number; to: number; fence: number }[] = [];
@@ -53,6 +61,10 @@
     return Number(this.#address.split(':')[1]);
   }
 
+  get isResting(): boolean {
+    return this.restSeconds !== null;
+  }
+
   /** Its process has ended: it holds nothing, and connections to it are refused. */
   crash(): void {
     this.#grants = [];
@@ -126,12 +138,23 @@
       .filter((grant) => grant.from <= grant.to);
   }
 
+  #notice(): Record<string, string> {
+    return this.leaves ? { 'Server-Leaving': '1' } : {};
+  }
+
   #run(request: IncomingMessage, response: ServerResponse): void {
     const attemptId = String(request.headers['fennelferry-attempt-id'] ?? '');
     const isOther = request.headers['fennelferry-expect-instance'] !== this.id;
     const key = Number(request.headers['fennelferry-shard-key']);
-    const runs = !isOther && (!this.keyed || this.holdsAnyOf(key, key));
+    const isHeld = !isOther && (!this.keyed || this.holdsAnyOf(key, key));
+    const runs = isHeld && !this.isResting;
     this.#observer.onArrival(this, attemptId, runs);
+    if (isHeld && this.restSeconds !== null) {
+      const headers = { 'fennelferry-not-executed': '1', 'retry-after': String(this.restSeconds) };
+      response.writeHead(503, { ...headers, ...this.#notice() }).end();
+      this.#observer.onAnswer(this, attemptId);
+      return;
+    }
     if (!runs) {
       const headers = { 'fennelferry-not-executed': '1', 'fennelferry-instance-id': this.id };
       response.writeHead(421, headers).end();
@@ -143,7 +166,8 @@
         return;
       }
       const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
-      response.writeHead(200, headers).end(this.id);
+      response.writeHead(200, { ...headers, ...this.#notice() }).end(this.id);
+      this.#observer.onAnswer(this, attemptId);
     }, WORK_MILLISECONDS);
   }
 }
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -11,6 +11,8 @@
   readonly length: number;
   /** Callers send requests under which servers end, and pauses of daemons are suspensions of their machines. */
   readonly isHarsh: boolean;
+  /** Servers say in answers that they leave or want rest and come back under their id, and other writers spoil entries. */
+  readonly hasNotices: boolean;
 }
 
 /** What a run came to. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,11 +7,13 @@
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Caller } from './caller.js';
+import { ConfigurationProbes } from './configuration-probes.js';
 import { DaemonProcess } from './daemon-process.js';
 import { DeadlyRequests } from './deadly-requests.js';
 import { configurationOf, freePorts, settingsOf, TIMING, ZONES } from './deployment.js';
+import { NoticeTroubles } from './notice-troubles.js';
 import { Outages } from './outages.js';
-import { type CallerOutcome, Promises } from './promises.js';
+import { Promises } from './promises.js';
 import { drawSchedule, type Trouble } from './schedule.js';
 import type { SoakOptions, SoakReport } from './soak-report.js';
 import { DEADLY_MARK, ServerStandIn } from './server-stand-in.js';
@@ -23,7 +25,6 @@
 const CONTACT = 3_000;
 /** Checked at twice the time that the daemons are set to: this process and they share a machine that may be busy. */
 const LENIENCE = 2;
-const APPLY = LENIENCE * TIMING.configuration * MILLISECONDS_PER_SECOND;
 const LEAVE = LENIENCE * TIMING.drain * MILLISECONDS_PER_SECOND;
 const EVACUATE = LENIENCE * TIMING.evacuation * MILLISECONDS_PER_SECOND;
 const SETTLE = 5_000;
@@ -49,8 +50,11 @@
   readonly #callers: Caller[] = [];
   readonly #servers: ServerStandIn[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), 'fennelferry-soak-'));
-  /** When each version was written, by number. */
-  readonly #writtenAt = new Map<number, number>();
+  readonly #probes = new ConfigurationProbes(this.#promises, (daemon, from) =>
+    this.#inTouchSince(daemon, from),
+  );
+  /** Servers that leave and say so in answers only. */
+  readonly #saidLeaving = new Set<ServerStandIn>();
   readonly #leavingSince = new Map<ServerStandIn, number>();
   readonly #evacuatedSince = new Map<string, number>();
   readonly #deadly = new DeadlyRequests(this.#promises, {
@@ -78,11 +82,12 @@
     await pause(SETTLE);
     const startedAt = performance.now();
     const troubles: Promise<void>[] = [];
+    const noticed = this.#options.hasNotices ? this.#createNotices().run(length) : Promise.resolve();
     for (const { at, trouble } of schedule) {
       await pause(startedAt + at - performance.now());
       troubles.push(this.#perform(trouble));
     }
-    await Promise.all(troubles);
+    await Promise.all([...troubles, noticed]);
     await pause(CALM);
     await this.#checkServedAgain();
     this.#finished = true;
@@ -136,7 +141,7 @@
   #change(): void {
     this.#version += 1;
     this.#store.put('config', 'main', configurationOf(this.#version));
-    this.#writtenAt.set(this.#version, performance.now());
+    this.#probes.noteWritten(this.#version);
   }
 
   async #addServer(service: 'keyed' | 'plain', port = 0): Promise<void> {
@@ -150,7 +155,43 @@
     this.#putEntry(server, 'ready');
   }
 
-  #putEntry({ id, service, address, zone }: ServerStandIn, state: 'ready' | 'draining'): void {
+  #staying(): ServerStandIn[] {
+    return this.#servers.filter(
+      (server) => !this.#leavingSince.has(server) && !this.#saidLeaving.has(server),
+    );
+  }
+
+  #createNotices(): NoticeTroubles {
+    const notices = new NoticeTroubles(this.#options.seed, this.#promises, {
+      store: this.#store,
+      daemons: this.#daemons,
+      staying: () => this.#staying(),
+      addLike: (server) => this.#addServer(server.keyed ? 'keyed' : 'plain'),
+      restart: (server, after) => this.#restartServer(server, after),
+      retire: (server) => void this.#saidLeaving.add(server),
+      putEntry: (server) => this.#putEntry(server, 'ready'),
+    });
+    this.#promises.onArrivalAnywhere = (server, attemptId) => notices.onArrival(server, attemptId);
+    this.#promises.onAnswerOf = (server, attemptId) => notices.onAnswer(server, attemptId);
+    return notices;
+  }
+
+  /** A server crashes and is back under its id, at its address. */
+  async #restartServer(server: ServerStandIn, after: number): Promise<void> {
+    const { id, service, zone, keyed, port } = server;
+    this.#servers.splice(this.#servers.indexOf(server), 1);
+    this.#promises.servers.splice(this.#promises.servers.indexOf(server), 1);
+    server.crash();
+    await pause(after);
+    const next = new ServerStandIn(id, service, zone, keyed, this.#promises);
+    next.born = Date.now();
+    await next.start(port);
+    this.#servers.push(next);
+    this.#promises.servers.push(next);
+    this.#putEntry(next, 'ready');
+  }
+
+  #putEntry({ id, service, address, zone, born }: ServerStandIn, state: 'ready' | 'draining'): void {
     this.#store.put('servers', id, {
       service,
       address,
@@ -160,6 +201,7 @@
       state,
       warmupLeftS: 0,
       sequence: 1,
+      ...(born === null ? {} : { born }),
     });
   }
 
@@ -230,7 +272,7 @@
 
   /** A server leaves, after saying so or not; another one has come before. */
   async #drain(index: number, isSilent: boolean): Promise<void> {
-    const server = this.#servers.filter((each) => !this.#leavingSince.has(each))[index];
+    const server = this.#staying()[index];
     if (server === undefined) {
       return;
     }
@@ -287,44 +329,7 @@
       case 1:
         return void (await caller.call('/keyed/', turn * 7_919));
       default:
-        return this.#probeConfiguration(caller, turn);
-    }
-  }
-
-  /** The newest version that must be in force at a moment. */
-  #versionInForce(at: number): number {
-    const written = [...this.#writtenAt].filter(([, when]) => when + APPLY <= at);
-    return Math.max(0, ...written.map(([version]) => version));
-  }
-
-  /** A route that is new must be there in time, and one that was dropped must be gone. */
-  async #probeConfiguration(caller: Caller, turn: number): Promise<void> {
-    const sentAt = performance.now();
-    const inForce = this.#versionInForce(sentAt);
-    const isForNew = turn % 4 === 2;
-    const probed = isForNew ? inForce : inForce - 2;
-    if (probed < 1) {
-      return;
-    }
-    const outcome = await caller.call(`/added-${probed}/`);
-    if (!this.#inTouchSince(caller.daemon, sentAt)) {
-      return;
-    }
-    this.#judgeProbe(outcome, probed, inForce, isForNew);
-  }
-
-  #judgeProbe(
-    { status, daemon, path }: CallerOutcome,
-    probed: number,
-    inForce: number,
-    isForNew: boolean,
-  ): void {
-    const told = `${path} at ${daemon}: ${status}, where version ${inForce} must be in force`;
-    if (isForNew && status === 404 && this.#version < probed + 2) {
-      this.#promises.fail('a change is in force in time', `${told}, and ${this.#version} is the newest`);
-    }
-    if (!isForNew && status === 200) {
-      this.#promises.fail('a change is in force in time', told);
+        return this.#probes.probe(caller, turn);
     }
   }
 
