--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -21,6 +21,8 @@
 const LEAVING_PART = 0.5;
 /** Callers that are refused for a rest come back over this part of it, beyond its end: not all at once. */
 const RETURN_SPREAD = 0.25;
+/** A rest without an end in sight tells a caller nothing more than this. */
+const LONGEST_RETRY_AFTER: Milliseconds = 3_600_000;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
 
 /** Why a request can go nowhere now. */
@@ -75,7 +77,8 @@
   reason: string,
   left: Milliseconds,
 ): NoDestination {
-  const retryAfter = left * (1 + RETURN_SPREAD * state.random.fraction());
+  const told = Math.min(left, LONGEST_RETRY_AFTER);
+  const retryAfter = told * (1 + RETURN_SPREAD * state.random.fraction());
   return { reason, hold: now + left <= request.holdUntil, retryAfter };
 }
 
--- a/test/router/request/test-server-rest.ts
+++ b/test/router/request/test-server-rest.ts
@@ -108,6 +108,16 @@
     expect(daemon.only('forward').map(({ server }) => server)).not.toInclude('s1');
   });
 
+  it('tells callers an hour at most', () => {
+    const daemon = new SingleDaemon();
+    daemon.own('s4');
+    const endless = { leaving: false, rest: Number.POSITIVE_INFINITY };
+    daemon.event({ kind: 'serverNoticed', server: 's4', notice: endless });
+    daemon.arrive(1, '/rack/1', 900, KEY);
+    const hours = (daemon.only('answer')[0]?.retryAfter ?? 0) / 3_600_000;
+    expect(hours >= 1 && hours <= 1.25).toEqual(true);
+  });
+
   it('is said once a rest, and a time that cannot be read once a service', () => {
     const daemon = new SingleDaemon();
     const unreadable = { leaving: false, rest: { unreadable: 'soon' } };
--- a/test/soak/deadly-requests.ts
+++ b/test/soak/deadly-requests.ts
@@ -17,6 +17,9 @@
   replace(server: ServerStandIn): Promise<void>;
 }
 
+/** Three ends and three sends more, 1.2 s to tell each end, and the time that a caller takes to come back. */
+const LONGEST_UNREST = 25_000;
+
 interface Toll {
   readonly crashedAt: number[];
   laterSends: number;
@@ -26,6 +29,7 @@
   readonly #promises: Promises;
   readonly #surroundings: DeadlySurroundings;
   readonly #tolls = new Map<string, Toll>();
+  #lastEndAt = Number.NEGATIVE_INFINITY;
   readonly #crashed = new Set<ServerStandIn>();
 
   constructor(promises: Promises, surroundings: DeadlySurroundings) {
@@ -40,11 +44,30 @@
     }
     this.#crashed.add(server);
     server.crash();
+    this.#lastEndAt = performance.now();
     this.#tollOf(service).crashedAt.push(performance.now());
     this.#checkLater(service, attemptId);
     await this.#surroundings.replace(server);
   }
 
+  /**
+   * Waits until no server has ended for a time, in ms. A request that all daemons have forgotten with their restarts ends three servers again,
+   * and the keys of the last one are not served at once. Ends that never cease break the promise.
+   */
+  async untilQuiet(time: number): Promise<void> {
+    const deadline = performance.now() + LONGEST_UNREST;
+    while (performance.now() - this.#lastEndAt < time) {
+      if (performance.now() > deadline) {
+        this.#promises.fail(
+          'servers cease to end',
+          `the last end was ${performance.now() - this.#lastEndAt} ms ago`,
+        );
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+  }
+
   #tollOf(service: string): Toll {
     const toll = this.#tolls.get(service) ?? { crashedAt: [], laterSends: 0 };
     this.#tolls.set(service, toll);
