--- /dev/null
+++ b/test/router/notices/test-rest-world.ts
@@ -0,0 +1,79 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { SeededRandom } from '../../../src/core/random.js';
+import { RequestTraffic, type Send } from '../support/request-traffic.js';
+import { type Daemon, RouterWorld, SERVICE } from '../support/router-world.js';
+
+const DAEMONS = 6;
+const SERVERS = 10;
+const RESTING = 3;
+const SETTLED = 6_000;
+/** They reject everything for so long, and ask for this much rest each time. */
+const ILL = 9_000;
+/** Of all requests meanwhile; 0.87 where keys stay with such owners. */
+const LEAST_SERVED = 0.9;
+const REST = 3_000;
+const ON_ITS_WAY = 500;
+const MOST_IN_REST = 2;
+/** Between two requests at each daemon: 150 a second in all. */
+const INTERVAL = 40;
+
+interface Outcome {
+  /** Share of the requests in that time that were answered. */
+  readonly served: number;
+  /** Arrivals in rests beyond those that are allowed. */
+  readonly tooMany: number;
+}
+
+/** A day on which owners of keys reject everything. */
+function playRest(seed: number): Outcome {
+  const world = new RouterWorld(seed, DAEMONS, SERVERS);
+  const traffic = new RequestTraffic(world, 0);
+  const random = new SeededRandom(seed);
+  const ask = (daemon: Daemon): void => {
+    traffic.ask(daemon, { name: 'r', route: SERVICE, key: Math.floor(random.fraction() * 128) * 512 + 7 });
+    world.clock.after(INTERVAL, () => ask(daemon));
+  };
+  world.daemons.forEach((daemon, index) => world.clock.after(2_000 + index * 7, () => ask(daemon)));
+  world.clock.runUntil(SETTLED);
+  const before = traffic.told.length;
+  const ill = world.servers.slice(0, RESTING);
+  ill.forEach((server) => traffic.resting.set(server, REST));
+  world.clock.runUntil(SETTLED + ILL);
+  traffic.resting.clear();
+  const told = traffic.told.slice(before);
+  expect(world.checker.violations).toEqual([]);
+  const ids = new Set(ill.map(({ id }) => id));
+  const sends = traffic.sends.filter(({ server, at }) => ids.has(server) && at >= SETTLED);
+  world.clock.runUntil(SETTLED + ILL + 8_000);
+  expect(traffic.told.slice(-100).filter(({ status }) => status === 200).length > 95).toEqual(true);
+  return {
+    served: told.filter(({ status }) => status === 200).length / told.length,
+    tooMany: arrivalsTooMany(sends),
+  };
+}
+
+function arrivalsTooMany(sends: readonly Send[]): number {
+  let tooMany = 0;
+  for (const first of sends) {
+    const within = sends.filter(
+      ({ server, daemon, at }) =>
+        server === first.server &&
+        daemon === first.daemon &&
+        at > first.at + ON_ITS_WAY &&
+        at < first.at + REST,
+    );
+    tooMany += Math.max(0, within.length - MOST_IN_REST);
+  }
+  return tooMany;
+}
+
+describe('owners of keys that reject everything and ask for rest', () => {
+  it('get no request in it, and their keys are served by others', () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const { served, tooMany } = playRest(seed);
+      expect(tooMany).toEqual(0);
+      expect(served > LEAST_SERVED).toEqual(true);
+    }
+  });
+});
--- a/test/router/support/request-traffic.ts
+++ b/test/router/support/request-traffic.ts
@@ -90,6 +90,8 @@
 export class RequestTraffic implements RequestCarrier {
   /** Names of requests under which each server ends that runs them. */
   readonly deadly = new Set<string>();
+  /** Servers that reject every request and ask for so much rest, in ms. */
+  readonly resting = new Map<ModelServer, number>();
   readonly sends: Send[] = [];
   readonly crashes: { readonly name: string; readonly server: string; readonly at: number }[] = [];
   readonly told: Told[] = [];
@@ -202,6 +204,11 @@
       return;
     }
     this.sends.push({ name, server: server.id, daemon, at: clock.now });
+    const rest = this.resting.get(server);
+    if (rest !== undefined) {
+      clock.after(NETWORK_DELAY, () => this.#reject(attempt, rest));
+      return;
+    }
     const slots = this.#slotFreeAt.get(server) ?? Array.from({ length: SLOTS }, () => 0);
     this.#slotFreeAt.set(server, slots);
     const slot = slots.indexOf(Math.min(...slots));
@@ -216,6 +223,15 @@
     clock.after(startsAt + work - clock.now, () => this.#finish(server, attempt));
   }
 
+  #reject(attempt: RunningAttempt, rest: number): void {
+    const { daemon, life, effect } = attempt;
+    if (daemon.life === life) {
+      const notice = { leaving: false, rest };
+      this.#world.deliver(daemon, { kind: 'serverNoticed', server: effect.server, notice });
+    }
+    this.#end(attempt, { kind: 'rejected', status: 503, misdirected: false, load: null });
+  }
+
   #finish(server: ModelServer, attempt: RunningAttempt): void {
     if (attempt.isOver || !server.alive) {
       return;
