--- a/src/router/notices/server-notices.ts
+++ b/src/router/notices/server-notices.ts
@@ -22,6 +22,26 @@
   }
 }
 
+function noteRest(context: RouterContext, known: KnownServer, rest: RestReading): void {
+  const { counters, profiles } = context.state;
+  const { id, service } = known.server;
+  if (rest === null) {
+    return;
+  }
+  if (typeof rest === 'number') {
+    counters.rest_requests += 1;
+    beginRest(context, known, rest);
+    return;
+  }
+  counters.malformed_rest_requests += 1;
+  const profile = profiles.get(service);
+  if (profile?.saidUnreadableRest === false) {
+    profile.saidUnreadableRest = true;
+    const found = rest.unreadable.slice(0, LONGEST_QUOTE);
+    context.log('malformed_rest_request', { server: id, service, found }, 'warn');
+  }
+}
+
 function beginRest(context: RouterContext, known: KnownServer, rest: Milliseconds): void {
   const { state, now } = context;
   const { id, service } = known.server;
@@ -44,23 +64,3 @@
     }
   }
 }
-
-function noteRest(context: RouterContext, known: KnownServer, rest: RestReading): void {
-  const { counters, profiles } = context.state;
-  const { id, service } = known.server;
-  if (rest === null) {
-    return;
-  }
-  if (typeof rest === 'number') {
-    counters.rest_requests += 1;
-    beginRest(context, known, rest);
-    return;
-  }
-  counters.malformed_rest_requests += 1;
-  const profile = profiles.get(service);
-  if (profile?.saidUnreadableRest === false) {
-    profile.saidUnreadableRest = true;
-    const found = rest.unreadable.slice(0, LONGEST_QUOTE);
-    context.log('malformed_rest_request', { server: id, service, found }, 'warn');
-  }
-}
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -82,56 +82,86 @@
   return { reason, hold: now + left <= request.holdUntil, retryAfter };
 }
 
-function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
-  const { view, servers, bounds, evacuations } = context.state;
-  const unit = view.unitOf(request.service, key);
-  if (unit === undefined || !unit.granted) {
-    const reason = unit === undefined ? 'the key has no owner' : `the key is on its way to ${unit.owner}`;
-    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
-  }
-  if (context.state.doubtedUnits.has(unit.fence, context.now)) {
-    const reason = `the owner ${unit.owner} does not hold the key yet`;
-    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
-  }
-  const known = servers.get(unit.owner);
-  if (known === undefined) {
-    return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
-  }
-  const { drainingSince, load } = known;
+/** An owner that leaves, or whose zone is evacuated, gets requests for a part of the allowed time. */
+function leavingRefusal(context: RouterContext, known: KnownServer): NoDestination | null {
+  const { bounds, evacuations } = context.state;
+  const { server, drainingSince } = known;
   const leavingFor = drainingSince === null ? 0 : context.now - drainingSince;
   if (leavingFor > bounds.drain * LEAVING_PART) {
     // Keys that have not moved by the bound wait for the store: no caller should wait with them.
     const hold = leavingFor <= bounds.drain;
-    return { reason: `the owner ${unit.owner} is leaving`, hold, retryAfter: OWNER_RETRY_AFTER };
-  }
-  const restLeft = known.rest.left(context.now);
-  if (restLeft > 0) {
-    return restRefusal(context, request, `the owner ${unit.owner} wants rest`, restLeft);
-  }
-  if (!known.rest.allows(load.inFlight.size, context.now)) {
-    const reason = `the owner ${unit.owner} takes one request at a time after its rest`;
-    return { reason, hold: true, retryAfter: FULL_RETRY_AFTER };
+    return { reason: `the owner ${server.id} is leaving`, hold, retryAfter: OWNER_RETRY_AFTER };
   }
-  const evacuatedFor = evacuations.age(known.server.zone, context.now);
+  const evacuatedFor = evacuations.age(server.zone, context.now);
   if (evacuatedFor !== null && evacuatedFor > (bounds.evacuation ?? 0) * LEAVING_PART) {
-    const reason = `the zone of the owner ${unit.owner} is evacuated`;
+    const reason = `the zone of the owner ${server.id} is evacuated`;
     return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
+  return null;
+}
+
+/** An owner gets nothing before the end of the rest that it asked for, and one request at a time after it. */
+function restingRefusal(
+  context: RouterContext,
+  request: ActiveRequest,
+  { server, rest, load }: KnownServer,
+): NoDestination | null {
+  const left = rest.left(context.now);
+  if (left > 0) {
+    return restRefusal(context, request, `the owner ${server.id} wants rest`, left);
+  }
+  if (!rest.allows(load.inFlight.size, context.now)) {
+    const reason = `the owner ${server.id} takes one request at a time after its rest`;
+    return { reason, hold: true, retryAfter: FULL_RETRY_AFTER };
+  }
+  return null;
+}
+
+/** What this daemon has seen of an owner: it may be cold, silent, failing or full. */
+function loadRefusal(
+  context: RouterContext,
+  request: ActiveRequest,
+  known: KnownServer,
+): NoDestination | null {
+  const { server, load } = known;
   if (!mayStartCold(known, coldInterval(context, request.service), context.now)) {
     const retryAfter = Math.max(OWNER_RETRY_AFTER, known.coldUntil - context.now);
-    return { reason: `the owner ${unit.owner} is cold and takes few requests`, hold: false, retryAfter };
+    return { reason: `the owner ${server.id} is cold and takes few requests`, hold: false, retryAfter };
   }
   if (load.isSilent(context.now)) {
-    return { reason: `the owner ${unit.owner} is silent`, hold: false, retryAfter: OWNER_RETRY_AFTER };
+    return { reason: `the owner ${server.id} is silent`, hold: false, retryAfter: OWNER_RETRY_AFTER };
   }
   if (load.avoidUntil > context.now && load.failures > 1) {
-    return { reason: `the owner ${unit.owner} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
+    return { reason: `the owner ${server.id} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
   if (!load.window.allows(load.inFlight.size, context.now) || isFull(context, known, request)) {
     noteOverload(context);
-    return { reason: `the owner ${unit.owner} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
+    return { reason: `the owner ${server.id} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
+  }
+  return null;
+}
+
+function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
+  const { view, servers, doubtedUnits } = context.state;
+  const unit = view.unitOf(request.service, key);
+  if (unit === undefined || !unit.granted) {
+    const reason = unit === undefined ? 'the key has no owner' : `the key is on its way to ${unit.owner}`;
+    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
+  if (doubtedUnits.has(unit.fence, context.now)) {
+    const reason = `the owner ${unit.owner} does not hold the key yet`;
+    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
-  return known;
+  const known = servers.get(unit.owner);
+  if (known === undefined) {
+    return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
+  }
+  return (
+    leavingRefusal(context, known) ??
+    restingRefusal(context, request, known) ??
+    loadRefusal(context, request, known) ??
+    known
+  );
 }
 
 /** Of the servers that stay; while all of a service leave at once, of those that have done so for a short time. */
