--- /dev/null
+++ b/test/router/quarantine/test-copies-at-one-server.ts
@@ -0,0 +1,38 @@
+/*
+ * A request that ends servers came twelve times a second, so that three to six daemons had a copy of it at the same server when that ended. Daemons
+ * counted one end (`server_crashed` for one server, 8.63 s), waited for two more servers (11.99 s and 14.91 s), and began the quarantine within 20 ms of the third: right by
+ * servers. By copies three had ended at 8.6 s, and six more were sent later than 3 s after that.
+ */
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { RequestTraffic } from '../support/request-traffic.js';
+import { type Daemon, RouterWorld, SERVICE } from '../support/router-world.js';
+
+const SETTLED = 6_000;
+const NAME = 'deadly';
+const KEY = 7;
+/** Between two tries at one daemon. */
+const INTERVAL = 500;
+const LENGTH = 20_000;
+const COPIES = 3;
+const CONTACT = 3_000;
+const MOST_LATER_SENDS = 3;
+
+describe('a request that ends servers while several copies of it are there', () => {
+  it('is sent three times at most once three copies have been lost for as long as daemons need to agree', () => {
+    const world = new RouterWorld(11, 6, 8);
+    const traffic = new RequestTraffic(world, 0);
+    traffic.deadly.add(NAME);
+    const ask = (daemon: Daemon): void => {
+      traffic.ask(daemon, { name: NAME, route: SERVICE, key: KEY });
+      world.clock.after(INTERVAL, () => ask(daemon));
+    };
+    world.clock.runUntil(SETTLED);
+    world.daemons.forEach((daemon, index) => world.clock.after(index, () => ask(daemon)));
+    world.clock.runUntil(SETTLED + LENGTH);
+    const lost = traffic.lostCopies.map(({ at }) => at).sort((left, right) => left - right);
+    const third = lost[COPIES - 1] ?? Number.POSITIVE_INFINITY;
+    const later = traffic.sends.filter(({ at }) => at > third + CONTACT);
+    expect(later.length <= MOST_LATER_SENDS).toEqual(true);
+  });
+});
--- a/test/router/support/request-traffic.ts
+++ b/test/router/support/request-traffic.ts
@@ -94,6 +94,8 @@
   readonly resting = new Map<ModelServer, number>();
   readonly sends: Send[] = [];
   readonly crashes: { readonly name: string; readonly server: string; readonly at: number }[] = [];
+  /** When each copy of a request was lost with a server that ended. */
+  readonly lostCopies: { readonly name: string; readonly at: number }[] = [];
   readonly told: Told[] = [];
   readonly #world: RouterWorld;
   readonly #names = new Map<string, string>();
@@ -163,6 +165,7 @@
     this.#running.delete(server);
     this.#slotFreeAt.delete(server);
     for (const attempt of lost) {
+      this.lostCopies.push({ name: attempt.name, at: this.#world.clock.now });
       const reason = 'other side closed';
       this.#end(attempt, { kind: 'lost', reason, answerBegun: false, connectionEnded: true });
     }
