A request of which three copies were lost with servers that ended is sent one at a time

Cause: ends were counted by servers; several copies at one server, each of which the users' rule counts, made one.

--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -20,6 +20,7 @@
   'malformed_rest_requests',
   'quarantines',
   'requests_quarantined',
+  'requests_held_back',
   'grants',
   'releases',
   'probes',
--- a/src/router/quarantine/crash-table.ts
+++ b/src/router/quarantine/crash-table.ts
@@ -8,6 +8,13 @@
 
 /** A request under which this many servers have ended, and which none has answered since, is kept from servers. */
 export const CRASHES_FOR_QUARANTINE = 3;
+/**
+ * So many copies that were lost at servers that ended make a request suspect enough to be sent one at a time: a request that came twelve times
+ * a second was sent to two more servers in eight copies while ends were counted by servers alone.
+ */
+export const COPIES_FOR_HOLD = 3;
+/** A request that is held back is sent once in this time, by the leader: its answer, or the end of a server, is known by then. */
+const TRIAL_INTERVAL: Milliseconds = 1_000;
 /** Ends that are kept for one request: a few more than are needed, in case some prove to be none. */
 const MOST_ENDS = 6;
 /** Servers of which it is kept that their ends don't count. */
@@ -33,6 +40,8 @@
   readonly server: ServerId;
   /** How long ago its connection broke. */
   readonly age: Milliseconds;
+  /** Names of copies of the request that were lost there, a few of them; absent: not counted. */
+  readonly copies?: string[];
 }
 /** What daemons tell each other of one request. */
 export interface CrashRecord {
@@ -61,6 +70,12 @@
   readonly exonerated: Set<ServerId>;
   quarantined: boolean;
   retested: boolean;
+  /** Copies that were lost with each of these servers. */
+  readonly copies: Map<ServerId, Set<string>>;
+  /** When so many copies had been lost that it is held back. */
+  heldSince: Milliseconds;
+  /** When it was last sent all the same. */
+  trialAt: Milliseconds;
   /** Tries that were refused here since the quarantine began. */
   refusals: number;
   /** When this daemon heard of the first end that counts. */
@@ -70,10 +85,19 @@
 
 function recordOf(entry: Entry, now: Milliseconds): CrashRecord {
   const { fingerprint, exonerated, quarantined, retested } = entry;
-  const ended = [...entry.ended].map(([server, at]) => ({ server, age: Math.max(0, Math.round(now - at)) }));
+  const ended = [...entry.ended].map(([server, at]) => ({
+    server,
+    age: Math.max(0, Math.round(now - at)),
+    copies: [...(entry.copies.get(server) ?? [])],
+  }));
   return { fingerprint, ended, exonerated: [...exonerated], quarantined, retested };
 }
 
+/** Copies of a request that were lost at servers that count. */
+function lostCopies({ copies }: Entry): number {
+  return [...copies.values()].reduce((total, { size }) => total + size, 0);
+}
+
 /** Between the first end and the last. */
 function spanOf({ ended }: Entry): Milliseconds {
   const times = [...ended.values()];
@@ -130,6 +154,26 @@
     return this.#find(fingerprint)?.ended.size ?? 0;
   }
 
+  /**
+   * Whether a request is sent one at a time only: copies of it were lost, and no server has answered one meanwhile.
+   *
+   * @param confirmation for how long it must have been so
+   */
+  isHeldBack(fingerprint: RequestFingerprint, confirmation: Milliseconds, now: Milliseconds): boolean {
+    const entry = this.#find(fingerprint);
+    return entry !== undefined && !entry.quarantined && now - entry.heldSince >= confirmation;
+  }
+
+  /** A request that is held back has come again; whether it is sent now. */
+  isDueForTrial(fingerprint: RequestFingerprint, now: Milliseconds): boolean {
+    const entry = this.#find(fingerprint);
+    if (entry === undefined || now - entry.trialAt < TRIAL_INTERVAL) {
+      return false;
+    }
+    entry.trialAt = now;
+    return true;
+  }
+
   /** Takes in what another daemon, the store or an observation says. Returns the record as it is now, or null when nothing is new. */
   merge(record: CrashRecord, now: Milliseconds): CrashRecord | null {
     const entry = this.#entries.get(record.fingerprint) ?? this.#create(record.fingerprint, now);
@@ -217,6 +261,9 @@
     const entry: Entry = {
       fingerprint,
       ended: new Map(),
+      copies: new Map(),
+      heldSince: Number.POSITIVE_INFINITY,
+      trialAt: Number.NEGATIVE_INFINITY,
       exonerated: new Set(),
       quarantined: false,
       retested: false,
@@ -230,9 +277,12 @@
     return entry;
   }
 
-  #addEnd(entry: Entry, { server, age }: CrashedServer, now: Milliseconds): boolean {
+  #addEnd(entry: Entry, { server, age, copies = [] }: CrashedServer, now: Milliseconds): boolean {
     const at = now - age;
-    if (entry.exonerated.has(server) || entry.ended.has(server) || !this.#makeRoom(entry, at)) {
+    if (entry.ended.has(server)) {
+      return this.#addCopies(entry, server, copies, now);
+    }
+    if (entry.exonerated.has(server) || !this.#makeRoom(entry, at)) {
       return false;
     }
     entry.suspectedAt = entry.ended.size === 0 ? now : entry.suspectedAt;
@@ -243,11 +293,24 @@
     const blame = this.#byServer.get(server) ?? { fingerprints: new Set(), heardAt: now };
     blame.fingerprints.add(entry.fingerprint);
     this.#byServer.set(server, blame);
+    this.#addCopies(entry, server, copies, now);
     return true;
   }
 
+  /** Whether that is news: no more copies are counted than matter. */
+  #addCopies(entry: Entry, server: ServerId, copies: readonly string[], now: Milliseconds): boolean {
+    const known = entry.copies.get(server) ?? new Set<string>();
+    const added = copies.filter((copy) => !known.has(copy)).slice(0, COPIES_FOR_HOLD - known.size);
+    added.forEach((copy) => known.add(copy));
+    entry.copies.set(server, known);
+    if (lostCopies(entry) >= COPIES_FOR_HOLD) {
+      entry.heldSince = Math.min(entry.heldSince, now);
+    }
+    return added.length > 0;
+  }
+
   /** The newest end gives way to one that is newer still: the span from the first to the last one counts. */
-  #makeRoom({ ended, fingerprint }: Entry, at: Milliseconds): boolean {
+  #makeRoom({ ended, copies, fingerprint }: Entry, at: Milliseconds): boolean {
     if (ended.size < MOST_ENDS) {
       return true;
     }
@@ -256,6 +319,7 @@
       return false;
     }
     ended.delete(newest);
+    copies.delete(newest);
     this.#forgetBlame(newest, fingerprint);
     return true;
   }
@@ -276,6 +340,10 @@
 
   #dropEnd(entry: Entry, server: ServerId): void {
     entry.ended.delete(server);
+    entry.copies.delete(server);
+    if (lostCopies(entry) < COPIES_FOR_HOLD) {
+      entry.heldSince = Number.POSITIVE_INFINITY;
+    }
     if (entry.ended.size < CRASHES_FOR_QUARANTINE) {
       this.#ripe.delete(entry);
     }
--- a/src/router/quarantine/quarantine.ts
+++ b/src/router/quarantine/quarantine.ts
@@ -9,7 +9,7 @@
 import type { ActiveRequest } from '../request/active-request.js';
 import { cancelAttempt, giveUp } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
-import type { CrashRecord } from './crash-table.js';
+import { COPIES_FOR_HOLD, type CrashRecord } from './crash-table.js';
 import type { BrokenConnection } from './server-ends.js';
 
 /**
@@ -23,6 +23,10 @@
 const FIRST_SERVER_FAILURE = 500;
 /** Fingerprints that one line of the log names. */
 const MOST_LOGGED = 8;
+/** What a caller is told while a request is sent one at a time. */
+const HOLD_REASON = 'copies of this request were lost with a server: one at a time is sent';
+/** By then an answer, or another end, may have decided. */
+const HOLD_RETRY_AFTER: Milliseconds = 1_000;
 /** What a caller is told. */
 export const QUARANTINE_REASON = 'servers have ended under this request: it is not sent to any other';
 
@@ -48,7 +52,8 @@
   evidence: string,
 ): void {
   const { id, service, address } = server;
-  const fingerprints = [...new Set([...requests].map(({ value }) => value))];
+  const values = [...requests].map(({ value }) => value);
+  const fingerprints = [...new Set(values)];
   context.state.counters.server_ends += 1;
   context.log('server_crashed', {
     server: id,
@@ -58,11 +63,21 @@
     requests: fingerprints.length,
     fingerprints: fingerprints.slice(0, MOST_LOGGED),
   });
-  const ended = [{ server: id, age: context.now - brokenAt }];
+  const age = context.now - brokenAt;
+  const { daemon, life } = context.state.identity;
+  const copiesOf = (fingerprint: string): string[] =>
+    values
+      .filter((value) => value === fingerprint)
+      .slice(0, COPIES_FOR_HOLD)
+      .map((_, index) => `${daemon}/${life}/${index}`);
   const rest = { exonerated: [], quarantined: false, retested: false };
   takeRecords(
     context,
-    fingerprints.map((fingerprint) => ({ fingerprint, ended, ...rest })),
+    fingerprints.map((fingerprint) => ({
+      fingerprint,
+      ended: [{ server: id, age, copies: copiesOf(fingerprint) }],
+      ...rest,
+    })),
     'observed',
   );
 }
@@ -166,6 +181,25 @@
   }
 }
 
+/**
+ * Whether a new request waits for others like it: several copies of it were lost with a server, though not with enough servers for a
+ * quarantine. The leader sends one at a time; an answer ends this, and more ends begin the quarantine.
+ */
+export function isHeldBack(context: RouterContext, { fingerprint }: ActiveRequest): boolean {
+  const { state, now } = context;
+  const { crashes, leadership, bounds } = state;
+  if (crashes.isEmpty || !crashes.isHeldBack(fingerprint, bounds.contact * CONFIRMATION_PART, now)) {
+    return false;
+  }
+  return leadership === null || !crashes.isDueForTrial(fingerprint, now);
+}
+
+/** Refuses a request that is held back: it has not run, and may come again. */
+export function refuseHeldBack(context: RouterContext, request: ActiveRequest): void {
+  context.state.counters.requests_held_back += 1;
+  giveUp(context, request, HOLD_REASON, HOLD_RETRY_AFTER);
+}
+
 /** Ends a request in quarantine: at once, and without a time to come back. */
 export function refuseQuarantined(context: RouterContext, request: ActiveRequest): void {
   request.mayHaveRun ||= request.server !== null;
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
-import { isKeptBack, refuseQuarantined } from '../quarantine/quarantine.js';
+import { isHeldBack, isKeptBack, refuseHeldBack, refuseQuarantined } from '../quarantine/quarantine.js';
 import { tallyKeys } from '../tree/reports.js';
 import { budgetOf, dispatch } from './request-dispatch.js';
 import { HOLD_PART } from './request-timing.js';
@@ -70,6 +70,10 @@
     refuseQuarantined(context, request);
     return;
   }
+  if (isHeldBack(context, request)) {
+    refuseHeldBack(context, request);
+    return;
+  }
   state.requests.set(request.id, request);
   if (request.key !== null) {
     tallyKeys(context, { service: request.service, keys: [request.key], counts: [1] });
--- /dev/null
+++ b/test/router/quarantine/test-hot-innocent.ts
@@ -0,0 +1,51 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import { RequestTraffic } from '../support/request-traffic.js';
+import { type Daemon, RouterWorld, SERVICE } from '../support/router-world.js';
+
+const SETTLED = 6_000;
+const HOT = { name: 'hot', route: SERVICE, key: 7 };
+const COLD = { name: 'cold', route: SERVICE, key: 7 };
+/** Between two tries at one daemon: the key's owner has copies of the request all the time. */
+const INTERVAL = 150;
+const CRASHES = 3;
+const APART = 7_000;
+/** Of the tries, for the second until one is sent again. */
+const MOST_LOSS = 0.1;
+
+/** Share of a hot request's tries, and of others for its key, that are answered while its owners crash for reasons of their own. */
+function playCrashes(seed: number, daemons: number): { hot: number; cold: number } {
+  const world = new RouterWorld(seed, daemons, 8);
+  const traffic = new RequestTraffic(world, 0);
+  const ask = (daemon: Daemon): void => {
+    traffic.ask(daemon, HOT);
+    traffic.ask(daemon, COLD);
+    world.clock.after(INTERVAL * (daemons / 6), () => ask(daemon));
+  };
+  world.clock.runUntil(SETTLED);
+  world.daemons.forEach((daemon, index) => world.clock.after(index * 11, () => ask(daemon)));
+  world.clock.runUntil(SETTLED + 1_000);
+  const before = traffic.told.length;
+  for (let crash = 0; crash < CRASHES; crash += 1) {
+    const owner = world.servers.find((server) => server.holds(HOT.key));
+    if (owner !== undefined) {
+      traffic.crash(owner);
+    }
+    world.clock.runUntil(world.clock.now + APART);
+  }
+  const told = traffic.told.slice(before);
+  const share = (name: string): number => {
+    const of = told.filter((each) => each.name === name);
+    return of.filter(({ status }) => status === 200).length / of.length;
+  };
+  return { hot: share(HOT.name), cold: share(COLD.name) };
+}
+
+describe('a hot request whose owners crash for reasons of their own', () => {
+  it('is answered about as often as others for the same key', () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const { hot, cold } = playCrashes(seed, 6);
+      expect(hot > cold - MOST_LOSS).toEqual(true);
+    }
+  });
+});
