--- a/src/router/quarantine/crash-table.ts
+++ b/src/router/quarantine/crash-table.ts
@@ -5,14 +5,10 @@
  */
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import { headOf, type RequestFingerprint } from '../model/request-fingerprint.js';
+import { LostCopies } from './lost-copies.js';
 
 /** A request under which this many servers have ended, and which none has answered since, is kept from servers. */
 export const CRASHES_FOR_QUARANTINE = 3;
-/**
- * So many copies that were lost at servers that ended make a request suspect enough to be sent one at a time: a request that came twelve times
- * a second was sent to two more servers in eight copies while ends were counted by servers alone.
- */
-export const COPIES_FOR_HOLD = 3;
 /** A request that is held back is sent once in this time, by the leader: its answer, or the end of a server, is known by then. */
 const TRIAL_INTERVAL: Milliseconds = 1_000;
 /** Ends that are kept for one request: a few more than are needed, in case some prove to be none. */
@@ -71,9 +67,7 @@
   quarantined: boolean;
   retested: boolean;
   /** Copies that were lost with each of these servers. */
-  readonly copies: Map<ServerId, Set<string>>;
-  /** When so many copies had been lost that it is held back. */
-  heldSince: Milliseconds;
+  readonly copies: LostCopies;
   /** When it was last sent all the same. */
   trialAt: Milliseconds;
   /** Tries that were refused here since the quarantine began. */
@@ -88,16 +82,11 @@
   const ended = [...entry.ended].map(([server, at]) => ({
     server,
     age: Math.max(0, Math.round(now - at)),
-    copies: [...(entry.copies.get(server) ?? [])],
+    copies: entry.copies.of(server),
   }));
   return { fingerprint, ended, exonerated: [...exonerated], quarantined, retested };
 }
 
-/** Copies of a request that were lost at servers that count. */
-function lostCopies({ copies }: Entry): number {
-  return [...copies.values()].reduce((total, { size }) => total + size, 0);
-}
-
 /** Between the first end and the last. */
 function spanOf({ ended }: Entry): Milliseconds {
   const times = [...ended.values()];
@@ -161,7 +150,7 @@
    */
   isHeldBack(fingerprint: RequestFingerprint, confirmation: Milliseconds, now: Milliseconds): boolean {
     const entry = this.#find(fingerprint);
-    return entry !== undefined && !entry.quarantined && now - entry.heldSince >= confirmation;
+    return entry !== undefined && !entry.quarantined && entry.copies.areEnough(confirmation, now);
   }
 
   /** A request that is held back has come again; whether it is sent now. */
@@ -261,8 +250,7 @@
     const entry: Entry = {
       fingerprint,
       ended: new Map(),
-      copies: new Map(),
-      heldSince: Number.POSITIVE_INFINITY,
+      copies: new LostCopies(),
       trialAt: Number.NEGATIVE_INFINITY,
       exonerated: new Set(),
       quarantined: false,
@@ -280,7 +268,7 @@
   #addEnd(entry: Entry, { server, age, copies = [] }: CrashedServer, now: Milliseconds): boolean {
     const at = now - age;
     if (entry.ended.has(server)) {
-      return this.#addCopies(entry, server, copies, now);
+      return entry.copies.add(server, copies, now);
     }
     if (entry.exonerated.has(server) || !this.#makeRoom(entry, at)) {
       return false;
@@ -293,22 +281,10 @@
     const blame = this.#byServer.get(server) ?? { fingerprints: new Set(), heardAt: now };
     blame.fingerprints.add(entry.fingerprint);
     this.#byServer.set(server, blame);
-    this.#addCopies(entry, server, copies, now);
+    entry.copies.add(server, copies, now);
     return true;
   }
 
-  /** Whether that is news: no more copies are counted than matter. */
-  #addCopies(entry: Entry, server: ServerId, copies: readonly string[], now: Milliseconds): boolean {
-    const known = entry.copies.get(server) ?? new Set<string>();
-    const added = copies.filter((copy) => !known.has(copy)).slice(0, COPIES_FOR_HOLD - known.size);
-    added.forEach((copy) => known.add(copy));
-    entry.copies.set(server, known);
-    if (lostCopies(entry) >= COPIES_FOR_HOLD) {
-      entry.heldSince = Math.min(entry.heldSince, now);
-    }
-    return added.length > 0;
-  }
-
   /** The newest end gives way to one that is newer still: the span from the first to the last one counts. */
   #makeRoom({ ended, copies, fingerprint }: Entry, at: Milliseconds): boolean {
     if (ended.size < MOST_ENDS) {
@@ -319,7 +295,7 @@
       return false;
     }
     ended.delete(newest);
-    copies.delete(newest);
+    copies.forget(newest);
     this.#forgetBlame(newest, fingerprint);
     return true;
   }
@@ -340,10 +316,7 @@
 
   #dropEnd(entry: Entry, server: ServerId): void {
     entry.ended.delete(server);
-    entry.copies.delete(server);
-    if (lostCopies(entry) < COPIES_FOR_HOLD) {
-      entry.heldSince = Number.POSITIVE_INFINITY;
-    }
+    entry.copies.forget(server);
     if (entry.ended.size < CRASHES_FOR_QUARANTINE) {
       this.#ripe.delete(entry);
     }
