Sight: limits that servers name in answers are read, with a line for each begin, change and end, and counted; nothing is held back yet

A limit that can't be read is said once for a service, and leaves the one in force. An answer without a limit ends it only if it is the server's own for certain and its request was sent after the limit was last named.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -3,6 +3,7 @@
  * this request, a rejection, or something that tells nothing. Short answers are kept until they are whole.
  */
 import type { AttemptResult, LoadReading } from '../router/events.js';
+import type { LimitReading } from '../router/model/server-limit.js';
 import type { ServerNotice } from '../router/model/server-notice.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { headerValue } from './headers.js';
@@ -43,6 +44,8 @@
 export interface AttemptListener {
   /** The answer's head, or its trailers, say something of the server: told at once, however the attempt ends. */
   noticed(notice: ServerNotice): void;
+  /** Of the head of each answer to this request that names a limit, or that is the server's own for certain and names none. */
+  limitRead(reading: LimitReading): void;
   /** Called once. `reusable`: so is the connection. */
   finished(result: AttemptResult, reusable: boolean): void;
 }
@@ -132,6 +135,9 @@
     this.#readNotice(this.#rawHeaders);
     const echoed = headerValue(this.#rawHeaders, this.#protocol.attemptId);
     const isForeign = echoed !== null && echoed !== this.#request.attemptId;
+    if (!isForeign) {
+      this.#readLimit();
+    }
     const needsEcho = status < FIRST_FAILURE_STATUS;
     if (isForeign || (needsEcho && echoed === null)) {
       this.#fail(isForeign ? 'an answer to another request' : 'an answer without the id of the request');
@@ -189,6 +195,19 @@
     }
   }
 
+  /** Only an answer that is the server's own for certain says by its silence that there is no limit. */
+  #readLimit(): void {
+    const limit = this.#protocol.readLimit(this.#rawHeaders);
+    const isOwn = headerValue(this.#rawHeaders, this.#protocol.seal) !== null || this.#isNotRun();
+    if (limit !== null || (isOwn && this.#status !== MISDIRECTED)) {
+      this.#listener.limitRead(limit);
+    }
+  }
+
+  #isNotRun(): boolean {
+    return headerValue(this.#rawHeaders, this.#protocol.notRun) !== null;
+  }
+
   #endsWithConnection(): boolean {
     return (
       this.#request.method !== 'HEAD' &&
@@ -210,8 +229,7 @@
   #classify(): AttemptResult {
     const status = this.#status;
     const misdirected = status === MISDIRECTED;
-    const notRun = headerValue(this.#rawHeaders, this.#protocol.notRun) !== null;
-    if (misdirected || notRun) {
+    if (misdirected || this.#isNotRun()) {
       return { kind: 'rejected', status, misdirected, load: this.#load() };
     }
     if (headerValue(this.#rawHeaders, this.#protocol.seal) === null) {
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -3,11 +3,13 @@
  * runtime's own HTTP server: a layer above it would cost more than the work itself.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { AnswerEffect, CancelEffect, ForwardEffect, WithdrawEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
-import { LAST_KEY } from '../router/model/identifiers.js';
+import { LAST_KEY, type Milliseconds } from '../router/model/identifiers.js';
 import { instanceOf } from '../router/model/server-life.js';
+import type { LimitReading } from '../router/model/server-limit.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { Attempt, type AnswerSink, type AttemptListener } from './attempt.js';
 import { forwardedHeaders, headerValue } from './headers.js';
@@ -196,8 +198,10 @@
     headers.push(this.#protocol.timeLeft, String(Math.max(1, Math.floor(effect.timeLeft))));
     headers.push(this.#protocol.expectedServer, instanceOf(effect.server));
     const request = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers, body, attemptId };
+    const sentAt = PROCESS_CLOCK.now();
     const listener: AttemptListener = {
       noticed: (notice) => this.#dispatch({ kind: 'serverNoticed', server: effect.server, notice }),
+      limitRead: (reading) => this.#limitRead(effect, reading, sentAt),
       finished: (result, reusable) => {
         this.#connections.release(effect.address, connection, reusable);
         if (exchange.attempt === attempt) {
@@ -213,6 +217,13 @@
     attempt.start();
   }
 
+  /** Most answers name no limit: that says something only where there was one. */
+  #limitRead({ server, isLimited }: ForwardEffect, reading: LimitReading, sentAt: Milliseconds): void {
+    if (reading !== null || isLimited) {
+      this.#dispatch({ kind: 'serverLimitRead', server, reading, sentAt });
+    }
+  }
+
   #attemptEnded({ requestId, attempt }: ForwardEffect, result: AttemptResult): void {
     this.#dispatch({ kind: 'attemptEnded', requestId, attempt, result });
   }
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -223,9 +223,12 @@
   }
 
   async #control(effect: ControlEffect): Promise<void> {
-    const outcome = await this.#platform.control.call(effect, (notice) =>
-      this.dispatch({ kind: 'serverNoticed', server: effect.server, notice }),
-    );
+    const sentAt = PROCESS_CLOCK.now();
+    const { server } = effect;
+    const outcome = await this.#platform.control.call(effect, {
+      noticed: (notice) => this.dispatch({ kind: 'serverNoticed', server, notice }),
+      limitRead: (reading) => this.dispatch({ kind: 'serverLimitRead', server, reading, sentAt }),
+    });
     this.dispatch({ kind: 'controlEnded', callId: effect.callId, outcome });
   }
 
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -18,6 +18,8 @@
   'leaving_answers',
   'rest_requests',
   'malformed_rest_requests',
+  'limits_read',
+  'malformed_limits',
   'quarantines',
   'requests_quarantined',
   'requests_held_back',
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -48,6 +48,8 @@
   readonly timeLeft: Milliseconds;
   /** An answer is passed on only once it is whole, as far as that is possible. */
   readonly buffer: boolean;
+  /** The server names a limit, as far as is known: an answer without one says that it ceased to. */
+  readonly isLimited: boolean;
 }
 /** Gives up an attempt; its connection is closed. */
 export interface CancelEffect {
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -3,6 +3,7 @@
 import type { FeedName, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { RequestFingerprint } from './model/request-fingerprint.js';
 import type { ServerDescription } from './model/server.js';
+import type { LimitReading } from './model/server-limit.js';
 import type { ServerNotice } from './model/server-notice.js';
 import type { EvacuationStatement } from './news/zone-evacuations.js';
 import type { PeerMessage, ServerChange } from './peers/messages.js';
@@ -179,6 +180,15 @@
   readonly notice: ServerNotice;
 }
 
+/** An answer of a server, to a request, a probe or a call, names a limit, or none. */
+export interface ServerLimitReadEvent {
+  readonly kind: 'serverLimitRead';
+  readonly server: ServerId;
+  readonly reading: LimitReading;
+  /** When the request or call was sent: the answer was made after it. */
+  readonly sentAt: Milliseconds;
+}
+
 /** A message from another daemon. */
 export interface PeerMessageEvent {
   readonly kind: 'peerMessage';
@@ -236,6 +246,7 @@
   | CallerLeftEvent
   | AttemptEndedEvent
   | ServerNoticedEvent
+  | ServerLimitReadEvent
   | PeerMessageEvent
   | PeerLeftEvent
   | ParentLinkOpenedEvent
--- /dev/null
+++ b/src/router/limits/limit-readings.ts
@@ -0,0 +1,39 @@
+/** Takes in what answers to this daemon say of their servers' limits. */
+import type { ServerLimitReadEvent } from '../events.js';
+import type { ServerId } from '../model/identifiers.js';
+import type { UnreadableLimit } from '../model/server-limit.js';
+import type { RouterContext } from '../router-context.js';
+import { logLimitChange } from './limit-log.js';
+
+/** Characters of a value that cannot be read that are logged. */
+const LONGEST_QUOTE = 60;
+
+/** An answer names a limit, or none. */
+export function receiveServerLimit(
+  context: RouterContext,
+  { server, reading, sentAt }: ServerLimitReadEvent,
+): void {
+  const { state, now } = context;
+  if (reading !== null && typeof reading !== 'number') {
+    noteUnreadable(context, server, reading);
+    return;
+  }
+  state.counters.limits_read += reading === null ? 0 : 1;
+  const change = state.limits.read(server, reading, sentAt, now);
+  if (change !== null) {
+    logLimitChange(context, change, 'answer', 0);
+  }
+}
+
+/** Counted each time, said once for the service; the limit in force stays. */
+function noteUnreadable(context: RouterContext, server: ServerId, { unreadable }: UnreadableLimit): void {
+  const { counters, profiles, servers } = context.state;
+  counters.malformed_limits += 1;
+  const service = servers.get(server)?.server.service;
+  const profile = service === undefined ? undefined : profiles.get(service);
+  if (profile?.saidUnreadableLimit === false) {
+    profile.saidUnreadableLimit = true;
+    const found = unreadable.slice(0, LONGEST_QUOTE);
+    context.log('malformed_limit', { server, service, found }, 'warn');
+  }
+}
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -52,6 +52,19 @@
     when: 'the first time that a server of a service asks for a rest that cannot be read',
     fields: 'server, service, found',
   },
+  server_names_limit: {
+    when: 'the answers of a server begin to name a limit for what all daemons together may send it, or name another one',
+    fields:
+      'server, service, limit (requests a second), former, source (as of server_says_leaving), age (ms)',
+  },
+  server_limit_ended: {
+    when: 'they cease to, or no answer has confirmed the limit for long',
+    fields: 'server, service, former, source, age (ms), reason',
+  },
+  malformed_limit: {
+    when: 'the first time that a server of a service names a limit that cannot be read: the one in force stays',
+    fields: 'server, service, found',
+  },
   server_gone: { when: 'a server is no longer listed', fields: 'server, service, revision' },
   zone_evacuated: {
     when: 'operators evacuate a zone: its servers get nothing more',
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from './model/configuration.js';
 import type { Milliseconds } from './model/identifiers.js';
 import type { ServerDescription } from './model/server.js';
+import type { LimitReading } from './model/server-limit.js';
 import type { ServerNotice } from './model/server-notice.js';
 import type { ReportedLoad } from './request/server-load.js';
 
@@ -53,10 +54,16 @@
   readonly evacuations: FeedSource<string>;
 }
 
+/** Told what the answer to a call says of its server, before the outcome. */
+export interface ControlListener {
+  noticed(notice: ServerNotice): void;
+  /** Also of answers that name none, unless another server may have made them. */
+  limitRead(reading: LimitReading): void;
+}
+
 /** Grants, releases and probes at servers. Calls never throw. */
 export interface ServerControl {
-  /** Tells of a notice in the answer before the outcome. */
-  call(effect: ControlEffect, onNotice: (notice: ServerNotice) => void): Promise<ControlOutcome>;
+  call(effect: ControlEffect, listener: ControlListener): Promise<ControlOutcome>;
 }
 
 /** Names of headers, in lower case, and how their values are read. */
@@ -79,6 +86,8 @@
   parseLoad(value: string): ReportedLoad | null;
   /** Reads what an answer with this status and these raw headers, or trailers, says of its server; null: nothing. */
   readNotice(status: number, rawHeaders: readonly string[]): ServerNotice | null;
+  /** Reads the limit that an answer with these raw headers names. */
+  readLimit(rawHeaders: readonly string[]): LimitReading;
   /** Path at which readiness is asked for. */
   readonly readinessPath: string;
 }
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -12,6 +12,7 @@
   SettingsReadEvent,
 } from './events.js';
 import type { Milliseconds } from './model/identifiers.js';
+import { receiveServerLimit } from './limits/limit-readings.js';
 import * as candidacy from './ownership/candidacy.js';
 import * as election from './ownership/election.js';
 import { receiveHeartbeat, receiveLeaderNotice } from './ownership/known-leader.js';
@@ -70,6 +71,8 @@
       return receiveAttemptEnded(context, event);
     case 'serverNoticed':
       return receiveServerNotice(context, event);
+    case 'serverLimitRead':
+      return receiveServerLimit(context, event);
     case 'callerLeft':
       return receiveCallerLeft(context, event.requestId);
     case 'configuration':
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -102,6 +102,7 @@
     address: known.server.address,
     timeLeft: request.deadlineAt - context.now,
     buffer: true,
+    isLimited: context.state.limits.of(known.server.id) !== null,
   });
 }
 
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -14,6 +14,8 @@
   saidUnreadable = false;
   /** The same of a rest that it asked for. */
   saidUnreadableRest = false;
+  /** The same of a limit. */
+  saidUnreadableLimit = false;
   #mean: Milliseconds = FIRST_TIME;
   #times = 0;
 
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -14,6 +14,7 @@
 import { createFeedHealths, type FeedHealth } from './news/feed-health.js';
 import { ServerHistory } from './news/server-history.js';
 import { ServerRest } from './notices/server-rest.js';
+import { ServerLimits } from './limits/server-limits.js';
 import { LeavingServers } from './notices/leaving-servers.js';
 import { ZoneEvacuations } from './news/zone-evacuations.js';
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
@@ -105,6 +106,8 @@
   readonly serversByService: Map<ServiceName, Map<ServerId, KnownServer>>;
   /** What answers said of servers that leave. */
   readonly leaving: LeavingServers;
+  /** Limits that answers named for what servers get of all daemons. */
+  readonly limits: ServerLimits;
   readonly profiles: Map<ServiceName, ServiceProfile>;
   /** Daemons that share the retry budget, as last heard. */
   daemons: number;
@@ -160,6 +163,7 @@
     lives: new Map(),
     serversByService: new Map(),
     leaving: new LeavingServers(),
+    limits: new ServerLimits(),
     profiles: new Map(),
     daemons: FIRST_DAEMONS,
     view: EMPTY_VIEW,
--- a/test/platform/test-server-api.ts
+++ b/test/platform/test-server-api.ts
@@ -5,10 +5,12 @@
 import { ServerApi } from '../../platform/server-api.js';
 import { MutingServer } from '../support/muting-server.js';
 import type { ControlEffect } from '../../src/router/effects.js';
+import type { LimitReading } from '../../src/router/model/server-limit.js';
 import type { ServerNotice } from '../../src/router/model/server-notice.js';
+import type { ControlListener } from '../../src/router/ports.js';
 
 /** For calls whose answers' notices don't matter. */
-const IGNORE = (): void => undefined;
+const IGNORE: ControlListener = { noticed: () => undefined, limitRead: () => undefined };
 const EMPTY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
 const LONG_PATIENCE = 30_000;
 const SHORT_PATIENCE = 60;
@@ -117,14 +119,20 @@
   });
 
   it('tells what the answer to a call or a probe says of the server', async () => {
-    const head = 'Server-Leaving: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n';
+    const head = 'Server-Leaving: 1\r\nRetry-After: 2\r\nServer-Limit: 3.2\r\nContent-Length: 0\r\n';
     server.on('connection', (socket) =>
       socket.on('data', () => socket.write(`HTTP/1.1 503 Full\r\n${head}\r\n`)),
     );
     const api = new ServerApi();
     const notices: ServerNotice[] = [];
-    await api.call(grant(LONG_PATIENCE), (notice) => notices.push(notice));
-    await api.call({ ...grant(LONG_PATIENCE), action: 'probe' }, (notice) => notices.push(notice));
+    const limits: LimitReading[] = [];
+    const listener: ControlListener = {
+      noticed: (notice) => notices.push(notice),
+      limitRead: (limit) => limits.push(limit),
+    };
+    await api.call(grant(LONG_PATIENCE), listener);
+    await api.call({ ...grant(LONG_PATIENCE), action: 'probe' }, listener);
+    expect(limits).toEqual([3.2, 3.2]);
     expect(notices).toEqual([
       { leaving: true, rest: 2_000 },
       { leaving: true, rest: 2_000 },
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -4,6 +4,7 @@
 import { Attempt, type AnswerSink, type AttemptListener } from '../../src/router-runtime/attempt.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { AttemptResult } from '../../src/router/events.js';
+import type { LimitReading } from '../../src/router/model/server-limit.js';
 import type { ServerNotice } from '../../src/router/model/server-notice.js';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
@@ -17,6 +18,7 @@
   readonly body: string | null;
   readonly hasLength: boolean;
   readonly notices: readonly ServerNotice[];
+  readonly limits: readonly LimitReading[];
 }
 
 let server: RawServer | undefined;
@@ -54,11 +56,13 @@
       attemptId: ID,
     };
     const notices: ServerNotice[] = [];
+    const limits: LimitReading[] = [];
     const listener: AttemptListener = {
       noticed: (notice) => notices.push(notice),
+      limitRead: (limit) => limits.push(limit),
       finished: (result, reusable) => {
         connections.release(address, connection, reusable);
-        resolve({ result, reusable, body, hasLength, notices });
+        resolve({ result, reusable, body, hasLength, notices, limits });
       },
     };
     new Attempt(request, REQUEST_PROTOCOL, connection, sink, listener).start();
@@ -161,6 +165,41 @@
     expect(outcome.reusable).toEqual(true);
   });
 
+  it('tells of the limit that an answer names, whatever the answer is', async () => {
+    const notRun = 'Fennelferry-Not-Executed: 1\r\nContent-Length: 0\r\n';
+    const heads = [
+      `200 OK\r\n${OWN}Content-Length: 0\r\n`,
+      `204 None\r\n${OWN}`,
+      `500 Error\r\n${OWN}Content-Length: 0\r\n`,
+      `503 Busy\r\n${notRun}`,
+      `421 Elsewhere\r\n${notRun}`,
+    ];
+    for (const head of heads) {
+      const outcome = await answerTo((socket) => {
+        socket.write(`HTTP/1.1 ${head}Server-Limit: 3.2\r\n\r\n`);
+      });
+      expect(outcome.limits).toEqual([3.2]);
+      await server?.close();
+    }
+  });
+
+  it('tells that an answer names no limit only when it is the own answer of the server for certain', async () => {
+    const cases: readonly (readonly [string, readonly LimitReading[]])[] = [
+      [`200 OK\r\n${OWN}Content-Length: 0\r\n`, [null]],
+      ['503 Busy\r\nFennelferry-Not-Executed: 1\r\nContent-Length: 0\r\n', [null]],
+      ['421 Elsewhere\r\nFennelferry-Not-Executed: 1\r\nContent-Length: 0\r\n', []],
+      ['502 Broken\r\nContent-Length: 0\r\n', []],
+      [`200 OK\r\n${OWN.replace(ID, 'a-0')}Content-Length: 0\r\n`, []],
+    ];
+    for (const [head, limits] of cases) {
+      const outcome = await answerTo((socket) => {
+        socket.write(`HTTP/1.1 ${head}\r\n`);
+      });
+      expect(outcome.limits).toEqual(limits);
+      await server?.close();
+    }
+  });
+
   it('does not use a connection again that held more than one answer', async () => {
     let answers = 0;
     const respond: RawResponder = (socket) => {
--- a/test/router-runtime/test-caller-front.ts
+++ b/test/router-runtime/test-caller-front.ts
@@ -56,6 +56,7 @@
         address,
         timeLeft: 500,
         buffer: true,
+        isLimited: false,
       });
     }
   });
