--- a/test/router/support/model-server.ts
+++ b/test/router/support/model-server.ts
@@ -52,6 +52,8 @@
   checksName = true;
   /** Daemons reach it. */
   reachable = true;
+  /** Requests a second that it names as its limit in each answer; null: it names none. */
+  limit: number | null = null;
   readonly holdings = new Map<number, Holding>();
   /** Grants that it refused since it had seen a higher fence. */
   readonly refused: ControlEffect[] = [];
--- a/test/router/support/request-traffic.ts
+++ b/test/router/support/request-traffic.ts
@@ -84,6 +84,8 @@
   readonly daemon: Daemon;
   readonly life: number;
   readonly effect: ForwardEffect;
+  /** By the daemon's clock. */
+  readonly sentAt: number;
   isOver: boolean;
 }
 
@@ -97,6 +99,8 @@
   /** When each copy of a request was lost with a server that ended. */
   readonly lostCopies: { readonly name: string; readonly at: number }[] = [];
   readonly told: Told[] = [];
+  /** When each daemon first had an answer that named the server's limit, by server and daemon. */
+  readonly toldLimits = new Map<string, Map<Daemon, number>>();
   readonly #world: RouterWorld;
   readonly #names = new Map<string, string>();
   readonly #running = new Map<ModelServer, RunningAttempt[]>();
@@ -177,7 +181,8 @@
 
   #forward(daemon: Daemon, effect: ForwardEffect): void {
     const name = this.#names.get(this.#keyOf(daemon, effect.requestId)) ?? '';
-    const attempt: RunningAttempt = { name, daemon, life: daemon.life, effect, isOver: false };
+    const sentAt = daemon.clock.now();
+    const attempt: RunningAttempt = { name, daemon, life: daemon.life, effect, sentAt, isOver: false };
     const server = this.#world.servers.findLast(({ address }) => address === effect.address);
     if (server === undefined || !server.reachable || (!server.alive && !server.refuses)) {
       this.#endAfter(CONNECT_TIMEOUT, attempt, { kind: 'notSent', reason: 'timeout', refused: false });
@@ -209,7 +214,7 @@
     this.sends.push({ name, server: server.id, daemon, at: clock.now });
     const rest = this.resting.get(server);
     if (rest !== undefined) {
-      clock.after(NETWORK_DELAY, () => this.#reject(attempt, rest));
+      clock.after(NETWORK_DELAY, () => this.#reject(server, attempt, rest));
       return;
     }
     const slots = this.#slotFreeAt.get(server) ?? Array.from({ length: SLOTS }, () => 0);
@@ -226,8 +231,9 @@
     clock.after(startsAt + work - clock.now, () => this.#finish(server, attempt));
   }
 
-  #reject(attempt: RunningAttempt, rest: number): void {
+  #reject(server: ModelServer, attempt: RunningAttempt, rest: number): void {
     const { daemon, life, effect } = attempt;
+    this.#tellLimit(server, attempt, server.limit);
     if (daemon.life === life) {
       const notice = { leaving: false, rest };
       this.#world.deliver(daemon, { kind: 'serverNoticed', server: effect.server, notice });
@@ -251,9 +257,30 @@
     );
     const { name } = attempt;
     this.told.push({ name, status: 200, reason: '', at: this.#world.clock.now });
+    const { limit } = server;
+    this.#world.clock.after(NETWORK_DELAY, () => this.#tellLimit(server, attempt, limit));
     this.#endAfter(NETWORK_DELAY, attempt, { kind: 'answered', status: 200, load: null });
   }
 
+  /** An answer names the limit that its server had when it was made, or none. */
+  #tellLimit(server: ModelServer, attempt: RunningAttempt, limit: number | null): void {
+    const { daemon, life, effect, sentAt } = attempt;
+    if (daemon.life !== life || attempt.isOver || (limit === null && !effect.isLimited)) {
+      return;
+    }
+    if (limit !== null) {
+      const told = this.toldLimits.get(server.id) ?? new Map<Daemon, number>();
+      this.toldLimits.set(server.id, told);
+      told.set(daemon, Math.min(told.get(daemon) ?? Number.POSITIVE_INFINITY, this.#world.clock.now));
+    }
+    this.#world.deliver(daemon, {
+      kind: 'serverLimitRead',
+      server: effect.server,
+      reading: limit,
+      sentAt,
+    });
+  }
+
   #cancel(daemon: Daemon, requestId: number): void {
     for (const attempts of this.#running.values()) {
       const found = attempts.find(
--- a/test/router/support/router-world.ts
+++ b/test/router/support/router-world.ts
@@ -27,6 +27,8 @@
 const LINK_RETRY = 150;
 /** The link on which a daemon hears its parent. */
 const PARENT_LINK = -1;
+/** Outcomes of a call that come with an answer of the server that was meant. */
+const ANSWERED: ReadonlySet<string> = new Set(['accepted', 'higherFence', 'rejected']);
 /** One life of a daemon. */
 export interface Daemon {
   readonly name: string;
@@ -320,6 +322,10 @@
         // The address answers for whoever lives there now.
         const there = this.servers.findLast((server) => server.address === effect.address);
         return carryCall(this.clock, this.random, there, effect, this.troubles, (outcome) => {
+          if (there !== undefined && ANSWERED.has(outcome.kind)) {
+            const { server } = effect;
+            this.#deliver(daemon, life, { kind: 'serverLimitRead', server, reading: there.limit, sentAt });
+          }
           this.#deliver(daemon, life, { kind: 'controlEnded', callId: effect.callId, outcome });
         });
       }
