--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -6,7 +6,8 @@
 import type { ActiveRequest } from './active-request.js';
 import { equalPart } from '../sharing/equal-part.js';
 import { coldInterval } from './cold-admission.js';
-import { mayStartCold, selectServer, type SelectionContext } from './server-selection.js';
+import { closedGate, type ClosedGate, type GateTerms } from './server-gates.js';
+import { selectServer, type SelectionContext } from './server-selection.js';
 import { FULL_RETRY_AFTER } from './request-timing.js';
 
 /** Requests that may wait at a server for each of its slots before it counts as full. */
@@ -25,6 +26,8 @@
 /** A rest without an end in sight tells a caller nothing more than this. */
 const LONGEST_RETRY_AFTER: Milliseconds = 3_600_000;
 const OWNER_RETRY_AFTER: Milliseconds = 200;
+/** An owner of keys cannot be passed by: one failure may be an accident. */
+const OWNER_FORGIVEN_FAILURES = 2;
 
 /** Why a request can go nowhere now. */
 export interface NoDestination {
@@ -83,63 +86,74 @@
   return { reason, hold: now + left <= request.holdUntil, retryAfter };
 }
 
-/** An owner that leaves, or whose zone is evacuated, gets requests for a part of the allowed time. */
-function leavingRefusal(context: RouterContext, known: KnownServer): NoDestination | null {
-  const { bounds, evacuations } = context.state;
-  const { server, drainingSince } = known;
-  const leavingFor = drainingSince === null ? 0 : context.now - drainingSince;
-  if (leavingFor > bounds.drain * LEAVING_PART) {
-    // Keys that have not moved by the bound wait for the store: no caller should wait with them.
-    const hold = leavingFor <= bounds.drain;
-    return { reason: `the owner ${server.id} is leaving`, hold, retryAfter: OWNER_RETRY_AFTER };
-  }
-  const evacuatedFor = evacuations.age(server.zone, context.now);
-  if (evacuatedFor !== null && evacuatedFor > (bounds.evacuation ?? 0) * LEAVING_PART) {
-    const reason = `the zone of the owner ${server.id} is evacuated`;
-    return { reason, hold: true, retryAfter: OWNER_RETRY_AFTER };
-  }
-  return null;
-}
-
-/** An owner gets nothing before the end of the rest that it asked for, and one request at a time after it. */
-function restingRefusal(
+/** Why an owner gets nothing: the request waits, or its caller is told when to come back. */
+function ownerRefusal(
   context: RouterContext,
   request: ActiveRequest,
-  { server, rest, load }: KnownServer,
-): NoDestination | null {
-  const left = rest.left(context.now);
-  if (left > 0) {
-    return restRefusal(context, request, `the owner ${server.id} wants rest`, left);
-  }
-  if (!rest.allows(load.inFlight.size, context.now)) {
-    const reason = `the owner ${server.id} takes one request at a time after its rest`;
-    return { reason, hold: true, retryAfter: FULL_RETRY_AFTER };
+  known: KnownServer,
+  gate: ClosedGate,
+): NoDestination {
+  const { now, state } = context;
+  const { server, rest, coldUntil, drainingSince } = known;
+  const refusal = (reason: string, hold: boolean, retryAfter = OWNER_RETRY_AFTER): NoDestination => ({
+    reason,
+    hold,
+    retryAfter,
+  });
+  switch (gate) {
+    case 'leaving':
+      // Keys that have not moved by the bound wait for the store: no caller should wait with them.
+      return refusal(`the owner ${server.id} is leaving`, now - (drainingSince ?? now) <= state.bounds.drain);
+    case 'evacuated':
+      return refusal(`the zone of the owner ${server.id} is evacuated`, true);
+    case 'resting':
+      return restRefusal(context, request, `the owner ${server.id} wants rest`, rest.left(now));
+    case 'recovering':
+      return refusal(
+        `the owner ${server.id} takes one request at a time after its rest`,
+        true,
+        FULL_RETRY_AFTER,
+      );
+    case 'cold': {
+      const retryAfter = Math.max(OWNER_RETRY_AFTER, coldUntil - now);
+      return refusal(`the owner ${server.id} is cold and takes few requests`, false, retryAfter);
+    }
+    case 'silent':
+      return refusal(`the owner ${server.id} is silent`, false);
+    case 'failing':
+      return refusal(`the owner ${server.id} fails`, true);
+    case 'crowded':
+      return fullRefusal(context, known);
   }
-  return null;
 }
 
-/** What this daemon has seen of an owner: it may be cold, silent, failing or full. */
-function loadRefusal(
-  context: RouterContext,
-  request: ActiveRequest,
-  known: KnownServer,
-): NoDestination | null {
-  const { server, load } = known;
-  if (!mayStartCold(known, coldIntervalOf(context, request.service), context.now)) {
-    const retryAfter = Math.max(OWNER_RETRY_AFTER, known.coldUntil - context.now);
-    return { reason: `the owner ${server.id} is cold and takes few requests`, hold: false, retryAfter };
-  }
-  if (load.isSilent(context.now)) {
-    return { reason: `the owner ${server.id} is silent`, hold: false, retryAfter: OWNER_RETRY_AFTER };
-  }
-  if (load.avoidUntil > context.now && load.failures > 1) {
-    return { reason: `the owner ${server.id} fails`, hold: true, retryAfter: OWNER_RETRY_AFTER };
-  }
-  if (!load.window.allows(load.inFlight.size, context.now) || isFull(context, known, request)) {
-    noteOverload(context);
-    return { reason: `the owner ${server.id} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
-  }
-  return null;
+function fullRefusal(context: RouterContext, { server }: KnownServer): NoDestination {
+  noteOverload(context);
+  return { reason: `the owner ${server.id} is full`, hold: true, retryAfter: FULL_RETRY_AFTER };
+}
+
+/** Keys of an owner that leaves, or whose zone is evacuated, are on their way: it gets requests for a part of the allowed time. */
+function ownerTerms(context: RouterContext, service: ServiceName): GateTerms {
+  const { drain, evacuation } = context.state.bounds;
+  return {
+    ...gateTerms(context, service),
+    leavingGrace: drain * LEAVING_PART,
+    evacuationGrace: (evacuation ?? 0) * LEAVING_PART,
+    forgivenFailures: OWNER_FORGIVEN_FAILURES,
+  };
+}
+
+/** For servers that can pass their work to others. */
+function gateTerms(context: RouterContext, service: ServiceName): GateTerms {
+  return {
+    now: context.now,
+    evacuations: context.state.evacuations,
+    leavingGrace: 0,
+    evacuationGrace: 0,
+    forgivenFailures: 0,
+    coldInterval: coldIntervalOf(context, service),
+    mostInFlight: mostInFlight(context, service),
+  };
 }
 
 function ownerOf(context: RouterContext, request: ActiveRequest, key: number): KnownServer | NoDestination {
@@ -157,12 +171,13 @@
   if (known === undefined) {
     return { reason: `the owner ${unit.owner} is not listed`, hold: true, retryAfter: OWNER_RETRY_AFTER };
   }
-  return (
-    leavingRefusal(context, known) ??
-    restingRefusal(context, request, known) ??
-    loadRefusal(context, request, known) ??
-    known
-  );
+  const gate = closedGate(known, ownerTerms(context, request.service));
+  if (gate !== null) {
+    return ownerRefusal(context, request, known, gate);
+  }
+  const { window, inFlight } = known.load;
+  const isOpen = window.allows(inFlight.size, context.now) && !isFull(context, known, request);
+  return isOpen ? known : fullRefusal(context, known);
 }
 
 /** Of the servers that stay; while all of a service leave at once, of those that have done so for a short time. */
@@ -173,11 +188,9 @@
 ): KnownServer | undefined {
   const chosen = selectServer(candidates.values(), selection);
   const areLeaving = chosen === undefined && [...candidates.values()].every(isLeaving);
-  return (
-    areLeaving
-      ? selectServer(candidates.values(), { ...selection, leavingGrace: drain * LEAVING_PART })
-      : chosen
-  ) as KnownServer | undefined;
+  return areLeaving
+    ? selectServer(candidates.values(), { ...selection, leavingGrace: drain * LEAVING_PART })
+    : chosen;
 }
 
 /** The time until the first of the servers that stay takes requests again, if all of them rest; else 0. */
@@ -198,15 +211,11 @@
   const candidates = serversByService.get(request.service);
   const { latencyObjective } = request.route;
   const selection = {
+    ...gateTerms(context, request.service),
     latencyObjective,
-    now: context.now,
     zone: identity.zone,
     random,
     tried: request.tried,
-    coldInterval: coldIntervalOf(context, request.service),
-    evacuations,
-    mostInFlight: mostInFlight(context, request.service),
-    leavingGrace: 0,
   };
   const chosen = candidates === undefined ? undefined : chooseServer(candidates, selection, bounds.drain);
   const restLeft = chosen === undefined ? restOfAll(candidates, context.now) : 0;
--- a/test/router/request/test-server-load.ts
+++ b/test/router/request/test-server-load.ts
@@ -5,13 +5,14 @@
 import { ZoneEvacuations } from '../../../src/router/news/zone-evacuations.js';
 import { Turns } from '../../../src/router/sharing/turns.js';
 import { ServerLoad } from '../../../src/router/request/server-load.js';
-import { selectServer, type Candidate } from '../../../src/router/request/server-selection.js';
+import type { GatedServer } from '../../../src/router/request/server-gates.js';
+import { selectServer } from '../../../src/router/request/server-selection.js';
 import { ServiceProfile } from '../../../src/router/request/service-profile.js';
 import { server } from '../support/single-daemon.js';
 
 const IDLE = { running: 0, waiting: 0, slots: 2, slowdown: 1 };
 
-function candidate(id: string): Candidate {
+function candidate(id: string): GatedServer {
   const load = new ServerLoad(new ServiceProfile(), 2, 1);
   return {
     server: server(id),
@@ -24,7 +25,7 @@
 }
 
 /** How often the first of two servers is chosen. */
-function choices(first: Candidate, second: Candidate, now: number): number {
+function choices(first: GatedServer, second: GatedServer, now: number): number {
   const random = new SeededRandom(1);
   let chosen = 0;
   for (let round = 0; round < 100; round += 1) {
@@ -33,6 +34,8 @@
       ...context,
       coldInterval: null,
       leavingGrace: 0,
+      evacuationGrace: 0,
+      forgivenFailures: 0,
       evacuations: new ZoneEvacuations(),
     });
     chosen += best === first ? 1 : 0;
