Limits of servers are heard by all daemons, along the tree: changes, and all in force for a daemon that connects

A limit holds for all daemons together, so those that have had no answer of the server are bound by it, too. Of two words the later holds; a word does not become newer by passing on.

--- a/src/router/limits/limit-log.ts
+++ b/src/router/limits/limit-log.ts
@@ -4,8 +4,8 @@
 import type { RouterContext } from '../router-context.js';
 import type { LimitChange } from './server-limits.js';
 
-/** Who said it: an answer to this daemon, or another daemon. */
-export type LimitSource = NewsSource | 'answer';
+/** Who said it: an answer to this daemon, another daemon, or nobody for long. */
+export type LimitSource = NewsSource | 'answer' | 'unconfirmed';
 
 /** Says that a limit begins, changes or ends. */
 export function logLimitChange(
@@ -17,7 +17,7 @@
   const service = context.state.servers.get(server)?.server.service ?? null;
   const fields = { server, service, former, source, age: Math.round(age) };
   if (rate === null) {
-    context.log('server_limit_ended', { ...fields, reason: 'no longer named' });
+    context.log('server_limit_ended', fields);
   } else {
     context.log('server_names_limit', { ...fields, limit: rate });
   }
--- a/src/router/limits/limit-readings.ts
+++ b/src/router/limits/limit-readings.ts
@@ -3,7 +3,7 @@
 import type { ServerId } from '../model/identifiers.js';
 import type { UnreadableLimit } from '../model/server-limit.js';
 import type { RouterContext } from '../router-context.js';
-import { logLimitChange } from './limit-log.js';
+import { tellOfReading } from './limit-news.js';
 
 /** Characters of a value that cannot be read that are logged. */
 const LONGEST_QUOTE = 60;
@@ -20,8 +20,8 @@
   }
   state.counters.limits_read += reading === null ? 0 : 1;
   const change = state.limits.read(server, reading, sentAt, now);
-  if (change !== null) {
-    logLimitChange(context, change, 'answer', 0);
+  if (change !== null || reading !== null) {
+    tellOfReading(context, server, change);
   }
 }
 
--- a/src/router/limits/server-limits.ts
+++ b/src/router/limits/server-limits.ts
@@ -14,6 +14,9 @@
 /** The end of a limit is remembered for longer than word of it takes to pass. */
 const END_MEMORY: Milliseconds = 10_000;
 
+/** Word takes up to this long from one daemon to the next, and does not become newer by that. */
+const HOP: Milliseconds = 10;
+
 /** What was last known of a server's limit. */
 export interface ServerLimit {
   /** Null: it has ceased to name one. */
@@ -28,11 +31,15 @@
 export interface LimitStatement {
   readonly server: ServerId;
   /** Null: it has ceased to name one. */
-  readonly rate: RequestsPerSecond | null;
+  readonly limit: NamedLimit | null;
   /** How long ago that was known to hold. */
   readonly age: Milliseconds;
 }
 
+export interface NamedLimit {
+  readonly rate: RequestsPerSecond;
+}
+
 /** A change of a limit in force. */
 export interface LimitChange {
   readonly server: ServerId;
@@ -40,6 +47,11 @@
   readonly rate: RequestsPerSecond | null;
 }
 
+function describe(server: ServerId, { rate, at }: ServerLimit, now: Milliseconds): LimitStatement {
+  const limit = rate === null ? null : { rate };
+  return { server, limit, age: Math.max(0, Math.round(now - at)) };
+}
+
 /** The limits that a daemon knows. */
 export class ServerLimits {
   readonly #limits = new Map<ServerId, ServerLimit>();
@@ -76,11 +88,11 @@
   }
 
   /** Another daemon told of a limit. Returns what changes, or null. */
-  hear({ server, rate, age }: LimitStatement, now: Milliseconds): LimitChange | null {
-    const at = now - Math.max(0, age);
+  hear({ server, limit, age }: LimitStatement, now: Milliseconds): LimitChange | null {
+    const at = now - Math.max(0, age) - HOP;
     const known = this.#limits.get(server);
     const isOlder = known !== undefined && at <= known.at;
-    return isOlder ? null : this.#put(server, rate, at, now);
+    return isOlder ? null : this.#put(server, limit?.rate ?? null, at, now);
   }
 
   #put(
@@ -105,18 +117,16 @@
   }
 
   /** Whether a statement is behind what is known here: whoever made it should hear. */
-  isBehind({ server, rate, age }: LimitStatement, now: Milliseconds): boolean {
+  isBehind({ server, limit, age }: LimitStatement, now: Milliseconds): boolean {
     const known = this.#limits.get(server);
-    return known !== undefined && known.rate !== rate && now - age < known.at;
+    return known !== undefined && known.rate !== (limit?.rate ?? null) && now - age < known.at;
   }
 
   /** What is known of some servers. */
   statementOf(servers: Iterable<ServerId>, now: Milliseconds): LimitStatement[] {
     return [...servers].flatMap((server) => {
       const known = this.#limits.get(server);
-      return known === undefined
-        ? []
-        : [{ server, rate: known.rate, age: Math.max(0, Math.round(now - known.at)) }];
+      return known === undefined ? [] : [describe(server, known, now)];
     });
   }
 
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -59,7 +59,7 @@
   },
   server_limit_ended: {
     when: 'they cease to, or no answer has confirmed the limit for long',
-    fields: 'server, service, former, source, age (ms), reason',
+    fields: 'server, service, former, source (or unconfirmed: no answer has named it for long), age (ms)',
   },
   malformed_limit: {
     when: 'the first time that a server of a service names a limit that cannot be read: the one in force stays',
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -4,6 +4,7 @@
 import type { InstanceName } from '../model/server-life.js';
 import type { ServerDescription } from '../model/server.js';
 import type { RestReport } from '../notices/rest-reports.js';
+import type { LimitStatement } from '../limits/server-limits.js';
 import type { LeavingServer } from '../notices/leaving-servers.js';
 import type { CrashRecord } from '../quarantine/crash-table.js';
 import type { EvacuationStatement } from '../news/zone-evacuations.js';
@@ -150,6 +151,12 @@
   readonly servers: LeavingServer[];
 }
 
+/** Limits that servers name for what all daemons together send them: changes, or all there are for a daemon that has just connected. */
+export interface LimitNews {
+  readonly kind: 'limitNews';
+  readonly limits: LimitStatement[];
+}
+
 export type PeerMessage =
   | Report
   | Heartbeat
@@ -159,4 +166,5 @@
   | ServerNews
   | ConfigurationNews
   | CrashNews
-  | LeavingNews;
+  | LeavingNews
+  | LimitNews;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -12,6 +12,7 @@
   SettingsReadEvent,
 } from './events.js';
 import type { Milliseconds } from './model/identifiers.js';
+import { receiveLimitNews, tickLimits } from './limits/limit-news.js';
 import { receiveServerLimit } from './limits/limit-readings.js';
 import * as candidacy from './ownership/candidacy.js';
 import * as election from './ownership/election.js';
@@ -27,7 +28,8 @@
 import * as news from './news/spread-news.js';
 import { takeEvacuationChanges, takeEvacuationList } from './news/take-evacuations.js';
 import { tickStoreFollowing } from './news/store-following.js';
-import { describeLeaving, receiveLeavingNews } from './notices/leaving-news.js';
+import { describeNotices } from './notices/known-notices.js';
+import { receiveLeavingNews } from './notices/leaving-news.js';
 import { receiveServerNotice } from './notices/server-notices.js';
 import * as quarantine from './quarantine/quarantine.js';
 import { noteListedServers, receiveEndProbe, tickServerEnds } from './quarantine/server-ends.js';
@@ -133,19 +135,15 @@
   tickServerEnds(context);
   quarantine.tickQuarantine(context);
   tickStoredQuarantines(context);
+  tickLimits(context);
   tickRequests(context);
 }
 
 /** The connection to a parent is new: it may lack what this daemon has seen. */
 function greetParent(context: RouterContext): void {
   reportAtOnce(context);
-  const crashes = quarantine.describeCrashes(context);
-  if (crashes !== null) {
-    context.emit({ kind: 'sendToParent', message: crashes });
-  }
-  const leaving = describeLeaving(context);
-  if (leaving !== null) {
-    context.emit({ kind: 'sendToParent', message: leaving });
+  for (const message of describeNotices(context)) {
+    context.emit({ kind: 'sendToParent', message });
   }
 }
 
@@ -243,5 +241,7 @@
       return quarantine.receiveCrashNews(context, message, source);
     case 'leavingNews':
       return receiveLeavingNews(context, message, source);
+    case 'limitNews':
+      return receiveLimitNews(context, message, source);
   }
 }
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -14,6 +14,7 @@
 import { createFeedHealths, type FeedHealth } from './news/feed-health.js';
 import { ServerHistory } from './news/server-history.js';
 import { ServerRest } from './notices/server-rest.js';
+import { LimitTelling } from './limits/limit-news.js';
 import { ServerLimits } from './limits/server-limits.js';
 import { LeavingServers } from './notices/leaving-servers.js';
 import { ZoneEvacuations } from './news/zone-evacuations.js';
@@ -109,6 +110,7 @@
   readonly leaving: LeavingServers;
   /** Limits that answers named for what servers get of all daemons. */
   readonly limits: ServerLimits;
+  readonly limitTelling: LimitTelling;
   readonly profiles: Map<ServiceName, ServiceProfile>;
   /** Daemons that share the retry budget, as last heard. */
   daemons: number;
@@ -165,6 +167,7 @@
     serversByService: new Map(),
     leaving: new LeavingServers(),
     limits: new ServerLimits(),
+    limitTelling: new LimitTelling(),
     profiles: new Map(),
     daemons: FIRST_DAEMONS,
     view: EMPTY_VIEW,
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -3,10 +3,9 @@
 import { noteVersionsOf } from '../feed-lag.js';
 import { catchUp } from '../news/spread-news.js';
 import { takeEvacuations } from '../news/take-evacuations.js';
-import { describeLeaving } from '../notices/leaving-news.js';
+import { describeNotices } from '../notices/known-notices.js';
 import { wholeStatement } from '../ownership/ownership-statement.js';
 import type { Report } from '../peers/messages.js';
-import { describeCrashes } from '../quarantine/quarantine.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 import { buildHeartbeat } from './heartbeats.js';
@@ -82,13 +81,8 @@
   if (heartbeat !== null) {
     context.emit({ kind: 'sendToChildren', link, message: heartbeat });
   }
-  const crashes = describeCrashes(context);
-  if (crashes !== null) {
-    context.emit({ kind: 'sendToChildren', link, message: crashes });
-  }
-  const leaving = describeLeaving(context);
-  if (leaving !== null) {
-    context.emit({ kind: 'sendToChildren', link, message: leaving });
+  for (const message of describeNotices(context)) {
+    context.emit({ kind: 'sendToChildren', link, message });
   }
   tellWhatIsMissed(context, link, child, report);
 }
--- a/test/router/limits/test-server-limits.ts
+++ b/test/router/limits/test-server-limits.ts
@@ -40,8 +40,8 @@
   });
 
   it('takes the later of what two daemons saw, in either order', () => {
-    const named = { server: SERVER, rate: 3, age: 100 };
-    const ended = { server: SERVER, rate: null, age: 50 };
+    const named = { server: SERVER, limit: { rate: 3 }, age: 100 };
+    const ended = { server: SERVER, limit: null, age: 50 };
     for (const words of [
       [named, ended],
       [ended, named],
@@ -55,9 +55,9 @@
   it('calls a statement behind that says something else and is older', () => {
     const limits = new ServerLimits();
     limits.read(SERVER, 3, 900, 1_000);
-    expect(limits.isBehind({ server: SERVER, rate: null, age: 100 }, 1_050)).toEqual(true);
-    expect(limits.isBehind({ server: SERVER, rate: null, age: 10 }, 1_050)).toEqual(false);
-    expect(limits.isBehind({ server: SERVER, rate: 3, age: 100 }, 1_050)).toEqual(false);
+    expect(limits.isBehind({ server: SERVER, limit: null, age: 100 }, 1_050)).toEqual(true);
+    expect(limits.isBehind({ server: SERVER, limit: null, age: 10 }, 1_050)).toEqual(false);
+    expect(limits.isBehind({ server: SERVER, limit: { rate: 3 }, age: 100 }, 1_050)).toEqual(false);
   });
 
   it('forgets a limit that nobody has heard of for a minute, and not before', () => {
--- a/test/wire/test-peer-codec.ts
+++ b/test/wire/test-peer-codec.ts
@@ -43,6 +43,14 @@
     serversRevision: 9,
     evacuations: { revision: 2 ** 40, zones: ['z1', 'z2'] },
   },
+  {
+    kind: 'limitNews',
+    limits: [
+      { server: 's1', limit: { rate: 3.2 }, age: 40 },
+      { server: 's2', limit: { rate: 0 }, age: 0 },
+      { server: 's3', limit: null, age: 12 },
+    ],
+  },
   { kind: 'configurationNews', revision: 4, configuration: CONFIGURATION },
   { kind: 'configurationNews', revision: 5, configuration: LARGE },
 ];
