--- a/src/router/limits/server-limits.ts
+++ b/src/router/limits/server-limits.ts
@@ -61,6 +61,11 @@
     return this.#limits.get(server)?.rate ?? null;
   }
 
+  /** Servers of which anything is known. */
+  servers(): Iterable<ServerId> {
+    return this.#limits.keys();
+  }
+
   /** Limits in force. */
   get inForce(): ReadonlyMap<ServerId, ServerLimit> {
     return new Map([...this.#limits].filter(([, { rate }]) => rate !== null));
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -1,4 +1,5 @@
 /** The first moment of a leadership: what is known of former leaders, and the units as they are found. */
+import { PermitDealer } from '../limits/permit-dealer.js';
 import { RestReports } from '../notices/rest-reports.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
@@ -45,6 +46,7 @@
     calls: new Map(),
     addresses: new Map(),
     rests: new RestReports(),
+    permitDealer: new PermitDealer(),
     keyLoad: new Map(),
     paces: new Map(),
     lateOrderSeenAt: Number.NEGATIVE_INFINITY,
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -5,6 +5,7 @@
 import type { RecentPeak } from './recent-peak.js';
 import type { ServerPace } from './server-pace.js';
 import type { RestReports } from '../notices/rest-reports.js';
+import type { PermitDealer } from '../limits/permit-dealer.js';
 import type { LeaderRecord } from './stored-objects.js';
 
 /** Where a unit stands between its former owner and its owner. */
@@ -95,6 +96,8 @@
   readonly paces: Map<ServerId, ServerPace>;
   /** Owners that asked daemons for rest. */
   readonly rests: RestReports;
+  /** Places of servers with limits. */
+  readonly permitDealer: PermitDealer;
   lateOrderSeenAt: Milliseconds;
   plannedAt: Milliseconds;
   nextPlanAt: Milliseconds;
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -4,6 +4,7 @@
 import type { InstanceName } from '../model/server-life.js';
 import type { ServerDescription } from '../model/server.js';
 import type { RestReport } from '../notices/rest-reports.js';
+import type { PermitAnswer, PermitAsk } from '../limits/permit-messages.js';
 import type { LimitStatement } from '../limits/server-limits.js';
 import type { LeavingServer } from '../notices/leaving-servers.js';
 import type { CrashRecord } from '../quarantine/crash-table.js';
@@ -167,4 +168,6 @@
   | ConfigurationNews
   | CrashNews
   | LeavingNews
-  | LimitNews;
+  | LimitNews
+  | PermitAsk
+  | PermitAnswer;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -13,6 +13,13 @@
 } from './events.js';
 import type { Milliseconds } from './model/identifiers.js';
 import { receiveLimitNews, tickLimits } from './limits/limit-news.js';
+import {
+  noteNewParent,
+  receivePermitAsk,
+  route,
+  tickDealer,
+  tickPermitContact,
+} from './limits/permit-exchange.js';
 import { receiveServerLimit } from './limits/limit-readings.js';
 import * as candidacy from './ownership/candidacy.js';
 import * as election from './ownership/election.js';
@@ -40,6 +47,7 @@
 } from './quarantine/stored-quarantines.js';
 import { receiveAttemptEnded } from './request/attempt-outcome.js';
 import { receiveRequest, tickEarlyRequests } from './request/request-arrival.js';
+import { takePermitAnswers } from './request/request-dispatch.js';
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
 import { doubtRead, doubtWrite, resume } from './resume.js';
 import { RouterContext } from './router-context.js';
@@ -127,6 +135,7 @@
     tickReports(context);
   } else {
     tickLeader(context, leadership);
+    takePermitAnswers(context, tickDealer(context, leadership));
   }
   tickHeartbeats(context);
   tickStoreFollowing(context);
@@ -136,12 +145,14 @@
   quarantine.tickQuarantine(context);
   tickStoredQuarantines(context);
   tickLimits(context);
+  tickPermitContact(context);
   tickRequests(context);
 }
 
 /** The connection to a parent is new: it may lack what this daemon has seen. */
 function greetParent(context: RouterContext): void {
   reportAtOnce(context);
+  noteNewParent(context);
   for (const message of describeNotices(context)) {
     context.emit({ kind: 'sendToParent', message });
   }
@@ -243,5 +254,9 @@
       return receiveLeavingNews(context, message, source);
     case 'limitNews':
       return receiveLimitNews(context, message, source);
+    case 'permitAsk':
+      return takePermitAnswers(context, receivePermitAsk(context, link, message));
+    case 'permitAnswer':
+      return takePermitAnswers(context, route(context, [message]));
   }
 }
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -33,6 +33,8 @@
   attemptStartedAt: Milliseconds;
   /** The server seemed to have a free slot when the attempt was sent. */
   sentToFreeSlot: boolean;
+  /** The attempt under way took a place of those that its server's limit leaves. */
+  tookPlace: boolean;
   /** A held request is tried again at this time. */
   retryAt: Milliseconds;
   readonly tried: ServerId[];
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -74,6 +74,9 @@
     case 'notSent':
       state.counters.attempts_not_sent += 1;
       request.attempts -= 1;
+      if (request.tookPlace) {
+        known?.permits.giveBack(now);
+      }
       if (known?.rest.left(now) === 0) {
         avoidAfterFailure(known, now);
       }
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -104,6 +104,7 @@
     server: null,
     attemptStartedAt: 0,
     sentToFreeSlot: false,
+    tookPlace: false,
     retryAt: 0,
     tried: [],
     lostAttempts: 0,
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -8,7 +8,10 @@
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer, RouterState } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
-import { findDestination, isRefusal } from './destination.js';
+import type { PermitAnswer } from '../limits/permit-messages.js';
+import { askPermit, notePermitAnswer } from '../limits/permit-exchange.js';
+import { findDestination } from './destination.js';
+import { isRefusal, type NoDestination } from './refusals.js';
 import { RetryBudget } from './retry-budget.js';
 import { DEFAULT_RETRY_AFTER, HELD_RETRY } from './request-timing.js';
 
@@ -64,11 +67,7 @@
   }
   const destination = findDestination(context, request);
   if (isRefusal(destination)) {
-    if (destination.hold && now + HELD_RETRY <= request.holdUntil) {
-      request.retryAt = now + HELD_RETRY;
-      return;
-    }
-    giveUp(context, request, destination.reason, destination.retryAfter);
+    holdOrRefuse(context, request, destination);
     return;
   }
   if (request.attempts > 0 && !budgetOf(context, request.service).take()) {
@@ -79,6 +78,33 @@
   forward(context, request, destination);
 }
 
+/** Waits if that may help, and asks for the place that it waits for. */
+function holdOrRefuse(context: RouterContext, request: ActiveRequest, refusal: NoDestination): void {
+  const { state, now } = context;
+  const { hold, permitFrom, isLimited, reason, retryAfter } = refusal;
+  if (!hold || now + HELD_RETRY > request.holdUntil) {
+    state.counters.refused_at_limits += isLimited ? 1 : 0;
+    giveUp(context, request, reason, retryAfter);
+    return;
+  }
+  request.retryAt = now + HELD_RETRY;
+  if (permitFrom !== null) {
+    const seeker = { id: request.id, priority: request.route.priority, holdUntil: request.holdUntil };
+    takePermitAnswers(context, askPermit(context, seeker, permitFrom));
+  }
+}
+
+/** Permits that this daemon asked for have come, or won't: a request that waits for one goes on. */
+export function takePermitAnswers(context: RouterContext, answers: readonly PermitAnswer[]): void {
+  for (const answer of answers) {
+    notePermitAnswer(context, answer);
+    const request = context.state.requests.get(answer.requestId);
+    if (request?.server === null) {
+      dispatch(context, request);
+    }
+  }
+}
+
 function forward(context: RouterContext, request: ActiveRequest, known: KnownServer): void {
   const { counters } = context.state;
   counters.attempts += 1;
@@ -91,6 +117,7 @@
   if (request.key === null) {
     request.tried.push(known.server.id);
   }
+  takePlace(context, request, known);
   known.load.inFlight.set(request.id, context.now);
   known.coldTurns.use(context.now);
   known.load.window.sent(context.now);
@@ -106,6 +133,13 @@
   });
 }
 
+function takePlace({ state, now }: RouterContext, request: ActiveRequest, known: KnownServer): void {
+  request.tookPlace = state.limits.of(known.server.id) !== null;
+  if (request.tookPlace) {
+    known.permits.use(now);
+  }
+}
+
 /** Ends a request with the daemon's own answer. */
 export function giveUp(
   context: RouterContext,
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -2,7 +2,8 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
-import { findDestination, isRefusal } from './destination.js';
+import { findDestination } from './destination.js';
+import { isRefusal } from './refusals.js';
 import { tickEarlyRequests } from './request-arrival.js';
 import { avoidAfterFailure, budgetOf, cancelAttempt, dispatch, giveUp, logEnd } from './request-dispatch.js';
 import { DEFAULT_RETRY_AFTER, HOLD_PART } from './request-timing.js';
--- a/src/router/request/server-gates.ts
+++ b/src/router/request/server-gates.ts
@@ -2,7 +2,9 @@
  * Says whether a request may go to a server now: the one list of conditions, for the owner of a key and for servers that share their work. Each
  * ends by itself, and the first one that holds is named: those that a server has stated come before what this daemon guesses.
  */
-import type { Milliseconds } from '../model/identifiers.js';
+import type { LimitShare } from '../limits/limit-share.js';
+import type { Permits, PlaceSeeker } from '../limits/permits.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
 import type { ZoneEvacuations } from '../news/zone-evacuations.js';
 import type { ServerRest } from '../notices/server-rest.js';
@@ -20,6 +22,8 @@
   readonly rest: ServerRest;
   /** It leaves since then, or null. */
   readonly drainingSince: Milliseconds | null;
+  /** Its places for this daemon while it names a limit. */
+  readonly permits: Permits;
 }
 
 /** What holds for all servers of a service. */
@@ -36,6 +40,10 @@
   readonly coldInterval: Milliseconds | null;
   /** Requests that this daemon may have at one server. */
   readonly mostInFlight: number;
+  /** What this daemon may send to a server with a limit; null: it has none. */
+  readonly shareOf: (server: ServerId) => LimitShare | null;
+  /** The request that is to be sent. */
+  readonly seeker: PlaceSeeker;
 }
 
 /** Why a server gets nothing now. */
@@ -48,7 +56,11 @@
   | 'cold'
   | 'silent'
   | 'failing'
-  | 'crowded';
+  | 'crowded'
+  /** No place is left in time of those that its limit leaves. */
+  | 'at_limit'
+  /** Its limit leaves a place, once the permit for it has come. */
+  | 'awaits_permit';
 
 /** The first condition that keeps requests from a server, or null. */
 export function closedGate(known: GatedServer, terms: GateTerms): ClosedGate | null {
@@ -75,7 +87,20 @@
   if (load.avoidUntil > now && load.failures >= terms.forgivenFailures) {
     return 'failing';
   }
-  return load.inFlight.size >= terms.mostInFlight ? 'crowded' : null;
+  return load.inFlight.size >= terms.mostInFlight ? 'crowded' : limitGate(known, terms);
+}
+
+function limitGate({ server, permits }: GatedServer, { shareOf, seeker, now }: GateTerms): ClosedGate | null {
+  const share = shareOf(server.id);
+  const place = share === null ? 'free' : permits.placeFor(seeker, share, now);
+  switch (place) {
+    case 'free':
+      return null;
+    case 'awaited':
+      return 'awaits_permit';
+    case 'none':
+      return 'at_limit';
+  }
 }
 
 function isGone({ drainingSince }: GatedServer, { now, leavingGrace }: GateTerms): boolean {
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -9,6 +9,9 @@
 /** Servers that are equal but for this share are taken in turn. */
 const JITTER = 0.15;
 
+/** A permit takes about this long to come: a server that needs none, or has one, is chosen before an equal one. */
+const PERMIT_TIME: Milliseconds = 30;
+
 /** What a choice depends on besides the candidates. */
 export interface SelectionContext extends GateTerms {
   readonly zone: string;
@@ -35,8 +38,10 @@
   let best: Server | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    if (!context.tried.includes(candidate.server.id) && closedGate(candidate, context) === null) {
-      const candidateCost = cost(candidate, context);
+    const gate = context.tried.includes(candidate.server.id) ? 'tried' : closedGate(candidate, context);
+    if (gate === null || gate === 'awaits_permit') {
+      const permitTime = gate === null ? 0 : PERMIT_TIME;
+      const candidateCost = cost(candidate, context) + permitTime;
       if (candidateCost < bestCost) {
         best = candidate;
         bestCost = candidateCost;
--- a/src/router/resume.ts
+++ b/src/router/resume.ts
@@ -10,6 +10,7 @@
   WriteOutcome,
 } from './events.js';
 import type { FeedName } from './model/identifiers.js';
+import { dropPermits } from './limits/permit-exchange.js';
 import { dropCandidacy } from './ownership/candidacy.js';
 import type { RouterContext } from './router-context.js';
 
@@ -22,6 +23,7 @@
   context.log('machine_resumed', { length: Math.round(length), counted: isCounted }, 'warn');
   state.resumedAt = context.now;
   doubtLeadership(context);
+  dropPermits(context);
   doubtNews(context);
 }
 
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -15,6 +15,8 @@
 import { ServerHistory } from './news/server-history.js';
 import { ServerRest } from './notices/server-rest.js';
 import { LimitTelling } from './limits/limit-news.js';
+import type { PermitContact } from './limits/permit-exchange.js';
+import type { Permits } from './limits/permits.js';
 import { ServerLimits } from './limits/server-limits.js';
 import { LeavingServers } from './notices/leaving-servers.js';
 import { ZoneEvacuations } from './news/zone-evacuations.js';
@@ -73,6 +75,8 @@
   readonly knownSince: Milliseconds;
   /** The rest that it wants from this daemon. */
   readonly rest: ServerRest;
+  /** Its places for this daemon while it names a limit. */
+  readonly permits: Permits;
   /** When this daemon learned that it leaves, by its entry or by an answer, whichever came first; null: it doesn't. */
   drainingSince: Milliseconds | null;
 }
@@ -111,6 +115,7 @@
   /** Limits that answers named for what servers get of all daemons. */
   readonly limits: ServerLimits;
   readonly limitTelling: LimitTelling;
+  readonly permitContact: PermitContact;
   readonly profiles: Map<ServiceName, ServiceProfile>;
   /** Daemons that share the retry budget, as last heard. */
   daemons: number;
@@ -168,6 +173,7 @@
     leaving: new LeavingServers(),
     limits: new ServerLimits(),
     limitTelling: new LimitTelling(),
+    permitContact: { isSilent: false, nextProbeAt: 0 },
     profiles: new Map(),
     daemons: FIRST_DAEMONS,
     view: EMPTY_VIEW,
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -6,6 +6,7 @@
 import { instanceOf } from './model/server-life.js';
 import type { ServerDescription } from './model/server.js';
 import type { NewsSource, ServerChange } from './peers/messages.js';
+import { Permits } from './limits/permits.js';
 import { ServerRest } from './notices/server-rest.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
@@ -127,11 +128,13 @@
   const known = servers.get(server.id);
   context.state.newestServerRevision = Math.max(context.state.newestServerRevision, server.revision);
   if (known === undefined) {
+    const phase = context.state.random.fraction();
     const added: KnownServer = {
       server,
       load: new ServerLoad(profileOf(context, server.service), server.slots, context.state.daemons),
       coldUntil: context.now + server.warmupLeft,
-      coldTurns: new Turns(context.state.random.fraction()),
+      coldTurns: new Turns(phase),
+      permits: new Permits(phase),
       rest: new ServerRest(),
       knownSince: context.now,
       drainingSince: drainingSince(context, server),
--- /dev/null
+++ b/test/router/limits/test-permits.ts
@@ -0,0 +1,75 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import type { LimitShare } from '../../../src/router/limits/limit-share.js';
+import { Permits } from '../../../src/router/limits/permits.js';
+
+const DEALT: LimitShare = { rate: 3, daemons: 11, isDealt: true };
+const UNDEALT: LimitShare = { ...DEALT, isDealt: false };
+
+function seeker(holdUntil: number, priority = 1): { id: number; priority: number; holdUntil: number } {
+  return { id: 1, priority, holdUntil };
+}
+
+describe('the permits of a daemon', () => {
+  it('are awaited by a request that can wait, and by no other one', () => {
+    const permits = new Permits(0);
+    expect(permits.placeFor(seeker(1_100), DEALT, 1_000)).toEqual('awaited');
+    expect(permits.placeFor(seeker(1_010), DEALT, 1_000)).toEqual('none');
+  });
+
+  it('are each for one request, and for a short time', () => {
+    const permits = new Permits(0);
+    permits.noteGranted(1, 1_000);
+    permits.noteGranted(2, 1_000);
+    permits.use(1_010);
+    expect(permits.count(1_010)).toEqual(1);
+    expect(permits.count(1_400)).toEqual(0);
+  });
+
+  it('come back from a request that never left', () => {
+    const permits = new Permits(0);
+    permits.noteGranted(1, 1_000);
+    permits.use(1_010);
+    permits.giveBack(1_500);
+    expect(permits.placeFor(seeker(1_500), DEALT, 1_550)).toEqual('free');
+  });
+
+  it('are not asked for before the time that was told, but by more urgent requests', () => {
+    const permits = new Permits(0);
+    permits.noteDenied(1, 1, 400, 1_000);
+    expect(permits.placeFor(seeker(1_300), DEALT, 1_100)).toEqual('none');
+    expect(permits.placeFor(seeker(1_300, 2), DEALT, 1_100)).toEqual('none');
+    expect(permits.placeFor(seeker(1_300, 0), DEALT, 1_100)).toEqual('awaited');
+    expect(permits.placeFor(seeker(1_500), DEALT, 1_100)).toEqual('awaited');
+    expect(permits.untilPlace(1, DEALT, 1_100)).toEqual(300);
+  });
+
+  it('are missed when an answer is overdue', () => {
+    const permits = new Permits(0);
+    permits.noteAsked(1, 100, 1_000);
+    expect(permits.isAsked(1)).toEqual(true);
+    expect(permits.takeOverdue(1_300)).toEqual(false);
+    expect(permits.takeOverdue(1_400)).toEqual(true);
+    expect(permits.isAsked(1)).toEqual(false);
+  });
+
+  it('are replaced by turns of an equal share where nobody deals them out', () => {
+    const permits = new Permits(0);
+    let sent = 0;
+    for (let now = 0; now < 52_300; now += 20) {
+      if (permits.placeFor(seeker(now), UNDEALT, now) === 'free') {
+        permits.use(now);
+        sent += 1;
+      }
+    }
+    // An eleventh of 0.7 of 3 a second, for 52 s.
+    expect(sent).toEqual(10);
+  });
+
+  it('end with a suspension', () => {
+    const permits = new Permits(0);
+    permits.noteGranted(1, 1_000);
+    permits.clear();
+    expect(permits.count(1_010)).toEqual(0);
+  });
+});
--- a/test/router/request/test-server-load.ts
+++ b/test/router/request/test-server-load.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test';
 import { SeededRandom } from '../../../src/core/random.js';
 import { ZoneEvacuations } from '../../../src/router/news/zone-evacuations.js';
+import { Permits } from '../../../src/router/limits/permits.js';
 import { Turns } from '../../../src/router/sharing/turns.js';
 import { ServerLoad } from '../../../src/router/request/server-load.js';
 import type { GatedServer } from '../../../src/router/request/server-gates.js';
@@ -21,6 +22,7 @@
     drainingSince: null,
     rest: new ServerRest(),
     coldTurns: new Turns(0),
+    permits: new Permits(0),
   };
 }
 
@@ -36,6 +38,8 @@
       leavingGrace: 0,
       evacuationGrace: 0,
       forgivenFailures: 0,
+      shareOf: () => null,
+      seeker: { id: 1, priority: 1, holdUntil: now },
       evacuations: new ZoneEvacuations(),
     });
     chosen += best === first ? 1 : 0;
--- a/test/router/support/request-traffic.ts
+++ b/test/router/support/request-traffic.ts
@@ -79,6 +79,13 @@
   readonly at: number;
 }
 
+/** How long a caller waited for the daemon's own answer. */
+export interface Wait {
+  readonly status: number;
+  readonly waited: number;
+  readonly retryAfter: number | null;
+}
+
 interface RunningAttempt {
   readonly name: string;
   readonly daemon: Daemon;
@@ -101,7 +108,9 @@
   readonly told: Told[] = [];
   /** When each daemon first had an answer that named the server's limit, by server and daemon. */
   readonly toldLimits = new Map<string, Map<Daemon, number>>();
+  readonly waits: Wait[] = [];
   readonly #world: RouterWorld;
+  readonly #askedAt = new Map<string, number>();
   readonly #names = new Map<string, string>();
   readonly #running = new Map<ModelServer, RunningAttempt[]>();
   readonly #slotFreeAt = new Map<ModelServer, number[]>();
@@ -124,6 +133,7 @@
     const requestId = this.#nextRequest;
     this.#nextRequest += 1;
     this.#names.set(this.#keyOf(daemon, requestId), name);
+    this.#askedAt.set(this.#keyOf(daemon, requestId), this.#world.clock.now);
     this.#world.deliver(daemon, {
       kind: 'requestArrived',
       requestId,
@@ -146,6 +156,8 @@
     } else if (effect.kind === 'answer') {
       const name = this.#names.get(this.#keyOf(daemon, effect.requestId)) ?? '';
       this.told.push({ name, status: effect.status, reason: effect.reason, at: now });
+      const waited = now - (this.#askedAt.get(this.#keyOf(daemon, effect.requestId)) ?? now);
+      this.waits.push({ status: effect.status, waited, retryAfter: effect.retryAfter });
     }
   }
 
