Servers with limits that nobody sends to are probed, so that the end of a limit is heard

Cause: an end is heard by answers, and without requests or keys there are none. Change: the leader, which deals the places out and so knows who is sent nothing, probes such a server every 2 s; the code of a probe stands once. Without the call of the tick the new test fails. Ruled out: forgetting limits sooner than a minute (all daemons would send at once).

--- a/src/router/limits/permit-dealer.ts
+++ b/src/router/limits/permit-dealer.ts
@@ -57,6 +57,7 @@
 /** The places of one server. */
 class Bucket {
   readonly dealt: DealtCounts;
+  dealtAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #places = 0;
   #filledAt: Milliseconds;
   #waiting: WaitingAsk[] = [];
@@ -84,6 +85,7 @@
     while (this.#places >= 1 && this.#waiting.length > 0) {
       const { ask } = this.#waiting.shift() as WaitingAsk;
       this.#places -= 1;
+      this.dealtAt = now;
       this.dealt.add(ask.daemon, now);
       answers.push(answerTo(ask, true, 0));
     }
@@ -168,6 +170,11 @@
     return answers;
   }
 
+  /** When a permit for a server was last given. */
+  lastDealtAt(server: ServerId): Milliseconds {
+    return this.#buckets.get(server)?.dealtAt ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Permits a second that daemons were given lately for a server. */
   dealtRates(server: ServerId, now: Milliseconds): Map<DaemonName, RequestsPerSecond> {
     return this.#buckets.get(server)?.dealt.rates(now) ?? new Map<DaemonName, RequestsPerSecond>();
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -47,6 +47,7 @@
     addresses: new Map(),
     rests: new RestReports(),
     permitDealer: new PermitDealer(),
+    limitProbedAt: new Map(),
     keyLoad: new Map(),
     paces: new Map(),
     lateOrderSeenAt: Number.NEGATIVE_INFINITY,
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -98,6 +98,8 @@
   readonly rests: RestReports;
   /** Places of servers with limits. */
   readonly permitDealer: PermitDealer;
+  /** When servers with limits that nobody sends to were probed. */
+  readonly limitProbedAt: Map<ServerId, Milliseconds>;
   lateOrderSeenAt: Milliseconds;
   plannedAt: Milliseconds;
   nextPlanAt: Milliseconds;
--- a/src/router/quarantine/server-ends.ts
+++ b/src/router/quarantine/server-ends.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { ServerDescription } from '../model/server.js';
 import type { RequestFingerprint } from '../model/request-fingerprint.js';
+import { probeServer } from '../probe-server.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from '../request/active-request.js';
@@ -126,24 +127,9 @@
 }
 
 function probe(context: RouterContext, entry: BrokenConnection): void {
-  const { state, now } = context;
-  const { id, address, service } = entry.server;
   entry.probes += 1;
-  entry.nextProbeAt = now + PROBE_INTERVAL;
-  state.counters.probes += 1;
-  const callId = context.control({
-    action: 'probe',
-    server: id,
-    address,
-    from: 0,
-    to: 0,
-    fence: 0,
-    hold: 0,
-    handover: null,
-    patience: PROBE_PATIENCE,
-    healthPath: state.configuration?.services.get(service)?.healthPath ?? '/',
-  });
-  state.serverEnds.probes.set(callId, id);
+  entry.nextProbeAt = context.now + PROBE_INTERVAL;
+  context.state.serverEnds.probes.set(probeServer(context, entry.server, PROBE_PATIENCE), entry.server.id);
 }
 
 function isSilence({ kind }: ControlOutcome): boolean {
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -12,6 +12,7 @@
   SettingsReadEvent,
 } from './events.js';
 import type { Milliseconds } from './model/identifiers.js';
+import { tickLimitProbes } from './limits/limit-probes.js';
 import { receiveLimitNews, tickLimits } from './limits/limit-news.js';
 import {
   noteNewParent,
@@ -136,6 +137,7 @@
   } else {
     tickLeader(context, leadership);
     takePermitAnswers(context, tickDealer(context, leadership));
+    tickLimitProbes(context, leadership);
   }
   tickHeartbeats(context);
   tickStoreFollowing(context);
--- a/test/router/limits/test-limit-troubles.ts
+++ b/test/router/limits/test-limit-troubles.ts
@@ -131,6 +131,20 @@
     expect(day.served(from) > 0.95).toEqual(true);
   });
 
+  it('are found to have ended at servers that nobody sends to', () => {
+    const day = new LimitDay({ ...DAY, servers: 0, plainServers: 4, isPlain: true, demand: 20 });
+    const [server] = day.world.servers as [ModelServer];
+    day.limit(server, 1);
+    day.run(2_000);
+    day.world.drain(server.id);
+    const isKnown = (): boolean => day.world.daemons.some(({ state }) => state.limits.of(server.id) !== null);
+    day.run(1_000);
+    expect(isKnown()).toEqual(true);
+    day.limit(server, null);
+    day.run(4_000);
+    expect(isKnown()).toEqual(false);
+  });
+
   it('end for a server that starts again under its name', () => {
     const { day } = limited();
     const [server] = day.world.servers as [ModelServer];
