--- a/src/router/limits/limit-news.ts
+++ b/src/router/limits/limit-news.ts
@@ -100,7 +100,12 @@
   age: Milliseconds,
 ): void {
   logLimitChange(context, change, source, age);
-  context.state.limitTelling.add(change.server);
+  const { limitTelling, leadership } = context.state;
+  limitTelling.add(change.server);
+  if (leadership !== null) {
+    // Its keys are too many for it, or may be more again.
+    leadership.nextPlanAt = Math.min(leadership.nextPlanAt, context.now);
+  }
 }
 
 function tellDue(context: RouterContext): void {
--- a/src/router/limits/limit-share.ts
+++ b/src/router/limits/limit-share.ts
@@ -7,7 +7,7 @@
  * A server that takes nothing, or next to nothing, still gets a trial now and then, of all daemons together: by its answer they learn when its
  * limit ends.
  */
-const LEAST_RATE: RequestsPerSecond = 0.2;
+export const LEAST_RATE: RequestsPerSecond = 0.2;
 /** Part of a limit that is used while each daemon takes an equal share by itself: their turns may fall together. */
 const UNDEALT_PART = 0.7;
 
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -1,4 +1,5 @@
 /** The first moment of a leadership: what is known of former leaders, and the units as they are found. */
+import { RecentLimits } from '../limits/recent-limits.js';
 import { PermitDealer } from '../limits/permit-dealer.js';
 import { RestReports } from '../notices/rest-reports.js';
 import type { Milliseconds } from '../model/identifiers.js';
@@ -47,6 +48,7 @@
     addresses: new Map(),
     rests: new RestReports(),
     permitDealer: new PermitDealer(),
+    recentLimits: new RecentLimits(),
     limitProbedAt: new Map(),
     keyLoad: new Map(),
     paces: new Map(),
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -1,5 +1,7 @@
 /** Gathers what an assignment is planned from, and writes the plan. */
+import { LEAST_RATE } from '../limits/limit-share.js';
 import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { RequestsPerSecond } from '../model/server-limit.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import { planService } from './assignment-plan.js';
@@ -20,20 +22,39 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** The lowest limit that a server has named lately: keys don't move to and fro with one that comes and goes. */
+function recentLimit(
+  { state, now }: RouterContext,
+  { recentLimits }: Leadership,
+  server: ServerId,
+): RequestsPerSecond | null {
+  return recentLimits.lowest(server, state.limits.of(server), now);
+}
+
 function eligible(context: RouterContext, leadership: Leadership, known: KnownServer): boolean {
   const { server, drainingSince } = known;
   const lease = leaseOf(leadership, server.id);
   const isLeaving = drainingSince !== null || context.state.evacuations.has(server.zone);
   const isResting = leadership.rests.isResting(server.id, context.state.daemons, context.now);
-  return !isLeaving && !isResting && !lease.silent && !lease.ended;
+  const limit = recentLimit(context, leadership, server.id);
+  const takesAny = limit === null || limit >= LEAST_RATE;
+  return !isLeaving && !isResting && takesAny && !lease.silent && !lease.ended;
 }
 
-function describe(leadership: Leadership, known: KnownServer, now: Milliseconds): EligibleServer {
+function describe(context: RouterContext, leadership: Leadership, known: KnownServer): EligibleServer {
   const { id, zone, slots } = known.server;
   const pace = leadership.paces.get(id);
-  pace?.judge(slots, now);
-  const workTime = pace?.workTime ?? known.load.serviceTime * (known.coldUntil > now ? COLD_FACTOR : 1);
-  return { id, zone, capacity: (slots * MILLISECONDS_PER_SECOND) / workTime, isCold: known.coldUntil > now };
+  pace?.judge(slots, context.now);
+  const workTime =
+    pace?.workTime ?? known.load.serviceTime * (known.coldUntil > context.now ? COLD_FACTOR : 1);
+  const limit = recentLimit(context, leadership, id) ?? Number.POSITIVE_INFINITY;
+  return {
+    id,
+    zone,
+    // Keys whose requests a limit leaves no place for are better served by another owner.
+    room: { capacity: (slots * MILLISECONDS_PER_SECOND) / workTime, limit },
+    isCold: known.coldUntil > context.now,
+  };
 }
 
 function containing(units: readonly Unit[], part: Unit): Unit | undefined {
@@ -57,7 +78,7 @@
   const known: Map<ServerId, KnownServer> = context.state.serversByService.get(service) ?? new Map();
   return [...known.values()]
     .filter((server) => eligible(context, leadership, server))
-    .map((server) => describe(leadership, server, context.now));
+    .map((server) => describe(context, leadership, server));
 }
 
 /** When the newest server of a service became known, or the start of the leadership if none is later. */
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -5,6 +5,7 @@
 import type { RecentPeak } from './recent-peak.js';
 import type { ServerPace } from './server-pace.js';
 import type { RestReports } from '../notices/rest-reports.js';
+import type { RecentLimits } from '../limits/recent-limits.js';
 import type { PermitDealer } from '../limits/permit-dealer.js';
 import type { LeaderRecord } from './stored-objects.js';
 
@@ -98,6 +99,7 @@
   readonly rests: RestReports;
   /** Places of servers with limits. */
   readonly permitDealer: PermitDealer;
+  readonly recentLimits: RecentLimits;
   /** When servers with limits that nobody sends to were probed. */
   readonly limitProbedAt: Map<ServerId, Milliseconds>;
   lateOrderSeenAt: Milliseconds;
--- a/src/router/ownership/move-value.ts
+++ b/src/router/ownership/move-value.ts
@@ -18,11 +18,29 @@
 /** Rates and capacities are estimates: a move must save this many times what it costs. */
 const SURE_FACTOR = 1.5;
 
-/**
- * Requests a second that are lost or late at a server with a load and a capacity, both in requests a second: none
- * while it is calm, ever more towards its capacity, each further request beyond it.
- */
-export function lossRate(load: number, capacity: number): number {
+/** Below this part of a limit nearly all requests find a place, though they come by chance. */
+const CALM_LIMIT_PART = 0.8;
+
+/** What a server can do, in requests a second. */
+export interface Room {
+  /** What it can answer. */
+  readonly capacity: number;
+  /** What it takes, as it has said itself; without bound if it hasn't. */
+  readonly limit: number;
+}
+
+/** Requests a second that a server does, whatever bounds it. */
+export function usableRate({ capacity, limit }: Room): number {
+  return Math.min(capacity, limit);
+}
+
+/** Requests a second that are lost or late at a server with a load in requests a second. */
+export function lossRate(load: number, { capacity, limit }: Room): number {
+  return Math.max(crowdLoss(load, capacity), load - limit * CALM_LIMIT_PART);
+}
+
+/** None while a server is calm, ever more towards its capacity, each further request beyond it. */
+function crowdLoss(load: number, capacity: number): number {
   const utilisation = load / capacity;
   if (utilisation <= CALM_UTILISATION) {
     return 0;
@@ -35,7 +53,7 @@
 /** A server as far as a move is concerned. */
 export interface LoadedServer {
   readonly load: number;
-  readonly capacity: number;
+  readonly room: Room;
 }
 
 /** A move of keys that is weighed. */
@@ -50,8 +68,8 @@
 
 /** Requests that a move saves while the load lasts. */
 function savedRequests({ from, to, rate }: WeighedMove): number {
-  const before = lossRate(from.load, from.capacity) + lossRate(to.load, to.capacity);
-  const after = lossRate(from.load - rate, from.capacity) + lossRate(to.load + rate, to.capacity);
+  const before = lossRate(from.load, from.room) + lossRate(to.load, to.room);
+  const after = lossRate(from.load - rate, from.room) + lossRate(to.load + rate, to.room);
   return ((before - after) * TRUSTED_TIME) / MILLISECONDS_PER_SECOND;
 }
 
--- a/src/router/ownership/plan-input.ts
+++ b/src/router/ownership/plan-input.ts
@@ -1,5 +1,6 @@
 /** What an assignment is planned from. */
 import type { ServerId, ServiceName } from '../model/identifiers.js';
+import type { Room } from './move-value.js';
 import type { KeyRate } from './key-load.js';
 import type { Unit } from './ownership-table.js';
 
@@ -7,8 +8,7 @@
 export interface EligibleServer {
   readonly id: ServerId;
   readonly zone: string;
-  /** Requests a second that it can answer. */
-  readonly capacity: number;
+  readonly room: Room;
   /** It keeps what it has, and gets no more while another server can: it is cold. */
   readonly isCold: boolean;
 }
--- a/src/router/ownership/service-plan.ts
+++ b/src/router/ownership/service-plan.ts
@@ -2,7 +2,7 @@
 import type { Key, ServerId } from '../model/identifiers.js';
 import type { KeyRate } from './key-load.js';
 import { KeyRates, partsUpTo, type KeyRange } from './key-range.js';
-import { moveValue, type LoadedServer } from './move-value.js';
+import { moveValue, usableRate, type LoadedServer } from './move-value.js';
 import { splitUnit, takeFences, withUnits, type OwnershipTable, type Unit } from './ownership-table.js';
 import type { EligibleServer, Mobility, PlanInput } from './plan-input.js';
 
@@ -72,7 +72,7 @@
   }
 
   #utilisation(server: EligibleServer): number {
-    return (this.#load.get(server.id) ?? 0) / server.capacity;
+    return (this.#load.get(server.id) ?? 0) / usableRate(server.room);
   }
 
   /** The server with the least to do; among equals the one with the fewest units. */
@@ -132,7 +132,7 @@
   }
 
   #loaded(server: EligibleServer): LoadedServer {
-    return { load: this.#load.get(server.id) ?? 0, capacity: server.capacity };
+    return { load: this.#load.get(server.id) ?? 0, room: server.room };
   }
 
   /** Of all moves that relieve a server, the one that is worth most; undefined when none pays. */
@@ -169,11 +169,12 @@
         (best, server) => (best === undefined || value(server) > value(best) ? server : best),
         undefined,
       );
-    const room = (server: EligibleServer): number => server.capacity - (this.#load.get(server.id) ?? 0);
+    const room = (server: EligibleServer): number =>
+      usableRate(server.room) - (this.#load.get(server.id) ?? 0);
     const chosen = [
       most((server) => -this.#utilisation(server)),
       most(room),
-      most(({ capacity }) => capacity),
+      most(({ room: able }) => usableRate(able)),
     ];
     return [...new Set(chosen)].filter((server) => server !== undefined);
   }
@@ -201,7 +202,8 @@
   #evenShare(hot: EligibleServer, cool: EligibleServer): number {
     const hotLoad = this.#load.get(hot.id) ?? 0;
     const coolLoad = this.#load.get(cool.id) ?? 0;
-    return (hotLoad * cool.capacity - coolLoad * hot.capacity) / (hot.capacity + cool.capacity);
+    const [hotRate, coolRate] = [usableRate(hot.room), usableRate(cool.room)];
+    return (hotLoad * coolRate - coolLoad * hotRate) / (hotRate + coolRate);
   }
 
   #hottestKey(unit: Unit): KeyRate | undefined {
--- a/src/router/request/refusals.ts
+++ b/src/router/request/refusals.ts
@@ -138,6 +138,7 @@
     case 'crowded':
       return refuseFull(context, known);
     case 'at_limit': {
+      noteOverload(context);
       const reason = `no place is left at the owner ${nameWithLimit(context, known)}`;
       const left = untilPlace(context, request, known);
       return { ...refuseForLimit(context, request, reason, left), hold: false };
--- a/test/router/limits/test-limited-owners.ts
+++ b/test/router/limits/test-limited-owners.ts
@@ -13,6 +13,16 @@
 /** From the first word of a limit until most keys that are too many there have moved. */
 const MOVED = 1_500;
 
+/** Units that a server was given since a moment. */
+function givenTo(day: LimitDay, server: ModelServer, from: number): number {
+  return day.world.events.filter(
+    (line) =>
+      line.includes(' unit_granted ') &&
+      line.includes(`"owner":"${server.id}"`) &&
+      Number(line.split(' ')[0]) >= from,
+  ).length;
+}
+
 describe('owners of keys that name a limit', () => {
   it('pass keys on to owners that have room', () => {
     for (let seed = 1; seed <= 3; seed += 1) {
@@ -51,4 +61,18 @@
     day.run(LIMITED_FOR);
     expect(day.served(from) > 0.98).toEqual(true);
   });
+
+  it('get no keys back each time that a limit ends for a second', () => {
+    const day = new LimitDay({ ...DAY, seed: 6 });
+    const [server] = day.world.servers as [ModelServer];
+    day.limit(server, 3);
+    day.run(MOVED + 1_000);
+    const from = day.now;
+    for (let turn = 0; turn < 10; turn += 1) {
+      day.limit(server, turn % 2 === 0 ? null : 3);
+      day.run(1_000);
+    }
+    expect(givenTo(day, server, from) <= 2).toEqual(true);
+    expect(day.served(from) > 0.97).toEqual(true);
+  });
 });
--- a/test/router/ownership/test-assignment-plan.ts
+++ b/test/router/ownership/test-assignment-plan.ts
@@ -16,7 +16,7 @@
   return capacities.map((capacity, index) => ({
     id: `s${index}`,
     zone: `z${index % 3}`,
-    capacity,
+    room: { capacity, limit: Number.POSITIVE_INFINITY },
     isCold: false,
   }));
 }
@@ -179,7 +179,7 @@
       // Capacities and rates are estimates, and the owner's looks worst.
       const seen = known.map((server) => {
         const error = (server.id === owner ? 0.85 : 0.95) + 0.1 * random.fraction();
-        return { ...server, capacity: server.capacity * error };
+        return { ...server, room: { ...server.room, capacity: server.room.capacity * error } };
       });
       const noisy = rates.map(({ key, rate }) => ({ key, rate: rate * (0.85 + 0.3 * random.fraction()) }));
       expect(planService(before, input(seen, noisy))).toEqual(before);
