Sight: limits for operators: GET /limits, metrics by server, fennelferry limits; explain names a limit however long ago it was named

explain and losses took the life off a server's id, so that no line of the server that a refusal names was found, and equal reasons counted apart.

--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -6,6 +6,8 @@
 
 /** What happened this long before a request arrived may explain its end. */
 const LOOK_BACK_MILLISECONDS = 3_000;
+/** What a server has said of itself holds until it says otherwise, however long ago that was. */
+const STANDING_EVENTS: ReadonlySet<string> = new Set(['server_names_limit', 'server_limit_ended']);
 /** Lines of beliefs told for one daemon's try. */
 const MOST_BELIEFS = 25;
 
@@ -30,7 +32,7 @@
 function toRequestLine(line: LogLine): RequestLine {
   const attempts = Array.isArray(line['attempts']) ? line['attempts'].map(textOf) : [];
   const duration = typeof line['milliseconds'] === 'number' ? line['milliseconds'] : 0;
-  const named = /i-[0-9a-z]+/.exec(textOf(line['reason']));
+  const named = /i-[0-9a-z]+(#\d*)?/.exec(textOf(line['reason']));
   const servers = attempts.map((attempt) => attempt.split(' ')[0] ?? '');
   return {
     line,
@@ -95,6 +97,19 @@
   ];
 }
 
+/** The last word of each server that the request was for, where it came before the time that is looked back on. */
+function standingLines(ordered: readonly LogLine[], request: RequestLine): LogLine[] {
+  const last = new Map<string, LogLine>();
+  for (const line of ordered) {
+    const isEarlier = timeOf(line) < request.arrivedAt - LOOK_BACK_MILLISECONDS;
+    const isOwn = line.daemon === request.line.daemon;
+    if (isEarlier && isOwn && STANDING_EVENTS.has(line.event) && concerns(line, request)) {
+      last.set(textOf(line['server']), line);
+    }
+  }
+  return [...last.values()];
+}
+
 /**
  * The story of a request, a line each; empty when no log names it.
  *
@@ -112,6 +127,8 @@
     });
     const told = beliefs.slice(-MOST_BELIEFS).map(describeBelief);
     const heading = told.length === 0 ? [] : ['  in the 3 s before its end:'];
-    return [...describeEnd(request), ...heading, ...told];
+    const standing = standingLines(ordered, request).map(describeBelief);
+    const standingHeading = standing.length === 0 ? [] : ['  said before and not taken back:'];
+    return [...describeEnd(request), ...standingHeading, ...standing, ...heading, ...told];
   });
 }
--- a/src/explain/loss-summary.ts
+++ b/src/explain/loss-summary.ts
@@ -34,7 +34,7 @@
 
 /** Names of servers are left out, so that equal reasons count together. */
 function withoutNames(reason: string): string {
-  return reason.replace(/\b[a-z]-[0-9a-z]+\b/g, '*');
+  return reason.replace(/\b[a-z]-[0-9a-z]+\b(#\d*)?/g, '*');
 }
 
 function textOf(value: unknown, otherwise: string): string {
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { CheckRouterSettingsCommand } from './command-line/check-router-settings-command.js';
 import { ExplainCommand } from './command-line/explain-command.js';
+import { LimitsCommand } from './command-line/limits-command.js';
 import { LossesCommand } from './command-line/losses-command.js';
 import { EmulateServersCommand, EmulateStoreCommand } from './command-line/emulate-command.js';
 import { QueryCommand } from './command-line/query-command.js';
@@ -30,6 +31,7 @@
 cli.register(QueryCommand);
 cli.register(ExplainCommand);
 cli.register(LossesCommand);
+cli.register(LimitsCommand);
 cli.register(EmulateStoreCommand);
 cli.register(EmulateServersCommand);
 cli.register(SimulateCommand);
--- a/src/router-runtime/admin-routes.ts
+++ b/src/router-runtime/admin-routes.ts
@@ -2,6 +2,7 @@
 import { getRequestListener } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { RequestListener } from 'node:http';
+import { describeLimitOverview } from '../router/limits/limit-overview.js';
 import { missingForCallers, type RouterState } from '../router/router-state.js';
 import type { RouterEvent } from '../router/events.js';
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
@@ -26,7 +27,7 @@
 }
 
 /**
- * `GET /metrics`, `GET /state`, `GET /quarantines`, and `DELETE /quarantines/FINGERPRINT`, which lets a request go to servers again on
+ * `GET /metrics`, `GET /state`, `GET /limits` (servers that name limits), `GET /quarantines`, and `DELETE /quarantines/FINGERPRINT`, which lets a request go to servers again on
  * all daemons.
  */
 export function createAdminRoutes(
@@ -41,6 +42,7 @@
     });
   });
   app.get('/state', (context) => context.json(describeState(state)));
+  app.get('/limits', (context) => context.json(describeLimitOverview(state, PROCESS_CLOCK.now())));
   app.get('/quarantines', (context) => context.json(state.crashes.quarantines(PROCESS_CLOCK.now())));
   app.delete('/quarantines/:fingerprint', (context) => {
     const fingerprint = context.req.param('fingerprint');
--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -3,6 +3,7 @@
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import { ROUTER_COUNTER_NAMES } from '../router/counters.js';
 import type { RequestEndedEffect } from '../router/effects.js';
+import { describeLimitOverview, type LimitOverview } from '../router/limits/limit-overview.js';
 import { newsAge } from '../router/news/news-age.js';
 import { RouterContext } from '../router/router-context.js';
 import type { RouterState } from '../router/router-state.js';
@@ -50,6 +51,7 @@
       () => newsAge(new RouterContext(state, PROCESS_CLOCK.now())) / MILLISECONDS_PER_SECOND,
     );
     this.#feedAges(state);
+    this.#limits(state);
     this.#gauge('resident_bytes', () => process.memoryUsage.rss());
   }
 
@@ -70,6 +72,42 @@
     });
   }
 
+  /** Servers that name limits, and what is dealt out of them where this daemon leads. */
+  #limits(state: RouterState): void {
+    this.#gauge('limited_servers', () => state.limits.inForce.size);
+    const gaugeByServer = (
+      name: string,
+      help: string,
+      read: (limit: LimitOverview) => number | null,
+    ): void => {
+      new Gauge({
+        name: `fennelferry_router_${name}`,
+        help,
+        labelNames: ['server'],
+        registers: [this.registry],
+        collect() {
+          this.reset();
+          for (const limit of describeLimitOverview(state, PROCESS_CLOCK.now())) {
+            const value = read(limit);
+            if (value !== null) {
+              this.set({ server: limit.server }, value);
+            }
+          }
+        },
+      });
+    };
+    gaugeByServer(
+      'server_limit',
+      'requests a second that a server takes from all daemons',
+      ({ limit }) => limit,
+    );
+    gaugeByServer(
+      'server_permits',
+      'permits a second that this daemon, the leader, has dealt out for it lately',
+      ({ shares }) => shares?.reduce((sum, share) => sum + share.permitsPerSecond, 0) ?? null,
+    );
+  }
+
   /** Takes in the end of a request. */
   requestEnded({ outcome, duration }: RequestEndedEffect): void {
     this.#latency.observe({ outcome }, duration / MILLISECONDS_PER_SECOND);
--- a/src/router/request/refusals.ts
+++ b/src/router/request/refusals.ts
@@ -83,7 +83,7 @@
   known: KnownServer,
 ): NoDestination {
   const left = untilPlace(context, request, known);
-  const reason = `no permit has come for ${nameWithLimit(context, known)}`;
+  const reason = `no permit has come in time for ${known.server.id}, which names a limit`;
   return { ...refuseForLimit(context, request, reason, left), hold: true, permitFrom: known };
 }
 
@@ -97,10 +97,6 @@
   return share === null ? 0 : permits.untilPlace(request.route.priority, share, now);
 }
 
-function nameWithLimit({ state }: RouterContext, { server }: KnownServer): string {
-  return `${server.id}, which takes ${state.limits.of(server.id) ?? 0} requests a second`;
-}
-
 /** An owner has too much to do. */
 export function refuseFull(context: RouterContext, { server }: KnownServer): NoDestination {
   noteOverload(context);
@@ -139,7 +135,7 @@
       return refuseFull(context, known);
     case 'at_limit': {
       noteOverload(context);
-      const reason = `no place is left at the owner ${nameWithLimit(context, known)}`;
+      const reason = `the limit of ${owner} leaves no place in time`;
       const left = untilPlace(context, request, known);
       return { ...refuseForLimit(context, request, reason, left), hold: false };
     }
--- a/test/explain/test-explain.ts
+++ b/test/explain/test-explain.ts
@@ -52,6 +52,22 @@
     expect(story.includes('leadership_lost')).toEqual(true);
   });
 
+  it('names the limit of a server that a request was kept from, however long ago it was named', () => {
+    const reason = 'the limit of the owner i-2#17 leaves no place in time';
+    const limit = { server: 'i-2#17', service: 'racks', former: null, limit: 3, source: 'parent', age: 4 };
+    const lines = [
+      line(1, 'd1', 'server_names_limit', limit),
+      line(1, 'd1', 'server_names_limit', { ...limit, server: 'i-9#1', limit: 5 }),
+      line(2, 'd1', 'server_names_limit', { ...limit, former: 3, limit: 2.5 }),
+      line(40, 'd1', 'request_refused', { ...REQUEST, reason }),
+    ];
+    const story = explainRequest('a1', lines).join('\n');
+    expect(story.includes('said before and not taken back')).toEqual(true);
+    expect(story.includes('limit=2.5')).toEqual(true);
+    expect(story.includes('limit=3')).toEqual(false);
+    expect(story.includes('limit=5')).toEqual(false);
+  });
+
   it('leaves out other keys, other servers and what was long ago', () => {
     const story = explainRequest('a1', LINES).join('\n');
     expect(story.includes('racks/512-600')).toEqual(false);
@@ -98,3 +114,14 @@
     expect(readFileSync('docs/operators/logs.md', 'utf8')).toEqual(logPage());
   });
 });
+
+describe('losses of requests for several lives of a server', () => {
+  it('count together', () => {
+    const lines = ['i-2#17', 'i-2#18', 'i-3'].map((server, index) =>
+      line(10 + index, 'd1', 'request_refused', { ...REQUEST, reason: `the owner ${server} is full` }),
+    );
+    expect(summarizeLosses(lines).rows.map(({ reason, requests }) => [reason, requests])).toEqual([
+      ['the owner * is full', 3],
+    ]);
+  });
+});
