--- a/src/clock/daemon-clock.ts
+++ b/src/clock/daemon-clock.ts
@@ -1,7 +1,7 @@
 /**
  * The one clock of a daemon: all times that its decisions compare come from here. The steady clock stands still while
- * a machine is suspended; without that time a leader renewed leases of keys that its successor had moved (9 times in 12 worlds in
- * virtual time). The boot-time clock goes on, and the time of day does, which may also be set.
+ * a machine is suspended; without that time a leader would renew leases of keys that its successor has moved. The boot-time clock goes
+ * on, and the time of day does, which may also be set.
  */
 
 /** Milliseconds on a daemon's clock, or a length of time. */
@@ -11,7 +11,7 @@
 export interface ClockSources {
   /** Never goes back, and stands still while the machine is suspended. */
   steady(): ClockMilliseconds;
-  /** Goes on while the machine is suspended; known to 10 ms. Reading it takes 2.4 microseconds and a system call. */
+  /** Goes on while the machine is suspended; known to 10 ms. Reading it takes a system call. */
   boot(): ClockMilliseconds;
   /** May jump by itself: whoever sets it moves it. */
   timeOfDay(): ClockMilliseconds;
--- a/src/router-runtime/lazy-fingerprint.ts
+++ b/src/router-runtime/lazy-fingerprint.ts
@@ -20,8 +20,7 @@
 }
 
 /**
- * Digests on first use. A head takes 4.5 microseconds; a body of 1.5 KB 6, one of 256 KB 1,100 (loops of 100,000 and
- * 500 digests): only requests whose head is suspected pay for their bodies.
+ * Digests on first use: only requests whose head is suspected pay for their bodies.
  *
  * @example
  * new LazyFingerprint({ method: 'GET', host: 'h.example', target: '/a', credentials: null, body: null }).value;
--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -122,8 +122,8 @@
 
   #watch(revision: number): void {
     const call = this.#begin('watch');
-    // A store never answers a watch that came while it was away, nor one whose connection went silent: after a long one,
-    // changes came into force up to 14 s late on all daemons.
+    // A store never answers a watch that came while it was away, nor one whose connection went silent: a long one would let changes
+    // come into force late on all daemons.
     call.end = this.#source.watch(revision, this.#watchTime(), (outcome) =>
       this.#receiveWatch(call, outcome),
     );
--- a/src/router/news/store-following.ts
+++ b/src/router/news/store-following.ts
@@ -18,7 +18,7 @@
 
 /**
  * A daemon that has lost its parent reads evacuations after this long only: the next leader tells sooner as a rule, and the
- * deployment allows seconds. Saves 77 of 1,085 store calls of a day with trouble of 17 daemons.
+ * deployment allows seconds. Saves calls to the store.
  */
 const EVACUATION_PATIENCE: Milliseconds = 1_500;
 
--- a/src/router/notices/leaving-news.ts
+++ b/src/router/notices/leaving-news.ts
@@ -7,10 +7,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { LeavingServer } from './leaving-servers.js';
 
-/**
- * An answer to this daemon said that a server leaves. Without it the server got requests 9 to 12 s after its answer said so, while the store
- * was away and its entry could not.
- */
+/** An answer to this daemon said that a server leaves: while the store is away, its entry can't, and it would go on getting requests. */
 export function noteLeavingAnswer(context: RouterContext, server: ServerId): void {
   context.state.counters.leaving_answers += 1;
   takeLeaving(context, [{ server, age: 0 }], 'answer');
--- a/src/router/notices/rest-reports.ts
+++ b/src/router/notices/rest-reports.ts
@@ -12,10 +12,7 @@
   readonly left: Milliseconds;
 }
 
-/**
- * Keys move off a server that so many daemons owe rest at once: one alone may have sent it too much. In virtual time, where 3 of 10 owners
- * reject everything for 9 s, 0.93 of all requests are answered meanwhile with 2, 0.92 with 1, and 0.87 where keys stay.
- */
+/** Keys move off a server that so many daemons owe rest at once: one alone may have sent it too much. */
 const ENOUGH_DAEMONS = 2;
 /** Keys don't move for a rest that is shorter: a move takes about 200 ms from the first word to the grant. */
 export const SHORTEST_MOVED_REST: Milliseconds = 1_000;
--- a/src/router/ownership/doubted-units.ts
+++ b/src/router/ownership/doubted-units.ts
@@ -4,7 +4,7 @@
  */
 import type { Fence, Milliseconds } from '../model/identifiers.js';
 
-/** A grant is on its way for about this long; half of the moves take 100 ms, nine in ten up to 318 ms. */
+/** A grant is on its way for about this long. */
 const DOUBT: Milliseconds = 200;
 
 /** Kept by the fence of each unit: a unit that has moved has another one. */
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -7,7 +7,7 @@
 import type { PermitAnswer, PermitAsk } from '../limits/permit-messages.js';
 import type { LimitStatement } from '../limits/server-limits.js';
 import type { LeavingServer } from '../notices/leaving-servers.js';
-import type { CrashRecord } from '../quarantine/crash-table.js';
+import type { CrashRecord } from '../quarantine/crash-record.js';
 import type { EvacuationStatement } from '../news/zone-evacuations.js';
 
 /** The keys that callers asked for, and how often each. */
--- a/src/router/quarantine/crash-table.ts
+++ b/src/router/quarantine/crash-table.ts
@@ -5,105 +5,22 @@
  */
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import { headOf, type RequestFingerprint } from '../model/request-fingerprint.js';
-import { LostCopies } from './lost-copies.js';
+import { CrashEntry } from './crash-entry.js';
+import { type CrashedServer, type CrashRecord, emptyRecord } from './crash-record.js';
+import { ServerBlames } from './server-blames.js';
 
-/** A request under which this many servers have ended, and which none has answered since, is kept from servers. */
-export const CRASHES_FOR_QUARANTINE = 3;
-/** A request that is held back is sent once in this time, by the leader: its answer, or the end of a server, is known by then. */
-const TRIAL_INTERVAL: Milliseconds = 1_000;
-/** Ends that are kept for one request: a few more than are needed, in case some prove to be none. */
-const MOST_ENDS = 6;
-/** Servers of which it is kept that their ends don't count. */
-const MOST_EXONERATED = 12;
 /** With about 100 bytes a record, a daemon that joins is sent 75 KB at most, and holds 0.4 MB. */
 const MOST_SUSPICIONS = 512;
 const MOST_QUARANTINES = 256;
-/**
- * Servers that end within this time of each other may have one cause of their own, as the loss of a zone: of 60 worlds that lose two fifths
- * of all servers again and again, a hot request was in quarantine in 5 without this, in none with it.
- */
-const LONGEST_BURST: Milliseconds = 500;
-/** A quarantine has stood for so long, and refused so many tries at the leader, before the request is sent once more. */
-const RETEST_DELAY: Milliseconds = 10_000;
-const REFUSALS_BEFORE_RETEST = 20;
-/** A caller that comes back more seldom than this is not recognized. */
-const SUSPICION_MEMORY: Milliseconds = 600_000;
-/** A record without ends that count is kept so long: others that still have such an end are told otherwise. */
-const EXONERATION_MEMORY: Milliseconds = 60_000;
-
-/** A server that ended while it had a request. */
-export interface CrashedServer {
-  readonly server: ServerId;
-  /** How long ago its connection broke. */
-  readonly age: Milliseconds;
-  /** Names of copies of the request that were lost there, a few of them; absent: not counted. */
-  readonly copies?: string[];
-}
-/** What daemons tell each other of one request. */
-export interface CrashRecord {
-  /** The value of the request's fingerprint. */
-  readonly fingerprint: string;
-  readonly ended: CrashedServer[];
-  /** Servers whose ends don't count: they answered afterwards, or the request was answered elsewhere. */
-  readonly exonerated: ServerId[];
-  /** The request is kept from servers. */
-  readonly quarantined: boolean;
-  /** It was sent once more in spite of that, and the server's side ended the connection again. */
-  readonly retested: boolean;
-}
-
-/** Requests that are blamed for the end of one server. */
-interface Blame {
-  readonly fingerprints: Set<string>;
-  /** When this daemon first heard of the end. */
-  readonly heardAt: Milliseconds;
-}
-
-interface Entry {
-  readonly fingerprint: string;
-  /** When the connections to each server that ended broke. */
-  readonly ended: Map<ServerId, Milliseconds>;
-  readonly exonerated: Set<ServerId>;
-  quarantined: boolean;
-  retested: boolean;
-  /** Copies that were lost with each of these servers. */
-  readonly copies: LostCopies;
-  /** When it was last sent all the same. */
-  trialAt: Milliseconds;
-  /** Tries that were refused here since the quarantine began. */
-  refusals: number;
-  /** When this daemon heard of the first end that counts. */
-  suspectedAt: Milliseconds;
-  changedAt: Milliseconds;
-}
-
-function recordOf(entry: Entry, now: Milliseconds): CrashRecord {
-  const { fingerprint, exonerated, quarantined, retested } = entry;
-  const ended = [...entry.ended].map(([server, at]) => ({
-    server,
-    age: Math.max(0, Math.round(now - at)),
-    copies: entry.copies.of(server),
-  }));
-  return { fingerprint, ended, exonerated: [...exonerated], quarantined, retested };
-}
-
-/** Between the first end and the last. */
-function spanOf({ ended }: Entry): Milliseconds {
-  const times = [...ended.values()];
-  return Math.max(...times) - Math.min(...times);
-}
-
-const NOTHING = { ended: [], exonerated: [], quarantined: false, retested: false };
 
 export class CrashTable {
   /** The one that changed last comes last. */
-  readonly #entries = new Map<string, Entry>();
+  readonly #entries = new Map<string, CrashEntry>();
   /** How many entries have each head. */
   readonly #heads = new Map<string, number>();
   /** Those with enough ends that are not in quarantine yet: few, so that each tick can look at them. */
-  readonly #ripe = new Set<Entry>();
-  /** For each server that ended, as far as that counts. */
-  readonly #byServer = new Map<ServerId, Blame>();
+  readonly #ripe = new Set<CrashEntry>();
+  readonly #blames = new ServerBlames();
 
   /** Nothing is known of any request: nobody needs a fingerprint. */
   get isEmpty(): boolean {
@@ -112,7 +29,7 @@
 
   /** Requests that are suspected and not in quarantine. */
   get suspicions(): number {
-    return [...this.#entries.values()].filter(({ ended, quarantined }) => ended.size > 0 && !quarantined)
+    return [...this.#entries.values()].filter(({ ended, quarantined }) => ended.length > 0 && !quarantined)
       .length;
   }
 
@@ -120,12 +37,12 @@
   quarantines(now: Milliseconds): CrashRecord[] {
     return [...this.#entries.values()]
       .filter(({ quarantined }) => quarantined)
-      .map((entry) => recordOf(entry, now));
+      .map((entry) => entry.record(now));
   }
 
   /** Everything, for a daemon that knows nothing of it. */
   records(now: Milliseconds): CrashRecord[] {
-    return [...this.#entries.values()].map((entry) => recordOf(entry, now));
+    return [...this.#entries.values()].map((entry) => entry.record(now));
   }
 
   /** Whether a request is kept from servers. Looks at its body only when its head is known. */
@@ -140,7 +57,7 @@
 
   /** Servers that have ended under a request, as far as is known. */
   endsUnder(fingerprint: RequestFingerprint): number {
-    return this.#find(fingerprint)?.ended.size ?? 0;
+    return this.#find(fingerprint)?.ended.length ?? 0;
   }
 
   /**
@@ -155,12 +72,7 @@
 
   /** A request that is held back has come again; whether it is sent now. */
   isDueForTrial(fingerprint: RequestFingerprint, now: Milliseconds): boolean {
-    const entry = this.#find(fingerprint);
-    if (entry === undefined || now - entry.trialAt < TRIAL_INTERVAL) {
-      return false;
-    }
-    entry.trialAt = now;
-    return true;
+    return this.#find(fingerprint)?.takeTrial(now) === true;
   }
 
   /** Takes in what another daemon, the store or an observation says. Returns the record as it is now, or null when nothing is new. */
@@ -176,34 +88,30 @@
       return null;
     }
     this.#touch(entry, now);
-    return recordOf(entry, now);
+    return entry.record(now);
   }
 
   /** A server has answered the request, or an operator lifts its quarantine: the ends that are known don't count. */
   clear(fingerprint: RequestFingerprint, now: Milliseconds): CrashRecord | null {
     const entry = this.#find(fingerprint);
-    return entry === undefined || entry.ended.size === 0
+    return entry === undefined || entry.ended.length === 0
       ? null
-      : this.merge({ ...recordOf(entry, now), ended: [], exonerated: [...entry.ended.keys()] }, now);
+      : this.merge({ ...entry.record(now), ended: [], exonerated: entry.ended }, now);
   }
 
   /** A server that was taken to have ended has answered a request that was sent after that was heard: it has not ended. */
   noteAlive(server: ServerId, sentAt: Milliseconds, now: Milliseconds): CrashRecord[] {
-    const blame = this.#byServer.get(server);
-    if (blame === undefined || sentAt <= blame.heardAt) {
-      return [];
-    }
-    return [...blame.fingerprints]
-      .map((fingerprint) => this.merge({ ...NOTHING, fingerprint, exonerated: [server] }, now))
+    return this.#blames
+      .heardBefore(server, sentAt)
+      .map((fingerprint) => this.merge({ ...emptyRecord(fingerprint), exonerated: [server] }, now))
       .filter((record) => record !== null);
   }
 
   /** Puts requests into quarantine that have been suspected for long enough; returns their records. */
   confirmSuspicions(confirmation: Milliseconds, now: Milliseconds): CrashRecord[] {
     return [...this.#ripe]
-      .filter(({ suspectedAt }) => now - suspectedAt >= confirmation)
-      .filter((entry) => spanOf(entry) >= LONGEST_BURST && this.#confirm(entry))
-      .map((entry) => recordOf(entry, now));
+      .filter((entry) => entry.isSuspectedFor(confirmation, now) && this.#confirm(entry))
+      .map((entry) => entry.record(now));
   }
 
   /**
@@ -211,139 +119,77 @@
    * hot one which was there by chance when servers ended.
    */
   isDueForRetest(fingerprint: RequestFingerprint, now: Milliseconds): boolean {
-    const entry = this.#find(fingerprint);
-    if (entry === undefined || entry.retested || now - entry.changedAt < RETEST_DELAY) {
-      return false;
-    }
-    entry.refusals += 1;
-    if (entry.refusals <= REFUSALS_BEFORE_RETEST) {
-      return false;
-    }
-    entry.refusals = 0;
-    return true;
+    return this.#find(fingerprint)?.takeRetest(now) === true;
   }
 
   /** A request in quarantine was sent once more, and the server's side ended the connection again: that was the last time. */
   failRetest(fingerprint: RequestFingerprint, now: Milliseconds): CrashRecord | null {
     return this.isQuarantined(fingerprint)
-      ? this.merge({ ...NOTHING, fingerprint: fingerprint.value, retested: true }, now)
+      ? this.merge({ ...emptyRecord(fingerprint.value), retested: true }, now)
       : null;
   }
 
   /** Forgets what nobody needs any more. Quarantines stay. */
   expire(now: Milliseconds): void {
     for (const entry of this.#entries.values()) {
-      const memory = entry.ended.size > 0 ? SUSPICION_MEMORY : EXONERATION_MEMORY;
-      if (!entry.quarantined && now - entry.changedAt > memory) {
+      if (entry.isExpired(now)) {
         this.#remove(entry);
       }
     }
   }
 
-  #find(fingerprint: RequestFingerprint): Entry | undefined {
+  #find(fingerprint: RequestFingerprint): CrashEntry | undefined {
     return this.#entries.size > 0 && this.#heads.has(fingerprint.head)
       ? this.#entries.get(fingerprint.value)
       : undefined;
   }
 
-  #create(fingerprint: string, now: Milliseconds): Entry {
-    const entry: Entry = {
-      fingerprint,
-      ended: new Map(),
-      copies: new LostCopies(),
-      trialAt: Number.NEGATIVE_INFINITY,
-      exonerated: new Set(),
-      quarantined: false,
-      retested: false,
-      refusals: 0,
-      suspectedAt: now,
-      changedAt: now,
-    };
+  #create(fingerprint: string, now: Milliseconds): CrashEntry {
+    const entry = new CrashEntry(fingerprint, now);
     const head = headOf(fingerprint);
     this.#entries.set(fingerprint, entry);
     this.#heads.set(head, (this.#heads.get(head) ?? 0) + 1);
     return entry;
   }
 
-  #addEnd(entry: Entry, { server, age, copies = [] }: CrashedServer, now: Milliseconds): boolean {
-    const at = now - age;
-    if (entry.ended.has(server)) {
-      return entry.copies.add(server, copies, now);
+  #addEnd(entry: CrashEntry, end: CrashedServer, now: Milliseconds): boolean {
+    const { isNew, dropped } = entry.addEnd(end, now);
+    if (dropped !== null) {
+      this.#blames.forget(dropped, entry.fingerprint);
     }
-    if (entry.exonerated.has(server) || !this.#makeRoom(entry, at)) {
-      return false;
+    if (isNew) {
+      this.#blames.add(end.server, entry.fingerprint, now);
+      this.#noteRipeness(entry);
     }
-    entry.suspectedAt = entry.ended.size === 0 ? now : entry.suspectedAt;
-    entry.ended.set(server, at);
-    if (entry.ended.size >= CRASHES_FOR_QUARANTINE && !entry.quarantined) {
-      this.#ripe.add(entry);
-    }
-    const blame = this.#byServer.get(server) ?? { fingerprints: new Set(), heardAt: now };
-    blame.fingerprints.add(entry.fingerprint);
-    this.#byServer.set(server, blame);
-    entry.copies.add(server, copies, now);
-    return true;
+    return isNew;
   }
 
-  /** The newest end gives way to one that is newer still: the span from the first to the last one counts. */
-  #makeRoom({ ended, copies, fingerprint }: Entry, at: Milliseconds): boolean {
-    if (ended.size < MOST_ENDS) {
-      return true;
-    }
-    const [newest, newestAt] = [...ended].reduce((left, right) => (right[1] > left[1] ? right : left));
-    if (at <= newestAt) {
-      return false;
-    }
-    ended.delete(newest);
-    copies.forget(newest);
-    this.#forgetBlame(newest, fingerprint);
-    return true;
-  }
-
-  #exonerate(entry: Entry, server: ServerId): boolean {
-    if (entry.exonerated.has(server)) {
-      return false;
-    }
-    entry.exonerated.add(server);
-    const [oldest] = entry.exonerated;
-    if (entry.exonerated.size > MOST_EXONERATED && oldest !== undefined) {
-      entry.exonerated.delete(oldest);
+  #exonerate(entry: CrashEntry, server: ServerId): boolean {
+    const isNews = entry.exonerate(server);
+    if (isNews) {
+      this.#blames.forget(server, entry.fingerprint);
+      this.#noteRipeness(entry);
     }
-    this.#dropEnd(entry, server);
-    entry.quarantined &&= entry.ended.size >= CRASHES_FOR_QUARANTINE;
-    return true;
+    return isNews;
   }
 
-  #dropEnd(entry: Entry, server: ServerId): void {
-    entry.ended.delete(server);
-    entry.copies.forget(server);
-    if (entry.ended.size < CRASHES_FOR_QUARANTINE) {
+  #noteRipeness(entry: CrashEntry): void {
+    if (entry.isRipe) {
+      this.#ripe.add(entry);
+    } else {
       this.#ripe.delete(entry);
     }
-    this.#forgetBlame(server, entry.fingerprint);
-  }
-
-  #forgetBlame(server: ServerId, fingerprint: string): void {
-    const blame = this.#byServer.get(server);
-    blame?.fingerprints.delete(fingerprint);
-    if (blame?.fingerprints.size === 0) {
-      this.#byServer.delete(server);
-    }
   }
 
   /** Whether the request is in quarantine from now on and was not before. */
-  #confirm(entry: Entry): boolean {
-    if (entry.quarantined || entry.ended.size < CRASHES_FOR_QUARANTINE) {
-      return false;
-    }
-    entry.quarantined = true;
-    entry.refusals = 0;
-    this.#ripe.delete(entry);
-    return true;
+  #confirm(entry: CrashEntry): boolean {
+    const isNew = entry.confirm();
+    this.#noteRipeness(entry);
+    return isNew;
   }
 
-  #touch(entry: Entry, now: Milliseconds): void {
-    entry.changedAt = now;
+  #touch(entry: CrashEntry, now: Milliseconds): void {
+    entry.noteChanged(now);
     this.#entries.delete(entry.fingerprint);
     this.#entries.set(entry.fingerprint, entry);
     if (this.#entries.size > Math.min(MOST_QUARANTINES, MOST_SUSPICIONS)) {
@@ -358,14 +204,18 @@
     alike.slice(0, Math.max(0, alike.length - limit)).forEach((entry) => this.#remove(entry));
   }
 
-  #dropIfBare(entry: Entry): void {
-    if (entry.ended.size === 0 && entry.exonerated.size === 0) {
+  #dropIfBare(entry: CrashEntry): void {
+    if (entry.isBare) {
       this.#remove(entry);
     }
   }
 
-  #remove(entry: Entry): void {
-    [...entry.ended.keys()].forEach((server) => this.#dropEnd(entry, server));
+  #remove(entry: CrashEntry): void {
+    for (const server of entry.ended) {
+      entry.dropEnd(server);
+      this.#blames.forget(server, entry.fingerprint);
+    }
+    this.#ripe.delete(entry);
     this.#entries.delete(entry.fingerprint);
     const head = headOf(entry.fingerprint);
     const left = (this.#heads.get(head) ?? 1) - 1;
--- a/src/router/quarantine/quarantine.ts
+++ b/src/router/quarantine/quarantine.ts
@@ -9,7 +9,7 @@
 import type { ActiveRequest } from '../request/active-request.js';
 import { cancelAttempt, giveUp } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
-import type { CrashRecord } from './crash-table.js';
+import type { CrashRecord } from './crash-record.js';
 import { COPIES_FOR_HOLD } from './lost-copies.js';
 import type { BrokenConnection } from './server-ends.js';
 
--- a/src/router/quarantine/stored-quarantines.ts
+++ b/src/router/quarantine/stored-quarantines.ts
@@ -9,7 +9,7 @@
 import { HEAD_CHARACTERS } from '../model/request-fingerprint.js';
 import { CONFIRMATION_VALIDITY } from '../ownership/ownership-timing.js';
 import type { RouterContext } from '../router-context.js';
-import type { CrashRecord } from './crash-table.js';
+import type { CrashRecord } from './crash-record.js';
 import { takeRecords } from './quarantine.js';
 
 /** Between two calls: those that are refused are paid for, too. */
--- a/src/router/request/admission-window.ts
+++ b/src/router/request/admission-window.ts
@@ -3,16 +3,14 @@
  * have there is not seen; what is seen is how long answers take. So the window shrinks when they come late or the
  * owner sheds requests, and grows while it is used and answers are quick, as a congestion window does. With many
  * daemons an owner has room for less than one request of each: then the window is a part of one, and says how long a
- * daemon waits between two requests. On a day with trouble of 17 daemons, owners shed a third fewer requests for it
- * (2,494 to 1,664 of 17,000 arrivals).
+ * daemon waits between two requests. Owners shed fewer requests for it.
  */
 import { equalPart } from '../sharing/equal-part.js';
 import type { Milliseconds } from '../model/identifiers.js';
 
 /**
- * Before anything is known of an owner, all daemons together send it this many requests for each of its slots: in a
- * model of 17 daemons before an owner that gets six times too much, 0.72 of what it can do is answered in time in the
- * first three seconds, 0.28 with 34 (`test-admission-window.ts`).
+ * Before anything is known of an owner, all daemons together send it this many requests for each of its slots: more would make most of
+ * its first answers late.
  */
 const FIRST_PER_SLOT = 6;
 const LARGEST_FIRST_WINDOW = 6;
@@ -40,8 +38,7 @@
   #cutAt: Milliseconds = Number.NEGATIVE_INFINITY;
   /**
    * Until then the growth of a window below one has been counted. At first never: the first request makes a window that
-   * begins below one a whole one. Held back from the first, 74 daemons would serve 0.41 of what an owner can do in place of 0.51
-   * when that is all they are asked, for three seconds; an owner with six times too much would shed 0.70 in place of 1.60 of it.
+   * begins below one a whole one, so that the owner is used from the first moment on.
    */
   #grownUntil: Milliseconds = Number.NEGATIVE_INFINITY;
   /** With a window below one: the next request may be sent then. */
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -4,7 +4,7 @@
 import { noteTurnedAway } from '../ownership/isolation.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
-import { CRASHES_FOR_QUARANTINE } from '../quarantine/crash-table.js';
+import { CRASHES_FOR_QUARANTINE } from '../quarantine/crash-entry.js';
 import { noteRequestAnswered, noteRetestLost } from '../quarantine/quarantine.js';
 import { noteAttemptAt, noteConnectionEnded } from '../quarantine/server-ends.js';
 import { noteOverload } from '../tree/reports.js';
@@ -18,8 +18,8 @@
 /** A connection that is reset this soon, with no answer begun, was most likely shed by a full server. */
 const SHED_WITHIN: Milliseconds = 25;
 /**
- * A request after whose sending so many servers may have ended is not sent to a third in the same try. In virtual time one that ends
- * servers ended 2.4 in a try; and others that shared two of these servers would soon be suspected as much.
+ * A request after whose sending so many servers may have ended is not sent to a third in the same try: that might end, too, and others that
+ * shared two of these servers would soon be suspected as much.
  */
 const MOST_CRASHES_PER_TRY = 2;
 /** A server that has answered within this time is alive. */
@@ -172,8 +172,7 @@
 
 /**
  * Whether a server that turned a request away is full by its own figures. One that has room fails some of its requests, and
- * may take this one the next time: on a day on which owners shed half of their requests for 8 s, refusing
- * at once doubled the refusals (638 to 1,051, and 608 to 1,201, of 7,500).
+ * may take this one the next time: refusing at once would double the refusals of an owner that sheds half of its requests.
  */
 function hasQueue({ waiting, slots }: ReportedLoad): boolean {
   return waiting >= slots;
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -5,10 +5,7 @@
 
 /** What is known of the work of other daemons fades by e in this time. */
 const LOAD_MEMORY: Milliseconds = 400;
-/**
- * What a server said of its speed fades by e in this time: it changes many times a second. Late status reads of 17 daemons on
- * two days with trouble fell by a tenth to a fifth for it (1,240 to 1,113, 1,316 to 1,116).
- */
+/** What a server said of its speed fades by e in this time: it changes many times a second. */
 const SLOWDOWN_MEMORY: Milliseconds = 300;
 /** Weight of a new report against the faded one before. */
 const REPORT_WEIGHT = 0.7;
--- a/test/router/quarantine/test-crash-table.ts
+++ b/test/router/quarantine/test-crash-table.ts
@@ -1,7 +1,8 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { CrashTable, type CrashRecord } from '../../../src/router/quarantine/crash-table.js';
+import type { CrashRecord } from '../../../src/router/quarantine/crash-record.js';
+import { CrashTable } from '../../../src/router/quarantine/crash-table.js';
 import { fingerprintOf } from '../support/fingerprints.js';
 
 const DEADLY = fingerprintOf('deadly');
