--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,4 +1,4 @@
-/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices`. */
+/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits`. */
 import { parseArgs } from 'node:util';
 import { PROGRAM } from './daemon-process.js';
 import type { SoakReport } from './soak-report.js';
@@ -16,6 +16,7 @@
     'at-once': { type: 'string', default: '1' },
     harsh: { type: 'boolean', default: false },
     notices: { type: 'boolean', default: false },
+    limits: { type: 'boolean', default: false },
   },
 });
 
@@ -50,6 +51,7 @@
       program: values.program,
       isHarsh: values.harsh,
       hasNotices: values.notices,
+      hasLimits: values.limits,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
     tell(report);
--- a/test/soak/promises.ts
+++ b/test/soak/promises.ts
@@ -17,6 +17,12 @@
   readonly plannedStop: boolean;
 }
 
+/** A check of what servers get that say something of themselves in answers. */
+export interface NoticeCheck {
+  onArrival(server: ServerStandIn, attemptId: string): void;
+  onAnswer(server: ServerStandIn, attemptId: string): void;
+}
+
 interface Runs {
   count: number;
 }
@@ -36,20 +42,19 @@
   onArrivalAt: (server: ServerStandIn, attemptId: string) => void = () => undefined;
 
   /** Each arrival that is run or rejected for rest, and each answer, for checks of what servers say of themselves. */
-  onArrivalAnywhere: (server: ServerStandIn, attemptId: string) => void = () => undefined;
-  onAnswerOf: (server: ServerStandIn, attemptId: string) => void = () => undefined;
+  readonly noticeChecks: NoticeCheck[] = [];
 
   fail(promise: string, detail: string): void {
     this.violations.push(`${promise}: ${detail}`);
   }
 
   onAnswer(server: ServerStandIn, attemptId: string): void {
-    this.onAnswerOf(server, attemptId);
+    this.noticeChecks.forEach((check) => check.onAnswer(server, attemptId));
   }
 
   onArrival(server: ServerStandIn, attemptId: string, runs: boolean): void {
     if (runs || server.isResting) {
-      this.onArrivalAnywhere(server, attemptId);
+      this.noticeChecks.forEach((check) => check.onArrival(server, attemptId));
     }
     if (runs) {
       const known = this.#runs.get(attemptId) ?? { count: 0 };
--- a/test/soak/server-stand-in.ts
+++ b/test/soak/server-stand-in.ts
@@ -36,6 +36,8 @@
   leaves = false;
   /** It rejects each request and asks for so much rest; null: it takes them. */
   restSeconds: number | null = null;
+  /** What it names as its limit in every answer; null: nothing. */
+  limit: string | null = null;
   #address = '';
   #grants: Grant[] = [];
   #highestFence: { from: number; to: number; fence: number }[] = [];
@@ -94,7 +96,7 @@
     request.on('end', () => {
       const body = Buffer.concat(chunks).toString();
       if (request.url === '/health') {
-        response.writeHead(200, { 'fennelferry-instance-id': this.id }).end();
+        response.writeHead(200, { 'fennelferry-instance-id': this.id, ...this.#notice() }).end();
       } else if (request.url === '/api/grant') {
         this.#grant(response, JSON.parse(body) as GrantBody);
       } else if (request.url === '/api/release') {
@@ -110,7 +112,7 @@
       (seen) => seen.from <= to && from <= seen.to && seen.fence > fence,
     );
     if (isPast) {
-      response.writeHead(409).end();
+      response.writeHead(409, this.#notice()).end();
       return;
     }
     this.#highestFence.push({ from, to, fence });
@@ -119,13 +121,13 @@
       { from, to, fence, until: performance.now() + (holdS ?? 0) * 1_000 },
     ];
     this.#observer.onGrant(this, from, to);
-    response.writeHead(200).end();
+    response.writeHead(200, this.#notice()).end();
   }
 
   #release(response: ServerResponse, { from, targetVersion: to, fence }: GrantBody): void {
     this.#highestFence.push({ from, to, fence });
     this.#grants = this.#without(from, to);
-    response.writeHead(200, { 'fennelferry-handover': 'h' }).end();
+    response.writeHead(200, { 'fennelferry-handover': 'h', ...this.#notice() }).end();
   }
 
   /** What is left of the grants without a range. */
@@ -139,7 +141,10 @@
   }
 
   #notice(): Record<string, string> {
-    return this.leaves ? { 'Server-Leaving': '1' } : {};
+    return {
+      ...(this.leaves ? { 'Server-Leaving': '1' } : {}),
+      ...(this.limit === null ? {} : { 'Server-Limit': this.limit }),
+    };
   }
 
   #run(request: IncomingMessage, response: ServerResponse): void {
@@ -157,7 +162,7 @@
     }
     if (!runs) {
       const headers = { 'fennelferry-not-executed': '1', 'fennelferry-instance-id': this.id };
-      response.writeHead(421, headers).end();
+      response.writeHead(421, { ...headers, ...this.#notice() }).end();
       return;
     }
     setTimeout(() => {
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -13,6 +13,8 @@
   readonly isHarsh: boolean;
   /** Servers say in answers that they leave or want rest and come back under their id, and other writers spoil entries. */
   readonly hasNotices: boolean;
+  /** Servers name limits for what all daemons together send them. */
+  readonly hasLimits: boolean;
 }
 
 /** What a run came to. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -6,11 +6,13 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { ArrivalChecks } from './arrival-checks.js';
 import { Caller } from './caller.js';
 import { ConfigurationProbes } from './configuration-probes.js';
 import { DaemonProcess } from './daemon-process.js';
 import { DeadlyRequests } from './deadly-requests.js';
 import { configurationOf, freePorts, settingsOf, TIMING, ZONES } from './deployment.js';
+import { LimitTroubles } from './limit-troubles.js';
 import { NoticeTroubles } from './notice-troubles.js';
 import { Outages } from './outages.js';
 import { Promises } from './promises.js';
@@ -23,10 +25,6 @@
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 /** A daemon is in touch when neither it nor the store had trouble for this long. */
 const CONTACT = 3_000;
-/** Checked at twice the time that the daemons are set to: this process and they share a machine that may be busy. */
-const LENIENCE = 2;
-const LEAVE = LENIENCE * TIMING.drain * MILLISECONDS_PER_SECOND;
-const EVACUATE = LENIENCE * TIMING.evacuation * MILLISECONDS_PER_SECOND;
 const SETTLE = 5_000;
 /** A server that has crashed is back after this long. */
 const SERVER_RESTART = 2_000;
@@ -60,8 +58,7 @@
   );
   /** Servers that leave and say so in answers only. */
   readonly #saidLeaving = new Set<ServerStandIn>();
-  readonly #leavingSince = new Map<ServerStandIn, number>();
-  readonly #evacuatedSince = new Map<string, number>();
+  readonly #arrivals = new ArrivalChecks(this.#promises, (attemptId) => this.#isInTouch(attemptId));
   readonly #deadly = new DeadlyRequests(this.#promises, {
     isInTouch: (attemptId) => this.#isInTouch(attemptId),
     replace: (server) => this.#replaceCrashed(server),
@@ -88,11 +85,12 @@
     const startedAt = performance.now();
     const troubles: Promise<void>[] = [];
     const noticed = this.#options.hasNotices ? this.#createNotices().run(length) : Promise.resolve();
+    const limited = this.#options.hasLimits ? this.#createLimits().run(length) : Promise.resolve();
     for (const { at, trouble } of schedule) {
       await pause(startedAt + at - performance.now());
       troubles.push(this.#perform(trouble));
     }
-    await Promise.all([...troubles, noticed]);
+    await Promise.all([...troubles, noticed, limited]);
     await pause(CALM);
     await this.#deadly.untilQuiet(RECOVERY);
     await this.#checkServedAgain();
@@ -120,7 +118,7 @@
   async #start(): Promise<void> {
     const { daemons, servers } = this.#options;
     const storeAddress = await this.#store.start();
-    this.#promises.onArrivalAt = (server, attemptId) => this.#checkArrival(server, attemptId);
+    this.#promises.onArrivalAt = (server, attemptId) => this.#arrivals.onArrival(server, attemptId);
     this.#promises.onDeadly = (server, attemptId) =>
       void this.#deadly.crash(server, server.service, attemptId);
     this.#change();
@@ -163,7 +161,7 @@
 
   #staying(): ServerStandIn[] {
     return this.#servers.filter(
-      (server) => !this.#leavingSince.has(server) && !this.#saidLeaving.has(server),
+      (server) => !this.#arrivals.isLeaving(server) && !this.#saidLeaving.has(server),
     );
   }
 
@@ -177,11 +175,19 @@
       retire: (server) => void this.#saidLeaving.add(server),
       putEntry: (server) => this.#putEntry(server, 'ready'),
     });
-    this.#promises.onArrivalAnywhere = (server, attemptId) => notices.onArrival(server, attemptId);
-    this.#promises.onAnswerOf = (server, attemptId) => notices.onAnswer(server, attemptId);
+    this.#promises.noticeChecks.push(notices);
     return notices;
   }
 
+  #createLimits(): LimitTroubles {
+    const limits = new LimitTroubles(this.#options.seed, this.#promises, {
+      daemons: this.#daemons,
+      staying: () => this.#staying(),
+    });
+    this.#promises.noticeChecks.push(limits);
+    return limits;
+  }
+
   /** A server crashes and is back under its id, at its address. */
   async #restartServer(server: ServerStandIn, after: number): Promise<void> {
     const { id, service, zone, keyed, port } = server;
@@ -283,7 +289,7 @@
       return;
     }
     await this.#addServer(server.keyed ? 'keyed' : 'plain');
-    this.#leavingSince.set(server, performance.now());
+    this.#arrivals.noteLeaving(server);
     if (!isSilent) {
       this.#putEntry(server, 'draining');
       await pause(TIMING.drain * MILLISECONDS_PER_SECOND);
@@ -292,14 +298,14 @@
   }
 
   async #evacuate(zone: string, lasts: number): Promise<void> {
-    if (this.#evacuatedSince.size > 0) {
+    if (this.#arrivals.isAnyEvacuated) {
       return;
     }
     this.#store.put('evacuations', zone, {});
-    this.#evacuatedSince.set(zone, performance.now());
+    this.#arrivals.noteEvacuated(zone);
     await pause(lasts);
     this.#store.remove('evacuations', zone);
-    this.#evacuatedSince.delete(zone);
+    this.#arrivals.noteRestored(zone);
   }
 
   /** Whether neither a daemon nor the store has had trouble for so long before a moment. */
@@ -357,23 +363,6 @@
     this.#store.remove('servers', server.id);
   }
 
-  /** A request reached a server: it must not be one that left, or whose zone is evacuated. */
-  #checkArrival(server: ServerStandIn, attemptId: string): void {
-    const now = performance.now();
-    if (!this.#isInTouch(attemptId)) {
-      return;
-    }
-
-    const leavingSince = this.#leavingSince.get(server) ?? Number.POSITIVE_INFINITY;
-    if (now > leavingSince + LEAVE) {
-      this.#promises.fail('a leaving server gets nothing', `${attemptId} at ${server.id}`);
-    }
-    const evacuatedSince = this.#evacuatedSince.get(server.zone) ?? Number.POSITIVE_INFINITY;
-    if (now > evacuatedSince + EVACUATE) {
-      this.#promises.fail('an evacuated zone gets nothing', `${attemptId} at ${server.id}`);
-    }
-  }
-
   /** After the calm, every daemon serves everything under the newest version. */
   async #checkServedAgain(): Promise<void> {
     for (const caller of this.#callers) {
--- a/test/soak/test-soak.ts
+++ b/test/soak/test-soak.ts
@@ -9,12 +9,16 @@
 const HARSH_SEED = 9;
 /** Servers say of themselves that they leave and want rest. */
 const NOTICES_SEED = 4;
+/** Servers name limits for all daemons together. */
+const LIMITS_SEED = 2;
 const OPTIONS = { daemons: 5, servers: 4, program: PROGRAM, length: 20_000 };
 
 // What tests lacked when changes came into force 14 s late: the real daemons, a store that does not answer, and changes that go on.
 describe('a short soak of daemons as processes', { concurrency: true }, () => {
   it('keeps every promise under troubles that overlap', async () => {
-    const runs = SEEDS.map((seed) => runSoak({ ...OPTIONS, seed, isHarsh: false, hasNotices: false }));
+    const runs = SEEDS.map((seed) =>
+      runSoak({ ...OPTIONS, seed, isHarsh: false, hasNotices: false, hasLimits: false }),
+    );
     for (const report of await Promise.all(runs)) {
       expect(report.violations).toEqual([]);
       expect(report.answered > 0).toEqual(true);
@@ -22,14 +26,38 @@
   });
 
   it('keeps every promise while servers end under requests and machines are suspended', async () => {
-    const report = await runSoak({ ...OPTIONS, seed: HARSH_SEED, isHarsh: true, hasNotices: false });
+    const report = await runSoak({
+      ...OPTIONS,
+      seed: HARSH_SEED,
+      isHarsh: true,
+      hasNotices: false,
+      hasLimits: false,
+    });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
     expect(report.serverEnds > 0).toEqual(true);
   });
 
   it('keeps what it owes to servers that leave, rest and come back under their id, beside odd entries', async () => {
-    const report = await runSoak({ ...OPTIONS, seed: NOTICES_SEED, isHarsh: false, hasNotices: true });
+    const report = await runSoak({
+      ...OPTIONS,
+      seed: NOTICES_SEED,
+      isHarsh: false,
+      hasNotices: true,
+      hasLimits: false,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.answered > 0).toEqual(true);
+  });
+
+  it('holds servers to the limits that they name', async () => {
+    const report = await runSoak({
+      ...OPTIONS,
+      seed: LIMITS_SEED,
+      isHarsh: false,
+      hasNotices: false,
+      hasLimits: true,
+    });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
   });
