--- a/src/router/limits/server-limits.ts
+++ b/src/router/limits/server-limits.ts
@@ -56,6 +56,11 @@
 export class ServerLimits {
   readonly #limits = new Map<ServerId, ServerLimit>();
 
+  /** Nothing is known of any server: most of the time. */
+  get isEmpty(): boolean {
+    return this.#limits.size === 0;
+  }
+
   /** The limit in force, or null. */
   of(server: ServerId): RequestsPerSecond | null {
     return this.#limits.get(server)?.rate ?? null;
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -51,6 +51,10 @@
   return coldInterval(rate * bounds.coldStart.factor + bounds.coldStart.slack, daemons);
 }
 
+function hasNoLimit(): null {
+  return null;
+}
+
 /** For servers that can pass their work to others. */
 function gateTerms(context: RouterContext, request: ActiveRequest): GateTerms {
   const { id, service, route, holdUntil } = request;
@@ -62,7 +66,7 @@
     forgivenFailures: 0,
     coldInterval: coldIntervalOf(context, service),
     mostInFlight: mostInFlight(context, service),
-    shareOf: (server) => limitShareOf(context.state, server),
+    shareOf: context.state.limits.isEmpty ? hasNoLimit : (server) => limitShareOf(context.state, server),
     seeker: { id, priority: route.priority, holdUntil },
   };
 }
