--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -30,23 +30,39 @@
   return expected * (1 + JITTER * context.random.fraction()) + way;
 }
 
+/** The cheapest of some servers. */
+class Cheapest<Server> {
+  server: Server | undefined;
+  cost: Milliseconds = Number.POSITIVE_INFINITY;
+
+  add(server: Server, itsCost: Milliseconds): void {
+    if (itsCost < this.cost) {
+      this.server = server;
+      this.cost = itsCost;
+    }
+  }
+}
+
 /** The server that should answer first, or undefined when none takes requests. */
 export function selectServer<Server extends GatedServer>(
   candidates: Iterable<Server>,
   context: SelectionContext,
 ): Server | undefined {
-  let best: Server | undefined;
-  let bestCost = Number.POSITIVE_INFINITY;
+  const open = new Cheapest<Server>();
+  const awaited = new Cheapest<Server>();
+  const asked = new Cheapest<Server>();
   for (const candidate of candidates) {
     const gate = context.tried.includes(candidate.server.id) ? 'tried' : closedGate(candidate, context);
-    if (gate === null || gate === 'awaits_permit') {
-      const permitTime = gate === null ? 0 : PERMIT_TIME;
-      const candidateCost = cost(candidate, context) + permitTime;
-      if (candidateCost < bestCost) {
-        best = candidate;
-        bestCost = candidateCost;
-      }
+    if (gate === null) {
+      open.add(candidate, cost(candidate, context));
+    } else if (gate === 'awaits_permit') {
+      const isAsked = candidate.permits.isAsked(context.seeker.id);
+      (isAsked ? asked : awaited).add(candidate, cost(candidate, context) + PERMIT_TIME);
     }
   }
-  return best;
+  if (asked.server !== undefined) {
+    // Its permit would be here by now: the leader may be gone, and another server is open.
+    return open.server ?? asked.server;
+  }
+  return open.cost <= awaited.cost ? open.server : awaited.server;
 }
