--- a/test/soak/limit-troubles.ts
+++ b/test/soak/limit-troubles.ts
@@ -97,16 +97,14 @@
 
   #name(server: ServerStandIn, limited: LimitedServer): void {
     const text = LIMITS[this.#upTo(LIMITS.length)] as string;
-    const rate = Number(text);
-    const isReadable = Number.isFinite(rate) && rate >= 0;
-    if (!isReadable && limited.highest === 0) {
+    if (!isReadable(text) && limited.highest === 0) {
       // Nothing that can be read has been named yet.
       server.limit = '3';
       limited.highest = 3;
       return;
     }
     server.limit = text;
-    limited.highest = isReadable ? Math.max(limited.highest, rate) : limited.highest;
+    limited.highest = isReadable(text) ? Math.max(limited.highest, Number(text)) : limited.highest;
   }
 
   #daemonOf(attemptId: string): DaemonProcess | undefined {
@@ -117,7 +115,8 @@
   onAnswer(server: ServerStandIn, attemptId: string): void {
     const limited = this.#limited.get(server);
     const daemon = this.#daemonOf(attemptId);
-    if (limited === undefined || daemon === undefined || server.limit === null) {
+    // What can't be read tells of no limit: daemons that have had nothing else know of none.
+    if (limited === undefined || daemon === undefined || !isReadable(server.limit)) {
       return;
     }
     const toldAt = limited.told.get(daemon);
@@ -148,6 +147,11 @@
   }
 }
 
+/** Whether a limit is a number of requests a second. */
+function isReadable(text: string | null): boolean {
+  return text !== null && Number(text) >= 0;
+}
+
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/test/soak/notice-troubles.ts
+++ b/test/soak/notice-troubles.ts
@@ -136,7 +136,8 @@
     }
     await pause(ODD_ENTRY_STAYS);
     store.remove('servers', name);
-    if (spoils) {
+    // A server that has left meanwhile doesn't come back into the list.
+    if (spoils && this.#surroundings.staying().includes(server)) {
       this.#surroundings.putEntry(server);
     }
   }
