Sight: how late the event loop is (histogram, a line when it falls behind and when it is on time again), what its time goes into, and how long a request may have waited unread; explain tells it

The record can't tell how late a daemon's loop was at any moment, and what its time went into. The regular tick shows it without a timer of its own: perf_hooks' monitor would wake the process as often again, and says nothing of the present moment.

--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -6,8 +6,13 @@
 
 /** What happened this long before a request arrived may explain its end. */
 const LOOK_BACK_MILLISECONDS = 3_000;
-/** What a server has said of itself holds until it says otherwise, however long ago that was. */
-const STANDING_EVENTS: ReadonlySet<string> = new Set(['server_names_limit', 'server_limit_ended']);
+/** What a server has said of itself, and whether the loop is behind, holds until a later line says otherwise. */
+const STANDING_EVENTS: ReadonlySet<string> = new Set([
+  'server_names_limit',
+  'server_limit_ended',
+  'loop_behind',
+  'loop_on_time',
+]);
 /** Lines of beliefs told for one daemon's try. */
 const MOST_BELIEFS = 25;
 
@@ -55,6 +60,8 @@
 }
 
 const ALWAYS_TOLD: ReadonlySet<string> = new Set([
+  'loop_behind',
+  'loop_on_time',
   'leadership_won',
   'leadership_lost',
   'configuration_applied',
@@ -87,17 +94,21 @@
   const attempts = Array.isArray(line['attempts']) ? line['attempts'].map(textOf) : [];
   const reason = textOf(line['reason'] ?? '');
   const held = attempts.length === 0 ? '  it was sent to no server' : '';
+  const readDelay = line['read_delay'];
   return [
     `${line.time} ${line.daemon}: ${line.event} with ${textOf(line['status'])} after ${textOf(line['milliseconds'])} ms`,
     `  service ${textOf(line['service'])}, key ${key ?? 'none'}, route ${textOf(line['route'])}`,
     ...(reason === '' ? [] : [`  reason: ${reason}`]),
     `  believed: configuration ${textOf(line['configuration'])}, servers ${textOf(line['servers'])}, ownership ${textOf(line['ownership'])}`,
+    ...(readDelay === undefined
+      ? []
+      : [`  it may have waited unread for ${textOf(readDelay)} ms before: the loop was behind`]),
     ...(held === '' ? [] : [held]),
     ...attempts.map((attempt) => `  attempt at ${attempt}`),
   ];
 }
 
-/** The last word of each server that the request was for, where it came before the time that is looked back on. */
+/** The last word on the loop, and of each server that the request was for, where it came before the time that is looked back on. */
 function standingLines(ordered: readonly LogLine[], request: RequestLine): LogLine[] {
   const last = new Map<string, LogLine>();
   for (const line of ordered) {
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -42,20 +42,24 @@
   readonly #protocol: RequestProtocol;
   readonly #connections: ServerConnections;
   readonly #dispatch: (event: RouterEvent) => void;
+  readonly #readDelay: () => Milliseconds;
   readonly #exchanges = new Map<number, Exchange>();
   readonly #notForwarded: ReadonlySet<string>;
   #nextRequestId = 1;
   #bodyBytes = FIRST_BODY_BYTES;
   #closing = false;
 
+  /** @param readDelay how long a request that is read now may have waited unread */
   constructor(
     protocol: RequestProtocol,
     connections: ServerConnections,
     dispatch: (event: RouterEvent) => void,
+    readDelay: () => Milliseconds,
   ) {
     this.#protocol = protocol;
     this.#connections = connections;
     this.#dispatch = dispatch;
+    this.#readDelay = readDelay;
     this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
     this.server = createServer(
       { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
@@ -151,6 +155,7 @@
       callerPatience: this.#readPatience(rawHeaders),
       key,
       fingerprint: new LazyFingerprint({ method, host, target, credentials, body }),
+      readDelay: this.#readDelay(),
     });
   }
 
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -23,6 +23,7 @@
 import { CallerFront } from './caller-front.js';
 import { EventLog } from './event-log.js';
 import { listen } from './listen.js';
+import { LoopMonitor } from './loop-monitor.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
 import { RouterMetrics } from './router-metrics.js';
@@ -60,6 +61,7 @@
   readonly #peers: PeerLinks;
   readonly #readiness: Server;
   readonly #metrics: RouterMetrics;
+  readonly #loop: LoopMonitor;
   readonly #admin: Server;
   readonly #feeds: StoreFeeds;
   #timer: NodeJS.Timeout | undefined;
@@ -76,7 +78,12 @@
     const identity = { daemon, zone, peerAddress: addresses.peers, life, isFirstStart: firstStart };
     this.state = createRouterState(identity, boundsOf(settings), identity.life);
     this.#log = new EventLog(daemon, this.state.counters);
-    this.#front = new CallerFront(platform.protocol, this.#connections, (event) => this.dispatch(event));
+    this.#front = new CallerFront(
+      platform.protocol,
+      this.#connections,
+      (event) => this.dispatch(event),
+      () => this.#loop.unreadFor(performance.now()),
+    );
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
       onLeft: (link) => this.dispatch({ kind: 'peerLeft', link }),
@@ -92,7 +99,8 @@
       const known = request.url === platform.protocol.readinessPath;
       response.writeHead(known && missing === null ? OK : UNAVAILABLE).end();
     });
-    this.#metrics = new RouterMetrics(this.state);
+    this.#loop = this.#createLoopMonitor();
+    this.#metrics = new RouterMetrics(this.state, this.#loop.eventTimes);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
       timers: PROCESS_TIMERS,
@@ -100,6 +108,19 @@
     });
   }
 
+  #createLoopMonitor(): LoopMonitor {
+    return new LoopMonitor(TICK_MILLISECONDS, {
+      delayed: (delay) => this.#metrics.loopDelayed(delay),
+      fellBehind: (delay) => this.#log.event('warn', 'loop_behind', { delay: Math.round(delay) }),
+      caughtUp: ({ longest, lasted, busiest }) =>
+        this.#log.event('warn', 'loop_on_time', {
+          longest: Math.round(longest),
+          lasted: Math.round(lasted),
+          busiest,
+        }),
+    });
+  }
+
   /** Opens every port and starts. Rejects when a port is taken. */
   async start(): Promise<void> {
     const { http, readiness, admin, peers } = this.#settings.listen;
@@ -109,12 +130,23 @@
     await listen(this.#admin, admin);
     const { daemon, life } = this.state.identity;
     this.#log.event('info', 'started', { daemon, life, http, peers });
-    this.#timer = setInterval(() => this.dispatch({ kind: 'tick' }), TICK_MILLISECONDS);
+    this.#timer = setInterval(() => this.#tick(), TICK_MILLISECONDS);
+    this.dispatch({ kind: 'tick' });
+  }
+
+  #tick(): void {
+    this.#loop.noteTick(performance.now());
     this.dispatch({ kind: 'tick' });
   }
 
   /** Takes one event through the reducer and performs the effects. */
   dispatch(event: RouterEvent): void {
+    const startedAt = performance.now();
+    this.#handle(event);
+    this.#loop.noteEvent(event.kind, performance.now() - startedAt);
+  }
+
+  #handle(event: RouterEvent): void {
     const now = PROCESS_CLOCK.now();
     const suspension = PROCESS_CLOCK.takeSuspension();
     if (suspension !== null) {
--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -11,6 +11,8 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5];
 
+const LOOP_DELAY_BUCKETS_SECONDS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2];
+
 const UNKNOWN_AGE = -1;
 
 /** The figures of one daemon. */
@@ -24,7 +26,16 @@
     registers: [this.registry],
   });
 
-  constructor(state: RouterState) {
+  readonly #loopDelay = new Histogram({
+    name: 'fennelferry_router_loop_delay_seconds',
+    help: 'how late the regular tick of the event loop was: what sockets receive meanwhile waits unread',
+    buckets: LOOP_DELAY_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+
+  /** @param eventTimes milliseconds that events of each kind have taken; read at each request for the figures */
+  constructor(state: RouterState, eventTimes: ReadonlyMap<string, number>) {
+    this.#eventTimes(eventTimes);
     for (const name of ROUTER_COUNTER_NAMES) {
       new Counter({
         name: `fennelferry_router_${name}_total`,
@@ -55,6 +66,19 @@
     this.#gauge('resident_bytes', () => process.memoryUsage.rss());
   }
 
+  #eventTimes(eventTimes: ReadonlyMap<string, number>): void {
+    new Counter({
+      name: 'fennelferry_router_event_seconds_total',
+      help: 'time that events of each kind have taken',
+      labelNames: ['event'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        eventTimes.forEach((time, event) => this.inc({ event }, time / MILLISECONDS_PER_SECOND));
+      },
+    });
+  }
+
   /** Age of the store's last answer to each feed that is followed. */
   #feedAges(state: RouterState): void {
     new Gauge({
@@ -108,6 +132,11 @@
     );
   }
 
+  /** Takes in how late a tick was, in milliseconds. */
+  loopDelayed(delay: number): void {
+    this.#loopDelay.observe(delay / MILLISECONDS_PER_SECOND);
+  }
+
   /** Takes in the end of a request. */
   requestEnded({ outcome, duration }: RequestEndedEffect): void {
     this.#latency.observe({ outcome }, duration / MILLISECONDS_PER_SECOND);
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -133,6 +133,8 @@
   readonly callerPatience: Milliseconds | null;
   readonly key: Key | null;
   readonly fingerprint: RequestFingerprint;
+  /** It may have waited unread for this long: the event loop was behind. */
+  readonly readDelay: Milliseconds;
 }
 /** The caller closed its connection. */
 export interface CallerLeftEvent {
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -7,7 +7,7 @@
 }
 
 const REQUEST_FIELDS =
-  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; fingerprint (the same for each try of one request, at any daemon) when the connection of an attempt ended before its answer';
+  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; read_delay (ms that it may have waited unread before, if the loop was behind); fingerprint (the same for each try of one request, at any daemon) when the connection of an attempt ended before its answer';
 
 /** Every event, in the order of the page. */
 export const LOG_EVENTS = {
@@ -20,6 +20,15 @@
     when: 'the machine was suspended, or the time of day was set ahead where no other clock can be believed',
     fields: "length (ms), counted (whether the daemon's clock has that time in it)",
   },
+  loop_behind: {
+    when: 'the event loop is 100 ms late or more: requests and ends of connections wait unread',
+    fields: 'delay (ms)',
+  },
+  loop_on_time: {
+    when: 'it has not been 50 ms late for 1 s',
+    fields:
+      'longest (ms, the greatest delay), lasted (ms), busiest (the kinds of events that took most time meanwhile, ms)',
+  },
   feed_lost: {
     when: 'a list or watch of the store ends without an answer',
     fields: 'feed, call (list or watch), waited (ms until it was given up), reason',
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -20,6 +20,8 @@
   /** Null when any server of the service can run it. */
   readonly key: Key | null;
   readonly arrivedAt: Milliseconds;
+  /** It may have waited unread for this long before. */
+  readonly readDelay: Milliseconds;
   /** The final answer is due: the caller's patience or the route's timeout, whichever ends first. */
   readonly deadlineAt: Milliseconds;
   /** It is refused rather than held beyond this time without being sent. */
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -97,6 +97,7 @@
     service,
     key,
     arrivedAt,
+    readDelay: event.readDelay,
     deadlineAt: arrivedAt + patience,
     holdUntil: arrivedAt + Math.min(patience, route.latencyObjective) * HOLD_PART,
     attempts: 0,
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -181,6 +181,7 @@
     servers: state.serversRevision,
     attempts: request.notes,
     milliseconds: Math.round(now - request.arrivedAt),
+    ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
     ...(request.lostAttempts > 0 ? { fingerprint: request.fingerprint.value } : {}),
   });
 }
--- a/test/router-runtime/test-caller-front.ts
+++ b/test/router-runtime/test-caller-front.ts
@@ -43,7 +43,7 @@
   const backend = await RawServer.start(respond);
   server = backend;
   const events: RouterEvent[] = [];
-  const made = new CallerFront(REQUEST_PROTOCOL, connections, (event) => {
+  const onEvent = (event: RouterEvent): void => {
     events.push(event);
     if (event.kind === 'requestArrived') {
       const { requestId } = event;
@@ -59,7 +59,8 @@
         isLimited: false,
       });
     }
-  });
+  };
+  const made = new CallerFront(REQUEST_PROTOCOL, connections, onEvent, () => 0);
   front = made;
   await made.listen('127.0.0.1:0');
   const { port } = made.server.address() as AddressInfo;
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -11,6 +11,7 @@
 import type { AddressInfo } from 'node:net';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
+import type { RouterEvent } from '../../src/router/events.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 
 let front: CallerFront | undefined;
@@ -23,13 +24,14 @@
   headers: readonly Record<string, string>[],
 ): Promise<string[]> {
   const found: string[] = [];
-  const made: CallerFront = new CallerFront(REQUEST_PROTOCOL, new ServerConnections(), (event) => {
+  const onEvent = (event: RouterEvent): void => {
     if (event.kind === 'requestArrived') {
       const { requestId, fingerprint } = event;
       found.push(fingerprint.value);
       made.answer({ kind: 'answer', requestId, status: 503, reason: 'a test', retryAfter: null });
     }
-  });
+  };
+  const made = new CallerFront(REQUEST_PROTOCOL, new ServerConnections(), onEvent, () => 0);
   front = made;
   await made.listen('127.0.0.1:0');
   const { port } = made.server.address() as AddressInfo;
--- a/test/router-runtime/test-quarantine-admin.ts
+++ b/test/router-runtime/test-quarantine-admin.ts
@@ -21,7 +21,7 @@
   const ended = ['s1', 's2', 's3'].map((server) => ({ server, age: 0 }));
   const record = { fingerprint: FINGERPRINT, ended, exonerated: [], quarantined: true, retested: false };
   state.crashes.merge(record, now);
-  const server = createRouterAdmin(state, new RouterMetrics(state), (event) => events.push(event));
+  const server = createRouterAdmin(state, new RouterMetrics(state, new Map()), (event) => events.push(event));
   admin = server;
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -56,7 +56,14 @@
     this.#nextRequest += 1;
     const place = { method: 'GET', host: 'h.example', target: '/racks/1', callerPatience: 900, key: 7 };
     const fingerprint = fingerprintOf(`request ${requestId}`);
-    this.event({ kind: 'requestArrived', requestId, attemptId: `a-${requestId}`, fingerprint, ...place });
+    this.event({
+      kind: 'requestArrived',
+      requestId,
+      attemptId: `a-${requestId}`,
+      fingerprint,
+      readDelay: 0,
+      ...place,
+    });
     this.event({ kind: 'attemptEnded', requestId, attempt: 1, result: TURNED_AWAY });
     this.event({ kind: 'tick' });
   }
--- a/test/router/ownership/test-suspension.ts
+++ b/test/router/ownership/test-suspension.ts
@@ -74,6 +74,7 @@
     callerPatience: 900,
     key: 7,
     fingerprint: { head: '', value: '' },
+    readDelay: 0,
   });
   return { world, daemon };
 }
--- a/test/router/support/request-traffic.ts
+++ b/test/router/support/request-traffic.ts
@@ -144,6 +144,7 @@
       callerPatience: PATIENCE,
       key,
       fingerprint: fingerprintOf(name),
+      readDelay: 0,
     });
   }
 
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -125,7 +125,12 @@
   ): void {
     const attemptId = `a-${requestId}`;
     const request = { requestId, attemptId, method: 'GET', host: 'h.example', target, callerPatience, key };
-    this.event({ kind: 'requestArrived', ...request, fingerprint: fingerprintOf(target) });
+    this.event({
+      kind: 'requestArrived',
+      ...request,
+      fingerprint: fingerprintOf(target),
+      readDelay: 0,
+    });
   }
 
   ended(requestId: number, attempt: number, result: AttemptResult): void {
