--- /dev/null
+++ b/test/support/held-up-front.ts
@@ -0,0 +1,153 @@
+/**
+ * A front for callers whose loop is held up: its thread stands still until callers on another thread have sent their requests and left.
+ * Every request that it takes in is sent to a server.
+ */
+import type { AddressInfo } from 'node:net';
+import { Worker } from 'node:worker_threads';
+import { REQUEST_PROTOCOL } from '../../platform/names.js';
+import { CallerFront } from '../../src/router-runtime/caller-front.js';
+import { ServerConnections } from '../../src/router-runtime/server-connections.js';
+import type { RequestArrivedEvent, RouterEvent } from '../../src/router/events.js';
+import type { CallerCommand, CallerThreadData, Leaving } from './caller-thread.js';
+import { RawServer } from './raw-server.js';
+
+/** Turns of the loop after which nothing more happens, and those for which requests under way are waited for. */
+const SETTLED_TURNS = 200;
+const MOST_TURNS = 20_000;
+
+/** When the loop is held up until every caller has left. */
+export type HeldAt =
+  /** Before it has read anything of their requests. */
+  | 'reading'
+  /** While it takes in the first of them. */
+  | 'takingIn';
+
+/** What became of the requests whose callers had left. */
+export interface HeldUpOutcome {
+  /** Those that reached the server. */
+  readonly sent: number;
+  /** Those that the front still holds. */
+  readonly inFlight: number;
+}
+
+export interface HeldUpCase {
+  readonly callers: number;
+  /** The connections have had a request before. */
+  readonly isKept: boolean;
+  readonly leaving: Leaving;
+  readonly heldAt: HeldAt;
+  /** Pieces in which a request is sent. */
+  readonly piecesOf: (attemptId: string) => readonly string[];
+}
+
+function attemptIdOf(head: string): string {
+  return /attempt-id: *(\S+)/i.exec(head)?.[1] ?? '';
+}
+
+function turn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+export class HeldUpFront {
+  readonly events: RouterEvent[] = [];
+  readonly #server: RawServer;
+  readonly #connections = new ServerConnections();
+  readonly #front: CallerFront;
+  readonly #left = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+  #thread: Worker | undefined;
+  #holds = false;
+
+  private constructor(server: RawServer) {
+    this.#server = server;
+    this.#front = new CallerFront(
+      REQUEST_PROTOCOL,
+      this.#connections,
+      (event) => this.#take(event),
+      () => 0,
+    );
+  }
+
+  static async start(): Promise<HeldUpFront> {
+    const answer = (socket: { write(text: string): void }, head: string): void => {
+      const id = attemptIdOf(head);
+      socket.write(
+        `HTTP/1.1 200 OK\r\nFennelferry-Attempt-Id: ${id}\r\nFennelferry-Server-Seal: s.1\r\nContent-Length: 0\r\n\r\n`,
+      );
+    };
+    const made = new HeldUpFront(await RawServer.start(answer));
+    await made.#front.listen('127.0.0.1:0');
+    const { port } = made.#front.server.address() as AddressInfo;
+    const workerData: CallerThreadData = { port, left: made.#left };
+    made.#thread = new Worker(new URL('caller-thread.js', import.meta.url), { workerData });
+    return made;
+  }
+
+  /** Plays a case. */
+  async play({ callers, isKept, leaving, heldAt, piecesOf }: HeldUpCase): Promise<HeldUpOutcome> {
+    const first = isKept ? `GET /a HTTP/1.1\r\nHost: h\r\nFennelferry-Attempt-Id: first\r\n\r\n` : null;
+    await this.#connect({ kind: 'connect', callers, first });
+    const ids = Array.from({ length: callers }, (_, index) => `late-${index}`);
+    Atomics.store(this.#left, 0, 0);
+    this.#holds = heldAt === 'takingIn';
+    this.#post({ kind: 'leave', leaving, pieces: ids.map((id) => piecesOf(id)) });
+    if (heldAt === 'reading') {
+      this.#hold();
+    }
+    await this.#settled();
+    const sent = this.#server.heads.map(attemptIdOf).filter((id) => ids.some((late) => id.startsWith(late)));
+    return { sent: sent.length, inFlight: this.#front.inFlight };
+  }
+
+  async close(): Promise<void> {
+    await this.#thread?.terminate();
+    this.#connections.close();
+    this.#front.closeAll();
+    this.#front.closeIdle();
+    await this.#server.close();
+  }
+
+  #take(event: RouterEvent): void {
+    this.events.push(event);
+    if (event.kind === 'requestArrived') {
+      if (this.#holds && event.attemptId !== 'first') {
+        this.#holds = false;
+        this.#hold();
+      }
+      this.#forward(event);
+    }
+  }
+
+  #forward({ requestId }: RequestArrivedEvent): void {
+    const place = { server: 'i-1', address: this.#server.address };
+    const terms = { timeLeft: 500, buffer: true, isLimited: false };
+    this.#front.forward({ kind: 'forward', requestId, attempt: 1, ...place, ...terms });
+  }
+
+  #hold(): void {
+    Atomics.wait(this.#left, 0, 0);
+  }
+
+  #post(command: CallerCommand): void {
+    this.#thread?.postMessage(command);
+  }
+
+  async #connect(command: CallerCommand): Promise<void> {
+    const connected = new Promise((resolve) => this.#thread?.once('message', resolve));
+    this.#post(command);
+    await connected;
+  }
+
+  /** Every caller has left, and nothing is under way. */
+  async #settled(): Promise<void> {
+    while (Atomics.load(this.#left, 0) === 0) {
+      await turn();
+    }
+    for (
+      let turns = 0;
+      turns < SETTLED_TURNS || (this.#front.inFlight > 0 && turns < MOST_TURNS);
+      turns += 1
+    ) {
+      await turn();
+    }
+  }
+}
