--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -3,6 +3,7 @@
  * runtime's own HTTP server: a layer above it would cost more than the work itself.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { AnswerEffect, CancelEffect, ForwardEffect, WithdrawEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
@@ -15,6 +16,7 @@
 import { forwardedHeaders, headerValue } from './headers.js';
 import { LazyFingerprint } from './lazy-fingerprint.js';
 import { listen } from './listen.js';
+import type { PollBarrier } from './poll-barrier.js';
 import type { ServerConnections } from './server-connections.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -27,14 +29,28 @@
 const BAD_REQUEST = 400;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+/** What a front works with. */
+export interface CallerFrontParts {
+  readonly protocol: RequestProtocol;
+  readonly connections: ServerConnections;
+  readonly barrier: PollBarrier;
+  readonly dispatch: (event: RouterEvent) => void;
+  /** How long a request that is read now may have waited unread. */
+  readonly readDelay: () => Milliseconds;
+}
+
 /** A caller's request between its arrival and the end of its answer. */
 interface Exchange {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
   readonly body: Buffer | null;
   readonly attemptId: string;
+  /** The reducer has it. */
+  isTakenIn: boolean;
   attempt: Attempt | null;
   attemptNumber: number;
+  /** The attempt waits until the caller is known to be still there. */
+  isAttemptWaiting: boolean;
 }
 
 export class CallerFront {
@@ -43,28 +59,27 @@
   readonly #connections: ServerConnections;
   readonly #dispatch: (event: RouterEvent) => void;
   readonly #readDelay: () => Milliseconds;
+  readonly #barrier: PollBarrier;
+  /** Of each open connection of a caller, the requests that have not ended: several when they came at once. */
+  readonly #requestsOf = new WeakMap<Socket, Set<number>>();
   readonly #exchanges = new Map<number, Exchange>();
   readonly #notForwarded: ReadonlySet<string>;
   #nextRequestId = 1;
   #bodyBytes = FIRST_BODY_BYTES;
   #closing = false;
 
-  /** @param readDelay how long a request that is read now may have waited unread */
-  constructor(
-    protocol: RequestProtocol,
-    connections: ServerConnections,
-    dispatch: (event: RouterEvent) => void,
-    readDelay: () => Milliseconds,
-  ) {
+  constructor({ protocol, connections, barrier, dispatch, readDelay }: CallerFrontParts) {
     this.#protocol = protocol;
     this.#connections = connections;
     this.#dispatch = dispatch;
     this.#readDelay = readDelay;
+    this.#barrier = barrier;
     this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
     this.server = createServer(
       { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
       (incoming, outgoing) => this.#receive(incoming, outgoing),
     );
+    this.server.on('connection', (socket) => this.#watch(socket));
     this.server.headersTimeout = FIRST_HEADER_TIMEOUT_MILLISECONDS;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = FIRST_IDLE_TIMEOUT_MILLISECONDS;
@@ -104,6 +119,16 @@
     this.server.closeAllConnections();
   }
 
+  /** A caller that ends its side of a connection has left, also if it would still read. */
+  #watch(socket: Socket): void {
+    const requests = new Set<number>();
+    this.#requestsOf.set(socket, requests);
+    const leave = (): void => requests.forEach((requestId) => this.#callerLeft(requestId));
+    socket.on('end', leave);
+    socket.on('error', leave);
+    socket.on('close', leave);
+  }
+
   #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -138,9 +163,32 @@
       this.#plainAnswer(outgoing, BAD_REQUEST, `the key must be a whole number from 0 to ${LAST_KEY}`, null);
       return;
     }
-    const exchange: Exchange = { incoming, outgoing, body, attemptId, attempt: null, attemptNumber: 0 };
+    const exchange: Exchange = {
+      incoming,
+      outgoing,
+      body,
+      attemptId,
+      isTakenIn: false,
+      attempt: null,
+      attemptNumber: 0,
+      isAttemptWaiting: false,
+    };
     this.#exchanges.set(requestId, exchange);
-    outgoing.on('close', () => this.#ended(requestId, outgoing.writableFinished));
+    this.#requestsOf.get(incoming.socket)?.add(requestId);
+    outgoing.on('finish', () => this.#forget(requestId, exchange));
+    const readAt = PROCESS_CLOCK.now();
+    const unread = this.#readDelay();
+    this.#barrier.afterPoll(() => {
+      if (this.#exchanges.has(requestId)) {
+        exchange.isTakenIn = true;
+        this.#takeIn(requestId, exchange, key, unread + PROCESS_CLOCK.now() - readAt);
+      }
+    });
+  }
+
+  #takeIn(requestId: number, exchange: Exchange, key: number | null, readDelay: Milliseconds): void {
+    const { incoming, body, attemptId } = exchange;
+    const { rawHeaders } = incoming;
     const method = incoming.method ?? 'GET';
     const host = incoming.headers.host ?? '';
     const target = incoming.url ?? '/';
@@ -155,7 +203,7 @@
       callerPatience: this.#readPatience(rawHeaders),
       key,
       fingerprint: new LazyFingerprint({ method, host, target, credentials, body }),
-      readDelay: this.#readDelay(),
+      readDelay,
     });
   }
 
@@ -169,26 +217,42 @@
     return Number.isFinite(patience) && patience >= 0 ? patience : null;
   }
 
-  #ended(requestId: number, answered: boolean): void {
+  #callerLeft(requestId: number): void {
     const exchange = this.#exchanges.get(requestId);
     if (exchange === undefined) {
       return;
     }
-    if (!answered) {
-      // The reducer learns this first: an attempt that merely ended would be tried again elsewhere.
-      this.#dispatch({ kind: 'callerLeft', requestId });
-      exchange.attempt?.cancel();
-    }
+    // The reducer learns this first: an attempt that merely ended would be tried again elsewhere.
+    const { attemptId, isTakenIn } = exchange;
+    this.#dispatch({ kind: 'callerLeft', requestId, attemptId, isTakenIn });
+    exchange.attempt?.cancel();
+    this.#forget(requestId, exchange);
+  }
+
+  #forget(requestId: number, { incoming }: Exchange): void {
     this.#exchanges.delete(requestId);
+    this.#requestsOf.get(incoming.socket)?.delete(requestId);
   }
 
-  /** Sends an attempt to a server. */
+  /** Sends an attempt to a server, once all that the caller's connection had received has been read. */
   forward(effect: ForwardEffect): void {
     const exchange = this.#exchanges.get(effect.requestId);
     if (exchange === undefined) {
       this.#attemptEnded(effect, { kind: 'notSent', reason: 'the caller left', refused: false });
       return;
     }
+    exchange.attemptNumber = effect.attempt;
+    exchange.isAttemptWaiting = true;
+    this.#barrier.whenFresh(() => {
+      const isCurrent = exchange.isAttemptWaiting && exchange.attemptNumber === effect.attempt;
+      if (isCurrent && this.#exchanges.has(effect.requestId)) {
+        exchange.isAttemptWaiting = false;
+        this.#send(effect, exchange);
+      }
+    });
+  }
+
+  #send(effect: ForwardEffect, exchange: Exchange): void {
     const connection = this.#connections.take(effect.address);
     if (connection === null) {
       this.#attemptEnded(effect, {
@@ -218,7 +282,6 @@
     const sink = this.#sinkFor(exchange);
     const attempt = new Attempt(request, this.#protocol, connection, sink, listener);
     exchange.attempt = attempt;
-    exchange.attemptNumber = effect.attempt;
     attempt.start();
   }
 
@@ -268,6 +331,7 @@
   cancel(effect: CancelEffect): void {
     const exchange = this.#exchanges.get(effect.requestId);
     if (exchange?.attemptNumber === effect.attempt) {
+      exchange.isAttemptWaiting = false;
       exchange.attempt?.cancel();
     }
   }
@@ -275,9 +339,16 @@
   /** Takes an attempt back unless it has been sent. */
   withdraw(effect: WithdrawEffect): void {
     const exchange = this.#exchanges.get(effect.requestId);
-    if (exchange?.attemptNumber === effect.attempt) {
-      exchange.attempt?.withdraw();
+    if (exchange?.attemptNumber !== effect.attempt) {
+      return;
+    }
+    if (exchange.isAttemptWaiting) {
+      exchange.isAttemptWaiting = false;
+      const { requestId, attempt } = effect;
+      const result = { kind: 'notSent', reason: 'withdrawn', refused: false } as const;
+      this.#dispatch({ kind: 'attemptEnded', requestId, attempt, result });
     }
+    exchange.attempt?.withdraw();
   }
 
   /** Answers a caller without a server. */
--- /dev/null
+++ b/src/router-runtime/poll-barrier.ts
@@ -0,0 +1,62 @@
+/**
+ * Lets a decision wait until everything has been read that sockets had received before. A turn of the event loop runs timers, then polls the
+ * sockets, then runs immediates: a whole poll lies between two immediates. The end of a connection is read a poll later than the bytes
+ * before it, so a daemon that is behind would otherwise act on a request without knowing that its caller has left.
+ */
+import type { Milliseconds } from '../router/model/identifiers.js';
+
+/** What was read this long ago still counts as the present state of a connection. */
+const LONGEST_STALENESS: Milliseconds = 200;
+
+type Action = () => void;
+
+export class PollBarrier {
+  readonly #now: () => Milliseconds;
+  /** Added since the last immediate: the poll under way may have passed their sockets already. */
+  #added: Action[] = [];
+  /** Those for which the poll under way is a whole one. */
+  #polling: Action[] = [];
+  #pollStartedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** All that was received before this time has been read. */
+  #readUntil: Milliseconds = Number.NEGATIVE_INFINITY;
+  #isScheduled = false;
+
+  constructor(now: () => Milliseconds = () => performance.now()) {
+    this.#now = now;
+  }
+
+  /** Runs an action after the next whole poll. */
+  afterPoll(action: Action): void {
+    this.#added.push(action);
+    this.#schedule();
+  }
+
+  /** Runs an action as soon as the sockets were polled a short time ago: at once if they were. */
+  whenFresh(action: Action): void {
+    if (this.#now() - this.#readUntil <= LONGEST_STALENESS) {
+      action();
+    } else {
+      this.afterPoll(() => this.whenFresh(action));
+    }
+  }
+
+  #schedule(): void {
+    if (!this.#isScheduled) {
+      this.#isScheduled = true;
+      setImmediate(() => this.#endPoll());
+    }
+  }
+
+  #endPoll(): void {
+    this.#isScheduled = false;
+    const due = this.#polling;
+    this.#readUntil = this.#pollStartedAt;
+    this.#polling = this.#added;
+    this.#added = [];
+    due.forEach((action) => action());
+    this.#pollStartedAt = this.#now();
+    if (this.#polling.length > 0) {
+      this.#schedule();
+    }
+  }
+}
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -26,12 +26,13 @@
 import { LoopMonitor } from './loop-monitor.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
+import { PollBarrier } from './poll-barrier.js';
+import { RegularTick, TICK_INTERVAL_MILLISECONDS } from './regular-tick.js';
 import { RouterMetrics } from './router-metrics.js';
 import { ServerConnections } from './server-connections.js';
 import { StoreFeeds } from './store-feeds.js';
 import { PROCESS_TIMERS } from './timers.js';
 
-const TICK_MILLISECONDS = 20;
 const LARGEST_LIFE = 2 ** 47;
 /** Callers are still sent here for this long after readiness has ended. */
 const LINGER_MILLISECONDS = 2_300;
@@ -57,14 +58,15 @@
   readonly #platform: Platform;
   readonly #log: EventLog;
   readonly #front: CallerFront;
-  readonly #connections = new ServerConnections();
+  readonly #barrier = new PollBarrier();
+  readonly #connections = new ServerConnections(this.#barrier);
   readonly #peers: PeerLinks;
   readonly #readiness: Server;
   readonly #metrics: RouterMetrics;
   readonly #loop: LoopMonitor;
   readonly #admin: Server;
   readonly #feeds: StoreFeeds;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #tick: RegularTick;
   /** Objects of the store that the log has named. */
   readonly #saidMalformed = new Set<string>();
   /** Those in force at the front. */
@@ -78,12 +80,13 @@
     const identity = { daemon, zone, peerAddress: addresses.peers, life, isFirstStart: firstStart };
     this.state = createRouterState(identity, boundsOf(settings), identity.life);
     this.#log = new EventLog(daemon, this.state.counters);
-    this.#front = new CallerFront(
-      platform.protocol,
-      this.#connections,
-      (event) => this.dispatch(event),
-      () => this.#loop.unreadFor(performance.now()),
-    );
+    this.#front = new CallerFront({
+      protocol: platform.protocol,
+      connections: this.#connections,
+      barrier: this.#barrier,
+      dispatch: (event) => this.dispatch(event),
+      readDelay: () => this.#loop.unreadFor(performance.now()),
+    });
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
       onLeft: (link) => this.dispatch({ kind: 'peerLeft', link }),
@@ -100,6 +103,7 @@
       response.writeHead(known && missing === null ? OK : UNAVAILABLE).end();
     });
     this.#loop = this.#createLoopMonitor();
+    this.#tick = new RegularTick(this.#loop, () => this.dispatch({ kind: 'tick' }));
     this.#metrics = new RouterMetrics(this.state, this.#loop.eventTimes);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
@@ -109,7 +113,7 @@
   }
 
   #createLoopMonitor(): LoopMonitor {
-    return new LoopMonitor(TICK_MILLISECONDS, {
+    return new LoopMonitor(TICK_INTERVAL_MILLISECONDS, {
       delayed: (delay) => this.#metrics.loopDelayed(delay),
       fellBehind: (delay) => this.#log.event('warn', 'loop_behind', { delay: Math.round(delay) }),
       caughtUp: ({ longest, lasted, busiest }) =>
@@ -130,13 +134,7 @@
     await listen(this.#admin, admin);
     const { daemon, life } = this.state.identity;
     this.#log.event('info', 'started', { daemon, life, http, peers });
-    this.#timer = setInterval(() => this.#tick(), TICK_MILLISECONDS);
-    this.dispatch({ kind: 'tick' });
-  }
-
-  #tick(): void {
-    this.#loop.noteTick(performance.now());
-    this.dispatch({ kind: 'tick' });
+    this.#tick.start();
   }
 
   /** Takes one event through the reducer and performs the effects. */
@@ -200,7 +198,7 @@
     while (this.#front.inFlight > 0 && elapsed() < stopGrace - STOP_MARGIN_MILLISECONDS) {
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MILLISECONDS));
     }
-    clearInterval(this.#timer);
+    this.#tick.stop();
     this.#feeds.close();
     this.#front.closeAll();
     this.#readiness.closeAllConnections();
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici';
 import { buildResettingConnector, Client } from '../http-client/index.js';
 import type { Socket } from 'node:net';
+import type { PollBarrier } from './poll-barrier.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
 /** Servers close idle connections after a time of their own, which they may state. */
@@ -22,7 +23,8 @@
   /** The socket was reset or failed, as opposed to an orderly end. */
   failed = false;
 
-  constructor(address: string) {
+  /** @param barrier a request is written on a connection that has come up once its caller is known to be still there */
+  constructor(address: string, barrier: PollBarrier) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -36,7 +38,7 @@
           if (error === null) {
             this.#watch(socket);
           }
-          callback(...result);
+          barrier.whenFresh(() => callback(...result));
         });
       },
     });
@@ -63,8 +65,13 @@
 }
 
 export class ServerConnections {
+  readonly #barrier: PollBarrier;
   readonly #pools = new Map<string, ServerPool>();
 
+  constructor(barrier: PollBarrier) {
+    this.#barrier = barrier;
+  }
+
   /** A connection for one request, or null when too many are open. */
   take(address: string): ServerConnection | null {
     let pool = this.#pools.get(address);
@@ -80,7 +87,7 @@
       return null;
     }
     pool.open += 1;
-    return new ServerConnection(address);
+    return new ServerConnection(address, this.#barrier);
   }
 
   /** Gives a connection back; it is closed unless it may be used again. */
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -8,6 +8,7 @@
   'refused',
   'failed',
   'callers_left',
+  'callers_left_unread',
   'attempts',
   'attempts_rejected',
   'attempts_lost',
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -140,6 +140,9 @@
 export interface CallerLeftEvent {
   readonly kind: 'callerLeft';
   readonly requestId: number;
+  readonly attemptId: string;
+  /** The request's arrival was told before. */
+  readonly isTakenIn: boolean;
 }
 /** An attempt ended. */
 export interface AttemptEndedEvent {
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -85,7 +85,7 @@
     case 'serverLimitRead':
       return receiveServerLimit(context, event);
     case 'callerLeft':
-      return receiveCallerLeft(context, event.requestId);
+      return receiveCallerLeft(context, event);
     case 'configuration':
       news.takeConfiguration(context, event, 'store');
       return tickEarlyRequests(context);
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -1,4 +1,5 @@
 /** What time does to requests, and what happens when a caller leaves. */
+import type { CallerLeftEvent } from '../events.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
@@ -13,10 +14,17 @@
 const SILENT_FACTOR = 3;
 /** The server gives up at the deadline by itself; its answer is awaited for this long. */
 const DEADLINE_SLACK: Milliseconds = 30;
+const LEFT_UNREAD = 'the caller had closed its connection before its request was read';
 
 /** The caller is gone: its request is cancelled at once. */
-export function receiveCallerLeft(context: RouterContext, requestId: number): void {
+export function receiveCallerLeft(context: RouterContext, event: CallerLeftEvent): void {
   const { state } = context;
+  const { requestId, attemptId, isTakenIn } = event;
+  if (!isTakenIn) {
+    state.counters.callers_left_unread += 1;
+    context.log('caller_left', { attempt_id: attemptId, status: 0, reason: LEFT_UNREAD, milliseconds: 0 });
+    return;
+  }
   state.early.delete(requestId);
   const request = state.requests.get(requestId);
   if (request === undefined) {
--- a/test/router-runtime/test-caller-front.ts
+++ b/test/router-runtime/test-caller-front.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
+import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { RouterEvent } from '../../src/router/events.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
@@ -18,7 +19,8 @@
 
 let server: RawServer | undefined;
 let front: CallerFront | undefined;
-const connections = new ServerConnections();
+const barrier = new PollBarrier();
+const connections = new ServerConnections(barrier);
 
 afterEach(async () => {
   connections.close();
@@ -60,7 +62,13 @@
       });
     }
   };
-  const made = new CallerFront(REQUEST_PROTOCOL, connections, onEvent, () => 0);
+  const made = new CallerFront({
+    protocol: REQUEST_PROTOCOL,
+    connections,
+    barrier,
+    dispatch: onEvent,
+    readDelay: () => 0,
+  });
   front = made;
   await made.listen('127.0.0.1:0');
   const { port } = made.server.address() as AddressInfo;
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -12,6 +12,7 @@
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
 import type { RouterEvent } from '../../src/router/events.js';
+import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 
 let front: CallerFront | undefined;
@@ -24,6 +25,7 @@
   headers: readonly Record<string, string>[],
 ): Promise<string[]> {
   const found: string[] = [];
+  const barrier = new PollBarrier();
   const onEvent = (event: RouterEvent): void => {
     if (event.kind === 'requestArrived') {
       const { requestId, fingerprint } = event;
@@ -31,7 +33,13 @@
       made.answer({ kind: 'answer', requestId, status: 503, reason: 'a test', retryAfter: null });
     }
   };
-  const made = new CallerFront(REQUEST_PROTOCOL, new ServerConnections(), onEvent, () => 0);
+  const made = new CallerFront({
+    protocol: REQUEST_PROTOCOL,
+    connections: new ServerConnections(barrier),
+    barrier,
+    dispatch: onEvent,
+    readDelay: () => 0,
+  });
   front = made;
   await made.listen('127.0.0.1:0');
   const { port } = made.server.address() as AddressInfo;
--- a/test/router-runtime/test-sent-after-caller-left.ts
+++ b/test/router-runtime/test-sent-after-caller-left.ts
@@ -49,4 +49,10 @@
       expect({ name, sent }).toEqual({ name, sent: 0 });
     }
   });
+
+  it('forgets a request that came right behind another one when their caller leaves', async () => {
+    front = await HeldUpFront.start();
+    const { inFlight } = await front.play(CASES['two requests in one packet'] as HeldUpCase);
+    expect(inFlight).toEqual(0);
+  });
 });
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -35,7 +35,7 @@
   it('forgets a held request whose caller leaves before the first configuration', () => {
     daemon.state.configuration = null;
     daemon.arrive(1, '/read/1');
-    daemon.event({ kind: 'callerLeft', requestId: 1 });
+    daemon.event({ kind: 'callerLeft', requestId: 1, attemptId: '', isTakenIn: true });
     daemon.event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     expect(daemon.only('forward')).toEqual([]);
   });
@@ -146,7 +146,7 @@
 
   it('cancels at once when the caller leaves, and sends nothing more', () => {
     daemon.arrive(1, '/read/1');
-    daemon.event({ kind: 'callerLeft', requestId: 1 });
+    daemon.event({ kind: 'callerLeft', requestId: 1, attemptId: '', isTakenIn: true });
     daemon.ended(1, 1, LOST);
     expect(daemon.only('cancel').length).toEqual(1);
     expect(daemon.only('forward').length).toEqual(1);
@@ -223,7 +223,7 @@
         atSlow += sentTo(requestId) === 's1' ? 1 : 0;
         daemon.now += sentTo(requestId) === 's1' ? 350 : 50;
         if (sentTo(requestId) === 's1') {
-          daemon.event({ kind: 'callerLeft', requestId });
+          daemon.event({ kind: 'callerLeft', requestId, attemptId: '', isTakenIn: true });
         } else {
           answer(requestId);
         }
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -122,6 +122,7 @@
     target: string,
     callerPatience: number | null = 900,
     key: number | null = null,
+    readDelay = 0,
   ): void {
     const attemptId = `a-${requestId}`;
     const request = { requestId, attemptId, method: 'GET', host: 'h.example', target, callerPatience, key };
@@ -129,7 +130,7 @@
       kind: 'requestArrived',
       ...request,
       fingerprint: fingerprintOf(target),
-      readDelay: 0,
+      readDelay,
     });
   }
 
--- a/test/support/held-up-front.ts
+++ b/test/support/held-up-front.ts
@@ -6,6 +6,9 @@
 import { Worker } from 'node:worker_threads';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
+import { LoopMonitor } from '../../src/router-runtime/loop-monitor.js';
+import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
+import { RegularTick, TICK_INTERVAL_MILLISECONDS } from '../../src/router-runtime/regular-tick.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { RequestArrivedEvent, RouterEvent } from '../../src/router/events.js';
 import type { CallerCommand, CallerThreadData, Leaving } from './caller-thread.js';
@@ -14,6 +17,8 @@
 /** Turns of the loop after which nothing more happens, and those for which requests under way are waited for. */
 const SETTLED_TURNS = 200;
 const MOST_TURNS = 20_000;
+/** What a hold takes on the clock of the front. */
+const HOLD_MILLISECONDS = 600;
 
 /** When the loop is held up until every caller has left. */
 export type HeldAt =
@@ -28,6 +33,8 @@
   readonly sent: number;
   /** Those that the front still holds. */
   readonly inFlight: number;
+  /** Ticks after the hold that came before the last of the callers' ends was known. */
+  readonly ticksBeforeEnds: number;
 }
 
 export interface HeldUpCase {
@@ -51,20 +58,35 @@
 export class HeldUpFront {
   readonly events: RouterEvent[] = [];
   readonly #server: RawServer;
-  readonly #connections = new ServerConnections();
+  /** Holding the loop up takes long on this clock, however fast the callers are. */
+  readonly #barrier = new PollBarrier(() => performance.now() + this.#heldFor);
+  readonly #connections = new ServerConnections(this.#barrier);
   readonly #front: CallerFront;
   readonly #left = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
   #thread: Worker | undefined;
+  /** Passes of time as a daemon's reducer hears of them. */
+  readonly #tick = new RegularTick(
+    new LoopMonitor(TICK_INTERVAL_MILLISECONDS, {
+      delayed: () => undefined,
+      fellBehind: () => undefined,
+      caughtUp: () => undefined,
+    }),
+    () => this.events.push({ kind: 'tick' }),
+  );
   #holds = false;
+  #heldFor = 0;
+  /** Events until the hold was over. */
+  #eventsBefore = 0;
 
   private constructor(server: RawServer) {
     this.#server = server;
-    this.#front = new CallerFront(
-      REQUEST_PROTOCOL,
-      this.#connections,
-      (event) => this.#take(event),
-      () => 0,
-    );
+    this.#front = new CallerFront({
+      protocol: REQUEST_PROTOCOL,
+      connections: this.#connections,
+      barrier: this.#barrier,
+      dispatch: (event) => this.#take(event),
+      readDelay: () => 0,
+    });
   }
 
   static async start(): Promise<HeldUpFront> {
@@ -76,6 +98,7 @@
     };
     const made = new HeldUpFront(await RawServer.start(answer));
     await made.#front.listen('127.0.0.1:0');
+    made.#tick.start();
     const { port } = made.#front.server.address() as AddressInfo;
     const workerData: CallerThreadData = { port, left: made.#left };
     made.#thread = new Worker(new URL('caller-thread.js', import.meta.url), { workerData });
@@ -95,10 +118,11 @@
     }
     await this.#settled();
     const sent = this.#server.heads.map(attemptIdOf).filter((id) => ids.some((late) => id.startsWith(late)));
-    return { sent: sent.length, inFlight: this.#front.inFlight };
+    return { sent: sent.length, inFlight: this.#front.inFlight, ticksBeforeEnds: this.#ticksBeforeEnds() };
   }
 
   async close(): Promise<void> {
+    this.#tick.stop();
     await this.#thread?.terminate();
     this.#connections.close();
     this.#front.closeAll();
@@ -125,6 +149,13 @@
 
   #hold(): void {
     Atomics.wait(this.#left, 0, 0);
+    this.#heldFor += HOLD_MILLISECONDS;
+    this.#eventsBefore = this.events.length;
+  }
+
+  #ticksBeforeEnds(): number {
+    const kinds = this.events.slice(this.#eventsBefore).map(({ kind }) => kind);
+    return kinds.slice(0, kinds.lastIndexOf('callerLeft')).filter((kind) => kind === 'tick').length;
   }
 
   #post(command: CallerCommand): void {
