--- a/src/router-runtime/loop-monitor.ts
+++ b/src/router-runtime/loop-monitor.ts
@@ -51,8 +51,8 @@
     this.#listener = listener;
   }
 
-  /** The regular tick begins. */
-  noteTick(now: Milliseconds): void {
+  /** The regular tick begins. Returns by how much it is late. */
+  noteTick(now: Milliseconds): Milliseconds {
     this.#delay = this.#tickedAt === null ? 0 : Math.max(0, now - this.#tickedAt - this.#interval);
     this.#tickedAt = now;
     this.#listener.delayed(this.#delay);
@@ -64,6 +64,7 @@
     } else if (this.#behindSince !== null && now - this.#lastLateAt >= CALM) {
       this.#endSpell(this.#behindSince);
     }
+    return this.#delay;
   }
 
   /** An event was handled. */
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -103,7 +103,7 @@
       response.writeHead(known && missing === null ? OK : UNAVAILABLE).end();
     });
     this.#loop = this.#createLoopMonitor();
-    this.#tick = new RegularTick(this.#loop, () => this.dispatch({ kind: 'tick' }));
+    this.#tick = new RegularTick(this.#loop, this.#barrier, () => this.dispatch({ kind: 'tick' }));
     this.#metrics = new RouterMetrics(this.state, this.#loop.eventTimes);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
--- a/test/support/held-up-front.ts
+++ b/test/support/held-up-front.ts
@@ -71,6 +71,7 @@
       fellBehind: () => undefined,
       caughtUp: () => undefined,
     }),
+    this.#barrier,
     () => this.events.push({ kind: 'tick' }),
   );
   #holds = false;
