--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -7,7 +7,7 @@
 /** A request that came before the first configuration. */
 export interface EarlyRequest {
   readonly event: RequestArrivedEvent;
-  readonly arrivedAt: Milliseconds;
+  readonly readAt: Milliseconds;
 }
 
 /** Kept in the state while the request is under way. */
@@ -19,6 +19,7 @@
   readonly service: ServiceName;
   /** Null when any server of the service can run it. */
   readonly key: Key | null;
+  /** The earliest moment at which it may have come: it may have waited unread since. */
   readonly arrivedAt: Milliseconds;
   /** It may have waited unread for this long before. */
   readonly readDelay: Milliseconds;
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -26,7 +26,7 @@
   if (state.configuration !== null && state.serversRevision !== null) {
     admit(context, event, state.configuration, now);
   } else if (state.early.size < MOST_HELD_AT_START) {
-    state.early.set(event.requestId, { event, arrivedAt: now });
+    state.early.set(event.requestId, { event, readAt: now });
   } else {
     refuseUnknown(context, event, UNAVAILABLE, 'no configuration yet', START_RETRY_AFTER);
   }
@@ -35,11 +35,11 @@
 /** Takes in, or refuses, what came before the first configuration and list of servers. */
 export function tickEarlyRequests(context: RouterContext): void {
   const { early, configuration, serversRevision } = context.state;
-  for (const [requestId, { event, arrivedAt }] of early) {
+  for (const [requestId, { event, readAt }] of early) {
     if (configuration !== null && serversRevision !== null) {
       early.delete(requestId);
-      admit(context, event, configuration, arrivedAt);
-    } else if (context.now - arrivedAt >= START_HOLD) {
+      admit(context, event, configuration, readAt);
+    } else if (context.now - readAt >= START_HOLD) {
       early.delete(requestId);
       refuseUnknown(context, event, UNAVAILABLE, 'no configuration yet', START_RETRY_AFTER);
     }
@@ -50,7 +50,7 @@
   context: RouterContext,
   event: RequestArrivedEvent,
   configuration: Configuration,
-  arrivedAt: Milliseconds,
+  readAt: Milliseconds,
 ): void {
   const { state } = context;
   const route = state.routes.match(event.host, event.target);
@@ -65,7 +65,7 @@
     return;
   }
   budgetOf(context, service).addRequest();
-  const request = createRequest(event, route, service, keyed ? event.key : null, arrivedAt);
+  const request = createRequest(event, route, service, keyed ? event.key : null, readAt);
   if (isKeptBack(context, request)) {
     refuseQuarantined(context, request);
     return;
@@ -86,8 +86,9 @@
   route: Route,
   service: string,
   key: number | null,
-  arrivedAt: Milliseconds,
+  readAt: Milliseconds,
 ): ActiveRequest {
+  const arrivedAt = readAt - event.readDelay;
   const patience = Math.min(event.callerPatience ?? route.timeout, route.timeout);
   return {
     id: event.requestId,
