A daemon that is behind takes requests in in slices, the newest first, and refuses at once those that were read too late to be in time

It read and took in all that it found, however old, and callers waited until their patience was over: late work for nobody. Requests now wait between reading and the reducer; taking in lasts as long as the poll before it, and a request that has used half of its latency objective unread is refused, with a Retry-After of a quarter to three quarters of it. Half, since its answer waits for the same loop.

--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -8,7 +8,7 @@
 import type { AnswerEffect, CancelEffect, ForwardEffect, WithdrawEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
-import { LAST_KEY, type Milliseconds } from '../router/model/identifiers.js';
+import { type Key, LAST_KEY, type Milliseconds } from '../router/model/identifiers.js';
 import { instanceOf } from '../router/model/server-life.js';
 import type { LimitReading } from '../router/model/server-limit.js';
 import type { RequestProtocol } from '../router/ports.js';
@@ -17,6 +17,7 @@
 import { LazyFingerprint } from './lazy-fingerprint.js';
 import { listen } from './listen.js';
 import type { PollBarrier } from './poll-barrier.js';
+import { RequestIntake } from './request-intake.js';
 import type { ServerConnections } from './server-connections.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -37,6 +38,8 @@
   readonly dispatch: (event: RouterEvent) => void;
   /** How long a request that is read now may have waited unread. */
   readonly readDelay: () => Milliseconds;
+  /** How long a request may wait unread and still be answered in time; null: it has no route. */
+  readonly longestReadDelay: (host: string, target: string) => Milliseconds | null;
 }
 
 /** A caller's request between its arrival and the end of its answer. */
@@ -45,6 +48,7 @@
   readonly outgoing: ServerResponse;
   readonly body: Buffer | null;
   readonly attemptId: string;
+  readonly key: Key | null;
   /** The reducer has it. */
   isTakenIn: boolean;
   attempt: Attempt | null;
@@ -60,6 +64,8 @@
   readonly #dispatch: (event: RouterEvent) => void;
   readonly #readDelay: () => Milliseconds;
   readonly #barrier: PollBarrier;
+  readonly #longestReadDelay: (incoming: IncomingMessage) => Milliseconds;
+  readonly #intake: RequestIntake<number>;
   /** Of each open connection of a caller, the requests that have not ended: several when they came at once. */
   readonly #requestsOf = new WeakMap<Socket, Set<number>>();
   readonly #exchanges = new Map<number, Exchange>();
@@ -68,12 +74,20 @@
   #bodyBytes = FIRST_BODY_BYTES;
   #closing = false;
 
-  constructor({ protocol, connections, barrier, dispatch, readDelay }: CallerFrontParts) {
+  constructor(parts: CallerFrontParts) {
+    const { protocol, connections, barrier, dispatch, readDelay, longestReadDelay } = parts;
     this.#protocol = protocol;
     this.#connections = connections;
     this.#dispatch = dispatch;
     this.#readDelay = readDelay;
     this.#barrier = barrier;
+    this.#longestReadDelay = (incoming) =>
+      longestReadDelay(incoming.headers.host ?? '', incoming.url ?? '/') ?? Number.POSITIVE_INFINITY;
+    this.#intake = new RequestIntake(
+      barrier,
+      () => performance.now(),
+      (requestId, waited) => this.#takeIn(requestId, waited),
+    );
     this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
     this.server = createServer(
       { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
@@ -168,6 +182,7 @@
       outgoing,
       body,
       attemptId,
+      key,
       isTakenIn: false,
       attempt: null,
       attemptNumber: 0,
@@ -176,18 +191,16 @@
     this.#exchanges.set(requestId, exchange);
     this.#requestsOf.get(incoming.socket)?.add(requestId);
     outgoing.on('finish', () => this.#forget(requestId, exchange));
-    const readAt = PROCESS_CLOCK.now();
-    const unread = this.#readDelay();
-    this.#barrier.afterPoll(() => {
-      if (this.#exchanges.has(requestId)) {
-        exchange.isTakenIn = true;
-        this.#takeIn(requestId, exchange, key, unread + PROCESS_CLOCK.now() - readAt);
-      }
-    });
+    this.#intake.add(requestId, this.#readDelay(), this.#longestReadDelay(incoming));
   }
 
-  #takeIn(requestId: number, exchange: Exchange, key: number | null, readDelay: Milliseconds): void {
-    const { incoming, body, attemptId } = exchange;
+  #takeIn(requestId: number, readDelay: Milliseconds): void {
+    const exchange = this.#exchanges.get(requestId);
+    if (exchange === undefined) {
+      return;
+    }
+    exchange.isTakenIn = true;
+    const { incoming, body, attemptId, key } = exchange;
     const { rawHeaders } = incoming;
     const method = incoming.method ?? 'GET';
     const host = incoming.headers.host ?? '';
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -12,6 +12,7 @@
 import type { CallerLimits } from '../router/model/configuration.js';
 import type { Platform } from '../router/ports.js';
 import { watchTime } from '../router/news/news-timing.js';
+import { longestReadDelay } from '../router/request/request-arrival.js';
 import { reduce } from '../router/reducer.js';
 import type { RouterSettings } from '../router/router-settings.js';
 import {
@@ -86,6 +87,7 @@
       barrier: this.#barrier,
       dispatch: (event) => this.dispatch(event),
       readDelay: () => this.#loop.unreadFor(performance.now()),
+      longestReadDelay: (host, target) => longestReadDelay(this.state, host, target),
     });
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -21,6 +21,7 @@
   'malformed_rest_requests',
   'limits_read',
   'refused_at_limits',
+  'refused_read_late',
   'permits_asked',
   'permits_denied',
   'malformed_limits',
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -2,6 +2,7 @@
 import type { RequestArrivedEvent } from '../events.js';
 import type { Configuration, Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
+import type { RouterState } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
 import { isHeldBack, isKeptBack, refuseHeldBack, refuseQuarantined } from '../quarantine/quarantine.js';
@@ -16,6 +17,11 @@
 const START_RETRY_AFTER: Milliseconds = 300;
 /** A request that comes before the first configuration is held for this long: it is read soon after the start. */
 const START_HOLD: Milliseconds = 120;
+/** A request must have been read within this part of its latency objective: its answer comes through the same loop, and waits as long. */
+export const READ_PART = 0.5;
+/** Callers whose requests were read too late come back after these parts of the latency objective: not all at once. */
+const LEAST_LATE_RETRY_PART = 0.25;
+const LATE_RETRY_SPREAD = 0.5;
 /** Requests that are held for the first configuration at once. */
 const MOST_HELD_AT_START = 500;
 
@@ -58,6 +64,10 @@
     refuseUnknown(context, event, NOT_FOUND, 'no route', null);
     return;
   }
+  if (event.readDelay >= route.latencyObjective * READ_PART) {
+    refuseReadLate(context, event, route);
+    return;
+  }
   const service = state.rotation.next(route);
   const keyed = service !== undefined && configuration.services.get(service)?.keyed === true;
   if (service === undefined || (keyed && event.key === null)) {
@@ -81,6 +91,20 @@
   dispatch(context, request);
 }
 
+/** How long a request may wait unread; null: it has no route. */
+export function longestReadDelay({ routes }: RouterState, host: string, target: string): Milliseconds | null {
+  const route = routes.match(host, target);
+  return route === undefined ? null : route.latencyObjective * READ_PART;
+}
+
+/** This daemon is behind: the request can't be in time any more, and another daemon may be on time. */
+function refuseReadLate(context: RouterContext, event: RequestArrivedEvent, route: Route): void {
+  const { counters, random } = context.state;
+  counters.refused_read_late += 1;
+  const retryAfter = route.latencyObjective * (LEAST_LATE_RETRY_PART + LATE_RETRY_SPREAD * random.fraction());
+  refuseUnknown(context, event, UNAVAILABLE, 'it was read too late to be answered in time', retryAfter);
+}
+
 function createRequest(
   event: RequestArrivedEvent,
   route: Route,
@@ -127,5 +151,7 @@
   context.emit({ kind: 'answer', requestId: event.requestId, status, reason, retryAfter });
   const { attemptId, host, target } = event;
   const configuration = context.state.configuration?.version ?? null;
-  context.log('request_refused', { attempt_id: attemptId, status, reason, host, target, configuration });
+  const readDelay = event.readDelay >= 1 ? { read_delay: Math.round(event.readDelay) } : {};
+  const fields = { attempt_id: attemptId, status, reason, host, target, configuration, ...readDelay };
+  context.log('request_refused', fields);
 }
--- a/test/router-runtime/test-caller-front.ts
+++ b/test/router-runtime/test-caller-front.ts
@@ -68,6 +68,7 @@
     barrier,
     dispatch: onEvent,
     readDelay: () => 0,
+    longestReadDelay: () => null,
   });
   front = made;
   await made.listen('127.0.0.1:0');
--- a/test/soak/daemon-process.ts
+++ b/test/soak/daemon-process.ts
@@ -48,6 +48,11 @@
     this.#suspends = suspends;
   }
 
+  /** Of the present process; undefined: there is none. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.#child !== null;
   }
--- /dev/null
+++ b/test/soak/overload.ts
@@ -0,0 +1,82 @@
+/**
+ * One daemon as a process with a small part of a processor, and callers that ask for several times what it can do: what they get by second. Started by
+ * hand: `npm run overload -- --share 0.12 --rates 300,1200,2400`.
+ */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { Worker } from 'node:worker_threads';
+import { configurationOf, freePorts, settingsOf } from './deployment.js';
+import { DaemonProcess, PROGRAM } from './daemon-process.js';
+import { OverloadCallers } from './overload-callers.js';
+import { Promises } from './promises.js';
+import { ServerStandIn } from './server-stand-in.js';
+import { StoreStandIn } from './store-stand-in.js';
+
+const SERVERS = 30;
+const SETTLE_MILLISECONDS = 4_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const { values } = parseArgs({
+  options: {
+    program: { type: 'string', default: PROGRAM },
+    /** Of a processor, for the daemon. */
+    share: { type: 'string', default: '0.12' },
+    /** Requests a second, one phase each. */
+    rates: { type: 'string', default: '200,800,1600,200' },
+    /** Length of a phase in seconds. */
+    seconds: { type: 'string', default: '6' },
+  },
+});
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+const folder = mkdtempSync(join(tmpdir(), 'fennelferry-overload-'));
+const store = new StoreStandIn();
+const promises = new Promises();
+const servers: ServerStandIn[] = [];
+const storeAddress = await store.start();
+store.put('config', 'main', configurationOf(1));
+for (let index = 0; index < SERVERS; index += 1) {
+  const server = new ServerStandIn(`s${index}`, 'plain', 'z0', false, promises);
+  await server.start();
+  servers.push(server);
+  const { id, service, address, zone } = server;
+  const rest = { version: '1', capacity: 50, state: 'ready', warmupLeftS: 0, sequence: 1 };
+  store.put('servers', id, { service, address, zone, ...rest });
+}
+const [http, readiness, admin, peers] = (await freePorts(4)).map((port) => `127.0.0.1:${port}`) as [
+  string,
+  string,
+  string,
+  string,
+];
+const ports = { http, readiness, admin, peers };
+const daemon = new DaemonProcess('d0', ports, settingsOf(0, ports, storeAddress), {
+  folder,
+  program: values.program,
+  suspends: false,
+});
+daemon.start();
+await pause(SETTLE_MILLISECONDS);
+const workerData = { pid: daemon.pid, share: Number(values.share) };
+const throttle = new Worker(new URL('throttle-thread.js', import.meta.url), { workerData });
+const callers = new OverloadCallers(http);
+for (const rate of values.rates.split(',').map(Number)) {
+  process.stdout.write(`${rate} requests a second:\n`);
+  for (const row of await callers.run(rate, Number(values.seconds) * MILLISECONDS_PER_SECOND)) {
+    process.stdout.write(`  ${row}\n`);
+  }
+}
+await throttle.terminate();
+daemon.signal('SIGCONT');
+const ended = daemon.ended();
+daemon.signal('SIGKILL');
+await ended;
+callers.close();
+servers.forEach((server) => server.stop());
+store.stop();
+if (process.env['KEEP'] === undefined) rmSync(folder, { recursive: true, force: true });
--- a/test/support/caller-thread.ts
+++ b/test/support/caller-thread.ts
@@ -2,8 +2,8 @@
 import { createConnection, type Socket } from 'node:net';
 import { parentPort, workerData } from 'node:worker_threads';
 
-/** How callers leave. `halfClose`: they end their side only, and would still read an answer. */
-export type Leaving = 'close' | 'reset' | 'halfClose';
+/** How callers leave. `halfClose`: they end their side only, and would still read an answer. `stay`: they don't. */
+export type Leaving = 'close' | 'reset' | 'halfClose' | 'stay';
 
 /** What the thread is asked for. */
 export interface CallerThreadData {
@@ -55,6 +55,9 @@
   for (const piece of pieces) {
     await written(socket, piece);
   }
+  if (leaving === 'stay') {
+    return;
+  }
   const isOver = new Promise((resolve) => socket.once(leaving === 'halfClose' ? 'finish' : 'close', resolve));
   if (leaving === 'halfClose') {
     socket.end();
@@ -79,4 +82,7 @@
   Atomics.notify(left, 0);
 }
 
-parentPort?.on('message', (command: CallerCommand) => void perform(command));
+let done: Promise<void> = Promise.resolve();
+parentPort?.on('message', (command: CallerCommand) => {
+  done = done.then(() => perform(command));
+});
--- a/test/support/held-up-front.ts
+++ b/test/support/held-up-front.ts
@@ -35,6 +35,8 @@
   readonly inFlight: number;
   /** Ticks after the hold that came before the last of the callers' ends was known. */
   readonly ticksBeforeEnds: number;
+  /** Requests that had been read when the first one was taken in. */
+  readonly readBeforeFirst: number;
 }
 
 export interface HeldUpCase {
@@ -58,8 +60,8 @@
 export class HeldUpFront {
   readonly events: RouterEvent[] = [];
   readonly #server: RawServer;
-  /** Holding the loop up takes long on this clock, however fast the callers are. */
-  readonly #barrier = new PollBarrier(() => performance.now() + this.#heldFor);
+  /** Only holding the loop up takes time on this clock. */
+  readonly #barrier = new PollBarrier(() => this.#heldFor);
   readonly #connections = new ServerConnections(this.#barrier);
   readonly #front: CallerFront;
   readonly #left = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
@@ -76,6 +78,7 @@
   );
   #holds = false;
   #heldFor = 0;
+  #readBeforeFirst = 0;
   /** Events until the hold was over. */
   #eventsBefore = 0;
 
@@ -87,6 +90,7 @@
       barrier: this.#barrier,
       dispatch: (event) => this.#take(event),
       readDelay: () => 0,
+      longestReadDelay: () => null,
     });
   }
 
@@ -109,7 +113,13 @@
   /** Plays a case. */
   async play({ callers, isKept, leaving, heldAt, piecesOf }: HeldUpCase): Promise<HeldUpOutcome> {
     const first = isKept ? `GET /a HTTP/1.1\r\nHost: h\r\nFennelferry-Attempt-Id: first\r\n\r\n` : null;
-    await this.#connect({ kind: 'connect', callers, first });
+    const connect: CallerCommand = { kind: 'connect', callers, first };
+    if (isKept) {
+      await this.#connect(connect);
+    } else {
+      // They come while the loop is held up: nobody has accepted their connections.
+      this.#post(connect);
+    }
     const ids = Array.from({ length: callers }, (_, index) => `late-${index}`);
     Atomics.store(this.#left, 0, 0);
     this.#holds = heldAt === 'takingIn';
@@ -119,7 +129,12 @@
     }
     await this.#settled();
     const sent = this.#server.heads.map(attemptIdOf).filter((id) => ids.some((late) => id.startsWith(late)));
-    return { sent: sent.length, inFlight: this.#front.inFlight, ticksBeforeEnds: this.#ticksBeforeEnds() };
+    return {
+      sent: sent.length,
+      inFlight: this.#front.inFlight,
+      ticksBeforeEnds: this.#ticksBeforeEnds(),
+      readBeforeFirst: this.#readBeforeFirst,
+    };
   }
 
   async close(): Promise<void> {
@@ -134,6 +149,9 @@
   #take(event: RouterEvent): void {
     this.events.push(event);
     if (event.kind === 'requestArrived') {
+      if (event.attemptId !== 'first' && this.#readBeforeFirst === 0) {
+        this.#readBeforeFirst = this.#front.inFlight;
+      }
       if (this.#holds && event.attemptId !== 'first') {
         this.#holds = false;
         this.#hold();
