--- a/test/router-runtime/test-sent-after-caller-left.ts
+++ b/test/router-runtime/test-sent-after-caller-left.ts
@@ -57,6 +57,13 @@
     expect(ticksBeforeEnds).toEqual(0);
   });
 
+  // One connection was accepted in each turn of the loop, and the turn's work done before the next one.
+  it('reads the requests on all connections that wait to be accepted before it takes one in', async () => {
+    front = await HeldUpFront.start();
+    const { readBeforeFirst } = await front.play({ ...BASE, callers: 20, isKept: false, leaving: 'stay' });
+    expect(readBeforeFirst).toEqual(20);
+  });
+
   it('forgets a request that came right behind another one when their caller leaves', async () => {
     front = await HeldUpFront.start();
     const { inFlight } = await front.play(CASES['two requests in one packet'] as HeldUpCase);
