--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -93,6 +93,7 @@
       { connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS, noDelay: true },
       (incoming, outgoing) => this.#receive(incoming, outgoing),
     );
+    barrier.watch(this.server);
     this.server.on('connection', (socket) => this.#watch(socket));
     this.server.headersTimeout = FIRST_HEADER_TIMEOUT_MILLISECONDS;
     this.server.requestTimeout = 0;
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -106,6 +106,7 @@
     });
     this.#loop = this.#createLoopMonitor();
     this.#tick = new RegularTick(this.#loop, this.#barrier, () => this.dispatch({ kind: 'tick' }));
+    this.#barrier.watch(this.#readiness);
     this.#metrics = new RouterMetrics(this.state, this.#loop.eventTimes);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
