--- a/test/soak/daemon-process.ts
+++ b/test/soak/daemon-process.ts
@@ -26,6 +26,8 @@
   /** A planned stop of the present process is under way. */
   stopping = false;
   paused = false;
+  /** It last went on after a pause at this time, in ms. */
+  resumedAt = 0;
   readonly #settings: object;
   readonly #folder: string;
   readonly #program: string;
@@ -91,6 +93,7 @@
     this.stopping ||= name === 'SIGTERM';
     if (name === 'SIGSTOP' || name === 'SIGCONT') {
       this.paused = name === 'SIGSTOP';
+      this.resumedAt = performance.now();
     }
     this.#child?.kill(name);
   }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,4 +1,4 @@
-/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits`. */
+/** The long soak, started by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving`. */
 import { parseArgs } from 'node:util';
 import { PROGRAM } from './daemon-process.js';
 import type { SoakReport } from './soak-report.js';
@@ -17,6 +17,7 @@
     harsh: { type: 'boolean', default: false },
     notices: { type: 'boolean', default: false },
     limits: { type: 'boolean', default: false },
+    leaving: { type: 'boolean', default: false },
   },
 });
 
@@ -52,6 +53,7 @@
       isHarsh: values.harsh,
       hasNotices: values.notices,
       hasLimits: values.limits,
+      hasLeaving: values.leaving,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
     tell(report);
--- a/test/soak/server-stand-in.ts
+++ b/test/soak/server-stand-in.ts
@@ -22,6 +22,9 @@
 }
 
 const WORK_MILLISECONDS = 15;
+/** Requests with this in their path take this long. */
+export const SLOW_MARK = 'slow';
+const SLOW_WORK_MILLISECONDS = 1_500;
 /** Requests with this in their path end each server that runs them. */
 export const DEADLY_MARK = 'deadly';
 
@@ -38,6 +41,8 @@
   restSeconds: number | null = null;
   /** What it names as its limit in every answer; null: nothing. */
   limit: string | null = null;
+  /** Requests that it works on, and whose connection is open. */
+  readonly working = new Set<string>();
   #address = '';
   #grants: Grant[] = [];
   #highestFence: { from: number; to: number; fence: number }[] = [];
@@ -165,15 +170,21 @@
       response.writeHead(421, { ...headers, ...this.#notice() }).end();
       return;
     }
-    setTimeout(() => {
-      if (request.url?.includes(DEADLY_MARK) === true) {
-        this.#observer.onDeadly(this, attemptId);
-        return;
-      }
-      const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
-      response.writeHead(200, { ...headers, ...this.#notice() }).end(this.id);
-      this.#observer.onAnswer(this, attemptId);
-    }, WORK_MILLISECONDS);
+    this.working.add(attemptId);
+    response.on('close', () => this.working.delete(attemptId));
+    const isSlow = request.url?.includes(SLOW_MARK) === true;
+    setTimeout(
+      () => {
+        if (request.url?.includes(DEADLY_MARK) === true) {
+          this.#observer.onDeadly(this, attemptId);
+          return;
+        }
+        const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
+        response.writeHead(200, { ...headers, ...this.#notice() }).end(this.id);
+        this.#observer.onAnswer(this, attemptId);
+      },
+      isSlow ? SLOW_WORK_MILLISECONDS : WORK_MILLISECONDS,
+    );
   }
 }
 
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -15,6 +15,8 @@
   readonly hasNotices: boolean;
   /** Servers name limits for what all daemons together send them. */
   readonly hasLimits: boolean;
+  /** Callers leave while daemons stand still for short times. */
+  readonly hasLeaving: boolean;
 }
 
 /** What a run came to. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -12,6 +12,7 @@
 import { DaemonProcess } from './daemon-process.js';
 import { DeadlyRequests } from './deadly-requests.js';
 import { configurationOf, freePorts, settingsOf, TIMING, ZONES } from './deployment.js';
+import { LeavingCallers } from './leaving-callers.js';
 import { LimitTroubles } from './limit-troubles.js';
 import { NoticeTroubles } from './notice-troubles.js';
 import { Outages } from './outages.js';
@@ -86,11 +87,12 @@
     const troubles: Promise<void>[] = [];
     const noticed = this.#options.hasNotices ? this.#createNotices().run(length) : Promise.resolve();
     const limited = this.#options.hasLimits ? this.#createLimits().run(length) : Promise.resolve();
+    const leaving = this.#options.hasLeaving ? this.#createLeavingCallers().run(length) : Promise.resolve();
     for (const { at, trouble } of schedule) {
       await pause(startedAt + at - performance.now());
       troubles.push(this.#perform(trouble));
     }
-    await Promise.all([...troubles, noticed, limited]);
+    await Promise.all([...troubles, noticed, limited, leaving]);
     await pause(CALM);
     await this.#deadly.untilQuiet(RECOVERY);
     await this.#checkServedAgain();
@@ -188,6 +190,15 @@
     return limits;
   }
 
+  #createLeavingCallers(): LeavingCallers {
+    const leaving = new LeavingCallers(this.#options.seed, this.#promises, {
+      daemons: this.#daemons,
+      servers: () => this.#servers,
+    });
+    this.#promises.noticeChecks.push(leaving);
+    return leaving;
+  }
+
   /** A server crashes and is back under its id, at its address. */
   async #restartServer(server: ServerStandIn, after: number): Promise<void> {
     const { id, service, zone, keyed, port } = server;
--- a/test/soak/test-soak.ts
+++ b/test/soak/test-soak.ts
@@ -11,13 +11,15 @@
 const NOTICES_SEED = 4;
 /** Servers name limits for all daemons together. */
 const LIMITS_SEED = 2;
+/** Callers leave, and daemons stand still again and again. */
+const LEAVING_SEED = 1;
 const OPTIONS = { daemons: 5, servers: 4, program: PROGRAM, length: 20_000 };
 
 // What tests lacked when changes came into force 14 s late: the real daemons, a store that does not answer, and changes that go on.
 describe('a short soak of daemons as processes', { concurrency: true }, () => {
   it('keeps every promise under troubles that overlap', async () => {
     const runs = SEEDS.map((seed) =>
-      runSoak({ ...OPTIONS, seed, isHarsh: false, hasNotices: false, hasLimits: false }),
+      runSoak({ ...OPTIONS, seed, isHarsh: false, hasNotices: false, hasLimits: false, hasLeaving: false }),
     );
     for (const report of await Promise.all(runs)) {
       expect(report.violations).toEqual([]);
@@ -32,6 +34,7 @@
       isHarsh: true,
       hasNotices: false,
       hasLimits: false,
+      hasLeaving: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -45,6 +48,20 @@
       isHarsh: false,
       hasNotices: true,
       hasLimits: false,
+      hasLeaving: false,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.answered > 0).toEqual(true);
+  });
+
+  it('sends nothing on for callers that have left, while daemons stand still again and again', async () => {
+    const report = await runSoak({
+      ...OPTIONS,
+      seed: LEAVING_SEED,
+      isHarsh: false,
+      hasNotices: false,
+      hasLimits: false,
+      hasLeaving: true,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -57,6 +74,7 @@
       isHarsh: false,
       hasNotices: false,
       hasLimits: true,
+      hasLeaving: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
