--- /dev/null
+++ b/test/support/answering-server.ts
@@ -0,0 +1,41 @@
+/** A server whose answer comes while the loop of this thread is held up. */
+import { Worker } from 'node:worker_threads';
+import { ANSWERED, type AnsweringThreadData, MAY_ANSWER, RECEIVED } from './answering-steps.js';
+
+export class AnsweringServer {
+  readonly address: string;
+  readonly #thread: Worker;
+  readonly #step: Int32Array;
+
+  private constructor(address: string, thread: Worker, step: Int32Array) {
+    this.address = address;
+    this.#thread = thread;
+    this.#step = step;
+  }
+
+  /** @param greets it answers a connection, not a request */
+  static async start(answer: Uint8Array, greets: boolean): Promise<AnsweringServer> {
+    const step = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
+    const workerData: AnsweringThreadData = { step, answer, greets };
+    const thread = new Worker(new URL('answering-thread.js', import.meta.url), { workerData });
+    const port = await new Promise<number>((resolve) => thread.once('message', resolve));
+    return new AnsweringServer(`127.0.0.1:${port}`, thread, step);
+  }
+
+  /** Once it was asked, holds the loop up until the answer has been written, and for a time. */
+  async holdWhileItAnswers(milliseconds: number): Promise<void> {
+    while (Atomics.load(this.#step, 0) !== RECEIVED) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    Atomics.store(this.#step, 0, MAY_ANSWER);
+    Atomics.notify(this.#step, 0);
+    while (Atomics.load(this.#step, 0) !== ANSWERED) {
+      Atomics.wait(this.#step, 0, MAY_ANSWER);
+    }
+    Atomics.wait(this.#step, 1, 0, milliseconds);
+  }
+
+  async close(): Promise<void> {
+    await this.#thread.terminate();
+  }
+}
