--- a/src/router-runtime/poll-barrier.ts
+++ b/src/event-loop/poll-barrier.ts
@@ -95,3 +95,6 @@
     return hasAccepted;
   }
 }
+
+/** That of this process's loop. */
+export const PROCESS_BARRIER = new PollBarrier();
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -16,7 +16,7 @@
 import { forwardedHeaders, headerValue } from './headers.js';
 import { LazyFingerprint } from './lazy-fingerprint.js';
 import { listen } from './listen.js';
-import type { PollBarrier } from './poll-barrier.js';
+import type { PollBarrier } from '../event-loop/poll-barrier.js';
 import { RequestIntake } from './request-intake.js';
 import type { ServerConnections } from './server-connections.js';
 
--- a/src/router-runtime/regular-tick.ts
+++ b/src/router-runtime/regular-tick.ts
@@ -3,7 +3,7 @@
  * in time still lie there unread, so that a late tick waits until they have been read.
  */
 import type { LoopMonitor } from './loop-monitor.js';
-import type { PollBarrier } from './poll-barrier.js';
+import type { PollBarrier } from '../event-loop/poll-barrier.js';
 
 /** Milliseconds between two ticks. */
 export const TICK_INTERVAL_MILLISECONDS = 20;
--- a/src/router-runtime/request-intake.ts
+++ b/src/router-runtime/request-intake.ts
@@ -4,7 +4,7 @@
  * first, since the others have less time left, and ends those that can't be in time any more, which costs little.
  */
 import type { Milliseconds } from '../router/model/identifiers.js';
-import type { PollBarrier } from './poll-barrier.js';
+import type { PollBarrier } from '../event-loop/poll-barrier.js';
 
 /** Requests that are too late are ended for this long before the sockets are polled again. */
 const SLICE: Milliseconds = 10;
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -27,7 +27,7 @@
 import { LoopMonitor } from './loop-monitor.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
-import { PollBarrier } from './poll-barrier.js';
+import { PROCESS_BARRIER } from '../event-loop/poll-barrier.js';
 import { RegularTick, TICK_INTERVAL_MILLISECONDS } from './regular-tick.js';
 import { RouterMetrics } from './router-metrics.js';
 import { ServerConnections } from './server-connections.js';
@@ -59,7 +59,7 @@
   readonly #platform: Platform;
   readonly #log: EventLog;
   readonly #front: CallerFront;
-  readonly #barrier = new PollBarrier();
+  readonly #barrier = PROCESS_BARRIER;
   readonly #connections = new ServerConnections(this.#barrier);
   readonly #peers: PeerLinks;
   readonly #readiness: Server;
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -5,7 +5,7 @@
 import type { Dispatcher } from 'undici';
 import { buildResettingConnector, Client } from '../http-client/index.js';
 import type { Socket } from 'node:net';
-import type { PollBarrier } from './poll-barrier.js';
+import type { PollBarrier } from '../event-loop/poll-barrier.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
 /** Servers close idle connections after a time of their own, which they may state. */
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import type { Socket } from 'node:net';
 import { Attempt, type AnswerSink, type AttemptListener } from '../../src/router-runtime/attempt.js';
-import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
+import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { AttemptResult } from '../../src/router/events.js';
 import type { LimitReading } from '../../src/router/model/server-limit.js';
--- a/test/router-runtime/test-caller-front.ts
+++ b/test/router-runtime/test-caller-front.ts
@@ -3,7 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
-import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
+import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { RouterEvent } from '../../src/router/events.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -12,7 +12,7 @@
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
 import type { RouterEvent } from '../../src/router/events.js';
-import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
+import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 
 let front: CallerFront | undefined;
--- a/test/support/held-up-front.ts
+++ b/test/support/held-up-front.ts
@@ -7,7 +7,7 @@
 import { REQUEST_PROTOCOL } from '../../platform/names.js';
 import { CallerFront } from '../../src/router-runtime/caller-front.js';
 import { LoopMonitor } from '../../src/router-runtime/loop-monitor.js';
-import { PollBarrier } from '../../src/router-runtime/poll-barrier.js';
+import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { RegularTick, TICK_INTERVAL_MILLISECONDS } from '../../src/router-runtime/regular-tick.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { RequestArrivedEvent, RouterEvent } from '../../src/router/events.js';
