--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -3,6 +3,7 @@
  * a length before each. Delivery is best effort.
  */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { PROCESS_BARRIER } from '../event-loop/poll-barrier.js';
 import type { PeerMessage } from '../router/peers/messages.js';
 import { FrameReader } from '../runtime/peer-transport.js';
 import { splitAddress } from '../settings/address.js';
@@ -37,6 +38,16 @@
   return framed;
 }
 
+/** Ends a connection whose time is over, unless it has come up or brought something that had not been read yet. */
+function endUnlessAlive(socket: Socket): void {
+  const { connecting, bytesRead } = socket;
+  PROCESS_BARRIER.afterPoll(() => {
+    if (socket.connecting === connecting && socket.bytesRead === bytesRead) {
+      socket.destroy();
+    }
+  });
+}
+
 export class PeerLinks {
   readonly #listener: PeerLinksListener;
   readonly #server: Server;
@@ -118,7 +129,8 @@
     const socket = createConnection({ host, port, noDelay: true });
     this.#parent = socket;
     let refused = false;
-    socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS, () => socket.destroy());
+    socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS);
+    socket.on('timeout', () => endUnlessAlive(socket));
     socket.once('connect', () => {
       socket.setTimeout(SILENCE_MILLISECONDS);
       this.#listener.onParentOpened();
