The state types of the router's subsystems stand in modules of their own, joined in router-state.ts: the circle of 30 files under src/router is gone

No change of behaviour. Each subsystem's state was declared beside the functions that take the whole context, so that state, context and subsystems imported each other. With the types apart, and daemonsBelow and isRelayed taking the tree instead of the whole state, no circle of imports is left in src/router, types included.

--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -14,11 +14,11 @@
 import { watchTime } from '../router/news/news-timing.js';
 import { longestReadDelay } from '../router/request/request-arrival.js';
 import { reduce } from '../router/reducer.js';
+import type { RouterBounds } from '../router/router-bounds.js';
 import type { RouterSettings } from '../router/router-settings.js';
 import {
   createRouterState,
   missingForCallers,
-  type RouterBounds,
   type RouterState,
 } from '../router/router-state.js';
 import { CallerFront } from './caller-front.js';
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -8,7 +8,7 @@
 import type { EvacuationStatement } from './news/zone-evacuations.js';
 import type { PeerMessage, ServerChange } from './peers/messages.js';
 import type { ReportedLoad } from './request/server-load.js';
-import type { RouterBounds } from './router-state.js';
+import type { RouterBounds } from './router-bounds.js';
 
 /** Time passed. */
 export interface TickEvent {
--- a/src/router/feed-lag.ts
+++ b/src/router/feed-lag.ts
@@ -2,30 +2,13 @@
  * Notices that other daemons know of something newer than this one does. A watch brings news to everybody at
  * about the same time; only one that does not bring it for a while may have lost its place.
  */
-import type { FeedName, Milliseconds } from './model/identifiers.js';
+import type { ComparedFeed } from './feed-lag-state.js';
+import type { Milliseconds } from './model/identifiers.js';
 import type { RouterContext } from './router-context.js';
 
 /** News that others have is waited for this long before the list is read anew. */
 const LAG_PATIENCE: Milliseconds = 600;
 
-/** The feeds of which daemons tell each other how far they know them. */
-export type ComparedFeed = Exclude<FeedName, 'evacuations'>;
-
-/** How far one feed is behind what other daemons know. */
-export interface FeedLag {
-  /** The newest version or revision that another daemon has told of. */
-  newest: number;
-  /** Since when this daemon has been behind it, or null. */
-  since: Milliseconds | null;
-  /** The list was read anew for this one already. */
-  refreshedFor: number;
-}
-
-/** The lag of a daemon that has heard of nothing. */
-export function createFeedLag(): FeedLag {
-  return { newest: 0, since: null, refreshedFor: 0 };
-}
-
 function noteFeed(context: RouterContext, feed: ComparedFeed, theirs: number, own: number): void {
   const lag = context.state.feedLags[feed];
   lag.newest = Math.max(lag.newest, theirs);
--- a/src/router/limits/limit-news.ts
+++ b/src/router/limits/limit-news.ts
@@ -8,54 +8,13 @@
 import { logLimitChange, type LimitSource } from './limit-log.js';
 import type { LimitChange, LimitStatement } from './server-limits.js';
 
-/** Changes of one server's limit are told no more often: some name another one with each answer. */
-const TELL_INTERVAL: Milliseconds = 100;
-/** A limit that stays is told again after this long: daemons forget one that nobody confirms. */
-const REFRESH_INTERVAL: Milliseconds = 15_000;
-
-/** What has been told of limits, and what is still to be. */
-export class LimitTelling {
-  readonly #toldAt = new Map<ServerId, Milliseconds>();
-  readonly #untold = new Set<ServerId>();
-
-  /** A server's limit has changed, or others have an older word of it. */
-  add(server: ServerId): void {
-    this.#untold.add(server);
-  }
-
-  /** Others know what is known here. */
-  noteTold(server: ServerId, now: Milliseconds): void {
-    this.#toldAt.set(server, now);
-    this.#untold.delete(server);
-  }
-
-  /** Whether others have heard nothing of a server for long. */
-  isStale(server: ServerId, now: Milliseconds): boolean {
-    return this.#sinceTold(server, now) > REFRESH_INTERVAL;
-  }
-
-  /** Servers of which others may be told now. */
-  due(now: Milliseconds): ServerId[] {
-    return [...this.#untold].filter((server) => this.#sinceTold(server, now) >= TELL_INTERVAL);
-  }
-
-  forget(server: ServerId): void {
-    this.#toldAt.delete(server);
-    this.#untold.delete(server);
-  }
-
-  #sinceTold(server: ServerId, now: Milliseconds): Milliseconds {
-    return now - (this.#toldAt.get(server) ?? Number.NEGATIVE_INFINITY);
-  }
-}
-
 /** An answer to this daemon changed what is known of a limit, or confirmed it. */
 export function tellOfReading(context: RouterContext, server: ServerId, change: LimitChange | null): void {
-  const { limitTelling } = context.state;
+  const { limitUpdates } = context.state;
   if (change !== null) {
     noteChange(context, change, 'answer', 0);
-  } else if (limitTelling.isStale(server, context.now)) {
-    limitTelling.add(server);
+  } else if (limitUpdates.isStale(server, context.now)) {
+    limitUpdates.add(server);
   }
   tellDue(context);
 }
@@ -65,13 +24,13 @@
   const { state, now } = context;
   for (const statement of limits) {
     const { server, age } = statement;
-    const wasStale = state.limitTelling.isStale(server, now);
+    const wasStale = state.limitUpdates.isStale(server, now);
     const isBehind = state.limits.isBehind(statement, now);
     const change = state.limits.hear(statement, now);
     if (change !== null) {
       noteChange(context, change, source, age);
     } else if (isBehind || wasStale) {
-      state.limitTelling.add(server);
+      state.limitUpdates.add(server);
     }
   }
   tellDue(context);
@@ -87,7 +46,7 @@
 export function tickLimits(context: RouterContext): void {
   const { state, now } = context;
   for (const change of state.limits.expire(now)) {
-    state.limitTelling.forget(change.server);
+    state.limitUpdates.forget(change.server);
     logLimitChange(context, change, 'unconfirmed', 0);
   }
   tellDue(context);
@@ -100,8 +59,8 @@
   age: Milliseconds,
 ): void {
   logLimitChange(context, change, source, age);
-  const { limitTelling, leadership } = context.state;
-  limitTelling.add(change.server);
+  const { limitUpdates, leadership } = context.state;
+  limitUpdates.add(change.server);
   if (leadership !== null) {
     // Its keys are too many for it, or may be more again.
     leadership.nextPlanAt = Math.min(leadership.nextPlanAt, context.now);
@@ -110,9 +69,9 @@
 
 function tellDue(context: RouterContext): void {
   const { state, now } = context;
-  const due = state.limitTelling.due(now);
+  const due = state.limitUpdates.due(now);
   const limits: LimitStatement[] = state.limits.statementOf(due, now);
-  due.forEach((server) => state.limitTelling.noteTold(server, now));
+  due.forEach((server) => state.limitUpdates.noteTold(server, now));
   if (limits.length > 0) {
     const message: LimitNews = { kind: 'limitNews', limits };
     context.emit({ kind: 'sendToChildren', link: null, message });
--- a/src/router/limits/permit-exchange.ts
+++ b/src/router/limits/permit-exchange.ts
@@ -8,7 +8,7 @@
 import type { Leadership } from '../ownership/leadership-state.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer, RouterState } from '../router-state.js';
-import { daemonsBelow } from '../tree/children.js';
+import { daemonsBelow } from '../tree/tree-state.js';
 import { type LimitShare, usedRate } from './limit-share.js';
 import type { PermitAnswer, PermitAsk } from './permit-messages.js';
 import { ANSWER_MARGIN, type PlaceSeeker } from './permits.js';
@@ -18,13 +18,6 @@
 /** Numbers no request: the ask only finds out whether permits are dealt out again. */
 const PROBE_REQUEST = 0;
 
-/** Whether this daemon reaches whoever deals permits out. */
-export interface PermitContact {
-  /** An ask has had no answer, and none has come since. */
-  isSilent: boolean;
-  nextProbeAt: Milliseconds;
-}
-
 /** What this daemon may send to a server, or null: the server has no limit. */
 export function limitShareOf(state: RouterState, server: ServerId): LimitShare | null {
   const rate = state.limits.of(server);
@@ -109,7 +102,7 @@
 /** Places of a server that are dealt out here a second; null: it has no limit. */
 function dealtRate({ state, now }: RouterContext, server: ServerId): RequestsPerSecond | null {
   const limit = state.limits.of(server);
-  const reached = Math.min(1, (1 + daemonsBelow(state, now)) / state.daemons);
+  const reached = Math.min(1, (1 + daemonsBelow(state.tree, now)) / state.daemons);
   return limit === null ? null : usedRate(limit) * reached;
 }
 
--- a/src/router/news/news-timing.ts
+++ b/src/router/news/news-timing.ts
@@ -1,6 +1,6 @@
 /** How old news of the store may get before somebody asks, from the times in which changes must be in force. */
 import type { Milliseconds } from '../model/identifiers.js';
-import type { RouterBounds } from '../router-state.js';
+import type { RouterBounds } from '../router-bounds.js';
 
 /** Part of the tightest bound that a watch waits: what is left covers its slack, a list and the way to all daemons. */
 const WATCH_SHARE = 0.5;
--- a/src/router/news/store-following.ts
+++ b/src/router/news/store-following.ts
@@ -46,7 +46,7 @@
     return true;
   }
   // The leader and its watchers may be heard, and have had no word of the store: the others found out 4 s later.
-  return newsAge(context) > newsPatience(state.bounds, isRelayed(state));
+  return newsAge(context) > newsPatience(state.bounds, isRelayed(state.tree, state.election.leader?.address));
 }
 
 /** Who follows the store for longer than a moment reads evacuations there, too; everybody else is told by heartbeats. */
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -54,7 +54,8 @@
   if (now < tree.leaderGraceUntil) {
     return true;
   }
-  const relayIsHeard = isRelayed(state) && now - tree.parentHeardAt <= HEARTBEAT_PATIENCE;
+  const relayIsHeard =
+    isRelayed(tree, state.election.leader?.address) && now - tree.parentHeardAt <= HEARTBEAT_PATIENCE;
   const patience = relayIsHeard ? RELAYED_PATIENCE : HEARTBEAT_PATIENCE;
   const silent = now - election.lastHeartbeatAt > patience;
   // A relay that is heard watches the leader's confirmations itself.
--- a/src/router/ownership/isolation.ts
+++ b/src/router/ownership/isolation.ts
@@ -12,21 +12,6 @@
 /** Servers that turned requests for their keys away, after which the view counts as old. */
 const TURNED_AWAY_LIMIT = 3;
 
-/** What a daemon has met since it was cut off. */
-export interface Isolation {
-  /** When the store last answered a read of the leader's object. */
-  storeAnsweredAt: Milliseconds;
-  /** Owners that turned requests away while this daemon was cut off. */
-  turnedAway: number;
-  /** The view is old, and no newer one can be had for now. */
-  viewIsOld: boolean;
-}
-
-/** The state of a daemon that has just started. */
-export function createIsolation(): Isolation {
-  return { storeAnsweredAt: Number.NEGATIVE_INFINITY, turnedAway: 0, viewIsOld: false };
-}
-
 function isCutOff(state: RouterState, now: Milliseconds): boolean {
   if (state.leadership !== null) {
     return now - state.leadership.confirmedAt > CONFIRMATION_VALIDITY;
--- a/src/router/ownership/leader-intake.ts
+++ b/src/router/ownership/leader-intake.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import { setDaemons } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
-import { daemonsBelow } from '../tree/children.js';
+import { daemonsBelow } from '../tree/tree-state.js';
 import { takeKeySamples, takeTimes } from '../tree/reports.js';
 import { keyLoadOf } from './key-load.js';
 import type { Leadership } from './leadership-state.js';
@@ -55,5 +55,5 @@
     state.tree.overloaded = false;
     leadership.nextPlanAt = Math.min(leadership.nextPlanAt, leadership.plannedAt + HASTENED_PLAN_INTERVAL);
   }
-  setDaemons(state, leadership.daemonCount.note(1 + daemonsBelow(state, now), now));
+  setDaemons(state, leadership.daemonCount.note(1 + daemonsBelow(state.tree, now), now));
 }
--- a/src/router/quarantine/quarantine.ts
+++ b/src/router/quarantine/quarantine.ts
@@ -11,7 +11,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { CrashRecord } from './crash-record.js';
 import { COPIES_FOR_HOLD } from './lost-copies.js';
-import type { BrokenConnection } from './server-ends.js';
+import type { BrokenConnection } from './broken-connections.js';
 
 /**
  * Part of the time in which daemons that are in touch have to agree, for which a request is suspected before it is kept from servers.
--- a/src/router/quarantine/server-ends.ts
+++ b/src/router/quarantine/server-ends.ts
@@ -5,12 +5,11 @@
  */
 import type { AttemptResult, ControlOutcome } from '../events.js';
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
-import type { ServerDescription } from '../model/server.js';
-import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import { probeServer } from '../probe-server.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from '../request/active-request.js';
+import type { BrokenConnection } from './broken-connections.js';
 import { noteCrash, noteServerAlive } from './quarantine.js';
 
 /** A probe follows a broken connection this late: most often the next request has shown by then what happened. */
@@ -25,28 +24,6 @@
 /** The entry of a server that has crashed is gone by then: it lapses after three missed heartbeats. */
 const DECISION_TIME: Milliseconds = 10_000;
 
-/** A server whose side ended connections, until it is known why. */
-export interface BrokenConnection {
-  readonly server: ServerDescription;
-  readonly brokenAt: Milliseconds;
-  /** The requests that were there. */
-  readonly requests: Set<RequestFingerprint>;
-  nextProbeAt: Milliseconds;
-  probes: number;
-}
-
-/** What a daemon has seen break and does not understand yet. */
-export interface ServerEnds {
-  readonly broken: Map<ServerId, BrokenConnection>;
-  /** Servers that are probed, by the number of the call. */
-  readonly probes: Map<number, ServerId>;
-}
-
-/** Nothing has been seen. */
-export function createServerEnds(): ServerEnds {
-  return { broken: new Map(), probes: new Map() };
-}
-
 /** A server's side ended the connection of a request. One that leaves as planned ends as well, and nobody is to blame. */
 export function noteConnectionEnded(
   context: RouterContext,
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -1,7 +1,7 @@
 /** All that one daemon knows. The reducer changes it in place; nothing else does. */
 import { SeededRandom } from '../core/random.js';
 import { createRouterCounters, type RouterCounters } from './counters.js';
-import { type ComparedFeed, createFeedLag, type FeedLag } from './feed-lag.js';
+import { type ComparedFeed, createFeedLag, type FeedLag } from './feed-lag-state.js';
 import type { Configuration } from './model/configuration.js';
 import type { DaemonName, FeedName, Milliseconds, ServerId, ServiceName } from './model/identifiers.js';
 import { RouteTable } from './model/route-table.js';
@@ -9,13 +9,13 @@
 import type { ServerDescription } from './model/server.js';
 import { DoubtedUnits } from './ownership/doubted-units.js';
 import { createElection, type ElectionState } from './ownership/election-state.js';
-import { createIsolation, type Isolation } from './ownership/isolation.js';
+import { createIsolation, type Isolation } from './ownership/isolation-state.js';
 import type { Leadership } from './ownership/leadership-state.js';
-import { createFeedHealths, type FeedHealth } from './news/feed-health.js';
+import { createFeedHealths, type FeedHealth } from './news/feed-health-state.js';
 import { ServerHistory } from './news/server-history.js';
 import { ServerRest } from './notices/server-rest.js';
-import { LimitTelling } from './limits/limit-news.js';
-import type { PermitContact } from './limits/permit-exchange.js';
+import { LimitUpdates } from './limits/limit-updates.js';
+import type { PermitContact } from './limits/permit-contact.js';
 import type { Permits } from './limits/permits.js';
 import { ServerLimits } from './limits/server-limits.js';
 import { LeavingServers } from './notices/leaving-servers.js';
@@ -23,15 +23,15 @@
 import { EMPTY_VIEW, type OwnershipView } from './ownership/ownership-view.js';
 import type { ActiveRequest, EarlyRequest } from './request/active-request.js';
 import { CrashTable } from './quarantine/crash-table.js';
-import { createServerEnds, type ServerEnds } from './quarantine/server-ends.js';
-import { createStoredQuarantines, type StoredQuarantines } from './quarantine/stored-quarantines.js';
-import type { ColdStartLimits } from './request/cold-admission.js';
+import { createServerEnds, type ServerEnds } from './quarantine/broken-connections.js';
+import { createStoredQuarantines, type StoredQuarantines } from './quarantine/stored-quarantines-state.js';
 import type { Turns } from './sharing/turns.js';
-import type { RetryBudget, RetryBudgetLimits } from './request/retry-budget.js';
+import type { RetryBudget } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
 import { createTree, type TreeState } from './tree/tree-state.js';
-import type { KeyTally } from './tree/reports.js';
+import type { KeyTally } from './tree/key-tally.js';
+import type { RouterBounds } from './router-bounds.js';
 import { TargetRotation } from './request/target-rotation.js';
 
 /** Who this daemon is. */
@@ -46,23 +46,6 @@
   readonly isFirstStart?: boolean;
 }
 
-/** The bounds of the deployment that the reducer keeps. */
-export interface RouterBounds {
-  readonly retries: RetryBudgetLimits;
-  /** A change of the configuration is in force within this time. */
-  readonly configuration: Milliseconds;
-  readonly drain: Milliseconds;
-  /** Daemons that have been connected for this long know what the others have seen. */
-  readonly contact: Milliseconds;
-  readonly longestLease: Milliseconds;
-  /** Servers of an evacuated zone get nothing after this time; null: zones are not evacuated here. */
-  readonly evacuation: Milliseconds | null;
-  /** Null: nothing bounds what cold servers get. */
-  readonly coldStart: ColdStartLimits | null;
-  /** In whole cores of usual speed. */
-  readonly processorPower: number;
-}
-
 /** A listed server and what this daemon has seen of it. */
 export interface KnownServer {
   server: ServerDescription;
@@ -114,7 +97,7 @@
   readonly leaving: LeavingServers;
   /** Limits that answers named for what servers get of all daemons. */
   readonly limits: ServerLimits;
-  readonly limitTelling: LimitTelling;
+  readonly limitUpdates: LimitUpdates;
   readonly permitContact: PermitContact;
   readonly profiles: Map<ServiceName, ServiceProfile>;
   /** Daemons that share the retry budget, as last heard. */
@@ -172,7 +155,7 @@
     serversByService: new Map(),
     leaving: new LeavingServers(),
     limits: new ServerLimits(),
-    limitTelling: new LimitTelling(),
+    limitUpdates: new LimitUpdates(),
     permitContact: { isSilent: false, nextProbeAt: 0 },
     profiles: new Map(),
     daemons: FIRST_DAEMONS,
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -1,5 +1,4 @@
 /** The daemons that report to this one: who they are, what they lack, and what they pass up. */
-import type { Milliseconds } from '../model/identifiers.js';
 import { noteVersionsOf } from '../feed-lag.js';
 import { catchUp } from '../news/spread-news.js';
 import { takeEvacuations } from '../news/take-evacuations.js';
@@ -7,21 +6,11 @@
 import { wholeStatement } from '../ownership/ownership-statement.js';
 import type { Report } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
-import type { RouterState } from '../router-state.js';
 import { buildHeartbeat } from './heartbeats.js';
 import { chooseRelay } from './relay-choice.js';
 import { noteOverload, tallyKeys } from './reports.js';
 import { type Child, isReporting } from './tree-state.js';
 
-/** Daemons below this one that report. */
-export function daemonsBelow(state: RouterState, now: Milliseconds): number {
-  let daemons = 0;
-  for (const child of state.tree.children.values()) {
-    daemons += isReporting(child, now) ? child.daemons : 0;
-  }
-  return daemons;
-}
-
 /** A child reported. */
 export function receiveReport(context: RouterContext, link: number, report: Report): void {
   takeEvacuations(context, report.evacuations);
--- a/src/router/tree/parent.ts
+++ b/src/router/tree/parent.ts
@@ -42,14 +42,20 @@
 /** Leaves a relay that has fallen silent. */
 export function tickParent(context: RouterContext): void {
   const { tree } = context.state;
-  if (isRelayed(context.state) && context.now - tree.parentHeardAt > HEARTBEAT_PATIENCE) {
+  if (
+    isRelayed(context.state.tree, context.state.election.leader?.address) &&
+    context.now - tree.parentHeardAt > HEARTBEAT_PATIENCE
+  ) {
     returnToLeader(context, 'silent');
   }
 }
 
 /** The connection to the parent ended or could not be made. */
 export function receiveParentClosed(context: RouterContext, event: ParentLinkClosedEvent): void {
-  if (event.address === context.state.tree.parent && isRelayed(context.state)) {
+  if (
+    event.address === context.state.tree.parent &&
+    isRelayed(context.state.tree, context.state.election.leader?.address)
+  ) {
     returnToLeader(context, event.refused ? 'refused' : 'closed');
   }
 }
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -1,9 +1,10 @@
 /** A daemon's periodic report to its parent: that it is there, what it knows, what callers asked for at and below it. */
-import type { Key, Milliseconds, ServiceName } from '../model/identifiers.js';
+import type { Milliseconds, ServiceName } from '../model/identifiers.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { KeySample, ServerTimes } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
-import { daemonsBelow } from './children.js';
+import type { KeyTally } from './key-tally.js';
+import { daemonsBelow } from './tree-state.js';
 
 /** A report that says of load that is too much comes this soon after the one before. */
 const HASTENED_INTERVAL: Milliseconds = 150;
@@ -14,9 +15,6 @@
 /** Keys of one service in one report; the ones asked for most. */
 const MOST_KEYS = 2_000;
 
-/** How often each key was asked for. */
-export type KeyTally = Map<Key, number>;
-
 /** Adds keys to the tally of a service. */
 export function tallyKeys(context: RouterContext, { service, keys, counts }: KeySample): void {
   const { keyTallies } = context.state;
@@ -101,7 +99,7 @@
       serversRevision: state.newestServerRevision,
       serversPosition: state.serversRevision ?? 0,
       ownershipSequence: state.view.term === election.leader?.term ? state.view.sequence : 0,
-      daemons: 1 + daemonsBelow(state, now),
+      daemons: 1 + daemonsBelow(state.tree, now),
       started,
       overloaded,
       failedRelay: tree.failedRelay,
--- a/src/router/tree/tree-state.ts
+++ b/src/router/tree/tree-state.ts
@@ -6,7 +6,6 @@
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { DaemonLife, ServerTimes } from '../peers/messages.js';
 import type { RestReport } from '../notices/rest-reports.js';
-import type { RouterState } from '../router-state.js';
 
 /** A daemon that is connected to this one and reports to it. */
 export interface Child extends DaemonLife {
@@ -79,7 +78,16 @@
   };
 }
 
-/** Whether the parent is a relay and not the leader. */
-export function isRelayed({ tree, election }: RouterState): boolean {
-  return tree.parent !== null && tree.parent !== election.leader?.address;
+/** Daemons below this one that report. */
+export function daemonsBelow({ children }: TreeState, now: Milliseconds): number {
+  let daemons = 0;
+  for (const child of children.values()) {
+    daemons += isReporting(child, now) ? child.daemons : 0;
+  }
+  return daemons;
+}
+
+/** Whether the parent is a relay and not the leader, whose address is given. */
+export function isRelayed({ parent }: TreeState, leaderAddress: string | undefined): boolean {
+  return parent !== null && parent !== leaderAddress;
 }
--- a/test/router-runtime/test-sent-after-caller-left.ts
+++ b/test/router-runtime/test-sent-after-caller-left.ts
@@ -32,6 +32,11 @@
     isKept: false,
     heldAt: 'takingIn',
   },
+  'callers that left while a connection to the server came up': {
+    ...BASE,
+    isKept: false,
+    heldAt: 'connecting',
+  },
   'many callers on new connections': { ...BASE, callers: 200, isKept: false },
 };
 
--- a/test/router/support/bounds.ts
+++ b/test/router/support/bounds.ts
@@ -1,5 +1,5 @@
 /** Bounds of a deployment for tests of single daemons. */
-import type { RouterBounds } from '../../../src/router/router-state.js';
+import type { RouterBounds } from '../../../src/router/router-bounds.js';
 
 export const BOUNDS: RouterBounds = {
   retries: { ratio: 0.2, extra: 60 },
--- a/test/support/caller-thread.ts
+++ b/test/support/caller-thread.ts
@@ -8,7 +8,7 @@
 /** What the thread is asked for. */
 export interface CallerThreadData {
   readonly port: number;
-  /** Set to one when every caller has left. */
+  /** Its first cell is set to one when every caller has left, its last by the other thread when they may. */
   readonly left: Int32Array;
 }
 
@@ -28,6 +28,7 @@
 }
 export type CallerCommand = ConnectCommand | LeaveCommand;
 
+const MAY_LEAVE_CELL = 2;
 const LAST_BYTES = '\r\n\r\n';
 const { port, left } = workerData as CallerThreadData;
 let sockets: Socket[] = [];
@@ -51,10 +52,13 @@
   return new Promise((resolve) => void socket.write(bytes, () => resolve()));
 }
 
-async function leave(socket: Socket, leaving: Leaving, pieces: readonly string[]): Promise<void> {
+async function send(socket: Socket, pieces: readonly string[]): Promise<void> {
   for (const piece of pieces) {
     await written(socket, piece);
   }
+}
+
+async function leave(socket: Socket, leaving: Leaving): Promise<void> {
   if (leaving === 'stay') {
     return;
   }
@@ -77,7 +81,9 @@
     return;
   }
   const { leaving, pieces } = command;
-  await Promise.all(sockets.map((socket, index) => leave(socket, leaving, pieces[index] ?? [])));
+  await Promise.all(sockets.map((socket, index) => send(socket, pieces[index] ?? [])));
+  Atomics.wait(left, MAY_LEAVE_CELL, 0);
+  await Promise.all(sockets.map((socket) => leave(socket, leaving)));
   Atomics.store(left, 0, 1);
   Atomics.notify(left, 0);
 }
--- a/test/support/held-up-front.ts
+++ b/test/support/held-up-front.ts
@@ -17,6 +17,7 @@
 /** Turns of the loop after which nothing more happens, and those for which requests under way are waited for. */
 const SETTLED_TURNS = 200;
 const MOST_TURNS = 20_000;
+const MAY_LEAVE_CELL = 2;
 /** What a hold takes on the clock of the front. */
 const HOLD_MILLISECONDS = 600;
 
@@ -25,7 +26,9 @@
   /** Before it has read anything of their requests. */
   | 'reading'
   /** While it takes in the first of them. */
-  | 'takingIn';
+  | 'takingIn'
+  /** While the connection to the server comes up for the first of them. */
+  | 'connecting';
 
 /** What became of the requests whose callers had left. */
 export interface HeldUpOutcome {
@@ -64,7 +67,7 @@
   readonly #barrier = new PollBarrier(() => this.#heldFor);
   readonly #connections = new ServerConnections(this.#barrier);
   readonly #front: CallerFront;
-  readonly #left = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
+  readonly #left = new Int32Array(new SharedArrayBuffer(3 * Int32Array.BYTES_PER_ELEMENT));
   #thread: Worker | undefined;
   /** Passes of time as a daemon's reducer hears of them. */
   readonly #tick = new RegularTick(
@@ -76,7 +79,8 @@
     this.#barrier,
     () => this.events.push({ kind: 'tick' }),
   );
-  #holds = false;
+  /** Where the loop is still to be held up. */
+  #heldAt: HeldAt | null = null;
   #heldFor = 0;
   #readBeforeFirst = 0;
   /** Events until the hold was over. */
@@ -122,7 +126,8 @@
     }
     const ids = Array.from({ length: callers }, (_, index) => `late-${index}`);
     Atomics.store(this.#left, 0, 0);
-    this.#holds = heldAt === 'takingIn';
+    this.#heldAt = heldAt;
+    Atomics.store(this.#left, MAY_LEAVE_CELL, heldAt === 'connecting' ? 0 : 1);
     this.#post({ kind: 'leave', leaving, pieces: ids.map((id) => piecesOf(id)) });
     if (heldAt === 'reading') {
       this.#hold();
@@ -152,11 +157,15 @@
       if (event.attemptId !== 'first' && this.#readBeforeFirst === 0) {
         this.#readBeforeFirst = this.#front.inFlight;
       }
-      if (this.#holds && event.attemptId !== 'first') {
-        this.#holds = false;
+      const heldAt = event.attemptId === 'first' ? null : this.#heldAt;
+      if (heldAt === 'takingIn') {
         this.#hold();
       }
       this.#forward(event);
+      if (heldAt === 'connecting') {
+        // By then the connection has been asked for.
+        process.nextTick(() => this.#hold());
+      }
     }
   }
 
@@ -167,6 +176,12 @@
   }
 
   #hold(): void {
+    if (this.#heldAt === null) {
+      return;
+    }
+    this.#heldAt = null;
+    Atomics.store(this.#left, MAY_LEAVE_CELL, 1);
+    Atomics.notify(this.#left, MAY_LEAVE_CELL);
     Atomics.wait(this.#left, 0, 0);
     // A tick is due by then.
     Atomics.wait(this.#left, 1, 0, 2 * TICK_INTERVAL_MILLISECONDS);
