--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -96,7 +96,7 @@
     });
   }
 
-  /** Servers that name limits, and what is dealt out of them where this daemon leads. */
+  /** Servers that name limits, and the permits that this daemon grants for them where it leads. */
   #limits(state: RouterState): void {
     this.#gauge('limited_servers', () => state.limits.inForce.size);
     const gaugeByServer = (
@@ -127,7 +127,7 @@
     );
     gaugeByServer(
       'server_permits',
-      'permits a second that this daemon, the leader, has dealt out for it lately',
+      'permits a second that this daemon, the leader, has granted for it lately',
       ({ shares }) => shares?.reduce((sum, share) => sum + share.permitsPerSecond, 0) ?? null,
     );
   }
--- a/src/router/limits/limit-overview.ts
+++ b/src/router/limits/limit-overview.ts
@@ -20,7 +20,7 @@
   /** How long ago an answer was last known to name it. */
   readonly confirmedAge: Milliseconds;
   /** How this daemon gets places: by permits of the leader, or as an equal share. */
-  readonly places: 'dealt by the leader' | 'equal share';
+  readonly places: 'granted by the leader' | 'equal share';
   /** What daemons were given in the last 5 to 10 s; only the leader knows. */
   readonly shares: readonly DaemonShare[] | null;
 }
@@ -33,7 +33,7 @@
     limit: rate ?? 0,
     age: Math.round(now - since),
     confirmedAge: Math.round(now - at),
-    places: limitShareOf(state, server)?.isDealt === true ? 'dealt by the leader' : 'equal share',
+    places: limitShareOf(state, server)?.hasGrants === true ? 'granted by the leader' : 'equal share',
     shares: sharesOf(state, server, now),
   }));
 }
@@ -46,6 +46,6 @@
   if (leadership === null) {
     return null;
   }
-  const rates = [...leadership.permitDealer.dealtRates(server, now)];
+  const rates = [...leadership.permitBuckets.grantRates(server, now)];
   return rates.map(([daemon, permitsPerSecond]) => ({ daemon, permitsPerSecond }));
 }
--- a/src/router/limits/limit-probes.ts
+++ b/src/router/limits/limit-probes.ts
@@ -24,6 +24,6 @@
   }
 }
 
-function lastSentAt({ permitDealer, limitProbedAt }: Leadership, server: ServerId): Milliseconds {
-  return Math.max(permitDealer.lastDealtAt(server), limitProbedAt.get(server) ?? Number.NEGATIVE_INFINITY);
+function lastSentAt({ permitBuckets, limitProbedAt }: Leadership, server: ServerId): Milliseconds {
+  return Math.max(permitBuckets.lastGrantAt(server), limitProbedAt.get(server) ?? Number.NEGATIVE_INFINITY);
 }
--- a/src/router/limits/limit-share.ts
+++ b/src/router/limits/limit-share.ts
@@ -16,8 +16,8 @@
   readonly rate: RequestsPerSecond;
   /** Daemons that share it. */
   readonly daemons: number;
-  /** Permits are dealt out; otherwise each daemon takes an equal share. */
-  readonly isDealt: boolean;
+  /** The leader grants permits; otherwise each daemon takes an equal share. */
+  readonly hasGrants: boolean;
 }
 
 /** The rate at which all daemons together send. */
@@ -26,6 +26,6 @@
 }
 
 /** Time between two turns of a daemon that takes an equal share. */
-export function undealtInterval({ rate, daemons }: LimitShare): Milliseconds {
+export function equalShareInterval({ rate, daemons }: LimitShare): Milliseconds {
   return turnInterval(usedRate(rate) * UNDEALT_PART, daemons);
 }
--- a/src/router/limits/permit-dealer.ts
+++ b/src/router/limits/permit-buckets.ts
@@ -1,17 +1,17 @@
 /**
- * Deals out the places of servers with limits, one permit for each request. Whoever deals sees what all daemons want, so that nothing is lost
- * where it is uneven, and the sum is the limit whatever the number of daemons. More urgent requests come first, then those that can wait for the
- * shortest time; one that can't be served in time is told so at once.
+ * Token buckets of servers with limits: one permit for each request. The leader keeps them and sees the requests of all daemons, so that the sum is
+ * the limit whatever the number of daemons, and uneven demand wastes nothing. Requests of higher priority come first, then those that expire first; one
+ * that can't be served in time is denied at once.
  */
 import type { DaemonName, Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RequestsPerSecond } from '../model/server-limit.js';
 import type { PermitAnswer, PermitAsk } from './permit-messages.js';
 
 const SECOND: Milliseconds = 1_000;
-/** Places that may be saved up while nobody asks: this many, or those of this time. */
-const LEAST_SAVED = 2;
-const SAVED_TIME: Milliseconds = 250;
-/** What each daemon was given is counted over this time, and the one before. */
+/** Tokens that accumulate while nobody asks: this many, or those of this time. */
+const LEAST_BURST = 2;
+const BURST_TIME: Milliseconds = 250;
+/** Grants are counted over this time and the one before. */
 const COUNT_PERIOD: Milliseconds = 5_000;
 
 interface WaitingAsk {
@@ -19,8 +19,8 @@
   readonly expiresAt: Milliseconds;
 }
 
-/** Permits that daemons were given lately. */
-class DealtCounts {
+/** Sliding-window count of granted permits per daemon. */
+class GrantCounts {
   #current = new Map<DaemonName, number>();
   #former = new Map<DaemonName, number>();
   #since: Milliseconds;
@@ -54,17 +54,17 @@
   }
 }
 
-/** The places of one server. */
-class Bucket {
-  readonly dealt: DealtCounts;
-  dealtAt: Milliseconds = Number.NEGATIVE_INFINITY;
-  #places = 0;
+/** The tokens of one server, and the requests that wait for them. */
+class TokenBucket {
+  readonly grants: GrantCounts;
+  lastGrantAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #tokens = 0;
   #filledAt: Milliseconds;
   #waiting: WaitingAsk[] = [];
 
   constructor(now: Milliseconds) {
     this.#filledAt = now;
-    this.dealt = new DealtCounts(now);
+    this.grants = new GrantCounts(now);
   }
 
   add(ask: PermitAsk, now: Milliseconds): void {
@@ -78,15 +78,15 @@
     return this.#waiting.length === 0;
   }
 
-  /** Answers whom it can. */
-  deal(rate: RequestsPerSecond, now: Milliseconds): PermitAnswer[] {
+  /** Grants waiting requests in order of priority; denies those that have expired. */
+  grant(rate: RequestsPerSecond, now: Milliseconds): PermitAnswer[] {
     this.#fill(rate, now);
     const answers: PermitAnswer[] = this.#takeExpired(now).map(({ ask }) => this.#deny(ask, rate));
-    while (this.#places >= 1 && this.#waiting.length > 0) {
+    while (this.#tokens >= 1 && this.#waiting.length > 0) {
       const { ask } = this.#waiting.shift() as WaitingAsk;
-      this.#places -= 1;
-      this.dealtAt = now;
-      this.dealt.add(ask.daemon, now);
+      this.#tokens -= 1;
+      this.lastGrantAt = now;
+      this.grants.add(ask.daemon, now);
       answers.push(answerTo(ask, true, 0));
     }
     answers.push(...this.#takeHopeless(rate, now).map(({ ask }) => this.#deny(ask, rate)));
@@ -94,30 +94,30 @@
   }
 
   #fill(rate: RequestsPerSecond, now: Milliseconds): void {
-    const most = Math.max(LEAST_SAVED, (rate * SAVED_TIME) / SECOND);
-    this.#places = Math.min(most, this.#places + (rate * (now - this.#filledAt)) / SECOND);
+    const most = Math.max(LEAST_BURST, (rate * BURST_TIME) / SECOND);
+    this.#tokens = Math.min(most, this.#tokens + (rate * (now - this.#filledAt)) / SECOND);
     this.#filledAt = now;
   }
 
-  /** Time until the place after so many others is free. */
-  #placeAfter(others: number, rate: RequestsPerSecond): Milliseconds {
-    return Math.max(0, ((others + 1 - this.#places) * SECOND) / rate);
+  /** Time until the token after so many others is there. */
+  #tokenAfter(others: number, rate: RequestsPerSecond): Milliseconds {
+    return Math.max(0, ((others + 1 - this.#tokens) * SECOND) / rate);
   }
 
   #deny(ask: PermitAsk, rate: RequestsPerSecond): PermitAnswer {
     const ahead = this.#waiting.filter((other) => other.ask.priority <= ask.priority).length;
-    return answerTo(ask, false, this.#placeAfter(ahead, rate));
+    return answerTo(ask, false, this.#tokenAfter(ahead, rate));
   }
 
   #takeExpired(now: Milliseconds): WaitingAsk[] {
     return this.#takeThose(({ expiresAt }) => expiresAt < now);
   }
 
-  /** Those whose place comes too late for them. */
+  /** Requests whose token comes after they expire. */
   #takeHopeless(rate: RequestsPerSecond, now: Milliseconds): WaitingAsk[] {
     let ahead = 0;
     return this.#takeThose(({ expiresAt }) => {
-      const isHopeless = now + this.#placeAfter(ahead, rate) > expiresAt;
+      const isHopeless = now + this.#tokenAfter(ahead, rate) > expiresAt;
       ahead += isHopeless ? 0 : 1;
       return isHopeless;
     });
@@ -138,25 +138,25 @@
 }
 
 /** Kept by a leader for all servers with limits. */
-export class PermitDealer {
-  readonly #buckets = new Map<ServerId, Bucket>();
+export class PermitBuckets {
+  readonly #buckets = new Map<ServerId, TokenBucket>();
 
   /**
-   * Takes a wish in and answers whom it can.
+   * Takes a request for a permit in, and answers it and others if they can be answered.
    *
-   * @param rate at which permits for the server are dealt out; null: it has no limit
+   * @param rate of refill; null: the server has no limit
    */
   ask(ask: PermitAsk, rate: RequestsPerSecond | null, now: Milliseconds): PermitAnswer[] {
     if (rate === null) {
       return [answerTo(ask, true, 0)];
     }
-    const bucket = this.#buckets.get(ask.server) ?? new Bucket(now);
+    const bucket = this.#buckets.get(ask.server) ?? new TokenBucket(now);
     this.#buckets.set(ask.server, bucket);
     bucket.add(ask, now);
-    return bucket.deal(rate, now);
+    return bucket.grant(rate, now);
   }
 
-  /** Answers those who wait and whose place has come, or comes too late. */
+  /** Answers the waiting requests whose token is there, or comes too late. */
   tick(rateOf: (server: ServerId) => RequestsPerSecond | null, now: Milliseconds): PermitAnswer[] {
     const answers: PermitAnswer[] = [];
     for (const [server, bucket] of this.#buckets) {
@@ -164,19 +164,19 @@
       if (rate === null && bucket.isIdle) {
         this.#buckets.delete(server);
       } else if (!bucket.isIdle) {
-        answers.push(...bucket.deal(rate ?? Number.MAX_SAFE_INTEGER, now));
+        answers.push(...bucket.grant(rate ?? Number.MAX_SAFE_INTEGER, now));
       }
     }
     return answers;
   }
 
-  /** When a permit for a server was last given. */
-  lastDealtAt(server: ServerId): Milliseconds {
-    return this.#buckets.get(server)?.dealtAt ?? Number.NEGATIVE_INFINITY;
+  /** When a permit for a server was last granted. */
+  lastGrantAt(server: ServerId): Milliseconds {
+    return this.#buckets.get(server)?.lastGrantAt ?? Number.NEGATIVE_INFINITY;
   }
 
-  /** Permits a second that daemons were given lately for a server. */
-  dealtRates(server: ServerId, now: Milliseconds): Map<DaemonName, RequestsPerSecond> {
-    return this.#buckets.get(server)?.dealt.rates(now) ?? new Map<DaemonName, RequestsPerSecond>();
+  /** Permits a second that daemons were granted lately for a server. */
+  grantRates(server: ServerId, now: Milliseconds): Map<DaemonName, RequestsPerSecond> {
+    return this.#buckets.get(server)?.grants.rates(now) ?? new Map<DaemonName, RequestsPerSecond>();
   }
 }
--- a/src/router/limits/permit-exchange.ts
+++ b/src/router/limits/permit-exchange.ts
@@ -1,6 +1,6 @@
 /**
- * Asks the leader for places at servers with limits, passes such wishes and their answers on along the tree, and deals places out as the leader.
- * Each leader deals only the part of the daemons that report to it: two of them, or one beside daemons that are cut off and take equal shares,
+ * Asks the leader for permits for servers with limits, passes such requests and their answers on along the tree, and grants permits as the leader.
+ * Each leader grants only the part of the daemons that report to it: two of them, or one beside daemons that are cut off and take equal shares,
  * pass no limit together.
  */
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
@@ -15,16 +15,16 @@
 
 /** A leader that left an ask unanswered is asked again this often. */
 const PROBE_INTERVAL: Milliseconds = 500;
-/** Numbers no request: the ask only finds out whether permits are dealt out again. */
+/** Numbers no request: the ask only finds out whether permits are granted again. */
 const PROBE_REQUEST = 0;
 
 /** What this daemon may send to a server, or null: the server has no limit. */
 export function limitShareOf(state: RouterState, server: ServerId): LimitShare | null {
   const rate = state.limits.of(server);
-  return rate === null ? null : { rate, daemons: state.daemons, isDealt: isDealt(state) };
+  return rate === null ? null : { rate, daemons: state.daemons, hasGrants: hasGrants(state) };
 }
 
-function isDealt({ leadership, tree, permitContact }: RouterState): boolean {
+function hasGrants({ leadership, tree, permitContact }: RouterState): boolean {
   return leadership !== null || (tree.parent !== null && !permitContact.isSilent);
 }
 
@@ -52,12 +52,12 @@
   });
 }
 
-/** Deals it, or passes it on. Returns answers for this daemon's own requests: others that waited may be answered, too. */
+/** Answers it as the leader, or passes it on. Returns answers for this daemon's own requests: others that waited may be answered, too. */
 function passOn(context: RouterContext, ask: PermitAsk): PermitAnswer[] {
   const { leadership } = context.state;
   if (leadership !== null) {
-    const rate = dealtRate(context, ask.server);
-    return route(context, leadership.permitDealer.ask(ask, rate, context.now));
+    const rate = refillRate(context, ask.server);
+    return route(context, leadership.permitBuckets.ask(ask, rate, context.now));
   }
   context.emit({ kind: 'sendToParent', message: ask });
   return [];
@@ -99,18 +99,18 @@
   }
 }
 
-/** Places of a server that are dealt out here a second; null: it has no limit. */
-function dealtRate({ state, now }: RouterContext, server: ServerId): RequestsPerSecond | null {
+/** Permits for a server that this leader grants a second; null: it has no limit. */
+function refillRate({ state, now }: RouterContext, server: ServerId): RequestsPerSecond | null {
   const limit = state.limits.of(server);
   const reached = Math.min(1, (1 + daemonsBelow(state.tree, now)) / state.daemons);
   return limit === null ? null : usedRate(limit) * reached;
 }
 
-/** Deals out what has become free. Returns answers for this daemon's own requests. */
-export function tickDealer(context: RouterContext, { permitDealer }: Leadership): PermitAnswer[] {
+/** Grants permits that have become free. Returns answers for this daemon's own requests. */
+export function tickPermitBuckets(context: RouterContext, { permitBuckets }: Leadership): PermitAnswer[] {
   return route(
     context,
-    permitDealer.tick((server) => dealtRate(context, server), context.now),
+    permitBuckets.tick((server) => refillRate(context, server), context.now),
   );
 }
 
@@ -132,12 +132,12 @@
   }
 }
 
-/** Another parent: it may deal permits out. */
+/** Another parent: it may grant permits. */
 export function noteNewParent({ state }: RouterContext): void {
   state.permitContact.isSilent = false;
 }
 
-/** After a suspension: what was dealt out may be another daemon's by now. */
+/** After a suspension: permits that were granted may be another daemon's by now. */
 export function dropPermits({ state }: RouterContext): void {
   state.servers.forEach(({ permits }) => permits.clear());
 }
--- a/src/router/limits/permit-messages.ts
+++ b/src/router/limits/permit-messages.ts
@@ -1,4 +1,4 @@
-/** What daemons ask of the one that deals out the places of limited servers, and what it answers. */
+/** Requests for permits to the daemon that keeps the token buckets of limited servers, and its answers. */
 import type { DaemonName, Milliseconds, ServerId } from '../model/identifiers.js';
 
 /** A daemon wants to send one request to a server with a limit. */
--- a/src/router/limits/permits.ts
+++ b/src/router/limits/permits.ts
@@ -1,10 +1,10 @@
 /**
  * One daemon's permits for one server with a limit: those it has, those it has asked for, and what it was told of the next place. Without whoever
- * deals permits out, it sends in turns of an equal share instead.
+ * grants permits, it sends in turns of an equal share instead.
  */
 import type { Milliseconds } from '../model/identifiers.js';
 import { Turns } from '../sharing/turns.js';
-import { type LimitShare, undealtInterval } from './limit-share.js';
+import { type LimitShare, equalShareInterval } from './limit-share.js';
 
 /** A permit is for now: one that was saved up would be a request too many later. */
 const PERMIT_VALIDITY: Milliseconds = 300;
@@ -43,8 +43,8 @@
     if (this.count(now) > 0) {
       return 'free';
     }
-    if (!share.isDealt) {
-      return this.#turns.allows(undealtInterval(share), now) ? 'free' : 'none';
+    if (!share.hasGrants) {
+      return this.#turns.allows(equalShareInterval(share), now) ? 'free' : 'none';
     }
     const isInTime = Math.max(now, this.#nextPlaceAt(seeker.priority)) + ANSWER_MARGIN <= seeker.holdUntil;
     return isInTime ? 'awaited' : 'none';
@@ -52,9 +52,9 @@
 
   /** Time until a place is likely. */
   untilPlace(priority: number, share: LimitShare, now: Milliseconds): Milliseconds {
-    return share.isDealt
+    return share.hasGrants
       ? Math.max(0, this.#nextPlaceAt(priority) - now)
-      : this.#turns.untilNext(undealtInterval(share), now);
+      : this.#turns.untilNext(equalShareInterval(share), now);
   }
 
   /** Permits that may be used now. */
@@ -111,7 +111,7 @@
     return isOverdue;
   }
 
-  /** What was dealt out may be another daemon's by now. */
+  /** Permits that were granted may be another daemon's by now. */
   clear(): void {
     this.#validUntil = [];
     this.#asked.clear();
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -1,6 +1,6 @@
 /** The first moment of a leadership: what is known of former leaders, and the units as they are found. */
 import { RecentLimits } from '../limits/recent-limits.js';
-import { PermitDealer } from '../limits/permit-dealer.js';
+import { PermitBuckets } from '../limits/permit-buckets.js';
 import { RestReports } from '../notices/rest-reports.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
@@ -47,7 +47,7 @@
     calls: new Map(),
     addresses: new Map(),
     rests: new RestReports(),
-    permitDealer: new PermitDealer(),
+    permitBuckets: new PermitBuckets(),
     recentLimits: new RecentLimits(),
     limitProbedAt: new Map(),
     keyLoad: new Map(),
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -6,7 +6,7 @@
 import type { ServerPace } from './server-pace.js';
 import type { RestReports } from '../notices/rest-reports.js';
 import type { RecentLimits } from '../limits/recent-limits.js';
-import type { PermitDealer } from '../limits/permit-dealer.js';
+import type { PermitBuckets } from '../limits/permit-buckets.js';
 import type { LeaderRecord } from './stored-objects.js';
 
 /** Where a unit stands between its former owner and its owner. */
@@ -98,7 +98,7 @@
   /** Owners that asked daemons for rest. */
   readonly rests: RestReports;
   /** Places of servers with limits. */
-  readonly permitDealer: PermitDealer;
+  readonly permitBuckets: PermitBuckets;
   readonly recentLimits: RecentLimits;
   /** When servers with limits that nobody sends to were probed. */
   readonly limitProbedAt: Map<ServerId, Milliseconds>;
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -18,7 +18,7 @@
   noteNewParent,
   receivePermitAsk,
   route,
-  tickDealer,
+  tickPermitBuckets,
   tickPermitContact,
 } from './limits/permit-exchange.js';
 import { receiveServerLimit } from './limits/limit-readings.js';
@@ -136,7 +136,7 @@
     tickReports(context);
   } else {
     tickLeader(context, leadership);
-    takePermitAnswers(context, tickDealer(context, leadership));
+    takePermitAnswers(context, tickPermitBuckets(context, leadership));
     tickLimitProbes(context, leadership);
   }
   tickHeartbeats(context);
--- a/src/router/request/target-rotation.ts
+++ b/src/router/request/target-rotation.ts
@@ -1,5 +1,5 @@
 /**
- * Deals the requests of a route out to its targets by weight: smooth weighted round robin, so that also a
+ * Spreads the requests of a route over its targets by weight: smooth weighted round robin, so that also a
  * short run of requests has each target's share.
  */
 import type { Route } from '../model/configuration.js';
--- a/test/router/limits/test-limit-troubles.ts
+++ b/test/router/limits/test-limit-troubles.ts
@@ -56,7 +56,7 @@
     expectHeld(day, servers);
   });
 
-  it('hold where daemons are cut off from the others: they take equal shares, the leader deals the rest', () => {
+  it('hold where daemons are cut off from the others: they take equal shares, the leader grants the rest', () => {
     const { day, servers } = limited({ servers: 0, plainServers: 6, isPlain: true });
     const cut = day.world.daemons.filter((daemon) => daemon !== leaderOf(day)).slice(0, 5);
     cut.forEach((daemon) => (daemon.peersReachable = false));
--- a/test/router/limits/test-permits.ts
+++ b/test/router/limits/test-permits.ts
@@ -3,8 +3,8 @@
 import type { LimitShare } from '../../../src/router/limits/limit-share.js';
 import { Permits } from '../../../src/router/limits/permits.js';
 
-const DEALT: LimitShare = { rate: 3, daemons: 11, isDealt: true };
-const UNDEALT: LimitShare = { ...DEALT, isDealt: false };
+const GRANTED: LimitShare = { rate: 3, daemons: 11, hasGrants: true };
+const EQUAL_SHARE: LimitShare = { ...GRANTED, hasGrants: false };
 
 function seeker(holdUntil: number, priority = 1): { id: number; priority: number; holdUntil: number } {
   return { id: 1, priority, holdUntil };
@@ -13,8 +13,8 @@
 describe('the permits of a daemon', () => {
   it('are awaited by a request that can wait, and by no other one', () => {
     const permits = new Permits(0);
-    expect(permits.placeFor(seeker(1_100), DEALT, 1_000)).toEqual('awaited');
-    expect(permits.placeFor(seeker(1_010), DEALT, 1_000)).toEqual('none');
+    expect(permits.placeFor(seeker(1_100), GRANTED, 1_000)).toEqual('awaited');
+    expect(permits.placeFor(seeker(1_010), GRANTED, 1_000)).toEqual('none');
   });
 
   it('are each for one request, and for a short time', () => {
@@ -31,17 +31,17 @@
     permits.noteGranted(1, 1_000);
     permits.use(1_010);
     permits.giveBack(1_500);
-    expect(permits.placeFor(seeker(1_500), DEALT, 1_550)).toEqual('free');
+    expect(permits.placeFor(seeker(1_500), GRANTED, 1_550)).toEqual('free');
   });
 
   it('are not asked for before the time that was told, but by more urgent requests', () => {
     const permits = new Permits(0);
     permits.noteDenied(1, 1, 400, 1_000);
-    expect(permits.placeFor(seeker(1_300), DEALT, 1_100)).toEqual('none');
-    expect(permits.placeFor(seeker(1_300, 2), DEALT, 1_100)).toEqual('none');
-    expect(permits.placeFor(seeker(1_300, 0), DEALT, 1_100)).toEqual('awaited');
-    expect(permits.placeFor(seeker(1_500), DEALT, 1_100)).toEqual('awaited');
-    expect(permits.untilPlace(1, DEALT, 1_100)).toEqual(300);
+    expect(permits.placeFor(seeker(1_300), GRANTED, 1_100)).toEqual('none');
+    expect(permits.placeFor(seeker(1_300, 2), GRANTED, 1_100)).toEqual('none');
+    expect(permits.placeFor(seeker(1_300, 0), GRANTED, 1_100)).toEqual('awaited');
+    expect(permits.placeFor(seeker(1_500), GRANTED, 1_100)).toEqual('awaited');
+    expect(permits.untilPlace(1, GRANTED, 1_100)).toEqual(300);
   });
 
   it('are missed when an answer is overdue', () => {
@@ -53,11 +53,11 @@
     expect(permits.isAsked(1)).toEqual(false);
   });
 
-  it('are replaced by turns of an equal share where nobody deals them out', () => {
+  it('are replaced by turns of an equal share where nobody grants them', () => {
     const permits = new Permits(0);
     let sent = 0;
     for (let now = 0; now < 52_300; now += 20) {
-      if (permits.placeFor(seeker(now), UNDEALT, now) === 'free') {
+      if (permits.placeFor(seeker(now), EQUAL_SHARE, now) === 'free') {
         permits.use(now);
         sent += 1;
       }
--- a/test/router/limits/test-unanswered-permits.ts
+++ b/test/router/limits/test-unanswered-permits.ts
@@ -1,5 +1,5 @@
 /*
- * A request that several servers could run waited for a permit for the one with a limit, since it seemed quickest. When the daemon that deals permits out
+ * A request that several servers could run waited for a permit for the one with a limit, since it seemed quickest. When the daemon that grants permits
  * was gone, none came, and the request waited for 63 of the 88 ms that it may be held, with the other servers open all the time.
  */
 import { expect } from 'earl';
--- a/test/router/request/test-server-gates.ts
+++ b/test/router/request/test-server-gates.ts
@@ -36,7 +36,7 @@
     forgivenFailures: 0,
     coldInterval: 60_000,
     mostInFlight: 5,
-    shareOf: () => (rate === null ? null : { rate, daemons: 11, isDealt: true }),
+    shareOf: () => (rate === null ? null : { rate, daemons: 11, hasGrants: true }),
     seeker: { id: 1, priority: 1, holdUntil: now + 100 },
   };
 }
