--- a/src/router-runtime/request-intake.ts
+++ b/src/router-runtime/request-intake.ts
@@ -8,7 +8,7 @@
 
 /** Requests that are too late are ended for this long before the sockets are polled again. */
 const SLICE: Milliseconds = 10;
-/** Others are taken in for as long as the poll before has lasted, within these bounds: reading must not crowd out the work. */
+/** Others are taken in for as long as has passed since the last slice, within these bounds: reading must not crowd out the work. */
 const LONGEST_SLICE: Milliseconds = 100;
 /** A daemon is behind when its oldest request has waited for longer than this. */
 const LONGEST_WAIT_IN_ORDER: Milliseconds = 50;
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -16,11 +16,7 @@
 import { reduce } from '../router/reducer.js';
 import type { RouterBounds } from '../router/router-bounds.js';
 import type { RouterSettings } from '../router/router-settings.js';
-import {
-  createRouterState,
-  missingForCallers,
-  type RouterState,
-} from '../router/router-state.js';
+import { createRouterState, missingForCallers, type RouterState } from '../router/router-state.js';
 import { CallerFront } from './caller-front.js';
 import { EventLog } from './event-log.js';
 import { listen } from './listen.js';
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -18,7 +18,7 @@
 /** A request that comes before the first configuration is held for this long: it is read soon after the start. */
 const START_HOLD: Milliseconds = 120;
 /** A request must have been read within this part of its latency objective: its answer comes through the same loop, and waits as long. */
-export const READ_PART = 0.5;
+const READ_PART = 0.5;
 /** Callers whose requests were read too late come back after these parts of the latency objective: not all at once. */
 const LEAST_LATE_RETRY_PART = 0.25;
 const LATE_RETRY_SPREAD = 0.5;
