A loop that is on time does without the extra poll

What a loop that is on time reads has come within the last ticks, so that a request on a connection that was used before is taken in at once, and attempts are written at once: each extra turn is a call to the system and a wake-up. A new connection's first request still waits for a poll, since nobody knows how long the connection had waited to be accepted.

--- a/src/event-loop/poll-barrier.ts
+++ b/src/event-loop/poll-barrier.ts
@@ -25,6 +25,7 @@
   /** All that was received before this time has been read. */
   #readUntil: Milliseconds = Number.NEGATIVE_INFINITY;
   #isScheduled = false;
+  #isOnTime: () => boolean = () => false;
   /** The poll under way has accepted a connection. */
   #hasAccepted = false;
   /** When the polls began that have accepted connections without work between them. */
@@ -47,9 +48,14 @@
     this.#schedule();
   }
 
+  /** @param isOnTime whether the loop is known to have polled the sockets a short time ago */
+  watchLoop(isOnTime: () => boolean): void {
+    this.#isOnTime = isOnTime;
+  }
+
   /** Runs an action as soon as the sockets were polled a short time ago: at once if they were. */
   whenFresh(action: Action): void {
-    if (this.#now() - this.#readUntil <= LONGEST_STALENESS) {
+    if (this.#isOnTime() || this.#now() - this.#readUntil <= LONGEST_STALENESS) {
       action();
     } else {
       this.afterPoll(() => this.whenFresh(action));
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -30,14 +30,21 @@
 const BAD_REQUEST = 400;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+/** How the event loop is doing now. */
+export interface LoopState {
+  /** How long a request that is read now may have waited unread. */
+  readDelay(): Milliseconds;
+  /** It has polled its sockets a short time ago. */
+  isOnTime(): boolean;
+}
+
 /** What a front works with. */
 export interface CallerFrontParts {
   readonly protocol: RequestProtocol;
   readonly connections: ServerConnections;
   readonly barrier: PollBarrier;
   readonly dispatch: (event: RouterEvent) => void;
-  /** How long a request that is read now may have waited unread. */
-  readonly readDelay: () => Milliseconds;
+  readonly loop: LoopState;
   /** How long a request may wait unread and still be answered in time; null: it has no route. */
   readonly longestReadDelay: (host: string, target: string) => Milliseconds | null;
 }
@@ -62,12 +69,13 @@
   readonly #protocol: RequestProtocol;
   readonly #connections: ServerConnections;
   readonly #dispatch: (event: RouterEvent) => void;
-  readonly #readDelay: () => Milliseconds;
+  readonly #loop: LoopState;
   readonly #barrier: PollBarrier;
   readonly #longestReadDelay: (incoming: IncomingMessage) => Milliseconds;
   readonly #intake: RequestIntake<number>;
   /** Of each open connection of a caller, the requests that have not ended: several when they came at once. */
   readonly #requestsOf = new WeakMap<Socket, Set<number>>();
+  readonly #usedConnections = new WeakSet<Socket>();
   readonly #exchanges = new Map<number, Exchange>();
   readonly #notForwarded: ReadonlySet<string>;
   #nextRequestId = 1;
@@ -75,11 +83,11 @@
   #closing = false;
 
   constructor(parts: CallerFrontParts) {
-    const { protocol, connections, barrier, dispatch, readDelay, longestReadDelay } = parts;
+    const { protocol, connections, barrier, dispatch, loop, longestReadDelay } = parts;
     this.#protocol = protocol;
     this.#connections = connections;
     this.#dispatch = dispatch;
-    this.#readDelay = readDelay;
+    this.#loop = loop;
     this.#barrier = barrier;
     this.#longestReadDelay = (incoming) =>
       longestReadDelay(incoming.headers.host ?? '', incoming.url ?? '/') ?? Number.POSITIVE_INFINITY;
@@ -192,7 +200,20 @@
     this.#exchanges.set(requestId, exchange);
     this.#requestsOf.get(incoming.socket)?.add(requestId);
     outgoing.on('finish', () => this.#forget(requestId, exchange));
-    this.#intake.add(requestId, this.#readDelay(), this.#longestReadDelay(incoming));
+    const isFirst = this.#isFirstOf(incoming.socket);
+    if (!isFirst && this.#intake.isEmpty && this.#loop.isOnTime()) {
+      // Nothing can lie behind it that is older than the loop's usual delay.
+      this.#takeIn(requestId, this.#loop.readDelay());
+    } else {
+      this.#intake.add(requestId, this.#loop.readDelay(), this.#longestReadDelay(incoming));
+    }
+  }
+
+  /** Whether a connection has had no request before: nobody knows how long it had waited to be accepted. */
+  #isFirstOf(socket: Socket): boolean {
+    const isFirst = !this.#usedConnections.has(socket);
+    this.#usedConnections.add(socket);
+    return isFirst;
   }
 
   #takeIn(requestId: number, readDelay: Milliseconds): void {
--- a/src/router-runtime/loop-monitor.ts
+++ b/src/router-runtime/loop-monitor.ts
@@ -5,6 +5,8 @@
 import type { RouterEvent } from '../router/events.js';
 import type { Milliseconds } from '../router/model/identifiers.js';
 
+/** Delays up to this are those of a loop that is on time. */
+const USUAL_DELAY: Milliseconds = 10;
 /** A tick that is this late begins a spell in which the daemon counts as behind. */
 const BEHIND: Milliseconds = 100;
 /** The spell ends when no tick has been this late for {@link CALM}. */
@@ -51,8 +53,8 @@
     this.#listener = listener;
   }
 
-  /** The regular tick begins. Returns by how much it is late. */
-  noteTick(now: Milliseconds): Milliseconds {
+  /** The regular tick begins. */
+  noteTick(now: Milliseconds): void {
     this.#delay = this.#tickedAt === null ? 0 : Math.max(0, now - this.#tickedAt - this.#interval);
     this.#tickedAt = now;
     this.#listener.delayed(this.#delay);
@@ -64,7 +66,6 @@
     } else if (this.#behindSince !== null && now - this.#lastLateAt >= CALM) {
       this.#endSpell(this.#behindSince);
     }
-    return this.#delay;
   }
 
   /** An event was handled. */
@@ -78,6 +79,11 @@
     return this.#delay + sinceTick;
   }
 
+  /** Whether the loop has polled its sockets within the last two intervals or so. */
+  isOnTime(now: Milliseconds): boolean {
+    return this.unreadFor(now) <= USUAL_DELAY;
+  }
+
   #noteLate(now: Milliseconds): void {
     this.#longest = Math.max(this.#longest, this.#delay);
     if (this.#behindSince === null) {
--- a/src/router-runtime/regular-tick.ts
+++ b/src/router-runtime/regular-tick.ts
@@ -7,8 +7,6 @@
 
 /** Milliseconds between two ticks. */
 export const TICK_INTERVAL_MILLISECONDS = 20;
-/** A tick that is later than this waits for the sockets. */
-const LONGEST_DELAY_MILLISECONDS = 10;
 
 export class RegularTick {
   readonly #monitor: LoopMonitor;
@@ -35,11 +33,12 @@
   }
 
   #tick(): void {
-    const delay = this.#monitor.noteTick(performance.now());
+    const now = performance.now();
+    this.#monitor.noteTick(now);
     if (this.#isWaiting) {
       return;
     }
-    if (delay < LONGEST_DELAY_MILLISECONDS) {
+    if (this.#monitor.isOnTime(now)) {
       this.#action();
       return;
     }
--- a/src/router-runtime/request-intake.ts
+++ b/src/router-runtime/request-intake.ts
@@ -45,6 +45,11 @@
     this.#take = take;
   }
 
+  /** No request waits. */
+  get isEmpty(): boolean {
+    return this.#read.length === 0 && this.#waiting.length === 0;
+  }
+
   /**
    * A request was read.
    *
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -82,7 +82,10 @@
       connections: this.#connections,
       barrier: this.#barrier,
       dispatch: (event) => this.dispatch(event),
-      readDelay: () => this.#loop.unreadFor(performance.now()),
+      loop: {
+        readDelay: () => this.#loop.unreadFor(performance.now()),
+        isOnTime: () => this.#loop.isOnTime(performance.now()),
+      },
       longestReadDelay: (host, target) => longestReadDelay(this.state, host, target),
     });
     this.#peers = new PeerLinks({
@@ -103,6 +106,7 @@
     this.#loop = this.#createLoopMonitor();
     this.#tick = new RegularTick(this.#loop, this.#barrier, () => this.dispatch({ kind: 'tick' }));
     this.#barrier.watch(this.#readiness);
+    this.#barrier.watchLoop(() => this.#loop.isOnTime(performance.now()));
     this.#metrics = new RouterMetrics(this.state, this.#loop.eventTimes);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
