After a suspension a loop is not on time until its sockets have been polled

Cause: the shortcut for a loop that is on time judged by the steady clock, which stands still during a suspension, so that what had come meanwhile was taken for fresh. Now the monitor, the barrier and the intake go by the daemon's clock, and a suspension that this clock notices, counted or not, makes all that was read before it old, and the loop late for two ticks.

--- a/src/clock/daemon-clock.ts
+++ b/src/clock/daemon-clock.ts
@@ -67,6 +67,11 @@
     return steady + this.#counted;
   }
 
+  /** As takeSuspension, without taking it. */
+  get suspension(): Suspension | null {
+    return this.#suspension;
+  }
+
   /** A suspension that was noticed when the clock was last read, and not yet taken; or null. */
   takeSuspension(): Suspension | null {
     const suspension = this.#suspension;
--- a/src/event-loop/poll-barrier.ts
+++ b/src/event-loop/poll-barrier.ts
@@ -5,6 +5,7 @@
  * connection of each listening socket: while some were accepted, further polls come before the work, or the others would wait a whole turn each.
  */
 import type { Server } from 'node:net';
+import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { Milliseconds } from '../router/model/identifiers.js';
 
 /** What was read this long ago still counts as the present state of a connection. */
@@ -42,6 +43,11 @@
     });
   }
 
+  /** The machine was suspended: nothing that was read before is fresh, whether or not the clock has counted that time. */
+  noteSuspension(): void {
+    this.#readUntil = Number.NEGATIVE_INFINITY;
+  }
+
   /** Runs an action after the next whole poll. */
   afterPoll(action: Action): void {
     this.#added.push(action);
@@ -103,4 +109,4 @@
 }
 
 /** That of this process's loop. */
-export const PROCESS_BARRIER = new PollBarrier();
+export const PROCESS_BARRIER = new PollBarrier(() => PROCESS_CLOCK.now());
--- a/src/router-runtime/caller-front.ts
+++ b/src/router-runtime/caller-front.ts
@@ -93,7 +93,7 @@
       longestReadDelay(incoming.headers.host ?? '', incoming.url ?? '/') ?? Number.POSITIVE_INFINITY;
     this.#intake = new RequestIntake(
       barrier,
-      () => performance.now(),
+      () => PROCESS_CLOCK.now(),
       (requestId, waited) => this.#takeIn(requestId, waited),
     );
     this.#notForwarded = new Set([protocol.timeLeft, protocol.expectedServer]);
--- a/src/router-runtime/loop-monitor.ts
+++ b/src/router-runtime/loop-monitor.ts
@@ -7,6 +7,8 @@
 
 /** Delays up to this are those of a loop that is on time. */
 const USUAL_DELAY: Milliseconds = 10;
+/** Ticks after a suspension until the sockets have been polled: the first may come before that. */
+const TICKS_AFTER_SUSPENSION = 2;
 /** A tick that is this late begins a spell in which the daemon counts as behind. */
 const BEHIND: Milliseconds = 100;
 /** The spell ends when no tick has been this late for {@link CALM}. */
@@ -42,6 +44,9 @@
   readonly #listener: LoopMonitorListener;
   #tickedAt: Milliseconds | null = null;
   #delay: Milliseconds = 0;
+  /** The machine was suspended for this long, and the sockets may not have been polled since. */
+  #suspended: Milliseconds = 0;
+  #ticksUntilPolled = 0;
   #behindSince: Milliseconds | null = null;
   #lastLateAt: Milliseconds = 0;
   #longest: Milliseconds = 0;
@@ -57,6 +62,7 @@
   noteTick(now: Milliseconds): void {
     this.#delay = this.#tickedAt === null ? 0 : Math.max(0, now - this.#tickedAt - this.#interval);
     this.#tickedAt = now;
+    this.#ticksUntilPolled = Math.max(0, this.#ticksUntilPolled - 1);
     this.#listener.delayed(this.#delay);
     if (this.#delay >= BEHIND) {
       this.#noteLate(now);
@@ -68,6 +74,12 @@
     }
   }
 
+  /** The machine was suspended: what came meanwhile lies unread, whether or not the clock has counted that time. */
+  noteSuspension(length: Milliseconds): void {
+    this.#suspended = length;
+    this.#ticksUntilPolled = TICKS_AFTER_SUSPENSION;
+  }
+
   /** An event was handled. */
   noteEvent(kind: EventKind, duration: Milliseconds): void {
     this.eventTimes.set(kind, (this.eventTimes.get(kind) ?? 0) + duration);
@@ -76,7 +88,8 @@
   /** The longest that anything read now can have waited unread, known to one interval. */
   unreadFor(now: Milliseconds): Milliseconds {
     const sinceTick = this.#tickedAt === null ? 0 : Math.max(0, now - this.#tickedAt - this.#interval);
-    return this.#delay + sinceTick;
+    const delay = this.#delay + sinceTick;
+    return this.#ticksUntilPolled > 0 ? Math.max(delay, this.#suspended) : delay;
   }
 
   /** Whether the loop has polled its sockets within the last two intervals or so. */
--- a/src/router-runtime/regular-tick.ts
+++ b/src/router-runtime/regular-tick.ts
@@ -2,6 +2,7 @@
  * The regular tick by which a daemon learns that time has passed. Timers run before sockets are polled: after a long turn, answers and messages that came
  * in time still lie there unread, so that a late tick waits until they have been read.
  */
+import type { Milliseconds } from '../router/model/identifiers.js';
 import type { LoopMonitor } from './loop-monitor.js';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 
@@ -11,14 +12,16 @@
 export class RegularTick {
   readonly #monitor: LoopMonitor;
   readonly #barrier: PollBarrier;
+  readonly #now: () => Milliseconds;
   readonly #action: () => void;
   #isWaiting = false;
   #timer: NodeJS.Timeout | undefined;
 
   /** @param action is run at each tick */
-  constructor(monitor: LoopMonitor, barrier: PollBarrier, action: () => void) {
+  constructor(monitor: LoopMonitor, barrier: PollBarrier, now: () => Milliseconds, action: () => void) {
     this.#monitor = monitor;
     this.#barrier = barrier;
+    this.#now = now;
     this.#action = action;
   }
 
@@ -33,7 +36,7 @@
   }
 
   #tick(): void {
-    const now = performance.now();
+    const now = this.#now();
     this.#monitor.noteTick(now);
     if (this.#isWaiting) {
       return;
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -10,6 +10,7 @@
 import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
+import type { Milliseconds } from '../router/model/identifiers.js';
 import type { Platform } from '../router/ports.js';
 import { watchTime } from '../router/news/news-timing.js';
 import { longestReadDelay } from '../router/request/request-arrival.js';
@@ -83,8 +84,8 @@
       barrier: this.#barrier,
       dispatch: (event) => this.dispatch(event),
       loop: {
-        readDelay: () => this.#loop.unreadFor(performance.now()),
-        isOnTime: () => this.#loop.isOnTime(performance.now()),
+        readDelay: () => this.#loop.unreadFor(this.#now()),
+        isOnTime: () => this.#loop.isOnTime(this.#now()),
       },
       longestReadDelay: (host, target) => longestReadDelay(this.state, host, target),
     });
@@ -104,9 +105,14 @@
       response.writeHead(known && missing === null ? OK : UNAVAILABLE).end();
     });
     this.#loop = this.#createLoopMonitor();
-    this.#tick = new RegularTick(this.#loop, this.#barrier, () => this.dispatch({ kind: 'tick' }));
+    this.#tick = new RegularTick(
+      this.#loop,
+      this.#barrier,
+      () => this.#now(),
+      () => this.dispatch({ kind: 'tick' }),
+    );
     this.#barrier.watch(this.#readiness);
-    this.#barrier.watchLoop(() => this.#loop.isOnTime(performance.now()));
+    this.#barrier.watchLoop(() => this.#loop.isOnTime(this.#now()));
     this.#metrics = new RouterMetrics(this.state, this.#loop.eventTimes);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
@@ -140,6 +146,17 @@
     this.#tick.start();
   }
 
+  /** The time; a suspension that shows in it is told to those who judge what was read. */
+  #now(): Milliseconds {
+    const now = PROCESS_CLOCK.now();
+    const { suspension } = PROCESS_CLOCK;
+    if (suspension !== null) {
+      this.#loop.noteSuspension(suspension.length);
+      this.#barrier.noteSuspension();
+    }
+    return now;
+  }
+
   /** Takes one event through the reducer and performs the effects. */
   dispatch(event: RouterEvent): void {
     const startedAt = performance.now();
@@ -148,7 +165,7 @@
   }
 
   #handle(event: RouterEvent): void {
-    const now = PROCESS_CLOCK.now();
+    const now = this.#now();
     const suspension = PROCESS_CLOCK.takeSuspension();
     if (suspension !== null) {
       this.#reduce(now, { kind: 'resumed', ...suspension });
--- a/test/router-runtime/test-loop-monitor.ts
+++ b/test/router-runtime/test-loop-monitor.ts
@@ -50,6 +50,19 @@
     ]);
   });
 
+  // A request was taken for fresh that had come while the machine was suspended, on a clock that stood still.
+  it('is not on time after a suspension until the sockets have been polled', () => {
+    const loop = new MonitoredLoop();
+    loop.tickAfter(INTERVAL, 2);
+    expect(loop.monitor.isOnTime(loop.now)).toEqual(true);
+    loop.monitor.noteSuspension(800);
+    loop.tickAfter(INTERVAL);
+    expect(loop.monitor.isOnTime(loop.now)).toEqual(false);
+    expect(loop.monitor.unreadFor(loop.now)).toEqual(800);
+    loop.tickAfter(INTERVAL);
+    expect(loop.monitor.isOnTime(loop.now)).toEqual(true);
+  });
+
   it('says nothing of delays that are short', () => {
     const loop = new MonitoredLoop();
     loop.tickAfter(INTERVAL + 60, 100);
--- a/test/support/held-up-front.ts
+++ b/test/support/held-up-front.ts
@@ -75,7 +75,12 @@
     fellBehind: () => undefined,
     caughtUp: () => undefined,
   });
-  readonly #tick = new RegularTick(this.#monitor, this.#barrier, () => this.events.push({ kind: 'tick' }));
+  readonly #tick = new RegularTick(
+    this.#monitor,
+    this.#barrier,
+    () => performance.now(),
+    () => this.events.push({ kind: 'tick' }),
+  );
   /** Where the loop is still to be held up. */
   #heldAt: HeldAt | null = null;
   #heldFor = 0;
