--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -8,7 +8,6 @@
 import type { PeerMessage } from '../../../src/router/peers/messages.js';
 import { watchTime } from '../../../src/router/news/store-watch-timing.js';
 import { reduce } from '../../../src/router/reducer.js';
-import type { DaemonClock } from '../../../src/clock/daemon-clock.js';
 import { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import {
@@ -18,6 +17,8 @@
   CHECKED_KEYS,
   type CallFaults,
 } from './simulated-server.js';
+import { PeerLinks } from './peer-links.js';
+import type { RequestEffectHandler, SimulatedDaemon } from './simulated-daemon.js';
 import { SimulatedFeed } from './simulated-feed.js';
 import { type BootClock, SimulatedMachine, ORDINARY_BOOT_CLOCK } from './simulated-machine.js';
 import { SimulatedStore } from './simulated-store.js';
@@ -26,44 +27,22 @@
 import { CONFIGURATION, KEYED_SERVICE } from './simulation-configuration.js';
 
 export { CONFIGURATION, KEYED_SERVICE as SERVICE };
+export type { RequestEffectHandler, SimulatedDaemon };
 
 const TICK = 20;
-const LINK_DELAY = 1;
 /** Interval in milliseconds at which a link is checked and, if broken, opened again. */
 const LINK_RETRY = 150;
 /** Number of the link on which a daemon receives its parent's messages. */
 const PARENT_LINK_NUMBER = -1;
 /** Outcomes of a control call for which the intended server responded. */
 const ANSWERED_OUTCOMES: ReadonlySet<string> = new Set(['accepted', 'higherFence', 'rejected']);
-/** A daemon with the state of its current incarnation. */
-export interface SimulatedDaemon {
-  readonly name: string;
-  readonly address: string;
-  state: RouterState;
-  life: number;
-  alive: boolean;
-  /** Whether other daemons can reach this daemon. */
-  peersReachable: boolean;
-  /** Whether the daemon can reach the store. */
-  storeReachable: boolean;
-  /** The process is paused until this time; events for it wait. */
-  pausedUntil: number;
-  readonly machine: SimulatedMachine;
-  clock: DaemonClock;
-  parentAddress: string | null;
-  /** The lists and watches of the daemon in the store; null before its first start. */
-  feeds: StoreFeeds | null;
-}
-
-/** Performs the effects that concern callers' requests. */
-export interface RequestEffectHandler {
-  perform(daemon: SimulatedDaemon, effect: Effect): void;
-}
 
 export class RouterSimulation {
   readonly clock = new VirtualClock();
   readonly random: SeededRandom;
   readonly store: SimulatedStore;
+  /** The links between daemons. */
+  readonly links = new PeerLinks(this.clock);
   readonly checker = new OwnerChecker();
   readonly servers: SimulatedServer[] = [];
   readonly daemons: SimulatedDaemon[] = [];
@@ -288,8 +267,9 @@
     if (!daemon.alive || daemon.life !== life) {
       return;
     }
-    if (daemon.pausedUntil > this.clock.now) {
-      this.clock.schedule(daemon.pausedUntil - this.clock.now, () => this.#deliver(daemon, life, event));
+    const wait = Math.max(daemon.pausedUntil - this.clock.now, daemon.machine.timeUntilTurn());
+    if (wait > 0) {
+      this.clock.schedule(wait, () => this.#deliver(daemon, life, event));
       return;
     }
     daemon.clock.now();
@@ -381,7 +361,7 @@
     if (parent !== undefined) {
       const { life } = parent;
       const link = this.daemons.indexOf(daemon);
-      this.clock.schedule(LINK_DELAY, () => this.#deliver(parent, life, { kind: 'peerLeft', link }));
+      this.links.send(daemon, parent, () => this.#deliver(parent, life, { kind: 'peerLeft', link }));
     }
   }
 
@@ -394,13 +374,12 @@
       this.#closeLink(daemon, address);
       return;
     }
-    const listens =
-      daemon.peersReachable &&
-      this.daemons.some((other) => other.address === address && other.alive && other.peersReachable);
+    const parent = this.daemons.find((other) => other.address === address);
+    const listens = daemon.peersReachable && parent?.alive === true && parent.peersReachable;
     if (!listens) {
       this.#deliver(daemon, life, { kind: 'parentLinkClosed', address, refused: !wasOpen });
     } else if (!wasOpen) {
-      this.clock.schedule(LINK_DELAY, () => this.#deliver(daemon, life, { kind: 'parentLinkOpened' }));
+      this.#sendToChild(parent, daemon, { kind: 'parentLinkOpened' });
     }
     this.clock.schedule(LINK_RETRY, () => this.#checkLink(daemon, life, address, listens));
   }
@@ -408,11 +387,23 @@
   #sendMessage(from: SimulatedDaemon, to: SimulatedDaemon, link: number, message: PeerMessage): void {
     const { life } = to;
     const isOpen = from.peersReachable && to.peersReachable;
-    if (isOpen) {
-      this.clock.schedule(LINK_DELAY, () => this.#deliver(to, life, { kind: 'peerMessage', link, message }));
+    if (isOpen && link === PARENT_LINK_NUMBER) {
+      this.#sendToChild(from, to, { kind: 'peerMessage', link, message });
+    } else if (isOpen) {
+      this.links.send(from, to, () => this.#deliver(to, life, { kind: 'peerMessage', link, message }));
     }
   }
 
+  /** Delivers an event to a child. An event that is still on a slow link when the child closes the link is lost. */
+  #sendToChild(parent: SimulatedDaemon, child: SimulatedDaemon, event: RouterEvent): void {
+    const { life } = child;
+    this.links.send(parent, child, () => {
+      if (child.parentAddress === parent.address || !this.links.isDelayed(parent, child)) {
+        this.#deliver(child, life, event);
+      }
+    });
+  }
+
   /** Returns the checked keys that no server would serve now. */
   unservedKeys(): number[] {
     return CHECKED_KEYS.filter((key) => !this.servers.some((server) => server.holds(key)));
--- /dev/null
+++ b/test/router/support/simulated-daemon.ts
@@ -0,0 +1,31 @@
+/** A simulated daemon as tests and simulated traffic see it. */
+import type { DaemonClock } from '../../../src/clock/daemon-clock.js';
+import type { Effect } from '../../../src/router/effects.js';
+import type { RouterState } from '../../../src/router/router-state.js';
+import type { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
+import type { SimulatedMachine } from './simulated-machine.js';
+
+/** A daemon with the state of its current incarnation. */
+export interface SimulatedDaemon {
+  readonly name: string;
+  readonly address: string;
+  state: RouterState;
+  life: number;
+  alive: boolean;
+  /** Whether other daemons can reach this daemon. */
+  peersReachable: boolean;
+  /** Whether the daemon can reach the store. */
+  storeReachable: boolean;
+  /** The process is paused until this time; events for it wait. */
+  pausedUntil: number;
+  readonly machine: SimulatedMachine;
+  clock: DaemonClock;
+  parentAddress: string | null;
+  /** The lists and watches of the daemon in the store; null before its first start. */
+  feeds: StoreFeeds | null;
+}
+
+/** Performs the effects that concern callers' requests. */
+export interface RequestEffectHandler {
+  perform(daemon: SimulatedDaemon, effect: Effect): void;
+}
--- a/test/router/support/simulated-machine.ts
+++ b/test/router/support/simulated-machine.ts
@@ -15,12 +15,32 @@
 
 export class SimulatedMachine {
   readonly #time: VirtualClock;
+  #loopInterval = 0;
+  #loopPhase = 0;
   readonly #suspensions: { readonly from: number; readonly until: number }[] = [];
 
   constructor(time: VirtualClock) {
     this.#time = time;
   }
 
+  /** Makes the process handle events only once in an interval in milliseconds, at a phase of it; 0: at once. */
+  slowDown(interval: number, phase = 0): void {
+    this.#loopInterval = interval;
+    this.#loopPhase = phase;
+  }
+
+  /** Whether the process handles events only at intervals. */
+  get isSlow(): boolean {
+    return this.#loopInterval > 0;
+  }
+
+  /** Returns the time in milliseconds until the process handles events. */
+  timeUntilTurn(): number {
+    const { now } = this.#time;
+    const turn = Math.ceil((now - this.#loopPhase) / this.#loopInterval) * this.#loopInterval;
+    return this.isSlow ? turn + this.#loopPhase - now : 0;
+  }
+
   /** Suspends the machine from now until the given virtual time. */
   suspend(until: number): void {
     this.#suspensions.push({ from: this.#time.now, until });
