Logs: the age of the data by which a server was chosen, and how long the data before a change was unconfirmed

The record of the incident can't tell whether a daemon that sent a request to a draining server had not heard of it, nor for how long its data had been unconfirmed: lines of requests name versions only, and lines of servers don't say how late they are. Lines of requests survive in what is kept of a log, so data_age goes there; unconfirmed goes into server_added, _draining, _ready and _gone. No logic changes.

--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -7,7 +7,7 @@
 }
 
 const REQUEST_FIELDS =
-  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; read_delay (ms that the request may have waited unread because the event loop was behind); fingerprint (the same for each attempt of one request, at any daemon) if the connection of an attempt closed before its response';
+  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; data_age (ms, of the data of the store by which the last server was chosen) if one was chosen; read_delay (ms that the request may have waited unread because the event loop was behind); fingerprint (the same for each attempt of one request, at any daemon) if the connection of an attempt closed before its response';
 
 /** All events, in the order of the page. */
 export const LOG_EVENTS = {
@@ -65,7 +65,8 @@
   servers_listed: { when: 'the first list of servers was received', fields: 'servers (how many), revision' },
   server_added: {
     when: 'a server is added to the list',
-    fields: 'server, service, address, zone, slots, revision',
+    fields:
+      'server, service, address, zone, slots, revision, unconfirmed (ms since the data before this change was confirmed)',
   },
   server_draining: { when: 'a server is draining: it gets no new work', fields: 'as of server_added' },
   server_ready: { when: 'a draining server accepts work again', fields: 'as of server_added' },
@@ -96,7 +97,10 @@
     when: 'a server of a service states a rate limit that cannot be parsed, logged once for each service: the current limit stays',
     fields: 'server, service, found',
   },
-  server_gone: { when: 'a server is removed from the list', fields: 'server, service, revision' },
+  server_gone: {
+    when: 'a server is removed from the list',
+    fields: 'server, service, revision, unconfirmed',
+  },
   zone_evacuated: {
     when: 'operators evacuate a zone: its servers get no more requests',
     fields: 'zone, revision',
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -34,6 +34,8 @@
   /** Server of the attempt in flight, or null while the request is held. */
   server: ServerId | null;
   attemptStartedAt: Milliseconds;
+  /** Age of the store's data by which the server of the latest attempt was chosen. */
+  dataAge: Milliseconds;
   /** Whether the server was estimated to have a free slot when the attempt was sent. */
   sentToFreeSlot: boolean;
   /** Whether the attempt in flight used a permit of its server's rate limit. */
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -149,6 +149,7 @@
     attemptNumber: 0,
     server: null,
     attemptStartedAt: 0,
+    dataAge: 0,
     sentToFreeSlot: false,
     usedPermit: false,
     retryAt: 0,
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -5,6 +5,7 @@
 import type { RequestOutcome } from '../effects.js';
 import type { LogEventName } from '../log-events.js';
 import type { Milliseconds } from '../model/identifiers.js';
+import { storeDataAge } from '../news/store-data-age.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer, RouterState } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
@@ -113,6 +114,7 @@
   request.attemptNumber += 1;
   request.server = known.server.id;
   request.attemptStartedAt = context.now;
+  request.dataAge = storeDataAge(context);
   request.sentToFreeSlot = known.load.estimatedInFlight(context.now) < known.server.slots;
   if (request.key === null) {
     request.triedServers.push(known.server.id);
@@ -179,6 +181,7 @@
     configuration: state.configuration?.version ?? null,
     ownership: request.key === null ? null : `${state.ownershipView.term}.${state.ownershipView.sequence}`,
     servers: state.serversRevision,
+    ...(request.attemptNumber > 0 ? { data_age: Math.round(request.dataAge) } : {}),
     attempts: request.attemptOutcomes,
     milliseconds: Math.round(now - request.arrivedAt),
     ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -10,6 +10,7 @@
 import { ServerBackOff } from './notices/server-back-off.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
+import { storeDataAge } from './news/store-data-age.js';
 import { SendWindows } from './sharing/send-windows.js';
 import type { RouterContext } from './router-context.js';
 import type { KnownServer } from './router-state.js';
@@ -104,7 +105,13 @@
     context.emit({ kind: 'forgetConnections', address: known.server.address });
     serversByService.get(known.server.service)?.delete(id);
     counters.server_changes += 1;
-    context.log('server_gone', { server: id, service: known.server.service, revision });
+    const { service } = known.server;
+    context.log('server_gone', {
+      server: id,
+      service,
+      revision,
+      unconfirmed: Math.round(storeDataAge(context)),
+    });
   }
 }
 
@@ -176,5 +183,6 @@
 ): void {
   context.state.counters.server_changes += 1;
   const { id, service, address, zone, slots, draining } = server;
-  context.log(event, { server: id, service, address, zone, slots, draining, revision });
+  const unconfirmed = Math.round(storeDataAge(context));
+  context.log(event, { server: id, service, address, zone, slots, draining, revision, unconfirmed });
 }
