--- a/src/http-client/recycling-pool.ts
+++ b/src/http-client/recycling-pool.ts
@@ -10,6 +10,25 @@
 /** A request without its origin and its abort signal. */
 export type PoolRequest = Omit<Dispatcher.RequestOptions, 'origin' | 'signal'>;
 
+/** Time from the head of a response until its end. A long list takes 0.4 s over a slow link. */
+const TRANSFER_TIMEOUT_MILLISECONDS = 1_500;
+
+/** A response had begun to arrive and was not complete in time. */
+export class SlowTransferError extends Error {
+  override readonly name = 'SlowTransferError';
+}
+
+async function readBody({ body }: Dispatcher.ResponseData, timeoutSignal: AbortSignal): Promise<string> {
+  try {
+    return await body.text();
+  } catch (cause) {
+    if (timeoutSignal.aborted) {
+      throw new SlowTransferError('the response was not complete in time', { cause });
+    }
+    throw cause;
+  }
+}
+
 /** Tracks which requests have been at least partly written to a connection. */
 class TrackingPool extends Pool {
   readonly #written = new WeakSet<Dispatcher.DispatchOptions>();
@@ -34,22 +53,34 @@
  */
 class TimeoutSignal {
   readonly #controller = new AbortController();
-  readonly #timer: NodeJS.Timeout;
+  readonly #isWritten: () => boolean;
+  #timer: NodeJS.Timeout;
 
   /**
    * @param timeout in milliseconds
    * @param isWritten whether the request has been at least partly written
    */
   constructor(timeout: number, isWritten: () => boolean) {
+    this.#isWritten = isWritten;
+    this.#timer = this.#start(timeout);
+  }
+
+  /** Starts a new timeout in place of the current one. */
+  restart(timeout: number): void {
+    this.clear();
+    this.#timer = this.#start(timeout);
+  }
+
+  #start(timeout: number): NodeJS.Timeout {
     const abort = (): void => this.#abort(timeout);
-    this.#timer = setTimeout(() => {
-      if (isWritten()) {
+    const timer = setTimeout(() => {
+      if (this.#isWritten()) {
         PROCESS_POLL_BARRIER.afterPoll(abort);
       } else {
         abort();
       }
     }, timeout);
-    this.#timer.unref();
+    return timer.unref();
   }
 
   get signal(): AbortSignal {
@@ -80,8 +111,9 @@
   }
 
   /**
-   * Makes a call. Rejects if there is no complete response within the timeout (milliseconds), or if `cancelSignal` aborts the
-   * call. Only a timeout replaces the connections, since a cancelled call does not show that they have failed.
+   * Makes a call. Rejects if no response begins within the timeout (milliseconds), with a `SlowTransferError` if the rest of it takes
+   * too long, or if `cancelSignal` aborts the call. Only a timeout replaces the connections, since a cancelled call does not show
+   * that they have failed.
    */
   async request(
     request: PoolRequest,
@@ -97,7 +129,8 @@
     const call: Dispatcher.RequestOptions = { ...request, signal };
     try {
       const answer = await pool.request(call);
-      return { answer, text: await answer.body.text() };
+      timeoutSignal.restart(TRANSFER_TIMEOUT_MILLISECONDS);
+      return { answer, text: await readBody(answer, timeoutSignal.signal) };
     } finally {
       timeoutSignal.clear();
       if (timeoutSignal.signal.aborted && cancelSignal?.aborted !== true) {
--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -42,6 +42,8 @@
 
 /** Receives what an attempt learns, and its result. */
 export interface AttemptListener {
+  /** Returns whether the request may still be written, now that its connection is up. */
+  isWriteAllowed(): boolean;
   /** Receives a notice about the server from the response's headers or trailers, at once and however the attempt ends. */
   onNotice(notice: ServerNotice): void;
   /**
@@ -61,6 +63,7 @@
   readonly #listener: AttemptListener;
   #isFinished = false;
   #isSent = false;
+  #isWithheld = false;
   #abort: ((reason?: Error) => void) | undefined;
   #resume: () => void = () => undefined;
   #status = 0;
@@ -124,6 +127,11 @@
       abort(new Error('cancelled'));
       return;
     }
+    if (!this.#listener.isWriteAllowed()) {
+      this.#isWithheld = true;
+      abort(new Error('withheld'));
+      return;
+    }
     // The request is written to the connection from here on: the server may run it.
     this.#isSent = true;
   }
@@ -253,6 +261,10 @@
     }
     const code = error.code ?? '';
     this.#isFinished = true;
+    if (this.#isWithheld) {
+      this.#listener.onFinished({ kind: 'withheld' }, false);
+      return;
+    }
     if (!this.#isSent) {
       this.#listener.onFinished(
         { kind: 'notSent', reason: error.message, refused: code === 'ECONNREFUSED' },
--- a/src/router-runtime/caller-frontend.ts
+++ b/src/router-runtime/caller-frontend.ts
@@ -8,7 +8,7 @@
 import type { AnswerEffect, CancelEffect, ForwardEffect, WithdrawEffect } from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
-import { type Key, LAST_KEY, type Milliseconds } from '../router/model/identifiers.js';
+import { type Key, LAST_KEY, type Milliseconds, type ServerId } from '../router/model/identifiers.js';
 import { instanceOf } from '../router/model/server-incarnation.js';
 import type { LimitReading } from '../router/model/server-limit.js';
 import type { RequestProtocol } from '../router/ports.js';
@@ -47,6 +47,8 @@
   readonly loop: LoopStatus;
   /** Returns how long a request may wait unread and still be answered in time, or null if no route matches it. */
   readonly longestReadDelay: (host: string, target: string) => Milliseconds | null;
+  /** Returns whether a request may be written to a server now. */
+  readonly isWriteAllowed: (server: ServerId) => boolean;
 }
 
 /** A caller's request, from the time when it has been read until its response has ended. */
@@ -71,6 +73,7 @@
   readonly #dispatch: (event: RouterEvent) => void;
   readonly #loop: LoopStatus;
   readonly #barrier: PollBarrier;
+  readonly #isWriteAllowed: (server: ServerId) => boolean;
   readonly #longestReadDelay: (incoming: IncomingMessage) => Milliseconds;
   readonly #arrivals: ArrivalQueue<number>;
   /** Unfinished requests of each open caller connection: more than one if the caller pipelines. */
@@ -83,12 +86,13 @@
   #isClosing = false;
 
   constructor(options: CallerFrontendOptions) {
-    const { protocol, connections, barrier, dispatch, loop, longestReadDelay } = options;
+    const { protocol, connections, barrier, dispatch, loop, longestReadDelay, isWriteAllowed } = options;
     this.#protocol = protocol;
     this.#connections = connections;
     this.#dispatch = dispatch;
     this.#loop = loop;
     this.#barrier = barrier;
+    this.#isWriteAllowed = isWriteAllowed;
     this.#longestReadDelay = (incoming) =>
       longestReadDelay(incoming.headers.host ?? '', incoming.url ?? '/') ?? Number.POSITIVE_INFINITY;
     this.#arrivals = new ArrivalQueue(
@@ -288,6 +292,10 @@
   }
 
   #startAttempt(effect: ForwardEffect, exchange: Exchange): void {
+    if (!this.#isWriteAllowed(effect.server)) {
+      this.#dispatchAttemptEnd(effect, { kind: 'withheld' });
+      return;
+    }
     const connection = this.#connections.acquire(effect.address);
     if (connection === null) {
       this.#dispatchAttemptEnd(effect, {
@@ -304,6 +312,7 @@
     const request = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers, body, attemptId };
     const sentAt = PROCESS_CLOCK.now();
     const listener: AttemptListener = {
+      isWriteAllowed: () => this.#isWriteAllowed(effect.server),
       onNotice: (notice) => this.#dispatch({ kind: 'serverNoticed', server: effect.server, notice }),
       onLimitRead: (reading) => this.#reportLimit(effect, reading, sentAt),
       onFinished: (result, reusable) => {
--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -3,7 +3,15 @@
  * from the last known revision.
  */
 import type { Milliseconds } from '../router/model/identifiers.js';
-import type { CancelCall, FeedChange, FeedSource, ListOutcome, WatchOutcome } from '../router/ports.js';
+import { CONFIRMATION_WATCH, type WatchTiming } from '../router/news/store-watch-timing.js';
+import type {
+  CancelCall,
+  FailedCall,
+  FeedChange,
+  FeedSource,
+  ListOutcome,
+  WatchOutcome,
+} from '../router/ports.js';
 import type { CancelTimer, Timers } from './timers.js';
 import { WatchPacing } from './watch-pacing.js';
 
@@ -21,21 +29,30 @@
   /** Time from the start of the call until it failed. */
   readonly waited: Milliseconds;
   readonly reason: string;
+  /** Whether it shows that the store is unavailable to this daemon. */
+  readonly isConclusive: boolean;
 }
 
 /** Timers and timeouts of a feed. */
 export interface FeedTiming {
   readonly timers: Timers;
-  /** Returns how long a watch waits for changes. */
-  readonly watchTimeout: () => Milliseconds;
+  /** Returns the timing of a watch for changes, given whether the last response contained changes. */
+  readonly watchTiming: (followsChanges: boolean) => WatchTiming;
+  /** Returns whether the event loop is so little behind that a missing response is not its fault. */
+  readonly isLoopTimely: () => boolean;
 }
 
 /** Receives the contents of a feed and the outcomes of its calls. */
 export interface FeedListener<Item> {
   onList(items: readonly FeedChange<Item>[], revision: number): void;
   onChanges(changes: readonly FeedChange<Item>[], revision: number): void;
-  /** The store responded to a call. */
-  onAnswer(): void;
+  /**
+   * The store responded to a call.
+   *
+   * @param sentAt when the call was sent
+   * @param confirmedAt all changes that the store had accepted by then have been reported; null: unknown
+   */
+  onAnswer(sentAt: Milliseconds, confirmedAt: Milliseconds | null): void;
   /** A call ended without a usable response. */
   onFailure(failure: FeedFailure): void;
 }
@@ -50,14 +67,19 @@
   readonly #source: FeedSource<Item>;
   readonly #listener: FeedListener<Item>;
   readonly #timers: Timers;
-  readonly #watchTimeout: () => Milliseconds;
+  readonly #watchTiming: (followsChanges: boolean) => WatchTiming;
+  readonly #isLoopTimely: () => boolean;
   readonly #pacing = new WatchPacing();
   /** All changes up to this revision are known; null if the next call must list everything. */
   #revision: number | null = null;
   #isFollowed = false;
   #isRefreshPending = false;
+  /** A call has been asked for that shows at once whether there are changes. */
+  #isConfirmationPending = false;
   #isClosed = false;
   #consecutiveFailures = 0;
+  /** Whether the last response to a watch contained changes. */
+  #hasChanged = false;
   #call: ActiveCall | null = null;
   #cancelPause: CancelTimer | null = null;
 
@@ -65,7 +87,8 @@
     this.#source = source;
     this.#listener = listener;
     this.#timers = timing.timers;
-    this.#watchTimeout = timing.watchTimeout;
+    this.#watchTiming = timing.watchTiming;
+    this.#isLoopTimely = timing.isLoopTimely;
   }
 
   /** Starts to follow the list. All changes up to `revision` are known already; null if there is no such revision. */
@@ -90,6 +113,21 @@
     this.#startNextCall();
   }
 
+  /**
+   * Asks the store at once whether there are changes after `revision`; null: after the last known one. A watch in flight is
+   * cancelled, because the store may never answer it.
+   */
+  confirm(revision: number | null): void {
+    this.#isConfirmationPending = true;
+    this.#revision = revision ?? this.#revision;
+    if (this.#call?.kind === 'watch') {
+      this.#cancelCall();
+    }
+    this.#cancelPause?.();
+    this.#cancelPause = null;
+    this.#startNextCall();
+  }
+
   /** Cancels the call in flight and makes no more calls. */
   close(): void {
     this.#isClosed = true;
@@ -105,14 +143,16 @@
   /** Starts the next call, unless a call is in flight or the pause before the next one has not passed. */
   #startNextCall(): void {
     const isIdle = this.#call === null && this.#cancelPause === null;
-    if (this.#isClosed || !isIdle || !(this.#isFollowed || this.#isRefreshPending)) {
+    const isConfirmation = this.#isConfirmationPending;
+    if (this.#isClosed || !isIdle || !(this.#isFollowed || this.#isRefreshPending || isConfirmation)) {
       return;
     }
     this.#isRefreshPending = false;
+    this.#isConfirmationPending = false;
     if (this.#revision === null) {
       this.#list();
     } else {
-      this.#watch(this.#revision);
+      this.#watch(this.#revision, isConfirmation ? CONFIRMATION_WATCH : this.#watchTiming(this.#hasChanged));
     }
   }
 
@@ -121,12 +161,12 @@
     call.cancel = this.#source.list((outcome) => this.#receiveList(call, outcome));
   }
 
-  #watch(revision: number): void {
+  #watch(revision: number, timing: WatchTiming): void {
     const call = this.#startCall('watch');
     // The store never answers a watch that it received during an outage or whose connection is dead. With a long timeout, changes
     // would take effect late on all daemons.
-    call.cancel = this.#source.watch(revision, this.#watchTimeout(), (outcome) =>
-      this.#receiveWatch(call, outcome),
+    call.cancel = this.#source.watch(revision, timing, (outcome) =>
+      this.#receiveWatch(call, timing.wait, outcome),
     );
   }
 
@@ -139,44 +179,56 @@
   #receiveList(call: ActiveCall, outcome: ListOutcome<Item>): void {
     this.#call = null;
     if (outcome.kind === 'failed') {
-      this.#recordFailure(call, outcome.reason);
+      this.#recordFailure(call, outcome);
       return;
     }
     this.#revision = outcome.revision;
     this.#listener.onList(outcome.items, outcome.revision);
-    this.#recordResponse(call);
+    this.#recordResponse(call, call.startedAt);
   }
 
-  #receiveWatch(call: ActiveCall, outcome: WatchOutcome<Item>): void {
+  #receiveWatch(call: ActiveCall, wait: Milliseconds, outcome: WatchOutcome<Item>): void {
     this.#call = null;
     if (outcome.kind === 'changes') {
       // A watch without changes doesn't advance the revision: a store that is about to discard its history may have withheld changes.
-      if (outcome.changes.length > 0) {
+      this.#hasChanged = outcome.changes.length > 0;
+      if (this.#hasChanged) {
         this.#revision = Math.max(this.#revision ?? 0, outcome.revision);
         this.#listener.onChanges(outcome.changes, outcome.revision);
       }
-      this.#recordResponse(call);
+      this.#recordResponse(call, this.#confirmedBy(call, wait, !this.#hasChanged));
       return;
     }
     // The next call lists everything, including the changes that the watch may have missed.
     this.#revision = null;
     if (outcome.kind === 'forgotten') {
-      this.#recordResponse(call);
+      this.#isRefreshPending = true;
+      this.#recordResponse(call, null);
     } else {
-      this.#recordFailure(call, outcome.reason);
+      this.#recordFailure(call, outcome);
     }
   }
 
-  #recordResponse({ startedAt }: ActiveCall): void {
+  /**
+   * Returns the earliest time at which the store may have produced a response. A watch without changes was answered at the end
+   * of its wait, which began when the call reached the store. Others may have been answered at once and read late.
+   */
+  #confirmedBy({ startedAt }: ActiveCall, wait: Milliseconds, isEmpty: boolean): Milliseconds {
+    const hasWaited = this.#timers.now() - startedAt >= wait;
+    return isEmpty && hasWaited ? startedAt + wait : startedAt;
+  }
+
+  #recordResponse({ startedAt }: ActiveCall, confirmedAt: Milliseconds | null): void {
     this.#consecutiveFailures = 0;
-    this.#listener.onAnswer();
+    this.#listener.onAnswer(startedAt, confirmedAt);
     this.#schedulePause(this.#pacing.nextPause(this.#timers.now() - startedAt));
   }
 
-  #recordFailure({ kind, startedAt }: ActiveCall, reason: string): void {
+  #recordFailure({ kind, startedAt }: ActiveCall, { reason, isResponding }: FailedCall): void {
     this.#consecutiveFailures += 1;
     const waited = this.#timers.now() - startedAt;
-    this.#listener.onFailure({ call: kind, waited, reason });
+    const isConclusive = !isResponding && this.#isLoopTimely();
+    this.#listener.onFailure({ call: kind, waited, reason, isConclusive });
     const delay = Math.min(MAX_RETRY_INTERVAL, MIN_RETRY_DELAY * 2 ** (this.#consecutiveFailures - 1));
     this.#schedulePause(Math.max(MIN_RETRY_DELAY, Math.min(delay, MAX_RETRY_INTERVAL - waited)));
   }
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -10,10 +10,11 @@
 import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
-import type { Milliseconds } from '../router/model/identifiers.js';
+import type { Milliseconds, ServerId } from '../router/model/identifiers.js';
 import type { Platform } from '../router/ports.js';
-import { watchTime } from '../router/news/store-watch-timing.js';
+import { watchTiming } from '../router/news/store-watch-timing.js';
 import { maxReadDelay } from '../router/request/request-arrival.js';
+import { isSendAllowed } from '../router/request/send-permission.js';
 import { reduce } from '../router/reducer.js';
 import type { RouterBounds } from '../router/router-bounds.js';
 import type { RouterSettings } from '../router/router-settings.js';
@@ -40,6 +41,8 @@
 /** Malformed store objects that one process logs by name; all of them are counted. */
 const MAX_LOGGED_MALFORMED_OBJECTS = 200;
 const MAX_LOGGED_NAME_CHARACTERS = 100;
+/** A call to the store that times out while the loop is further behind than this may have been answered in time. */
+const MAX_TIMELY_LOOP_DELAY_MILLISECONDS = 100;
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -93,6 +96,7 @@
         isOnTime: () => this.#loopMonitor.isOnTime(this.#now()),
       },
       longestReadDelay: (host, target) => maxReadDelay(this.state, host, target),
+      isWriteAllowed: (server) => this.#isWriteAllowed(server),
     });
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
@@ -122,7 +126,9 @@
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
       timers: PROCESS_TIMERS,
-      watchTimeout: () => watchTime(this.state.bounds),
+      watchTiming: (followsChanges) =>
+        watchTiming(this.state.bounds, this.state.leadership !== null, followsChanges),
+      isLoopTimely: () => this.#loopMonitor.maxUnreadTime(this.#now()) <= MAX_TIMELY_LOOP_DELAY_MILLISECONDS,
     });
   }
 
@@ -162,6 +168,12 @@
     return now;
   }
 
+  /** Returns whether a request may be written to a server now; not before a suspension that has just been found is handled. */
+  #isWriteAllowed(server: ServerId): boolean {
+    const now = this.#now();
+    return PROCESS_CLOCK.suspension === null && isSendAllowed(this.state, now, server);
+  }
+
   /** Runs the reducer on one event and performs the resulting effects. */
   dispatch(event: RouterEvent): void {
     const startedAt = performance.now();
@@ -271,6 +283,8 @@
         return void this.#writeObject(effect);
       case 'refreshFeed':
         return this.#feeds.refresh(effect.feed);
+      case 'confirmFeed':
+        return this.#feeds.confirm(effect);
       case 'follow':
         return this.#peers.connectToParent(effect.address);
       case 'followStore':
--- a/src/router-runtime/store-feeds.ts
+++ b/src/router-runtime/store-feeds.ts
@@ -1,5 +1,5 @@
 /** The lists that one daemon follows in the store, reported to the reducer as events. */
-import type { FollowEvacuationsEffect, FollowStoreEffect } from '../router/effects.js';
+import type { ConfirmFeedEffect, FollowEvacuationsEffect, FollowStoreEffect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
 import type { Configuration } from '../router/model/configuration.js';
 import type { FeedName } from '../router/model/identifiers.js';
@@ -15,7 +15,7 @@
   dispatch: Dispatch,
 ): Pick<FeedListener<unknown>, 'onAnswer' | 'onFailure'> {
   return {
-    onAnswer: () => dispatch({ kind: 'feedAnswered', feed }),
+    onAnswer: (sentAt, confirmedAt) => dispatch({ kind: 'feedAnswered', feed, sentAt, confirmedAt }),
     onFailure: (failure) => dispatch({ kind: 'feedFailed', feed, ...failure }),
   };
 }
@@ -94,6 +94,11 @@
     this.#feedOf(feed).refresh();
   }
 
+  /** Asks the store at once whether a feed has changed since a revision. */
+  confirm({ feed, revision }: ConfirmFeedEffect): void {
+    this.#feedOf(feed).confirm(revision);
+  }
+
   /** Closes all feeds. */
   close(): void {
     this.#configuration.close();
--- a/src/router-runtime/watch-pacing.ts
+++ b/src/router-runtime/watch-pacing.ts
@@ -9,7 +9,7 @@
 const MAX_PAUSE: Milliseconds = 400;
 const PAUSE_GROWTH_FACTOR = 1.5;
 /** A burst is over when a watch has waited this long for changes. */
-const BURST_GAP: Milliseconds = 1_000;
+const BURST_GAP: Milliseconds = 250;
 
 export class WatchPacing {
   #pause = MIN_PAUSE;
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -20,6 +20,13 @@
   readonly kind: 'refreshFeed';
   readonly feed: FeedName;
 }
+/** Asks the store at once whether a feed has changed since a revision. */
+export interface ConfirmFeedEffect {
+  readonly kind: 'confirmFeed';
+  readonly feed: FeedName;
+  /** Changes up to this store revision are known already; null: lists the feed. */
+  readonly revision: number | null;
+}
 /** Sends a grant or a release to a server, or a probe that checks whether the same incarnation still answers. */
 export interface ControlEffect {
   readonly kind: 'control';
@@ -130,6 +137,7 @@
   | ReadObjectEffect
   | WriteObjectEffect
   | RefreshFeedEffect
+  | ConfirmFeedEffect
   | ControlEffect
   | ForwardEffect
   | CancelEffect
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -62,6 +62,10 @@
 export interface FeedAnsweredEvent {
   readonly kind: 'feedAnswered';
   readonly feed: FeedName;
+  /** When the call was sent. */
+  readonly sentAt: Milliseconds;
+  /** Every change that the store accepted before this time has been reported; null: the response doesn't confirm that. */
+  readonly confirmedAt: Milliseconds | null;
 }
 /** A list or watch call of a feed ended without a usable answer of the store. */
 export interface FeedFailedEvent {
@@ -71,6 +75,8 @@
   /** Time from the start of the call until it was given up. */
   readonly waited: Milliseconds;
   readonly reason: string;
+  /** Whether the store is unavailable to this daemon. Otherwise the daemon itself or the transfer may have been too slow. */
+  readonly isConclusive: boolean;
 }
 
 /** A read of one of the daemons' own objects in the store ended. */
@@ -170,6 +176,8 @@
     }
   /** The request never left this daemon. `refused` says that the connection was refused: nothing listens at the address. */
   | { readonly kind: 'notSent'; readonly reason: string; readonly refused: boolean }
+  /** This daemon did not write the request after all, because the server may not get it any more. */
+  | { readonly kind: 'withheld' }
   /** The request may have been executed. */
   | {
       readonly kind: 'lost';
--- a/src/router/news/apply-evacuations.ts
+++ b/src/router/news/apply-evacuations.ts
@@ -3,6 +3,7 @@
 import type { RouterContext } from '../router-context.js';
 import { sendHeartbeatSoon } from '../tree/heartbeats.js';
 import { sendReportSoon } from '../tree/reports.js';
+import { evacuationsConfirmedAt } from './store-data-age.js';
 import type { EvacuationStatement } from './zone-evacuations.js';
 
 /** Applies a full list of evacuated zones from the store. */
@@ -39,7 +40,9 @@
 /** Applies a statement from the store or from another daemon, unless it isn't newer than the last one. */
 export function applyEvacuations(context: RouterContext, statement: EvacuationStatement | null): void {
   const { state, now } = context;
-  const change = statement === null ? null : state.evacuations.apply(statement, now);
+  // The store accepted a change that is new here after it had confirmed the former zones.
+  const acceptedAfter = Math.min(now, evacuationsConfirmedAt(state));
+  const change = statement === null ? null : state.evacuations.apply(statement, acceptedAfter);
   if (statement === null || change === null) {
     return;
   }
--- a/src/router/news/feed-health-state.ts
+++ b/src/router/news/feed-health-state.ts
@@ -5,12 +5,27 @@
 export interface FeedHealth {
   /** When the store last answered a list or watch request; minus infinity: never. */
   answeredAt: Milliseconds;
+  /** Every change that the store accepted before this time has been applied here; minus infinity: never confirmed. */
+  confirmedAt: Milliseconds;
   /** Whether the last call ended without a response. */
   isFailing: boolean;
+  /**
+   * When a call last showed that the store is unavailable to this daemon, or two in a row ended without a response; minus infinity:
+   * not since the last response.
+   */
+  unavailableAt: Milliseconds;
+  /** When a confirmation was last requested, because none had come from the store or from other daemons for too long. */
+  confirmationAskedAt: Milliseconds;
 }
 
 function createFeedHealth(): FeedHealth {
-  return { answeredAt: Number.NEGATIVE_INFINITY, isFailing: false };
+  return {
+    answeredAt: Number.NEGATIVE_INFINITY,
+    confirmedAt: Number.NEGATIVE_INFINITY,
+    isFailing: false,
+    unavailableAt: Number.NEGATIVE_INFINITY,
+    confirmationAskedAt: Number.NEGATIVE_INFINITY,
+  };
 }
 
 /** Returns the health of all feeds at a daemon that has just started. */
--- a/src/router/news/feed-health.ts
+++ b/src/router/news/feed-health.ts
@@ -2,12 +2,19 @@
 import type { FeedAnsweredEvent, FeedFailedEvent } from '../events.js';
 import type { RouterContext } from '../router-context.js';
 
-/** Records that the store answered a list or watch request of a feed. */
-export function receiveFeedAnswered(context: RouterContext, { feed }: FeedAnsweredEvent): void {
+/** Records that the store answered a list or watch request of a feed, and what the response confirms. */
+export function receiveFeedAnswered(
+  context: RouterContext,
+  { feed, sentAt, confirmedAt }: FeedAnsweredEvent,
+): void {
   const health = context.state.feeds[feed];
   health.answeredAt = context.now;
+  if (confirmedAt !== null && sentAt > context.state.resumedAt) {
+    health.confirmedAt = Math.max(health.confirmedAt, confirmedAt);
+  }
   if (health.isFailing) {
     health.isFailing = false;
+    health.unavailableAt = Number.NEGATIVE_INFINITY;
     context.log('feed_regained', { feed });
   }
 }
@@ -17,6 +24,9 @@
   const { feed, call, reason } = event;
   const health = context.state.feeds[feed];
   context.state.counters.feed_failures += 1;
+  if (event.isConclusive || health.isFailing) {
+    health.unavailableAt = context.now;
+  }
   if (!health.isFailing) {
     health.isFailing = true;
     context.log('feed_lost', { feed, call, waited: Math.round(event.waited), reason }, 'warn');
--- a/src/router/news/server-change-history.ts
+++ b/src/router/news/server-change-history.ts
@@ -5,6 +5,14 @@
 const MAX_BATCHES = 256;
 
 interface ChangeBatch {
+  /** Revision of the store that the changes follow. */
+  readonly base: number;
+  /**
+   * The changes include every one after this revision, and so bring any list from here on up to date. Those between `base` and
+   * this revision may be missing where a later one has undone them, and so bring only the list at `base` up to date.
+   */
+  readonly completeFrom: number;
+  /** Revision up to which the changes are complete. */
   readonly revision: number;
   readonly changes: readonly ServerChange[];
 }
@@ -33,19 +41,24 @@
   }
 
   /** Adds the changes that follow the last revision. */
-  append(revision: number, changes: readonly ServerChange[]): void {
-    this.#batches.push({ revision, changes });
+  append(revision: number, changes: readonly ServerChange[], completeFrom = this.endRevision): void {
+    this.#batches.push({ base: this.endRevision, completeFrom, revision, changes });
     const discarded = this.#batches.length > MAX_BATCHES ? this.#batches.shift() : undefined;
     this.#startRevision = discarded?.revision ?? this.#startRevision;
   }
 
-  /** Returns the last change of each server after a revision, or null when changes after it are no longer kept. */
+  /**
+   * Returns the last change of each server after a revision. Null when changes after it are no longer kept, or may be missing.
+   */
   changesSince(revision: number): ChangesSince | null {
     if (revision < this.#startRevision || this.#startRevision === 0) {
       return null;
     }
     const latest = new Map<string, ServerChange>();
     for (const batch of this.#batches) {
+      if (batch.base < revision && revision < batch.completeFrom) {
+        return null;
+      }
       if (batch.revision > revision) {
         batch.changes.forEach((change) => latest.set(change.id, change));
       }
--- /dev/null
+++ b/src/router/news/store-confirmation.ts
@@ -0,0 +1,89 @@
+/**
+ * Keeps the age of this daemon's data within the bounds when the other daemons are too slow to confirm it: the daemon asks the
+ * store itself before the data is too old to act on. If the store doesn't answer, this daemon is cut off from it or the store
+ * is unavailable; the daemon then goes on with what it knows, because refusing all requests would serve no caller.
+ */
+import type { FeedName, Milliseconds } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { RouterState } from '../router-state.js';
+import { hasRelayParent } from '../tree/tree-state.js';
+import { evacuationsConfirmedAt, storeDataConfirmedAt } from './store-data-age.js';
+import { confirmationAge, maxDataAge } from './store-watch-timing.js';
+
+/** Minimum time between two requests for a confirmation of a feed. */
+const CONFIRMATION_INTERVAL: Milliseconds = 500;
+/** The same while the store doesn't answer, which saves calls that are billed nevertheless. */
+const FAILED_CONFIRMATION_INTERVAL: Milliseconds = 1_500;
+/** The store counts as unavailable for this long after a call to it has failed; longer than a call and the interval together. */
+const UNAVAILABILITY_VALIDITY: Milliseconds = 2_200;
+
+const STORE_DATA_FEEDS: readonly FeedName[] = ['configuration', 'servers'];
+const EVACUATION_FEEDS: readonly FeedName[] = ['evacuations'];
+
+function isUnavailable({ feeds }: RouterState, feed: FeedName, now: Milliseconds): boolean {
+  return now - feeds[feed].unavailableAt <= UNAVAILABILITY_VALIDITY;
+}
+
+/**
+ * Returns whether the configuration and the servers may be acted on at a time, where changes must be in force within `bound`:
+ * they are confirmed up to shortly before, or the store doesn't answer this daemon.
+ */
+export function isStoreDataUsable(state: RouterState, at: Milliseconds, bound: Milliseconds): boolean {
+  return (
+    at - storeDataConfirmedAt(state) <= maxDataAge(bound) ||
+    STORE_DATA_FEEDS.every((feed) => isUnavailable(state, feed, at))
+  );
+}
+
+/** Returns whether the list of evacuated zones may be acted on at a time. */
+export function areEvacuationsUsable(state: RouterState, at: Milliseconds): boolean {
+  const { evacuation } = state.bounds;
+  return (
+    evacuation === null ||
+    at - evacuationsConfirmedAt(state) <= maxDataAge(evacuation) ||
+    isUnavailable(state, 'evacuations', at)
+  );
+}
+
+/** Asks the store to confirm data that has been unconfirmed for long. */
+export function tickStoreConfirmation(context: RouterContext): void {
+  const { state, now } = context;
+  const { bounds } = state;
+  if (state.configuration === null || state.serversRevision === null) {
+    // The data is listed at the start.
+    return;
+  }
+  const isRelayed = hasRelayParent(state.tree, state.election.leader?.address);
+  const storeDataBound = Math.min(bounds.configuration, bounds.drain);
+  if (now - storeDataConfirmedAt(state) > confirmationAge(storeDataBound, isRelayed)) {
+    STORE_DATA_FEEDS.forEach((feed) => askForConfirmation(context, feed));
+  }
+  const { evacuation } = bounds;
+  if (evacuation !== null && now - evacuationsConfirmedAt(state) > confirmationAge(evacuation, isRelayed)) {
+    EVACUATION_FEEDS.forEach((feed) => askForConfirmation(context, feed));
+  }
+}
+
+function askForConfirmation(context: RouterContext, feed: FeedName): void {
+  const { state, now } = context;
+  const health = state.feeds[feed];
+  const interval = health.isFailing ? FAILED_CONFIRMATION_INTERVAL : CONFIRMATION_INTERVAL;
+  if (now - health.confirmationAskedAt < interval) {
+    return;
+  }
+  health.confirmationAskedAt = now;
+  state.counters.confirmations_asked += 1;
+  context.emit({ kind: 'confirmFeed', feed, revision: knownRevision(state, feed) });
+}
+
+/** Returns the revision of the store up to which the data of a feed is known, or null. */
+function knownRevision(state: RouterState, feed: FeedName): number | null {
+  switch (feed) {
+    case 'configuration':
+      return state.configurationRevision;
+    case 'servers':
+      return state.serversRevision;
+    case 'evacuations':
+      return state.evacuations.revision === 0 ? null : state.evacuations.revision;
+  }
+}
--- a/src/router/news/store-data-age.ts
+++ b/src/router/news/store-data-age.ts
@@ -1,32 +1,87 @@
 /**
- * The age of this daemon's copy of the store's data: the time since the store last confirmed to this daemon, or to the
- * daemons above it in the tree, that the data is complete. A leader or a relay whose own calls to the store go unanswered
- * may still send heartbeats, and the age lets its children detect that.
+ * The age of this daemon's copy of the store's data: the time since the moment up to which all changes that the store has
+ * accepted are certainly applied here. A daemon knows that moment from its own calls to the store and from its parent, and
+ * compares the age with the bounds before it acts on the data.
+ *
+ * Every step errs towards a greater age. A response of the store confirms the state at the time when the call was sent, and
+ * a parent's statement is dated by the report of this daemon that the parent had read before. Time that a message spends in
+ * links, buffers or behind a busy event loop therefore makes data older, never fresher.
  */
 import type { Milliseconds } from '../model/identifiers.js';
+import type { Heartbeat } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 
-/** The maximum age that is reported. It fits into the 32 bits of the heartbeat's field. */
+/** The maximum age that is reported. It fits into the 32 bits of the heartbeat's fields. */
 const MAX_REPORTED_AGE: Milliseconds = 600_000;
 
-/** Returns when the store last confirmed both the configuration and the servers to this daemon itself. */
-function storeConfirmedAt({ feeds }: RouterState): Milliseconds {
-  return Math.min(feeds.configuration.answeredAt, feeds.servers.answeredAt);
+/** Returns the time up to which the configuration and the servers are certainly complete. */
+export function storeDataConfirmedAt({ feeds, tree }: RouterState): Milliseconds {
+  const ownConfirmedAt = Math.min(feeds.configuration.confirmedAt, feeds.servers.confirmedAt);
+  return Math.max(ownConfirmedAt, tree.parentConfirmedAt);
 }
 
-/** Returns how long ago the store confirmed this daemon's data, to itself or to its parent. */
+/** Returns the time up to which the evacuated zones are certainly complete. */
+export function evacuationsConfirmedAt({ feeds, tree }: RouterState): Milliseconds {
+  return Math.max(feeds.evacuations.confirmedAt, tree.parentEvacuationsConfirmedAt);
+}
+
+/** Returns the age of the configuration and the servers. */
 export function storeDataAge({ state, now }: RouterContext): Milliseconds {
-  const confirmedAt = Math.max(storeConfirmedAt(state), state.tree.parentConfirmedAt);
-  return Math.min(MAX_REPORTED_AGE, Math.max(0, now - confirmedAt));
+  return reportedAge(now, storeDataConfirmedAt(state));
+}
+
+/** Returns the age of the evacuated zones. */
+export function evacuationsAge({ state, now }: RouterContext): Milliseconds {
+  return reportedAge(now, evacuationsConfirmedAt(state));
+}
+
+function reportedAge(now: Milliseconds, confirmedAt: Milliseconds): Milliseconds {
+  return Math.min(MAX_REPORTED_AGE, Math.max(0, Math.ceil(now - confirmedAt)));
+}
+
+/** Returns whether this daemon has applied every change of the servers and the configuration that its parent had applied. */
+function hasAllOf({ configuration, serversRevision }: RouterState, heartbeat: Heartbeat): boolean {
+  const { configurationVersion, serversPosition } = heartbeat;
+  return (configuration?.version ?? 0) >= configurationVersion && (serversRevision ?? 0) >= serversPosition;
 }
 
 /**
- * Records the age of the parent's data, from its heartbeat. The parent has sent everything that it knows, or sends it in
- * response to the next report.
+ * Records what a heartbeat confirms. The parent built it `reportHeld` after it had read a report that this daemon had sent at
+ * `reportSentAt`, so not before the sum of the two. Returns whether a later time is confirmed than before.
  */
-export function recordParentDataAge({ state, now }: RouterContext, age: Milliseconds): void {
-  state.tree.parentConfirmedAt = Math.max(state.tree.parentConfirmedAt, now - age);
+export function recordParentConfirmation(context: RouterContext, heartbeat: Heartbeat): boolean {
+  const { state } = context;
+  const { tree, resumedAt } = state;
+  const { reportSentAt, reportHeld, newsAge, evacuationsAge: ageOfEvacuations, evacuations } = heartbeat;
+  if (reportSentAt <= 0 || reportSentAt <= resumedAt) {
+    return false;
+  }
+  const builtAt = reportSentAt + reportHeld;
+  const before = tree.parentConfirmedAt;
+  if (state.configuration?.version === heartbeat.configurationVersion) {
+    // The same configuration is still the newest one at a later revision.
+    state.configurationRevision = Math.max(state.configurationRevision, heartbeat.configurationRevision);
+  }
+  if (hasAllOf(state, heartbeat)) {
+    tree.parentConfirmedAt = Math.max(before, builtAt - newsAge);
+  }
+  if (evacuations !== null) {
+    tree.parentEvacuationsConfirmedAt = Math.max(
+      tree.parentEvacuationsConfirmedAt,
+      builtAt - ageOfEvacuations,
+    );
+  }
+  return tree.parentConfirmedAt > before;
+}
+
+/** Forgets all confirmations, because the clock may not have counted a suspension. */
+export function discardConfirmations({ feeds, tree }: RouterState): void {
+  for (const health of Object.values(feeds)) {
+    health.confirmedAt = Number.NEGATIVE_INFINITY;
+  }
+  tree.parentConfirmedAt = Number.NEGATIVE_INFINITY;
+  tree.parentEvacuationsConfirmedAt = Number.NEGATIVE_INFINITY;
 }
 
 /** Logs when the data becomes older than a configuration change may take to be in force, and when it is fresh again. */
--- a/src/router/news/store-updates.ts
+++ b/src/router/news/store-updates.ts
@@ -40,20 +40,21 @@
   }
 }
 
+/** Remembers changes that this daemon has applied at its former position, and sends them to the other daemons. */
 function broadcastServerChanges(
   context: RouterContext,
-  changes: readonly ServerChange[],
-  revision: number,
+  applied: directory.AppliedChanges,
+  completeFrom: number,
   source: UpdateSource,
 ): void {
   const { serverHistory } = context.state;
-  if (serverHistory.endRevision === 0) {
+  const { former, revision, changes } = applied;
+  if (former === null) {
     serverHistory.reset(revision);
-  } else if (changes.length > 0) {
-    const base = serverHistory.endRevision;
-    serverHistory.append(revision, changes);
-    broadcast(context, { kind: 'serverNews', base, revision, changes: [...changes] }, source);
+    return;
   }
+  serverHistory.append(revision, changes, completeFrom);
+  broadcast(context, { kind: 'serverNews', base: former, completeFrom, revision, changes }, source);
 }
 
 /** Applies a full list of servers from the store. */
@@ -62,26 +63,31 @@
 }
 
 function applyServerList(context: RouterContext, event: ServersListedEvent, source: UpdateSource): void {
-  const changes = directory.receiveServersListed(context, event);
-  if (changes !== null) {
-    broadcastServerChanges(context, changes, event.revision, source);
+  const applied = directory.receiveServersListed(context, event);
+  if (applied !== null) {
+    // The list doesn't show changes that have been undone since the former position.
+    broadcastServerChanges(context, applied, event.revision, source);
   }
 }
 
 /** Applies changes of servers from the store. */
 export function applyStoredServerChanges(context: RouterContext, event: ServersChangedEvent): void {
-  applyServerChanges(context, event.changes, event.revision, 'store');
+  applyServerChanges(context, { ...event, completeFrom: 0 }, 'store');
 }
 
+/** Changes of servers up to a revision, every one after `completeFrom`. */
+type ServerChangeBatch = Pick<ServerNews, 'completeFrom' | 'revision'> & {
+  readonly changes: readonly ServerChange[];
+};
+
 function applyServerChanges(
   context: RouterContext,
-  changes: readonly ServerChange[],
-  revision: number,
+  { changes, revision, completeFrom }: ServerChangeBatch,
   source: UpdateSource,
 ): void {
-  const effective = directory.receiveServerChanges(context, changes, revision);
-  if (effective !== null) {
-    broadcastServerChanges(context, effective, revision, source);
+  const applied = directory.receiveServerChanges(context, changes, revision);
+  if (applied !== null) {
+    broadcastServerChanges(context, applied, Math.max(applied.former ?? 0, completeFrom), source);
   }
 }
 
@@ -94,10 +100,10 @@
   if (update.base === 0) {
     const servers = update.changes.map(({ server }) => server).filter((server) => server !== null);
     applyServerList(context, { kind: 'serversListed', servers, revision: update.revision }, source);
-  } else if (update.base <= position) {
-    applyServerChanges(context, update.changes, update.revision, source);
+  } else if (update.base === position || (update.base < position && update.completeFrom <= position)) {
+    applyServerChanges(context, update, source);
   } else {
-    // Earlier changes were missed. The report shows the parent this daemon's position, and the parent sends them.
+    // Changes are missing between the two positions. The report shows the parent this daemon's position, and the parent sends them.
     sendReportSoon(context);
   }
 }
@@ -113,7 +119,7 @@
 
 function createFullServerUpdate(context: RouterContext, revision: number): ServerNews {
   const changes = [...context.state.servers.values()].map(({ server }) => directory.toServerChange(server));
-  return { kind: 'serverNews', base: 0, revision, changes };
+  return { kind: 'serverNews', base: 0, completeFrom: revision, revision, changes };
 }
 
 function missedServerUpdate(context: RouterContext, child: Child, position: number): ServerNews | null {
@@ -123,7 +129,7 @@
   }
   const missed = position === 0 ? null : serverHistory.changesSince(position);
   if (missed !== null) {
-    return { kind: 'serverNews', base: position, ...missed };
+    return { kind: 'serverNews', base: position, completeFrom: missed.revision, ...missed };
   }
   if (context.now - child.serversSentAt < FULL_UPDATE_INTERVAL) {
     return null;
--- a/src/router/news/store-watching.ts
+++ b/src/router/news/store-watching.ts
@@ -1,15 +1,12 @@
 /**
  * Decides whether this daemon watches the store itself. The leader does, and a few of its children, so that losing one of
- * them doesn't stop the updates; other daemons do so only while their parent sends no current data. Calls to the store are
+ * them doesn't stop the updates; other daemons do so only while their parent sends nothing. Calls to the store are
  * billed, and their number must not grow with the number of daemons.
  */
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 import { HEARTBEAT_TIMEOUT } from '../ownership/ownership-timing.js';
-import { hasRelayParent } from '../tree/tree-state.js';
-import { storeDataAge } from './store-data-age.js';
-import { maxStoreDataAge } from './store-watch-timing.js';
 
 /** A daemon that has just started looks for a leader this long before it reads everything from the store. */
 const LEADER_DISCOVERY_TIMEOUT: Milliseconds = 250;
@@ -42,15 +39,7 @@
       ? now - tree.parentSince >= FIRST_UPDATE_TIMEOUT
       : now - election.startedAt >= LEADER_DISCOVERY_TIMEOUT;
   }
-  if (now - tree.lastParentContactAt > HEARTBEAT_TIMEOUT || tree.watchers.includes(identity.daemon)) {
-    return true;
-  }
-  // The leader and its watchers may send heartbeats while the store doesn't answer them. Without this check the other
-  // daemons found out 4 s later.
-  return (
-    storeDataAge(context) >
-    maxStoreDataAge(state.bounds, hasRelayParent(state.tree, state.election.leader?.address))
-  );
+  return now - tree.lastParentContactAt > HEARTBEAT_TIMEOUT || tree.watchers.includes(identity.daemon);
 }
 
 /**
--- a/src/router/news/zone-evacuations.ts
+++ b/src/router/news/zone-evacuations.ts
@@ -21,8 +21,8 @@
 /** The evacuated zones known to this daemon. */
 export class ZoneEvacuations {
   #revision = 0;
-  /** When this daemon learned of the evacuation of each zone. */
-  readonly #learnedAt = new Map<string, Milliseconds>();
+  /** The earliest time at which the evacuation of each zone may have begun. */
+  readonly #since = new Map<string, Milliseconds>();
 
   /** The revision of the store up to which all changes are known; 0 before anything is known. */
   get revision(): number {
@@ -31,35 +31,39 @@
 
   /** Whether any zone is evacuated. */
   get isEmpty(): boolean {
-    return this.#learnedAt.size === 0;
+    return this.#since.size === 0;
   }
 
   /** Whether a zone is evacuated. */
   has(zone: string): boolean {
-    return this.#learnedAt.has(zone);
+    return this.#since.has(zone);
   }
 
-  /** Returns for how long this daemon has known that a zone is evacuated, or null when it is not. */
+  /** Returns for how long a zone may have been evacuated, or null when it is not. */
   age(zone: string, now: Milliseconds): Milliseconds | null {
-    const learnedAt = this.#learnedAt.get(zone);
-    return learnedAt === undefined ? null : now - learnedAt;
+    const since = this.#since.get(zone);
+    return since === undefined ? null : now - since;
   }
 
   /** Returns the statement that is sent to other daemons. */
   statement(): EvacuationStatement {
-    return { revision: this.#revision, zones: [...this.#learnedAt.keys()] };
+    return { revision: this.#revision, zones: [...this.#since.keys()] };
   }
 
-  /** Applies a statement. Returns the changes, or null when the statement isn't newer or changes nothing. */
-  apply({ revision, zones }: EvacuationStatement, now: Milliseconds): EvacuationChange | null {
+  /**
+   * Applies a statement. Returns the changes, or null when the statement isn't newer or changes nothing.
+   *
+   * @param acceptedAfter a time before the store accepted the changes
+   */
+  apply({ revision, zones }: EvacuationStatement, acceptedAfter: Milliseconds): EvacuationChange | null {
     if (revision <= this.#revision) {
       return null;
     }
     this.#revision = revision;
-    const evacuated = zones.filter((zone) => !this.#learnedAt.has(zone));
-    const restored = [...this.#learnedAt.keys()].filter((zone) => !zones.includes(zone));
-    evacuated.forEach((zone) => this.#learnedAt.set(zone, now));
-    restored.forEach((zone) => this.#learnedAt.delete(zone));
+    const evacuated = zones.filter((zone) => !this.#since.has(zone));
+    const restored = [...this.#since.keys()].filter((zone) => !zones.includes(zone));
+    evacuated.forEach((zone) => this.#since.set(zone, acceptedAfter));
+    restored.forEach((zone) => this.#since.delete(zone));
     return evacuated.length + restored.length === 0 ? null : { evacuated, restored };
   }
 }
--- a/src/router/ownership/known-leader.ts
+++ b/src/router/ownership/known-leader.ts
@@ -1,6 +1,6 @@
 /** Which daemon leads, as read from the store or received from other daemons. */
 import { comparePeerVersions } from '../feed-lag.js';
-import { recordParentDataAge } from '../news/store-data-age.js';
+import { recordParentConfirmation } from '../news/store-data-age.js';
 import { applyEvacuations } from '../news/apply-evacuations.js';
 import type { Heartbeat, LeaderIdentity, LeaderNotice } from '../peers/messages.js';
 import { setDaemonCount } from '../request/request-dispatch.js';
@@ -101,10 +101,12 @@
     election.confirmationAge = heartbeat.confirmationAge;
   }
   recordConfirmedRevision(context, heartbeat);
-  recordParentDataAge(context, heartbeat.newsAge);
   election.leaderRefusals = 0;
   setDaemonCount(state, heartbeat.daemons);
   applyEvacuations(context, heartbeat.evacuations);
+  if (recordParentConfirmation(context, heartbeat)) {
+    sendHeartbeatSoon(context);
+  }
   comparePeerVersions(context, heartbeat);
 }
 
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -124,11 +124,17 @@
     heardAge: 0,
     confirmationAge: RESIGNED_CONFIRMATION_AGE,
     leaderRevision: 0,
-    newsAge: Math.round(storeDataAge(context)),
+    newsAge: storeDataAge(context),
+    evacuationsAge: 0,
+    // Confirms no data: it is the same for all children.
+    reportSentAt: 0,
+    reportHeld: 0,
     daemons: state.daemons,
     watchers: [],
     configurationVersion: 0,
     serversRevision: 0,
+    serversPosition: 0,
+    configurationRevision: 0,
     evacuations: null,
   } satisfies Heartbeat;
   context.emit({ kind: 'sendToChildren', link: null, message });
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -51,6 +51,8 @@
   readonly failedRelay: string;
   /** Null if the sender's software version doesn't send this field. */
   readonly evacuations: EvacuationStatement | null;
+  /** When the report was sent, by the sender's clock. Heartbeats return it. */
+  readonly sentAt: Milliseconds;
   readonly samples: KeySample[];
   readonly times: ServerTimes[];
   /** Key owners that asked the sender or a descendant to back off since the last report. */
@@ -79,8 +81,14 @@
   readonly confirmationAge: Milliseconds;
   /** Revision of the leader's object in the store after that confirmation, or 0 if it isn't sent. */
   readonly leaderRevision: number;
-  /** Time since the store last confirmed the sender's configuration and servers. */
+  /** Age of the sender's configuration and servers: all changes that the store had accepted before are applied. */
   readonly newsAge: Milliseconds;
+  /** Age of the sender's list of evacuated zones. */
+  readonly evacuationsAge: Milliseconds;
+  /** `sentAt` of the last report that the sender has read from the receiver; 0: none. */
+  readonly reportSentAt: Milliseconds;
+  /** Time from reading that report to sending this heartbeat. */
+  readonly reportHeld: Milliseconds;
   /** Number of connected daemons, including the leader. */
   readonly daemons: number;
   /** Children of the sender that watch the store in addition to the sender. */
@@ -89,6 +97,10 @@
   readonly configurationVersion: number;
   /** Highest revision of a server's entry that the sender knows. */
   readonly serversRevision: number;
+  /** Revision of the store up to which the sender knows all changes of servers. A receiver that knows less has missed changes. */
+  readonly serversPosition: number;
+  /** The same for the configuration. */
+  readonly configurationRevision: number;
   /** Null if the sender's software version doesn't send this field. */
   readonly evacuations: EvacuationStatement | null;
 }
@@ -129,6 +141,8 @@
   readonly kind: 'serverNews';
   /** Revision to which `changes` is a delta: a receiver must know all changes up to it. 0 if `changes` is a snapshot of all servers. */
   readonly base: number;
+  /** `changes` includes every change after this revision. A receiver between the two may hold servers that have been removed since. */
+  readonly completeFrom: number;
   /** Revision up to which all changes are known after `changes` is applied. */
   readonly revision: number;
   readonly changes: ServerChange[];
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -5,10 +5,10 @@
 import type { ControlOutcome, ReadOutcome, StoredObjectName, WriteOutcome } from './events.js';
 import type { ControlEffect } from './effects.js';
 import type { Configuration } from './model/configuration.js';
-import type { Milliseconds } from './model/identifiers.js';
 import type { ServerDescription } from './model/server.js';
 import type { LimitReading } from './model/server-limit.js';
 import type { ServerNotice } from './model/server-notice.js';
+import type { WatchTiming } from './news/store-watch-timing.js';
 import type { ReportedLoad } from './request/server-load.js';
 
 /** Stores the daemons' own objects, which are written by compare-and-swap. Calls never throw. */
@@ -30,11 +30,18 @@
   | { readonly kind: 'changes'; readonly changes: readonly FeedChange<Item>[]; readonly revision: number }
   /** The store no longer has the changes after the revision: the feed must be listed again. */
   | { readonly kind: 'forgotten' }
-  | { readonly kind: 'failed'; readonly reason: string };
+  | FailedCall;
+/** A call that ended without a usable response. */
+export interface FailedCall {
+  readonly kind: 'failed';
+  readonly reason: string;
+  /** Whether a part of a response had arrived: the store is available, and the transfer took too long. */
+  readonly isResponding: boolean;
+}
 /** Result of a list call. */
 export type ListOutcome<Item> =
   | { readonly kind: 'listed'; readonly items: readonly FeedChange<Item>[]; readonly revision: number }
-  | { readonly kind: 'failed'; readonly reason: string };
+  | FailedCall;
 
 /** Cancels a call: its outcome is not reported. */
 export type CancelCall = () => void;
@@ -43,8 +50,8 @@
 export interface FeedSource<Item> {
   readonly name: string;
   list(done: (outcome: ListOutcome<Item>) => void): CancelCall;
-  /** Waits up to `wait` for changes after a revision. */
-  watch(revision: number, wait: Milliseconds, done: (outcome: WatchOutcome<Item>) => void): CancelCall;
+  /** Waits for changes after a revision. */
+  watch(revision: number, timing: WatchTiming, done: (outcome: WatchOutcome<Item>) => void): CancelCall;
 }
 
 /** The lists in the platform's store that daemons watch. */
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -32,6 +32,7 @@
 import { receiveOwnership } from './ownership/ownership-broadcast.js';
 import { receiveControlEnded } from './ownership/unit-control.js';
 import { receiveFeedAnswered, receiveFeedFailed } from './news/feed-health.js';
+import { tickStoreConfirmation } from './news/store-confirmation.js';
 import { tickStoreDataAge } from './news/store-data-age.js';
 import * as news from './news/store-updates.js';
 import { applyStoredEvacuationChanges, applyStoredEvacuationList } from './news/apply-evacuations.js';
@@ -145,6 +146,7 @@
   }
   tickHeartbeats(context);
   tickStoreWatching(context);
+  tickStoreConfirmation(context);
   tickStoreDataAge(context);
   tickIsolation(context);
   tickCrashDetection(context);
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -4,7 +4,7 @@
 import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import type { Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 
-/** A request that arrived before the first configuration was known. */
+/** A request that arrived while no configuration could be used. */
 export interface EarlyRequest {
   readonly event: RequestArrivedEvent;
   readonly readAt: Milliseconds;
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -54,6 +54,8 @@
       return `answered ${result.status}`;
     case 'rejected':
       return `rejected ${result.status}`;
+    case 'withheld':
+      return 'withheld';
     default:
       return `${result.kind}: ${result.reason}`;
   }
@@ -89,6 +91,10 @@
       }
       dispatchRequest(context, request);
       return;
+    case 'withheld':
+      state.counters.writes_withheld += 1;
+      processWithheldAttempt(context, request, known);
+      return;
     case 'lost':
       state.counters.attempts_lost += 1;
       processLostAttempt(context, request, known, result);
@@ -96,6 +102,22 @@
   }
 }
 
+/** Dispatches a request again whose attempt was not written. The server is not at fault and may be chosen again. */
+function processWithheldAttempt(
+  context: RouterContext,
+  request: ActiveRequest,
+  known: KnownServer | undefined,
+): void {
+  request.attempts -= 1;
+  if (request.key === null) {
+    request.triedServers.pop();
+  }
+  if (request.usedPermit) {
+    known?.permits.returnUnused(context.now);
+  }
+  dispatchRequest(context, request);
+}
+
 /** Records the load that a server reported. An unreadable report is counted, and logged once for each service. */
 function recordLoadReport(
   context: RouterContext,
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -1,6 +1,8 @@
 /** Finds the server for a request: the owner of its key, or else the server that is expected to answer first. */
 import { limitShareOf } from '../limits/permit-exchange.js';
 import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import { areEvacuationsUsable, isStoreDataUsable } from '../news/store-confirmation.js';
+import { maxDataAge } from '../news/store-watch-timing.js';
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import { equalShare } from '../sharing/equal-share.js';
@@ -26,11 +28,8 @@
 const MAX_EXPECTED_TIME_FRACTION = 0.95;
 /** Fraction of a server's connection limit that all daemons together use. */
 const USED_CONNECTION_FRACTION = 0.9;
-/**
- * Fraction of the allowed time for which requests still go to a draining server, or to an owner of keys in an evacuated zone, while its keys
- * move. The remainder is for connections that are slow to open, so that no request arrives after the allowed time.
- */
-const GRACE_FRACTION = 0.5;
+/** Fraction of the allowed time for which requests still go to an owner of keys in an evacuated zone while its keys move. */
+const EVACUATION_GRACE_FRACTION = 0.5;
 /** Requests for a key can go to no other server, and a single failure may be accidental: an owner is skipped only after two. */
 const OWNER_TOLERATED_FAILURES = 2;
 
@@ -76,8 +75,8 @@
   const { drain, evacuation } = context.state.bounds;
   return {
     ...balancedEligibilityContext(context, request),
-    drainingGrace: drain * GRACE_FRACTION,
-    evacuationGrace: (evacuation ?? 0) * GRACE_FRACTION,
+    drainingGrace: maxDataAge(drain),
+    evacuationGrace: (evacuation ?? 0) * EVACUATION_GRACE_FRACTION,
     toleratedFailures: OWNER_TOLERATED_FAILURES,
   };
 }
@@ -142,7 +141,7 @@
   const chosen = selectServer(candidates.values(), selection);
   const areAllDraining = chosen === undefined && [...candidates.values()].every(isDraining);
   return areAllDraining
-    ? selectServer(candidates.values(), { ...selection, drainingGrace: drain * GRACE_FRACTION })
+    ? selectServer(candidates.values(), { ...selection, drainingGrace: maxDataAge(drain) })
     : chosen;
 }
 
@@ -198,6 +197,11 @@
   context: RouterContext,
   request: ActiveRequest,
 ): KnownServer | RoutingRefusal {
+  const { state, now } = context;
+  if (!isStoreDataUsable(state, now, state.bounds.drain) || !areEvacuationsUsable(state, now)) {
+    state.counters.requests_unconfirmed += 1;
+    return createTransientRefusal('the list of servers is not confirmed');
+  }
   return request.key === null
     ? selectBalancedServer(context, request)
     : selectOwner(context, request, request.key);
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -2,6 +2,7 @@
 import type { RequestArrivedEvent } from '../events.js';
 import type { Configuration, Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
+import { isStoreDataUsable } from '../news/store-confirmation.js';
 import type { RouterState } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
@@ -21,46 +22,57 @@
 const UNAVAILABLE = 503;
 /** Time after which a caller should retry when no configuration is known yet. */
 const NO_CONFIGURATION_RETRY_AFTER: Milliseconds = 300;
-/** A request is held for this long before the first configuration, which is read soon after the start. */
-const FIRST_CONFIGURATION_HOLD: Milliseconds = 120;
+/** A request is held for this long without a usable configuration. The store answers sooner, unless this daemon can't reach it. */
+const CONFIGURATION_HOLD: Milliseconds = 120;
 /** A request must be read within this fraction of its latency objective: its answer passes through the same event loop and waits as long. */
 const MAX_READ_DELAY_FRACTION = 0.5;
 /** Retry times for requests that were read too late begin at this fraction of the latency objective. */
 const MIN_LATE_RETRY_FRACTION = 0.25;
 /** Spread of the retry times for requests that were read too late, as a fraction of the latency objective: callers return at different times. */
 const LATE_RETRY_SPREAD_FRACTION = 0.5;
-/** Maximum number of requests that are held for the first configuration. */
+/** Maximum number of requests that are held for a usable configuration. */
 const MAX_EARLY_REQUESTS = 500;
 
-/** Admits a request, or holds it until the first configuration and list of servers are known. */
+/** Admits a request, or holds it until a configuration and a list of servers are known and recent enough. */
 export function receiveRequest(context: RouterContext, event: RequestArrivedEvent): void {
   const { state, now } = context;
   state.counters.requests += 1;
-  if (state.configuration !== null && state.serversRevision !== null) {
-    admitRequest(context, event, state.configuration, now);
+  const configuration = usableConfiguration(state, now - event.readDelay);
+  if (configuration !== null) {
+    admitRequest(context, event, configuration, now);
   } else if (state.earlyRequests.size < MAX_EARLY_REQUESTS) {
     state.earlyRequests.set(event.requestId, { event, readAt: now });
   } else {
-    refuseBeforeAdmission(context, event, UNAVAILABLE, 'no configuration yet', NO_CONFIGURATION_RETRY_AFTER);
+    refuseEarlyRequest(context, event);
   }
 }
 
-/** Admits requests that arrived before the first configuration and list of servers, or refuses them once their hold time is over. */
+/** Returns the configuration if a request that arrived at the given time may be routed by it, otherwise null. */
+function usableConfiguration(state: RouterState, arrivedAt: Milliseconds): Configuration | null {
+  const isUsable =
+    state.serversRevision !== null && isStoreDataUsable(state, arrivedAt, state.bounds.configuration);
+  return isUsable ? state.configuration : null;
+}
+
+function refuseEarlyRequest(context: RouterContext, event: RequestArrivedEvent): void {
+  const { configuration, serversRevision } = context.state;
+  const isFirst = configuration === null || serversRevision === null;
+  const reason = isFirst ? 'no configuration yet' : 'the configuration is not confirmed';
+  refuseBeforeAdmission(context, event, UNAVAILABLE, reason, NO_CONFIGURATION_RETRY_AFTER);
+}
+
+/** Admits requests that arrived while no configuration and list of servers could be used, or refuses them once their hold time is over. */
 export function processEarlyRequests(context: RouterContext): void {
-  const { earlyRequests, configuration, serversRevision } = context.state;
+  const { state } = context;
+  const { earlyRequests } = state;
   for (const [requestId, { event, readAt }] of earlyRequests) {
-    if (configuration !== null && serversRevision !== null) {
+    const configuration = usableConfiguration(state, readAt - event.readDelay);
+    if (configuration !== null) {
       earlyRequests.delete(requestId);
       admitRequest(context, event, configuration, readAt);
-    } else if (context.now - readAt >= FIRST_CONFIGURATION_HOLD) {
+    } else if (context.now - readAt >= CONFIGURATION_HOLD) {
       earlyRequests.delete(requestId);
-      refuseBeforeAdmission(
-        context,
-        event,
-        UNAVAILABLE,
-        'no configuration yet',
-        NO_CONFIGURATION_RETRY_AFTER,
-      );
+      refuseEarlyRequest(context, event);
     }
   }
 }
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -181,7 +181,7 @@
     configuration: state.configuration?.version ?? null,
     ownership: request.key === null ? null : `${state.ownershipView.term}.${state.ownershipView.sequence}`,
     servers: state.serversRevision,
-    ...(request.attemptNumber > 0 ? { data_age: Math.round(request.dataAge) } : {}),
+    ...(request.attemptNumber > 0 ? { data_age: request.dataAge } : {}),
     attempts: request.attemptOutcomes,
     milliseconds: Math.round(now - request.arrivedAt),
     ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -63,7 +63,7 @@
   readonly backOff: ServerBackOff;
   /** This daemon's permits for the server while the server announces a rate limit. */
   readonly permits: Permits;
-  /** When this daemon learned from the entry or a response, whichever came first, that the server is draining; null: it isn't. */
+  /** Earliest time since when the server may be draining, by its entry or a response; null: it isn't. */
   drainingSince: Milliseconds | null;
 }
 
@@ -112,7 +112,7 @@
   /** Non-null while this daemon is the leader. */
   leadership: Leadership | null;
   readonly requests: Map<number, ActiveRequest>;
-  /** Requests that wait for the first configuration, by request id. */
+  /** Requests that wait for a usable configuration, by request id. */
   readonly earlyRequests: Map<number, EarlyRequest>;
   readonly retryBudgets: Map<ServiceName, RetryBudget>;
   readonly targetRotation: TargetRotation;
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -10,7 +10,7 @@
 import { ServerBackOff } from './notices/server-back-off.js';
 import { ServerLoad } from './request/server-load.js';
 import { ServiceProfile } from './request/service-profile.js';
-import { storeDataAge } from './news/store-data-age.js';
+import { storeDataAge, storeDataConfirmedAt } from './news/store-data-age.js';
 import { SendWindows } from './sharing/send-windows.js';
 import type { RouterContext } from './router-context.js';
 import type { KnownServer } from './router-state.js';
@@ -49,28 +49,61 @@
   );
 }
 
-/** Applies a complete server list. Returns the entries that differ; null: a later revision is known already. */
+/** Changes of servers that this daemon has applied, as other daemons need them. */
+export interface AppliedChanges {
+  /** Revision up to which the servers were known before; null before the first list. */
+  readonly former: number | null;
+  /** Revision up to which they are known now. */
+  readonly revision: number;
+  readonly changes: ServerChange[];
+}
+
+/** Applies a complete server list. Returns the entries that differ; null: the list says nothing new. */
 export function receiveServersListed(
   context: RouterContext,
   { servers, revision }: ServersListedEvent,
-): ServerChange[] | null {
+): AppliedChanges | null {
+  const former = context.state.serversRevision;
+  if (former !== null && revision < former) {
+    return null;
+  }
   const listed = servers.map(toServerChange);
   const names = new Set(listed.map(({ id }) => id));
   const gone = [...context.state.serverIdsByInstance.keys()].filter((id) => !names.has(id));
   const changes: ServerChange[] = [...gone.map((id) => ({ id, server: null })), ...listed];
-  return receiveServerChanges(context, changes, revision);
+  const applied = applyNewChanges(context, changes, revision);
+  return former === revision && applied.length === 0 ? null : { former, revision, changes: applied };
 }
 
-/** Applies server changes up to a revision. Returns those that are new; null: a later revision is known already. */
+/**
+ * Applies server changes up to a revision. Returns those that a daemon at the former revision may lack, among them removals of
+ * servers that this daemon never knew; null: there are none.
+ */
 export function receiveServerChanges(
   context: RouterContext,
   changes: readonly ServerChange[],
   revision: number,
-): ServerChange[] | null {
-  const { state } = context;
-  if (state.serversRevision !== null && revision < state.serversRevision) {
+): AppliedChanges | null {
+  const former = context.state.serversRevision;
+  if (former !== null && revision < former) {
+    return null;
+  }
+  const isLacking = ({ server }: ServerChange): boolean => server === null || server.revision > (former ?? 0);
+  const later = changes.filter((change) => isLacking(change) || isNewChange(context, change));
+  if (later.length === 0) {
     return null;
   }
+  applyNewChanges(context, later, revision);
+  return { former, revision, changes: later };
+}
+
+/** Applies those of the changes that are new, and returns them. */
+function applyNewChanges(
+  context: RouterContext,
+  changes: readonly ServerChange[],
+  revision: number,
+): ServerChange[] {
+  const { state } = context;
   const isFirstList = state.serversRevision === null;
   state.serversRevision = revision;
   const effective = changes.filter((change) => isNewChange(context, change));
@@ -110,7 +143,7 @@
       server: id,
       service,
       revision,
-      unconfirmed: Math.round(storeDataAge(context)),
+      unconfirmed: storeDataAge(context),
     });
   }
 }
@@ -163,16 +196,24 @@
     known.coldUntil = context.now + server.warmupLeft;
   }
   known.server = server;
-  known.drainingSince =
-    known.drainingSince === null || !server.draining ? drainingSince(context, server) : known.drainingSince;
+  const since = drainingSince(context, server);
+  const isStillDraining = since !== null && server.draining;
+  known.drainingSince = isStillDraining ? Math.min(known.drainingSince ?? since, since) : since;
 }
 
-/** Returns since when a server is draining that is new to this daemon or whose entry has changed; null: it is not draining. */
+/**
+ * Returns the earliest time since when a server may be draining that is new to this daemon or whose entry has changed; null: it is
+ * not draining. The store accepted the change after the last confirmation of the former entry.
+ */
 function drainingSince(
   { state, now }: RouterContext,
   { id, draining }: ServerDescription,
 ): Milliseconds | null {
-  return state.drainingServers.drainingSince(id) ?? (draining ? now : null);
+  const toldAt = state.drainingServers.drainingSince(id);
+  if (!draining) {
+    return toldAt;
+  }
+  return Math.min(now, storeDataConfirmedAt(state), toldAt ?? Number.POSITIVE_INFINITY);
 }
 
 function logServerChange(
@@ -183,6 +224,6 @@
 ): void {
   context.state.counters.server_changes += 1;
   const { id, service, address, zone, slots, draining } = server;
-  const unconfirmed = Math.round(storeDataAge(context));
+  const unconfirmed = storeDataAge(context);
   context.log(event, { server: id, service, address, zone, slots, draining, revision, unconfirmed });
 }
--- a/src/router/suspension.ts
+++ b/src/router/suspension.ts
@@ -12,6 +12,8 @@
 import type { FeedName } from './model/identifiers.js';
 import { discardPermits } from './limits/permit-exchange.js';
 import { dropCandidacy } from './ownership/candidacy.js';
+import { discardConfirmations } from './news/store-data-age.js';
+import { sendReportNow } from './tree/reports.js';
 import type { RouterContext } from './router-context.js';
 
 const STORE_FEEDS: readonly FeedName[] = ['configuration', 'servers'];
@@ -23,8 +25,11 @@
   context.log('machine_resumed', { length: Math.round(length), counted: isCounted }, 'warn');
   state.resumedAt = context.now;
   invalidateLeadership(context);
+  discardConfirmations(state);
   discardPermits(context);
   refreshWatchedFeeds(context);
+  // The parent's response confirms this daemon's data again.
+  sendReportNow(context);
 }
 
 const SUSPENDED_REASON = 'the machine was suspended meanwhile';
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -6,7 +6,7 @@
 import { fullOwnershipMessage } from '../ownership/ownership-broadcast.js';
 import type { Report } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
-import { buildHeartbeat } from './heartbeats.js';
+import { sendHeartbeat } from './heartbeats.js';
 import { chooseRelay } from './relay-choice.js';
 import { reportOverload, addKeyRequestCounts } from './reports.js';
 import { type Child, isReporting } from './tree-state.js';
@@ -27,6 +27,7 @@
   const known = context.state.tree.children.get(link);
   if (known !== undefined) {
     known.lastReportAt = context.now;
+    known.reportSentAt = report.sentAt;
     known.daemons = report.daemons;
     sendMissedUpdates(context, link, known, report);
     return;
@@ -59,6 +60,7 @@
     address,
     zone,
     lastReportAt: now,
+    reportSentAt: report.sentAt,
     daemons,
     serversSentAt: Number.NEGATIVE_INFINITY,
     configurationSentAt: Number.NEGATIVE_INFINITY,
@@ -66,14 +68,12 @@
   state.tree.children.set(link, child);
   state.tree.started.push({ daemon, life });
   context.log('child_joined', { child: daemon, leads: state.leadership !== null });
-  const heartbeat = buildHeartbeat(context);
-  if (heartbeat !== null) {
-    context.emit({ kind: 'sendToChildren', link, message: heartbeat });
-  }
   for (const message of createNoticeSnapshots(context)) {
     context.emit({ kind: 'sendToChildren', link, message });
   }
   sendMissedUpdates(context, link, child, report);
+  // After the updates, without which the heartbeat would confirm nothing.
+  sendHeartbeat(context, link, child);
 }
 
 function sendMissedUpdates(context: RouterContext, link: number, child: Child, report: Report): void {
--- a/src/router/tree/heartbeats.ts
+++ b/src/router/tree/heartbeats.ts
@@ -1,7 +1,7 @@
 /** Heartbeats to the children: the leader's own, or those that a relay forwards with the age of the leader's last heartbeat. */
 import type { Milliseconds } from '../model/identifiers.js';
 import { LEADERSHIP_VALIDITY, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT } from '../ownership/ownership-timing.js';
-import { storeDataAge } from '../news/store-data-age.js';
+import { evacuationsAge, storeDataAge } from '../news/store-data-age.js';
 import type { Heartbeat } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
 import { type Child, isReporting } from './tree-state.js';
@@ -13,6 +13,23 @@
 /** Maximum confirmation age that a relay forwards: a leader that resigns sends an unbounded one. */
 const MAX_CONFIRMATION_AGE: Milliseconds = 3_000;
 
+/** A relay forwards each heartbeat that confirms newer data at once, and sends one of its own only when none comes. */
+const RELAY_HEARTBEAT_INTERVAL: Milliseconds = 350;
+
+/** The parts of a heartbeat that state the versions and the age of the sender's data. */
+type DataVersions = Pick<
+  Heartbeat,
+  | 'newsAge'
+  | 'evacuationsAge'
+  | 'configurationVersion'
+  | 'serversRevision'
+  | 'serversPosition'
+  | 'configurationRevision'
+  | 'evacuations'
+>;
+/** A heartbeat without what concerns the receiving child only. */
+type CommonHeartbeat = Omit<Heartbeat, 'reportSentAt' | 'reportHeld'>;
+
 /** Returns the children that watch the store: those connected longest, from different zones where possible. */
 export function chooseStoreWatchers({ state, now }: RouterContext): string[] {
   const { tree, identity } = state;
@@ -28,7 +45,22 @@
   return chosen.map(({ daemon }) => daemon);
 }
 
-function buildRelayedHeartbeat(context: RouterContext): Heartbeat | null {
+/** Returns the parts of a heartbeat that state the versions and the age of this daemon's data. */
+function dataVersions(context: RouterContext): DataVersions {
+  const { configuration, configurationRevision, newestServerRevision, serversRevision, evacuations } =
+    context.state;
+  return {
+    newsAge: storeDataAge(context),
+    evacuationsAge: evacuationsAge(context),
+    configurationVersion: configuration?.version ?? 0,
+    serversRevision: newestServerRevision,
+    serversPosition: serversRevision ?? 0,
+    configurationRevision,
+    evacuations: evacuations.statement(),
+  };
+}
+
+function buildRelayedHeartbeat(context: RouterContext): CommonHeartbeat | null {
   const { state, now } = context;
   const { election, isolation } = state;
   const { leader } = election;
@@ -46,16 +78,13 @@
     heardAge: Math.round(heardAge),
     confirmationAge: Math.min(MAX_CONFIRMATION_AGE, election.confirmationAge),
     leaderRevision: election.leaderRevision,
-    newsAge: Math.round(storeDataAge(context)),
+    ...dataVersions(context),
     daemons: state.daemons,
     watchers: [],
-    configurationVersion: state.configuration?.version ?? 0,
-    serversRevision: state.newestServerRevision,
-    evacuations: state.evacuations.statement(),
   };
 }
 
-function buildLeaderHeartbeat(context: RouterContext): Heartbeat | null {
+function buildLeaderHeartbeat(context: RouterContext): CommonHeartbeat | null {
   const { state, now } = context;
   const { leadership, identity } = state;
   if (leadership === null || now - leadership.confirmedAt > LEADERSHIP_VALIDITY) {
@@ -70,30 +99,41 @@
     heardAge: 0,
     confirmationAge: Math.max(0, Math.round(now - leadership.confirmedAt)),
     leaderRevision: leadership.leaderRevision,
-    newsAge: Math.round(storeDataAge(context)),
+    ...dataVersions(context),
     daemons: state.daemons,
     watchers: chooseStoreWatchers(context),
-    configurationVersion: state.configuration?.version ?? 0,
-    serversRevision: state.newestServerRevision,
-    evacuations: state.evacuations.statement(),
   };
 }
 
-/** Returns the heartbeat for the children, or null if this daemon has no recent information about a leader. */
-export function buildHeartbeat(context: RouterContext): Heartbeat | null {
+/** Returns the heartbeat for all children, or null if this daemon has no recent information about a leader. */
+function buildHeartbeat(context: RouterContext): CommonHeartbeat | null {
   return buildLeaderHeartbeat(context) ?? buildRelayedHeartbeat(context);
 }
 
+function sendTo(context: RouterContext, heartbeat: CommonHeartbeat, link: number, child: Child): void {
+  const { reportSentAt, lastReportAt } = child;
+  const message: Heartbeat = { ...heartbeat, reportSentAt, reportHeld: context.now - lastReportAt };
+  context.emit({ kind: 'sendToChildren', link, message });
+}
+
+/** Sends a heartbeat to one child. */
+export function sendHeartbeat(context: RouterContext, link: number, child: Child): void {
+  const heartbeat = buildHeartbeat(context);
+  if (heartbeat !== null) {
+    sendTo(context, heartbeat, link, child);
+  }
+}
+
 /** Sends a heartbeat to all children when one is due. */
 export function tickHeartbeats(context: RouterContext): void {
-  const { tree } = context.state;
+  const { tree, leadership } = context.state;
   if (context.now < tree.nextHeartbeatAt || tree.children.size === 0) {
     return;
   }
-  tree.nextHeartbeatAt = context.now + HEARTBEAT_INTERVAL;
-  const message = buildHeartbeat(context);
-  if (message !== null) {
-    context.emit({ kind: 'sendToChildren', link: null, message });
+  tree.nextHeartbeatAt = context.now + (leadership === null ? RELAY_HEARTBEAT_INTERVAL : HEARTBEAT_INTERVAL);
+  const heartbeat = buildHeartbeat(context);
+  if (heartbeat !== null) {
+    tree.children.forEach((child, link) => sendTo(context, heartbeat, link, child));
   }
 }
 
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -105,6 +105,7 @@
       overloaded,
       failedRelay: tree.failedRelay,
       evacuations: state.evacuations.statement(),
+      sentAt: now,
       samples: collectKeySamples(context),
       times: collectServerTimes(context),
       rests,
--- a/src/router/tree/tree-state.ts
+++ b/src/router/tree/tree-state.ts
@@ -12,6 +12,8 @@
   readonly address: string;
   readonly zone: string;
   lastReportAt: Milliseconds;
+  /** When the child sent its last report, by its own clock; 0: unknown. */
+  reportSentAt: Milliseconds;
   /** Daemons in the child's subtree including itself, and those just redirected to it. */
   daemons: number;
   /** When the child was last sent the complete list of servers. */
@@ -38,8 +40,10 @@
   wasRedirected: boolean;
   /** When the parent last sent a heartbeat or redirected this daemon. */
   lastParentContactAt: Milliseconds;
-  /** When the store last confirmed the parent's configuration and servers, by the heartbeats received. */
+  /** The time up to which the configuration and the servers are complete, by the heartbeats received. */
   parentConfirmedAt: Milliseconds;
+  /** The same for the evacuated zones. */
+  parentEvacuationsConfirmedAt: Milliseconds;
   /** Configuration and servers have been unconfirmed for longer than a change may take to be in force; this was logged. */
   updatesAreStale: boolean;
   /** Time until which a daemon that has left its relay waits for a heartbeat from the leader. */
@@ -69,6 +73,7 @@
     wasRedirected: false,
     lastParentContactAt: Number.NEGATIVE_INFINITY,
     parentConfirmedAt: Number.NEGATIVE_INFINITY,
+    parentEvacuationsConfirmedAt: Number.NEGATIVE_INFINITY,
     updatesAreStale: false,
     leaderGraceUntil: Number.NEGATIVE_INFINITY,
     failedRelay: '',
--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -34,7 +34,7 @@
 }
 
 function watch(): Promise<WatchOutcome<ServerDescription>> {
-  return new Promise((resolve) => feed.watch(5, 1_000, resolve));
+  return new Promise((resolve) => feed.watch(5, { wait: 1_000, timeout: 1_600 }, resolve));
 }
 
 async function listNames(items: readonly unknown[]): Promise<string[]> {
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -59,6 +59,7 @@
     const notices: ServerNotice[] = [];
     const limits: LimitReading[] = [];
     const listener: AttemptListener = {
+      isWriteAllowed: () => true,
       onNotice: (notice) => notices.push(notice),
       onLimitRead: (limit) => limits.push(limit),
       onFinished: (result, reusable) => {
--- a/test/router-runtime/test-caller-frontend.ts
+++ b/test/router-runtime/test-caller-frontend.ts
@@ -69,6 +69,7 @@
     dispatch: onEvent,
     loop: { readDelay: () => 0, isOnTime: () => true },
     longestReadDelay: () => null,
+    isWriteAllowed: () => true,
   });
   runningFrontend = frontend;
   await frontend.listen('127.0.0.1:0');
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -38,6 +38,7 @@
     dispatch: onEvent,
     loop: { readDelay: () => 0, isOnTime: () => true },
     longestReadDelay: () => null,
+    isWriteAllowed: () => true,
   });
   runningFrontend = frontend;
   await frontend.listen('127.0.0.1:0');
--- /dev/null
+++ b/test/router-runtime/test-object-feed.ts
@@ -0,0 +1,154 @@
+import { expect } from 'earl';
+import { beforeEach, describe, it } from 'node:test';
+import type { FeedSource, ListOutcome, WatchOutcome } from '../../src/router/ports.js';
+import { CONFIRMATION_WATCH, type WatchTiming } from '../../src/router/news/store-watch-timing.js';
+import { type FeedFailure, ObjectFeed } from '../../src/router-runtime/object-feed.js';
+import { VirtualClock } from '../router/support/virtual-clock.js';
+
+const WAIT = 500;
+const EMPTY: WatchOutcome<string> = { kind: 'changes', changes: [], revision: 9 };
+
+interface Call {
+  readonly revision: number | null;
+  readonly wait: number;
+  isCancelled: boolean;
+  readonly list: (outcome: ListOutcome<string>) => void;
+  readonly watch: (outcome: WatchOutcome<string>) => void;
+}
+
+let clock: VirtualClock;
+let calls: Call[];
+let confirmations: (number | null)[];
+let failures: FeedFailure[];
+let isLoopTimely: boolean;
+let feed: ObjectFeed<string>;
+
+const ignore = (): undefined => undefined;
+
+function addCall(call: Omit<Call, 'isCancelled'>): () => void {
+  const added = { ...call, isCancelled: false };
+  calls.push(added);
+  return () => {
+    added.isCancelled = true;
+  };
+}
+
+const source: FeedSource<string> = {
+  name: 'items',
+  list: (done) => addCall({ revision: null, wait: 0, list: done, watch: ignore }),
+  watch: (revision, { wait }: WatchTiming, done) => addCall({ revision, wait, list: ignore, watch: done }),
+};
+
+function createFeed(): ObjectFeed<string> {
+  const listener = {
+    onList: ignore,
+    onChanges: ignore,
+    onAnswer: (_sentAt: number, confirmedAt: number | null) => confirmations.push(confirmedAt),
+    onFailure: (failure: FeedFailure) => failures.push(failure),
+  };
+  const timers = {
+    now: () => clock.now,
+    after: (delay: number, action: () => void) => {
+      let isCancelled = false;
+      clock.schedule(delay, () => (isCancelled ? undefined : action()));
+      return () => {
+        isCancelled = true;
+      };
+    },
+  };
+  return new ObjectFeed(source, listener, {
+    timers,
+    watchTiming: () => ({ wait: WAIT, timeout: WAIT + 600 }),
+    isLoopTimely: () => isLoopTimely,
+  });
+}
+
+describe('what a call to the store confirms', () => {
+  beforeEach(() => {
+    clock = new VirtualClock();
+    calls = [];
+    confirmations = [];
+    failures = [];
+    isLoopTimely = true;
+    feed = createFeed();
+    clock.runUntil(1_000);
+  });
+
+  it('is the time when a list was called for, however late its response is read', () => {
+    feed.start(null);
+    clock.runUntil(2_500);
+    calls[0]?.list({ kind: 'listed', items: [], revision: 7 });
+    expect(confirmations).toEqual([1_000]);
+  });
+
+  it('is the end of the wait of a watch without changes', () => {
+    feed.start(5);
+    clock.runUntil(1_900);
+    calls[0]?.watch(EMPTY);
+    expect(confirmations).toEqual([1_000 + WAIT]);
+  });
+
+  it('is the start of a watch that was answered early, or with changes', () => {
+    feed.start(5);
+    clock.runUntil(1_300);
+    calls[0]?.watch(EMPTY);
+    clock.runUntil(2_000);
+    const startedAt = 1_450;
+    calls[1]?.watch({ kind: 'changes', changes: [{ id: 'a', item: 'x' }], revision: 8 });
+    expect(confirmations).toEqual([1_000, startedAt]);
+  });
+
+  it('is nothing when the history is gone: the feed is listed', () => {
+    feed.confirm(5);
+    calls[0]?.watch({ kind: 'forgotten' });
+    expect(confirmations).toEqual([null]);
+    clock.runUntil(1_500);
+    expect(calls.map(({ revision }) => revision)).toEqual([5, null]);
+  });
+});
+
+describe('a confirmation that is asked for', () => {
+  beforeEach(() => {
+    clock = new VirtualClock();
+    calls = [];
+    confirmations = [];
+    failures = [];
+    isLoopTimely = true;
+    feed = createFeed();
+  });
+
+  it('replaces a watch in flight by one that is answered at once', () => {
+    feed.start(5);
+    clock.runUntil(300);
+    feed.confirm(6);
+    expect(calls.map(({ revision, wait, isCancelled }) => [revision, wait, isCancelled])).toEqual([
+      [5, WAIT, true],
+      [6, CONFIRMATION_WATCH.wait, false],
+    ]);
+    calls[1]?.watch(EMPTY);
+    clock.runUntil(1_000);
+    expect(calls[2]?.wait).toEqual(WAIT);
+  });
+
+  it('is the only call when the feed is not followed', () => {
+    feed.confirm(5);
+    calls[0]?.watch(EMPTY);
+    clock.runUntil(5_000);
+    expect(calls.length).toEqual(1);
+  });
+
+  it('fails conclusively only without any response, and while the event loop is not behind', () => {
+    const cases: readonly (readonly [boolean, boolean])[] = [
+      [false, true],
+      [true, true],
+      [false, false],
+    ];
+    for (const [isResponding, isTimely] of cases) {
+      isLoopTimely = isTimely;
+      feed.confirm(5);
+      calls.at(-1)?.watch({ kind: 'failed', reason: 'no answer', isResponding });
+      clock.runUntil(clock.now + 5_000);
+    }
+    expect(failures.map(({ isConclusive }) => isConclusive)).toEqual([true, false, false]);
+  });
+});
--- a/test/router/news/test-feed-health.ts
+++ b/test/router/news/test-feed-health.ts
@@ -19,6 +19,7 @@
   call: 'watch',
   waited: 1_400.4,
   reason: 'no answer',
+  isConclusive: true,
 } as const;
 
 describe('the health of feeds', () => {
@@ -39,10 +40,14 @@
   });
 
   it('logs when the store answers again, and records when it last did', () => {
-    expect(logsOf(900, { kind: 'feedAnswered', feed: 'configuration' })).toEqual([]);
+    expect(
+      logsOf(900, { kind: 'feedAnswered', feed: 'configuration', sentAt: 800, confirmedAt: null }),
+    ).toEqual([]);
     logsOf(1_000, FAILURE);
     expect(state.feeds.configuration.answeredAt).toEqual(900);
-    expect(logsOf(3_000, { kind: 'feedAnswered', feed: 'configuration' }).length).toEqual(1);
+    expect(
+      logsOf(3_000, { kind: 'feedAnswered', feed: 'configuration', sentAt: 800, confirmedAt: null }).length,
+    ).toEqual(1);
     expect(state.feeds.configuration.answeredAt).toEqual(3_000);
     expect(state.feeds.servers.answeredAt).toEqual(Number.NEGATIVE_INFINITY);
   });
--- a/test/router/news/test-store-updates.ts
+++ b/test/router/news/test-store-updates.ts
@@ -3,7 +3,7 @@
 import type { Effect } from '../../../src/router/effects.js';
 import type { RouterEvent } from '../../../src/router/events.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
-import type { Heartbeat, PeerMessage } from '../../../src/router/peers/messages.js';
+import type { Heartbeat, PeerMessage, Report } from '../../../src/router/peers/messages.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION } from '../support/router-simulation.js';
@@ -15,6 +15,27 @@
 
 const identity = { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1, isFirstStart: true };
 
+const CHILD_REPORT: Report = {
+  kind: 'report',
+  daemon: 'child',
+  life: 2,
+  address: '10.0.0.3:70',
+  zone: 'z',
+  configurationVersion: 0,
+  serversRevision: 5,
+  serversPosition: 15,
+  ownershipSequence: 0,
+  daemons: 1,
+  started: [],
+  evacuations: null,
+  sentAt: 0,
+  overloaded: false,
+  failedRelay: '',
+  samples: [],
+  times: [],
+  rests: [],
+};
+
 let state: RouterState;
 let now: number;
 let effects: Effect[];
@@ -49,15 +70,23 @@
 function heartbeat(change: Partial<Heartbeat> = {}): Heartbeat {
   const leader = { term: 3, leader: 'l', leaderLife: 7, leaderAddress: LEADER };
   const age = { heardAge: 0, confirmationAge: 10, leaderRevision: 4, newsAge: 10, daemons: 20 };
-  const versions = { watchers: [], configurationVersion: 1, serversRevision: 5, evacuations: null };
-  return { kind: 'heartbeat', ...leader, ...age, ...versions, ...change };
+  const versions = { watchers: [], configurationVersion: 1, serversRevision: 5, serversPosition: 10 };
+  const echo = { reportSentAt: now, reportHeld: 0, evacuationsAge: 10, evacuations: null };
+  const revisions = { configurationRevision: 5 };
+  return { kind: 'heartbeat', ...leader, ...age, ...versions, ...echo, ...revisions, ...change };
 }
 
 function receiveAllData(): void {
   receiveMessage(heartbeat());
   receiveMessage({ kind: 'configurationNews', revision: 5, configuration: CONFIGURATION });
   const changes = ['s1', 's2'].map((id) => ({ id, server: server(id, 5) }));
-  receiveMessage({ kind: 'serverNews', base: 0, revision: 10, changes });
+  receiveMessage({ kind: 'serverNews', base: 0, completeFrom: 0, revision: 10, changes });
+}
+
+function askedFeeds(): string[] {
+  return effects.flatMap((effect) =>
+    effect.kind === 'confirmFeed' && effect.feed !== 'evacuations' ? [effect.feed] : [],
+  );
 }
 
 function followsStore(): boolean {
@@ -87,7 +116,13 @@
     receiveAllData();
     advance(500);
     effects = [];
-    receiveMessage({ kind: 'serverNews', base: 20, revision: 30, changes: [{ id: 's1', server: null }] });
+    receiveMessage({
+      kind: 'serverNews',
+      base: 20,
+      completeFrom: 20,
+      revision: 30,
+      changes: [{ id: 's1', server: null }],
+    });
     advance(200);
     expect(state.servers.has('s1')).toEqual(true);
     expect(sentMessages('report')[0]?.serversPosition).toEqual(10);
@@ -98,11 +133,18 @@
     receiveMessage({
       kind: 'serverNews',
       base: 10,
+      completeFrom: 10,
       revision: 12,
       changes: [{ id: 's3', server: server('s3', 11) }],
     });
-    receiveMessage({ kind: 'serverNews', base: 0, revision: 9, changes: [] });
-    receiveMessage({ kind: 'serverNews', base: 5, revision: 11, changes: [{ id: 's3', server: null }] });
+    receiveMessage({ kind: 'serverNews', base: 0, completeFrom: 0, revision: 9, changes: [] });
+    receiveMessage({
+      kind: 'serverNews',
+      base: 5,
+      completeFrom: 5,
+      revision: 11,
+      changes: [{ id: 's3', server: null }],
+    });
     receiveMessage(heartbeat({ term: 2, leaderAddress: '10.9.9.9:1' }));
     receiveMessage({
       kind: 'leaderNotice',
@@ -119,7 +161,13 @@
   it('are forwarded to the children, and to the parent only when they did not come from it', () => {
     receiveAllData();
     effects = [];
-    receiveMessage({ kind: 'serverNews', base: 10, revision: 12, changes: [{ id: 's1', server: null }] });
+    receiveMessage({
+      kind: 'serverNews',
+      base: 10,
+      completeFrom: 10,
+      revision: 12,
+      changes: [{ id: 's1', server: null }],
+    });
     expect(effects.filter(({ kind }) => kind === 'sendToParent')).toEqual([]);
     expect(sentMessages('serverNews').length).toEqual(1);
     effects = [];
@@ -136,28 +184,7 @@
       revision: 17,
     });
     effects = [];
-    receiveMessage(
-      {
-        kind: 'report',
-        daemon: 'child',
-        life: 2,
-        address: '10.0.0.3:70',
-        zone: 'z',
-        configurationVersion: 0,
-        serversRevision: 5,
-        serversPosition: 15,
-        ownershipSequence: 0,
-        daemons: 1,
-        started: [],
-        evacuations: null,
-        overloaded: false,
-        failedRelay: '',
-        samples: [],
-        times: [],
-        rests: [],
-      },
-      1,
-    );
+    receiveMessage({ ...CHILD_REPORT, sentAt: now }, 1);
     expect(
       sentMessages('serverNews').map(({ base, changes }) => [base, changes.map(({ id }) => id)]),
     ).toEqual([[15, ['s3']]]);
@@ -176,15 +203,63 @@
     expect(followsStore()).toEqual(true);
   });
 
-  it('are not enough from a leader that the store has not answered for 1.6 s, where 2 s are allowed', () => {
+  it('are not enough from a leader that the store has not answered for 1.2 s, where 2 s are allowed', () => {
     receiveAllData();
     const confirmedAt = now;
-    advance(1_500, () => receiveMessage(heartbeat({ newsAge: now - confirmedAt })));
-    expect(followsStore()).toEqual(false);
+    advance(1_000, () => receiveMessage(heartbeat({ newsAge: now - confirmedAt })));
+    expect(askedFeeds()).toEqual([]);
     advance(200, () => receiveMessage(heartbeat({ newsAge: now - confirmedAt })));
-    expect(followsStore()).toEqual(true);
-    advance(100, () => receiveMessage(heartbeat({ newsAge: 50 })));
-    expect(followsStore()).toEqual(false);
+    expect(askedFeeds()).toEqual(['configuration', 'servers']);
+    advance(1_000, () => receiveMessage(heartbeat({ newsAge: 50 })));
+    expect(askedFeeds().length).toEqual(2);
+  });
+
+  it('are not enough from a leader whose heartbeats take 1.2 s', () => {
+    receiveAllData();
+    const heartbeats: Heartbeat[] = [];
+    const receiveDelayed = (): void => {
+      heartbeats.push(heartbeat());
+      const delayed = heartbeats.length > 60 ? heartbeats.shift() : undefined;
+      if (delayed !== undefined) {
+        receiveMessage(delayed);
+      }
+    };
+    advance(1_300, receiveDelayed);
+    effects = [];
+    advance(2_000, receiveDelayed);
+    expect(state.tree.parent).toEqual(LEADER);
+    expect(askedFeeds().length > 0).toEqual(true);
+  });
+
+  it('leave no server behind that was added and removed unseen by the parent', () => {
+    receiveAllData();
+    const added = { id: 's3', server: server('s3', 12) };
+    handleEvent({ kind: 'serversChanged', changes: [added], revision: 12 });
+    const update = { kind: 'serverNews', base: 10, completeFrom: 15, revision: 15, changes: [] } as const;
+    receiveMessage({ ...update, changes: [] });
+    expect(state.serversRevision).toEqual(12);
+    const listed = ['s1', 's2'].map((id) => ({ id, server: server(id, 5) }));
+    receiveMessage({ kind: 'serverNews', base: 0, completeFrom: 15, revision: 15, changes: listed });
+    expect([...state.servers.keys()]).toEqual(['s1', 's2']);
+    expect(state.serversRevision).toEqual(15);
+  });
+
+  it('include the removal of a server that this daemon never knew, for those that know it', () => {
+    receiveAllData();
+    effects = [];
+    handleEvent({ kind: 'serversChanged', changes: [{ id: 's9', server: null }], revision: 15 });
+    const [update] = sentMessages('serverNews');
+    expect(update?.base).toEqual(10);
+    expect(update?.completeFrom).toEqual(10);
+    expect(update?.changes).toEqual([{ id: 's9', server: null }]);
+  });
+
+  it('bring a child a full list when only the difference between two lists is known', () => {
+    receiveAllData();
+    handleEvent({ kind: 'serversListed', servers: [server('s1', 5), server('s4', 14)], revision: 15 });
+    effects = [];
+    receiveMessage({ ...CHILD_REPORT, serversPosition: 12, sentAt: now }, 1);
+    expect(sentMessages('serverNews').map(({ base }) => base)).toEqual([0]);
   });
 
   it('are enough when only the confirmation of the leadership is late', () => {
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -6,8 +6,10 @@
 import { createRouterState, notReadyReason, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION, SERVICE } from '../support/router-simulation.js';
 import { BOUNDS_WITH_RETRIES } from '../support/bounds.js';
+import { confirmData } from '../support/single-daemon.js';
 import { fingerprintOf } from '../support/fingerprints.js';
 
+const NO_ANSWER = { waited: 400, reason: 'no answer', isConclusive: true } as const;
 const MISDIRECTED: AttemptResult = { kind: 'rejected', status: 421, misdirected: true, load: null };
 
 /** A simulated follower with a view of ownership and a clock of its own. */
@@ -26,14 +28,21 @@
     const description = { id: 's1', service: SERVICE, address: '10.0.0.1:80', zone: 'z', slots: 4 };
     const server = { ...description, draining: false, warmupLeft: 0, listedAt: 1, revision: 1 };
     this.event({ kind: 'serversListed', servers: [server], revision: 5 });
+    confirmData(this.state, this.now);
     this.readLeader();
     const unit = { service: SERVICE, from: 0, to: 65_535, owner: 's1', fence: 3, granted: true };
     const statement: Ownership = { kind: 'ownership', term: 1, sequence: 1, base: 0, units: [unit] };
     this.event({ kind: 'peerMessage', link: 1, message: statement });
   }
 
+  /** Delivers an event. The store answers no request for a confirmation. */
   event(event: RouterEvent): void {
-    reduce(this.state, this.now, event);
+    const effects = reduce(this.state, this.now, event);
+    for (const effect of effects) {
+      if (effect.kind === 'confirmFeed') {
+        this.event({ kind: 'feedFailed', feed: effect.feed, call: 'watch', ...NO_ANSWER });
+      }
+    }
   }
 
   readLeader(): void {
--- a/test/router/support/bounded-traffic.ts
+++ b/test/router/support/bounded-traffic.ts
@@ -3,6 +3,7 @@
 import type { Effect, ForwardEffect } from '../../../src/router/effects.js';
 import type { AttemptResult } from '../../../src/router/events.js';
 import type { Configuration } from '../../../src/router/model/configuration.js';
+import { isSendAllowed } from '../../../src/router/request/send-permission.js';
 import type { RouterState } from '../../../src/router/router-state.js';
 import { BoundChecks } from './bound-checks.js';
 import { fingerprintOf } from './fingerprints.js';
@@ -47,8 +48,8 @@
 export class BoundedTraffic implements RequestEffectHandler {
   /** Time in milliseconds to open a connection to a server. */
   connectionDelay = 1;
-  /** Whether an attempt may be written; a refused one is reported to the daemon as withdrawn. */
-  isWriteAllowed: WriteCheck = () => true;
+  /** Whether an attempt may be written; a refused one is reported to the daemon as withheld. */
+  isWriteAllowed: WriteCheck = (state, now, { server }) => isSendAllowed(state, now, server);
   /** Routes to which requests are sent. */
   routes: readonly string[] = [KEYED_SERVICE, BALANCED_SERVICE];
   readonly checks: BoundChecks;
@@ -148,7 +149,7 @@
       return;
     }
     if (!this.isWriteAllowed(daemon.state, daemon.clock.now(), effect)) {
-      this.#end(attempt, { kind: 'notSent', reason: 'withdrawn', refused: false });
+      this.#end(attempt, { kind: 'withheld' });
       return;
     }
     attempt.isWritten = true;
--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -6,7 +6,7 @@
 import { buildServerId, instanceOf } from '../../../src/router/model/server-incarnation.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
 import type { PeerMessage } from '../../../src/router/peers/messages.js';
-import { watchTime } from '../../../src/router/news/store-watch-timing.js';
+import { watchTiming } from '../../../src/router/news/store-watch-timing.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
@@ -210,7 +210,9 @@
     };
     return new StoreFeeds(sources, (event) => this.#deliver(daemon, life, event), {
       timers: daemon.machine.createTimers(() => daemon.clock),
-      watchTimeout: () => watchTime(daemon.state.bounds),
+      watchTiming: (followsChanges) =>
+        watchTiming(daemon.state.bounds, daemon.state.leadership !== null, followsChanges),
+      isLoopTimely: () => true,
     });
   }
 
@@ -326,6 +328,8 @@
         return daemon.feeds?.followEvacuations(effect);
       case 'refreshFeed':
         return daemon.feeds?.refresh(effect.feed);
+      case 'confirmFeed':
+        return daemon.feeds?.confirm(effect);
       case 'sendToParent': {
         const parent = this.daemons.find((other) => other.address === daemon.parentAddress);
         return parent === undefined
--- a/test/router/support/simulated-feed.ts
+++ b/test/router/support/simulated-feed.ts
@@ -10,12 +10,12 @@
   ListOutcome,
   WatchOutcome,
 } from '../../../src/router/ports.js';
+import type { WatchTiming } from '../../../src/router/news/store-watch-timing.js';
 import type { SimulatedStore } from './simulated-store.js';
 import type { VirtualClock } from './virtual-clock.js';
 
-/** Timeouts as in the platform's adapter: of a list call, and of a watch call after its wait. */
+/** Timeout of a list call, as in the platform's adapter. */
 const LIST_TIMEOUT: Milliseconds = 1_500;
-const WATCH_TIMEOUT_MARGIN: Milliseconds = 600;
 /** The longest time until watchers are notified of a change. */
 const MAX_NOTIFICATION_DELAY: Milliseconds = 12;
 const NOTIFICATION_RETRY: Milliseconds = 50;
@@ -102,7 +102,7 @@
       this.#compactedRevision = this.#store.revision;
       const watchers = this.#watchers;
       this.#watchers = [];
-      watchers.forEach(({ call }) => call.finish({ kind: 'failed', reason: 'cut' }));
+      watchers.forEach(({ call }) => call.finish({ kind: 'failed', reason: 'cut', isResponding: false }));
     });
   }
 
@@ -111,14 +111,16 @@
     return {
       name: this.name,
       list: (done) => this.#list(isReachable, done),
-      watch: (revision, wait, done) => this.#watch(isReachable, revision, wait, done),
+      watch: (revision, timing, done) => this.#watch(isReachable, revision, timing, done),
     };
   }
 
   #list(isReachable: () => boolean, done: (outcome: ListOutcome<Item>) => void): CancelCall {
     this.listCalls += 1;
     const call = new SimulatedCall(done);
-    this.#clock.schedule(LIST_TIMEOUT, () => call.finish({ kind: 'failed', reason: 'no answer' }));
+    this.#clock.schedule(LIST_TIMEOUT, () =>
+      call.finish({ kind: 'failed', reason: 'no answer', isResponding: false }),
+    );
     if (!this.#store.isDown && isReachable()) {
       this.#clock.schedule(this.#store.latency(), () => {
         const items = [...this.#items].map(([id, item]) => ({ id, item }));
@@ -131,13 +133,13 @@
   #watch(
     isReachable: () => boolean,
     revision: number,
-    wait: Milliseconds,
+    { wait, timeout }: WatchTiming,
     done: (outcome: WatchOutcome<Item>) => void,
   ): CancelCall {
     this.watchCalls += 1;
     const call = new SimulatedCall(done);
-    this.#clock.schedule(wait + WATCH_TIMEOUT_MARGIN, () =>
-      call.finish({ kind: 'failed', reason: 'no answer' }),
+    this.#clock.schedule(timeout, () =>
+      call.finish({ kind: 'failed', reason: 'no answer', isResponding: false }),
     );
     if (!this.#store.isDown && isReachable()) {
       this.#startWatch({ revision, call, isReachable }, wait);
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -91,6 +91,15 @@
   };
 }
 
+/** Reports that the store has confirmed all data of a daemon. */
+export function confirmData(state: RouterState, now: number): void {
+  for (const feed of FEEDS) {
+    reduce(state, now, { kind: 'feedAnswered', feed, sentAt: now, confirmedAt: now });
+  }
+}
+
+const FEEDS = ['configuration', 'servers', 'evacuations'] as const;
+
 /** Interval of tick events in milliseconds. */
 const TICK = 20;
 
@@ -98,6 +107,8 @@
   readonly state: RouterState;
   now = 1_000;
   effects: Effect[] = [];
+  /** Whether the store confirms this daemon's data at every event; otherwise the data grows old. */
+  isDataConfirmed = true;
 
   constructor() {
     const identity = { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 };
@@ -112,6 +123,9 @@
   }
 
   event(input: RouterEvent): void {
+    if (this.isDataConfirmed) {
+      confirmData(this.state, this.now);
+    }
     this.effects.push(...reduce(this.state, this.now, input));
   }
 
--- a/test/router/test-suspension.ts
+++ b/test/router/test-suspension.ts
@@ -31,10 +31,13 @@
 }
 
 function suspend(simulation: RouterSimulation, daemon: SimulatedDaemon): void {
+  // Restored before the daemon resumes at the same time: its first call to the store would otherwise be lost.
+  simulation.clock.schedule(SUSPENSION_LENGTH, () => {
+    daemon.peersReachable = true;
+    daemon.storeReachable = true;
+  });
   beginSuspension(simulation, daemon);
   simulation.clock.runUntil(simulation.clock.now + SUSPENSION_LENGTH);
-  daemon.peersReachable = true;
-  daemon.storeReachable = true;
 }
 
 for (const [name, bootClock] of Object.entries(CLOCKS)) {
--- a/test/router/tree/test-relay-choice.ts
+++ b/test/router/tree/test-relay-choice.ts
@@ -10,6 +10,7 @@
     address: `10.0.0.${index}:70`,
     zone,
     lastReportAt: 0,
+    reportSentAt: 0,
     daemons,
     serversSentAt: 0,
     configurationSentAt: 0,
--- a/test/support/blocked-loop-front.ts
+++ b/test/support/blocked-loop-front.ts
@@ -101,6 +101,7 @@
         isOnTime: () => this.#monitor.isOnTime(performance.now()),
       },
       longestReadDelay: () => null,
+      isWriteAllowed: () => true,
     });
   }
 
--- a/test/wire/test-peer-codec.ts
+++ b/test/wire/test-peer-codec.ts
@@ -21,6 +21,7 @@
   {
     kind: 'serverNews',
     base: 5,
+    completeFrom: 4,
     revision: 9,
     changes: [
       { id: 's1', server: { ...SERVER, warmupLeft: 1_500, listedAt: 4, revision: 8 } },
@@ -37,6 +38,11 @@
     confirmationAge: 900,
     leaderRevision: 8,
     newsAge: 10,
+    evacuationsAge: 20,
+    reportSentAt: 5_000.5,
+    reportHeld: 120,
+    serversPosition: 9,
+    configurationRevision: 8,
     daemons: 74,
     watchers: ['d2'],
     configurationVersion: 7,
