--- a/src/router/news/store-data-age.ts
+++ b/src/router/news/store-data-age.ts
@@ -12,6 +12,8 @@
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 
+/** A confirmation of data that is newer by less than this is not worth a message to the children. */
+const MIN_FORWARDED_GAIN: Milliseconds = 50;
 /** The maximum age that is reported. It fits into the 32 bits of the heartbeat's fields. */
 const MAX_REPORTED_AGE: Milliseconds = 600_000;
 
@@ -48,7 +50,7 @@
 
 /**
  * Records what a heartbeat confirms. The parent built it `reportHeld` after it had read a report that this daemon had sent at
- * `reportSentAt`, so not before the sum of the two. Returns whether a later time is confirmed than before.
+ * `reportSentAt`, so not before the sum of the two. Returns whether the children should be told at once.
  */
 export function recordParentConfirmation(context: RouterContext, heartbeat: Heartbeat): boolean {
   const { state } = context;
@@ -72,7 +74,7 @@
       builtAt - ageOfEvacuations,
     );
   }
-  return tree.parentConfirmedAt > before;
+  return tree.parentConfirmedAt - before >= MIN_FORWARDED_GAIN;
 }
 
 /** Forgets all confirmations, because the clock may not have counted a suspension. */
