--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -4,7 +4,7 @@
 import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import type { Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 
-/** A request that arrived before the first configuration was known. */
+/** A request that arrived while no configuration could be used. */
 export interface EarlyRequest {
   readonly event: RequestArrivedEvent;
   readonly readAt: Milliseconds;
@@ -34,6 +34,8 @@
   /** Server of the attempt in flight, or null while the request is held. */
   server: ServerId | null;
   attemptStartedAt: Milliseconds;
+  /** Age of the store's data by which the server of the latest attempt was chosen. */
+  dataAge: Milliseconds;
   /** Whether the server was estimated to have a free slot when the attempt was sent. */
   sentToFreeSlot: boolean;
   /** Whether the attempt in flight used a permit of its server's rate limit. */
