A lease counts from the latest arrival of its grant, not from the decision to send it

Seen in virtual time: a renewal takes 290 ms to reach its server (a new connection), and the server is cut off before it answers. The leader assigns the keys to another server while the former owner still holds them, for up to 101 ms. The same happens after a takeover, when only the former leader reached the server: its last renewal is decided just before its validity of 5 s ends and arrives later.

Cause: a server counts a lease from the arrival of the grant. The leader counted it from the moment of the decision and allowed 150 ms for the way, but a call may be written up to its timeout of 300 ms later (2.5 s * 1.02 + 0.28 s = 2.83 s against 2.70 s). The successor of a leader did the same with the leader's last call.

An unanswered grant now counts as arrived when its call ended, since a call that has timed out is withdrawn or reset. No lease is over while a grant is in progress, so a leader whose event loop is behind does not rely on the order in which it reads the timeout and the tick. The calls of a former leader count as ended one grant timeout after its validity. Answered grants already counted from the reading of the answer, and calls that were never sent count as before.

After a takeover, the keys of a lost server wait 300 ms longer, too. Once late calls have been seen, the 12.3 s count from the end of the call.

Simulated servers can have a connection delay and be out of reach of some daemons; a lost answer ends its call at the timeout rather than at once.

--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -12,7 +12,13 @@
 import { INITIAL_CONFIRMATION_RETRY_DELAY } from './leader-confirmation.js';
 import { recordServerList } from './leader.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
-import { LEADERSHIP_VALIDITY, UNIT_MERGE_INTERVAL, LEASE_DURATION, maxHoldTime } from './ownership-timing.js';
+import {
+  GRANT_TIMEOUT,
+  LEADERSHIP_VALIDITY,
+  LEASE_DURATION,
+  maxHoldTime,
+  UNIT_MERGE_INTERVAL,
+} from './ownership-timing.js';
 import { RecentPeak } from './recent-peak.js';
 import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
 
@@ -81,7 +87,7 @@
   });
 }
 
-/** Returns the time after which earlier leaders send no calls to servers. */
+/** Returns the time after which no grant of an earlier leader arrives at a server. */
 function formerLeaderCallsEnd(
   context: RouterContext,
   candidacy: Candidacy,
@@ -93,8 +99,9 @@
   if (candidacy.hasPredecessorEnded) {
     return context.state.election.startedAt;
   }
-  // The previous leader began its last write before this daemon first saw the revision of that write.
-  return Math.max(context.now, candidacy.formerRevisionSeenAt + LEADERSHIP_VALIDITY);
+  // The previous leader began its last write before this daemon first saw the revision of that write, and its
+  // last grant may arrive until that call times out.
+  return Math.max(context.now, candidacy.formerRevisionSeenAt + LEADERSHIP_VALIDITY + GRANT_TIMEOUT);
 }
 
 /**
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -31,8 +31,10 @@
 export interface ServerLease {
   /** Time after which the leases of all answered grants have expired. */
   holdsUntil: Milliseconds;
-  /** Time at which the last unanswered grant was sent, and the longest lease of the unanswered grants. */
-  unansweredGrantAt: Milliseconds;
+  /** Grants that were sent and have neither been answered nor timed out. */
+  grantsInProgress: number;
+  /** Time at which the last unanswered grant timed out or failed, and the longest lease of the unanswered grants. */
+  unansweredGrantEndedAt: Milliseconds;
   unansweredLeaseDuration: Milliseconds;
   /** Calls without an answer since the last answered one. */
   unanswered: number;
@@ -92,7 +94,7 @@
   tableRevision: number;
   pendingWrite: TableWrite | null;
   readonly startedAt: Milliseconds;
-  /** Time after which earlier leaders send no calls to servers. */
+  /** Time after which no grant of an earlier leader arrives at a server. */
   formerLeaderCallsEndAt: Milliseconds;
   /** Time after which the leases granted by earlier leaders have expired. */
   formerLeaderLeasesEndAt: Milliseconds;
--- a/src/router/ownership/ownership-timing.ts
+++ b/src/router/ownership/ownership-timing.ts
@@ -29,7 +29,7 @@
 export const MAX_CLOCK_DRIFT_RATIO = 0.02;
 /** Covers the network delay of a call and the resolution of timers. */
 export const LEASE_MARGIN: Milliseconds = 150;
-/** A server may still execute an unanswered call this long after it was sent. */
+/** A server may still execute an unanswered call this long after the leader gave it up. */
 export const LATE_CALL_DELAY: Milliseconds = 12_300;
 /** Late execution of calls is expected for this long after a sign of it was seen. */
 export const LATE_CALL_MEMORY: Milliseconds = 15_000;
--- a/src/router/ownership/server-lease.ts
+++ b/src/router/ownership/server-lease.ts
@@ -16,7 +16,8 @@
   if (lease === undefined) {
     lease = {
       holdsUntil: Number.NEGATIVE_INFINITY,
-      unansweredGrantAt: Number.NEGATIVE_INFINITY,
+      grantsInProgress: 0,
+      unansweredGrantEndedAt: Number.NEGATIVE_INFINITY,
       unansweredLeaseDuration: 0,
       unanswered: 0,
       lastUnansweredAt: Number.NEGATIVE_INFINITY,
@@ -44,9 +45,13 @@
   if (lease.holdsNothing) {
     return Number.NEGATIVE_INFINITY;
   }
+  if (lease.grantsInProgress > 0) {
+    // The server counts its lease from the arrival, which may be as late as the end of the call.
+    return Number.POSITIVE_INFINITY;
+  }
   const lateExecutionDelay = areLateCallsExpected(leadership, now) ? LATE_CALL_DELAY : 0;
   const unansweredEnd =
-    lease.unansweredGrantAt + lateExecutionDelay + maxHoldTime(lease.unansweredLeaseDuration);
+    lease.unansweredGrantEndedAt + lateExecutionDelay + maxHoldTime(lease.unansweredLeaseDuration);
   return Math.max(leadership.formerLeaderLeasesEndAt, lease.holdsUntil, unansweredEnd);
 }
 
@@ -61,9 +66,17 @@
 
 /** Records that a grant was sent, after which the server may hold keys until the lease ends. */
 export function recordGrantSent(lease: ServerLease, duration: Milliseconds, now: Milliseconds): void {
+  lease.grantsInProgress += 1;
   lease.holdsUntil = Math.max(lease.holdsUntil, now + maxHoldTime(duration));
 }
 
+/** Records that a call is no longer in progress. */
+export function recordCallEnded(leadership: Leadership, { action, server }: PendingCall): void {
+  if (action === 'grant') {
+    leaseOf(leadership, server).grantsInProgress -= 1;
+  }
+}
+
 /** Records an answered call: the server is alive, and executed the call no later than now. */
 export function recordAnswer(leadership: Leadership, call: PendingCall, now: Milliseconds): void {
   const lease = leaseOf(leadership, call.server);
@@ -78,7 +91,7 @@
   lease.unresponsive = false;
 }
 
-/** Records that a call got no answer. A call that was sent may still be executed late. */
+/** Records that a call got no answer. A call that was sent may have arrived at any time until now, or may still be executed late. */
 export function recordUnansweredCall(
   leadership: Leadership,
   call: PendingCall,
@@ -92,7 +105,7 @@
     return;
   }
   if (wasSent && call.action === 'grant') {
-    lease.unansweredGrantAt = Math.max(lease.unansweredGrantAt, call.sentAt);
+    lease.unansweredGrantEndedAt = Math.max(lease.unansweredGrantEndedAt, now);
     lease.unansweredLeaseDuration = Math.max(lease.unansweredLeaseDuration, call.leaseDuration);
   }
   lease.unanswered += 1;
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -20,6 +20,7 @@
   leaseEnd,
   leaseOf,
   recordAnswer,
+  recordCallEnded,
   recordGrantSent,
   recordUnansweredCall,
   recordRefusalByOtherInstance,
@@ -179,6 +180,7 @@
     return;
   }
   leadership.pendingCalls.delete(event.callId);
+  recordCallEnded(leadership, call);
   recordOutcome(context, leadership, call, event.outcome);
   if (call.action === 'probe') {
     leaseOf(leadership, call.server).probeInFlight = false;
--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -13,6 +13,7 @@
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import {
   SimulatedServer,
+  receiverOf,
   simulateCall,
   OwnerChecker,
   CHECKED_KEYS,
@@ -325,8 +326,7 @@
           },
         );
       case 'control': {
-        // The call reaches the server that has the address now, which may be another one than the daemon means.
-        const receiver = this.servers.findLast((server) => server.address === effect.address);
+        const receiver = receiverOf(this.servers, effect.address, daemon.name);
         return simulateCall(this.clock, this.random, receiver, effect, this.callFaults, (outcome) => {
           if (receiver !== undefined && ANSWERED_OUTCOMES.has(outcome.kind)) {
             const { server } = effect;
--- a/test/router/support/simulated-server.ts
+++ b/test/router/support/simulated-server.ts
@@ -52,6 +52,10 @@
   checksInstanceName = true;
   /** Whether daemons can reach the server. */
   reachable = true;
+  /** Names of the daemons that cannot reach the server. */
+  readonly unreachableFrom = new Set<string>();
+  /** Time that a call takes to reach the server beyond the ordinary one, as when a connection must be established first. */
+  connectDelay = 0;
   /** Rate limit in requests a second that the server states in each response; null: none. */
   limit: number | null = null;
   readonly holdings = new Map<number, Holding>();
@@ -99,6 +103,16 @@
   }
 }
 
+/** Returns the server that a call reaches: the one that has the address now, which may be another one than the daemon means. */
+export function receiverOf(
+  servers: readonly SimulatedServer[],
+  address: string,
+  daemon: string,
+): SimulatedServer | undefined {
+  const server = servers.findLast((other) => other.address === address);
+  return server?.unreachableFrom.has(daemon) === true ? undefined : server;
+}
+
 /** Faults of calls to servers. */
 export interface CallFaults {
   /** Share of calls that get no response and are executed 2 to 12 s later. */
@@ -132,9 +146,17 @@
     clock.schedule(effect.timeout, () => answer(unanswered));
     return;
   }
-  clock.schedule(0.5 + random.fraction() * 2, () => {
+  const sentAt = clock.now;
+  clock.schedule(server.connectDelay + 0.5 + random.fraction() * 2, () => {
     const outcome = execute();
     const work = effect.action === 'release' ? random.fraction() * 120 : 0;
-    clock.schedule(1 + work, () => answer(server.alive && server.reachable ? outcome : unanswered));
+    clock.schedule(1 + work, () => {
+      if (server.reachable) {
+        answer(server.alive ? outcome : unanswered);
+        return;
+      }
+      // No reset arrives from a server that is cut off, so the call ends at its timeout.
+      clock.schedule(Math.max(0, sentAt + effect.timeout - clock.now), () => answer(unanswered));
+    });
   });
 }
