An entry that was written earlier does not make a server of a restored zone warm

What a cold server would see: a zone's evacuation is taken back, and its servers count as cold. An entry of a server that was written before the server turned cold, and was held up on its way, arrives with no warm-up left. Every daemon then sends to the server at its full rate.

Cause: the remaining warm-up of an entry counts from the moment it is read, and each new revision of an entry replaced the end of the warm-up, also the one that was assumed at the end of the evacuation. A server whose entry was removed and listed again lost it in the same way.

A daemon now remembers when each zone was restored. No entry ends the warm-up of a server there before the service's warm-up time has passed since; an entry can still make it longer. Afterwards entries decide alone again.

Entries that truthfully say that a server is warm are not believed in this time either. The revision of an entry shows when the store took it, not when the server wrote it, so the two cases cannot be told apart. The cost is that a restored zone takes up load over the warm-up time even if none of its servers turned cold, which was already so unless an entry changed.

--- a/src/router/news/zone-evacuations.ts
+++ b/src/router/news/zone-evacuations.ts
@@ -23,6 +23,8 @@
   #revision = 0;
   /** When this daemon learned of the evacuation of each zone. */
   readonly #learnedAt = new Map<string, Milliseconds>();
+  /** When this daemon learned that each zone is no longer evacuated. */
+  readonly #restoredAt = new Map<string, Milliseconds>();
 
   /** The revision of the store up to which all changes are known; 0 before anything is known. */
   get revision(): number {
@@ -45,6 +47,11 @@
     return learnedAt === undefined ? null : now - learnedAt;
   }
 
+  /** Returns when this daemon learned that a zone is no longer evacuated. */
+  restoredAt(zone: string): Milliseconds {
+    return this.#restoredAt.get(zone) ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Returns the statement that is sent to other daemons. */
   statement(): EvacuationStatement {
     return { revision: this.#revision, zones: [...this.#learnedAt.keys()] };
@@ -59,7 +66,10 @@
     const evacuated = zones.filter((zone) => !this.#learnedAt.has(zone));
     const restored = [...this.#learnedAt.keys()].filter((zone) => !zones.includes(zone));
     evacuated.forEach((zone) => this.#learnedAt.set(zone, now));
-    restored.forEach((zone) => this.#learnedAt.delete(zone));
+    restored.forEach((zone) => {
+      this.#learnedAt.delete(zone);
+      this.#restoredAt.set(zone, now);
+    });
     return evacuated.length + restored.length === 0 ? null : { evacuated, restored };
   }
 }
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -118,6 +118,15 @@
   return profile;
 }
 
+/**
+ * Returns when a server's warm-up ends according to an entry. Servers of a restored zone count as cold for their whole warm-up time,
+ * since an entry that says otherwise may have been written before they turned cold.
+ */
+function coldEnd({ state, now }: RouterContext, server: ServerDescription): Milliseconds {
+  const coldTime = state.configuration?.services.get(server.service)?.coldTime ?? 0;
+  return Math.max(now + server.warmupLeft, state.evacuations.restoredAt(server.zone) + coldTime);
+}
+
 function addOrUpdateServer(
   context: RouterContext,
   server: ServerDescription,
@@ -132,7 +141,7 @@
     const added: KnownServer = {
       server,
       load: new ServerLoad(getOrCreateProfile(context, server.service), server.slots, context.state.daemons),
-      coldUntil: context.now + server.warmupLeft,
+      coldUntil: coldEnd(context, server),
       coldSendWindows: new SendWindows(phase),
       permits: new Permits(phase),
       backOff: new ServerBackOff(),
@@ -153,7 +162,7 @@
   }
   if (server.revision !== known.server.revision) {
     // A later entry is more accurate. Its remaining warm-up counts from now, although the entry may be older.
-    known.coldUntil = context.now + server.warmupLeft;
+    known.coldUntil = coldEnd(context, server);
   }
   known.server = server;
   known.drainingSince =
--- a/test/router/request/test-evacuated-zones.ts
+++ b/test/router/request/test-evacuated-zones.ts
@@ -1,9 +1,32 @@
 import { expect } from 'earl';
 import { beforeEach, describe, it } from 'node:test';
+import type { ServerDescription } from '../../../src/router/model/server.js';
+import { toServerChange } from '../../../src/router/server-directory.js';
 import { describeServer, SingleDaemon } from '../support/single-daemon.js';
 
 let daemon: SingleDaemon;
 
+/** Send windows at a cold server that one daemon has in a second, when there may be 16 daemons. */
+const MAX_COLD_REQUESTS = 1;
+
+function listServers(servers: readonly ServerDescription[], revision: number): void {
+  daemon.event({ kind: 'serversChanged', changes: servers.map(toServerChange), revision });
+}
+
+/** Sends a request with each tick, all of which are answered at once, and returns how many reach a server. */
+function countForwards(server: string, time: number): number {
+  const end = daemon.now + time;
+  for (let requestId = 1; daemon.now < end; requestId += 1) {
+    const { length } = daemon.effectsOfKind('forward');
+    daemon.receiveRequest(requestId, `/read/${requestId}`);
+    for (const sent of daemon.effectsOfKind('forward').slice(length)) {
+      daemon.ended(sent.requestId, sent.attempt, { kind: 'answered', status: 200, load: null });
+    }
+    daemon.tickUntil(daemon.now + 1);
+  }
+  return daemon.effectsOfKind('forward').filter((sent) => sent.server === server).length;
+}
+
 describe('requests while a zone is evacuated or cold', () => {
   beforeEach(() => {
     daemon = new SingleDaemon();
@@ -44,6 +67,36 @@
     ).toEqual(true);
   });
 
+  // Guards against a warm server that is cold: its entry was written before it turned cold, came after the end of the
+  // evacuation, and gave it the full rate.
+  it('treats the servers of a restored zone as cold although entries that were delayed say that they are warm', () => {
+    daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 6 });
+    daemon.event({ kind: 'evacuationsListed', zones: [], revision: 7 });
+    daemon.tickUntil(daemon.now + 300);
+    listServers([{ ...describeServer('s1'), revision: 8 }], 8);
+    expect(countForwards('s1', 1_000) <= MAX_COLD_REQUESTS).toEqual(true);
+  });
+
+  it('treats a server of a restored zone as cold when it is listed again', () => {
+    daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 6 });
+    daemon.event({ kind: 'evacuationsListed', zones: [], revision: 7 });
+    const restoredAt = daemon.now;
+    daemon.event({ kind: 'serversChanged', changes: [{ id: 's1', server: null }], revision: 8 });
+    daemon.tickUntil(daemon.now + 300);
+    listServers([{ ...describeServer('s1'), revision: 9 }], 9);
+    expect(daemon.state.servers.get('s1')?.coldUntil).toEqual(restoredAt + 3_000);
+  });
+
+  it('treats a server of a restored zone as cold for longer when its entry says so', () => {
+    daemon.event({ kind: 'evacuationsListed', zones: ['z'], revision: 6 });
+    daemon.event({ kind: 'evacuationsListed', zones: [], revision: 7 });
+    listServers([{ ...describeServer('s1'), warmupLeft: 5_000, revision: 8 }], 8);
+    expect(daemon.state.servers.get('s1')?.coldUntil).toEqual(daemon.now + 5_000);
+    daemon.tickUntil(daemon.now + 3_100);
+    listServers([{ ...describeServer('s1'), revision: 9 }], 9);
+    expect(daemon.state.servers.get('s1')?.coldUntil).toEqual(daemon.now);
+  });
+
   it('treats a server as cold when its entry says so again', () => {
     const changes = [{ id: 's1', server: { ...describeServer('s1'), warmupLeft: 2_000, revision: 9 } }];
     daemon.event({ kind: 'serversChanged', changes, revision: 9 });
