An overdue permit answer grants nothing

What a rate-limited server would see: a relay stands still, or the way from the leader down to the daemons does, and the answers to permit requests arrive at once. The daemons had given the requests up and had taken equal shares of the limit instead; yet each answer became a permit that was valid for 0.3 s from its reading, and was used by the next request beside the current permits.

Cause: recordGranted accepted answers whether or not their requests were still outstanding, and dated them by their reading. A denial likewise put off later requests by a time that had long passed.

An answer now counts only if its request is outstanding and not overdue (0.25 s after the permitted wait), and its permit is valid no longer than that. A permit thus never outlives its request's hold by more than 0.25 s, and the request itself can always use it.

Tests that recorded an answer without a request now record the request first; what they expect is unchanged.

--- a/src/router/limits/permits.ts
+++ b/src/router/limits/permits.ts
@@ -78,7 +78,7 @@
 
   /** Returns the permit of a request that was not sent. */
   returnUnused(now: Milliseconds): void {
-    this.#validUntil.push(now + PERMIT_VALIDITY);
+    this.#addPermit(now + PERMIT_VALIDITY);
   }
 
   /** Returns whether a permit was requested for a request and the answer is outstanding. */
@@ -91,14 +91,19 @@
     this.#requested.set(requestId, now + wait + ANSWER_TIMEOUT);
   }
 
+  /** Records a grant, unless its answer is overdue: the permit may have been granted long ago, and its capacity used by other daemons since. */
   recordGranted(requestId: number, now: Milliseconds): void {
-    this.#requested.delete(requestId);
-    this.#validUntil.push(now + PERMIT_VALIDITY);
+    const dueAt = this.#endRequest(requestId, now);
+    if (dueAt !== null) {
+      this.#addPermit(Math.min(now + PERMIT_VALIDITY, dueAt));
+    }
   }
 
+  /** Records a denial, unless its answer is overdue: the time that it gives counts from the moment of the denial. */
   recordDenied(requestId: number, priority: number, nextPlaceIn: Milliseconds, now: Milliseconds): void {
-    this.#requested.delete(requestId);
-    this.#unavailableUntil.set(priority, now + nextPlaceIn);
+    if (this.#endRequest(requestId, now) !== null) {
+      this.#unavailableUntil.set(priority, now + nextPlaceIn);
+    }
   }
 
   /** Removes permit requests whose answers are overdue. Returns whether there were any. */
@@ -120,6 +125,18 @@
     this.#unavailableUntil.clear();
   }
 
+  /** Ends an outstanding permit request. Returns when its answer is overdue; null: it is overdue already, or none is outstanding. */
+  #endRequest(requestId: number, now: Milliseconds): Milliseconds | null {
+    const dueAt = this.#requested.get(requestId);
+    this.#requested.delete(requestId);
+    return dueAt === undefined || dueAt < now ? null : dueAt;
+  }
+
+  #addPermit(validUntil: Milliseconds): void {
+    this.#validUntil.push(validUntil);
+    this.#validUntil.sort((left, right) => left - right);
+  }
+
   #nextAvailableAt(priority: number): Milliseconds {
     let latest = Number.NEGATIVE_INFINITY;
     for (const [deniedPriority, at] of this.#unavailableUntil) {
--- a/test/router/limits/test-permits.ts
+++ b/test/router/limits/test-permits.ts
@@ -13,6 +13,16 @@
   return { id: 1, priority, holdUntil };
 }
 
+/** Time for which requests wait for their permits. */
+const WAIT = 100;
+
+function grantPermits(permits: Permits, requestIds: readonly number[], now: number): void {
+  requestIds.forEach((requestId) => {
+    permits.recordRequested(requestId, WAIT, now);
+    permits.recordGranted(requestId, now);
+  });
+}
+
 describe('the permits of a daemon', () => {
   it('are awaited only by a request that can wait long enough', () => {
     const permits = new Permits(0);
@@ -22,8 +32,7 @@
 
   it('are valid for one request each and for a short time', () => {
     const permits = new Permits(0);
-    permits.recordGranted(1, 1_000);
-    permits.recordGranted(2, 1_000);
+    grantPermits(permits, [1, 2], 1_000);
     permits.recordSend(1_010);
     expect(permits.count(1_010)).toEqual(1);
     expect(permits.count(1_400)).toEqual(0);
@@ -31,7 +40,7 @@
 
   it('are returned by a request that was not sent', () => {
     const permits = new Permits(0);
-    permits.recordGranted(1, 1_000);
+    grantPermits(permits, [1], 1_000);
     permits.recordSend(1_010);
     permits.returnUnused(1_500);
     expect(permits.sendPermissionFor(waitingRequest(1_500), GRANTED, 1_550)).toEqual('free');
@@ -39,6 +48,7 @@
 
   it('are not requested before the time given in a denial, except by more urgent requests', () => {
     const permits = new Permits(0);
+    permits.recordRequested(1, WAIT, 1_000);
     permits.recordDenied(1, 1, 400, 1_000);
     expect(permits.sendPermissionFor(waitingRequest(1_300), GRANTED, 1_100)).toEqual('none');
     expect(permits.sendPermissionFor(waitingRequest(1_300, 2), GRANTED, 1_100)).toEqual('none');
@@ -56,6 +66,26 @@
     expect(permits.isRequested(1)).toEqual(false);
   });
 
+  it('are not granted or denied by an answer that is overdue or was not requested', () => {
+    const permits = new Permits(0);
+    permits.recordRequested(1, WAIT, 1_000);
+    permits.recordGranted(1, 1_400);
+    permits.recordRequested(2, WAIT, 1_000);
+    permits.recordDenied(2, 1, 5_000, 1_400);
+    permits.recordGranted(3, 1_400);
+    expect(permits.count(1_400)).toEqual(0);
+    expect(permits.timeUntilPermission(1, GRANTED, 1_400)).toEqual(0);
+  });
+
+  it('are valid no longer than their answers would have been awaited', () => {
+    const permits = new Permits(0);
+    permits.recordRequested(1, WAIT, 1_000);
+    permits.recordRequested(2, WAIT, 1_200);
+    permits.recordGranted(2, 1_340);
+    permits.recordGranted(1, 1_340);
+    expect([1_340, 1_360, 1_540, 1_560].map((now) => permits.count(now))).toEqual([2, 1, 1, 0]);
+  });
+
   it('are replaced by the send windows of an equal share if no leader grants them', () => {
     const permits = new Permits(0);
     let sent = 0;
@@ -71,7 +101,7 @@
 
   it('are discarded after a suspension', () => {
     const permits = new Permits(0);
-    permits.recordGranted(1, 1_000);
+    grantPermits(permits, [1], 1_000);
     permits.clear();
     expect(permits.count(1_010)).toEqual(0);
   });
--- a/test/router/limits/test-unanswered-permits.ts
+++ b/test/router/limits/test-unanswered-permits.ts
@@ -11,6 +11,7 @@
 const TICK = 20;
 /** Longer than the few milliseconds that an answer of the leader takes. */
 const ANSWER_TIME = 2 * TICK;
+const RELAY_STANDSTILL = 2_000;
 const BUSY = { running: 1, waiting: 0, slots: 2, slowdown: 2 };
 
 /** Delivers a heartbeat of the leader, which is the parent. */
@@ -56,6 +57,11 @@
   }
 }
 
+function grantPermit(daemon: SingleDaemon, requestId: number): void {
+  const answer = { server: 's1', requestId, priority: 1, granted: true, nextPlaceIn: 0, path: [] };
+  daemon.event({ kind: 'peerMessage', link: 0, message: { kind: 'permitAnswer', ...answer } });
+}
+
 describe('a permit that does not arrive', () => {
   it('delays no request while another server is available', () => {
     const daemon = startLimited();
@@ -83,16 +89,21 @@
   it('lets its request be sent at once when it arrives after all', () => {
     const daemon = startLimited();
     daemon.receiveRequest(1, '/read/a');
-    const message = {
-      kind: 'permitAnswer',
-      server: 's1',
-      requestId: 1,
-      priority: 1,
-      granted: true,
-      nextPlaceIn: 0,
-      path: [],
-    } as const;
-    daemon.event({ kind: 'peerMessage', link: 0, message });
+    grantPermit(daemon, 1);
     expect(daemon.effectsOfKind('forward').map(({ server }) => server)).toEqual(['s1']);
   });
+
+  // Guards against a burst at a limited server: a relay stood still, delivered the answers of 2 s at once, and their
+  // permits were used although other daemons had been granted the same rate since.
+  it('is not used when it arrives after the answer was overdue', () => {
+    const daemon = startLimited();
+    const requests = [1, 2, 3, 4, 5];
+    requests.forEach((requestId) => daemon.receiveRequest(requestId, `/read/${requestId}`));
+    wait(daemon, RELAY_STANDSTILL);
+    daemon.effects = [];
+    requests.forEach((requestId) => grantPermit(daemon, requestId));
+    requests.forEach((requestId) => daemon.receiveRequest(requestId + requests.length, `/read/${requestId}`));
+    const sent = daemon.effectsOfKind('forward').filter(({ server }) => server === 's1');
+    expect(sent.length).toEqual(0);
+  });
 });
--- a/test/router/request/test-server-eligibility.ts
+++ b/test/router/request/test-server-eligibility.ts
@@ -62,8 +62,10 @@
 
   it('check last whether the rate limit leaves a permit in time', () => {
     const known = { ...ineligibleServer(), backOff: new ServerBackOff(), coldUntil: 0 };
+    known.permits.recordRequested(1, 100, NOW);
     known.permits.recordDenied(1, 1, 500, NOW);
     expect(findIneligibility(known, checkInputs(NOW, 3))).toEqual('at_limit');
+    known.permits.recordRequested(2, 100, NOW);
     known.permits.recordGranted(2, NOW);
     expect(findIneligibility(known, checkInputs(NOW, 3))).toEqual(null);
   });
