--- a/src/router/news/apply-evacuations.ts
+++ b/src/router/news/apply-evacuations.ts
@@ -42,7 +42,7 @@
   const { state, now } = context;
   // The store accepted a change that is new here after it had confirmed the former zones.
   const acceptedAfter = Math.min(now, evacuationsConfirmedAt(state));
-  const change = statement === null ? null : state.evacuations.apply(statement, acceptedAfter);
+  const change = statement === null ? null : state.evacuations.apply(statement, now, acceptedAfter);
   if (statement === null || change === null) {
     return;
   }
--- a/src/router/news/zone-evacuations.ts
+++ b/src/router/news/zone-evacuations.ts
@@ -23,6 +23,8 @@
   #revision = 0;
   /** The earliest time at which the evacuation of each zone may have begun. */
   readonly #since = new Map<string, Milliseconds>();
+  /** When this daemon learned that each zone is no longer evacuated. */
+  readonly #restoredAt = new Map<string, Milliseconds>();
 
   /** The revision of the store up to which all changes are known; 0 before anything is known. */
   get revision(): number {
@@ -45,6 +47,11 @@
     return since === undefined ? null : now - since;
   }
 
+  /** Returns when this daemon learned that a zone is no longer evacuated. */
+  restoredAt(zone: string): Milliseconds {
+    return this.#restoredAt.get(zone) ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Returns the statement that is sent to other daemons. */
   statement(): EvacuationStatement {
     return { revision: this.#revision, zones: [...this.#since.keys()] };
@@ -55,7 +62,11 @@
    *
    * @param acceptedAfter a time before the store accepted the changes
    */
-  apply({ revision, zones }: EvacuationStatement, acceptedAfter: Milliseconds): EvacuationChange | null {
+  apply(
+    { revision, zones }: EvacuationStatement,
+    now: Milliseconds,
+    acceptedAfter = now,
+  ): EvacuationChange | null {
     if (revision <= this.#revision) {
       return null;
     }
@@ -63,7 +74,10 @@
     const evacuated = zones.filter((zone) => !this.#since.has(zone));
     const restored = [...this.#since.keys()].filter((zone) => !zones.includes(zone));
     evacuated.forEach((zone) => this.#since.set(zone, acceptedAfter));
-    restored.forEach((zone) => this.#since.delete(zone));
+    restored.forEach((zone) => {
+      this.#since.delete(zone);
+      this.#restoredAt.set(zone, now);
+    });
     return evacuated.length + restored.length === 0 ? null : { evacuated, restored };
   }
 }
