--- a/src/router/news/store-confirmation.ts
+++ b/src/router/news/store-confirmation.ts
@@ -17,6 +17,9 @@
 /** The store counts as unavailable for this long after a call to it has failed; longer than a call and the interval together. */
 const UNAVAILABILITY_VALIDITY: Milliseconds = 2_200;
 
+/** A parent confirms the first data that it sends within this time. */
+const FIRST_CONFIRMATION_TIMEOUT: Milliseconds = 300;
+
 const STORE_DATA_FEEDS: readonly FeedName[] = ['configuration', 'servers'];
 const EVACUATION_FEEDS: readonly FeedName[] = ['evacuations'];
 
@@ -55,18 +58,24 @@
   }
   const isRelayed = hasRelayParent(state.tree, state.election.leader?.address);
   const storeDataBound = Math.min(bounds.configuration, bounds.drain);
-  if (now - storeDataConfirmedAt(state) > confirmationAge(storeDataBound, isRelayed)) {
-    STORE_DATA_FEEDS.forEach((feed) => askForConfirmation(context, feed));
+  const dataConfirmedAt = storeDataConfirmedAt(state);
+  if (now - dataConfirmedAt > confirmationAge(storeDataBound, isRelayed)) {
+    STORE_DATA_FEEDS.forEach((feed) => askForConfirmation(context, feed, dataConfirmedAt));
   }
   const { evacuation } = bounds;
-  if (evacuation !== null && now - evacuationsConfirmedAt(state) > confirmationAge(evacuation, isRelayed)) {
-    EVACUATION_FEEDS.forEach((feed) => askForConfirmation(context, feed));
+  const zonesConfirmedAt = evacuationsConfirmedAt(state);
+  if (evacuation !== null && now - zonesConfirmedAt > confirmationAge(evacuation, isRelayed)) {
+    EVACUATION_FEEDS.forEach((feed) => askForConfirmation(context, feed, zonesConfirmedAt));
   }
 }
 
-function askForConfirmation(context: RouterContext, feed: FeedName): void {
+function askForConfirmation(context: RouterContext, feed: FeedName, confirmedAt: Milliseconds): void {
   const { state, now } = context;
   const health = state.feeds[feed];
+  const isFirst = health.confirmationAskedAt === Number.NEGATIVE_INFINITY;
+  if (isFirst && confirmedAt === Number.NEGATIVE_INFINITY) {
+    health.confirmationAskedAt = now + FIRST_CONFIRMATION_TIMEOUT - CONFIRMATION_INTERVAL;
+  }
   const interval = health.isFailing ? FAILED_CONFIRMATION_INTERVAL : CONFIRMATION_INTERVAL;
   if (now - health.confirmationAskedAt < interval) {
     return;
--- a/src/router/news/store-data-age.ts
+++ b/src/router/news/store-data-age.ts
@@ -14,7 +14,7 @@
 
 /** A confirmation of data that is newer by less than this is not worth a message to the children. */
 const MIN_FORWARDED_GAIN: Milliseconds = 50;
-/** The maximum age that is reported. It fits into the 32 bits of the heartbeat's fields. */
+/** The maximum age that is reported, also for data that was never confirmed. It fits into the 32 bits of the heartbeat's fields. */
 const MAX_REPORTED_AGE: Milliseconds = 600_000;
 
 /** Returns the time up to which the configuration and the servers are certainly complete. */
@@ -65,10 +65,10 @@
     // The same configuration is still the newest one at a later revision.
     state.configurationRevision = Math.max(state.configurationRevision, heartbeat.configurationRevision);
   }
-  if (hasAllOf(state, heartbeat)) {
+  if (newsAge < MAX_REPORTED_AGE && hasAllOf(state, heartbeat)) {
     tree.parentConfirmedAt = Math.max(before, builtAt - newsAge);
   }
-  if (evacuations !== null) {
+  if (evacuations !== null && ageOfEvacuations < MAX_REPORTED_AGE) {
     tree.parentEvacuationsConfirmedAt = Math.max(
       tree.parentEvacuationsConfirmedAt,
       builtAt - ageOfEvacuations,
--- a/src/router/news/store-updates.ts
+++ b/src/router/news/store-updates.ts
@@ -138,17 +138,24 @@
   return createFullServerUpdate(context, serversRevision);
 }
 
-/** Sends a child the updates that it lacks according to its report. */
-export function sendUpdatesSince(context: RouterContext, link: number, child: Child, report: Report): void {
+/** Sends a child the updates that it lacks according to its report. Returns whether there are any. */
+export function sendUpdatesSince(
+  context: RouterContext,
+  link: number,
+  child: Child,
+  report: Report,
+): boolean {
   const { configuration, configurationRevision } = context.state;
   const servers = missedServerUpdate(context, child, report.serversPosition);
   if (servers !== null) {
     context.emit({ kind: 'sendToChildren', link, message: servers });
   }
   const isBehind = configuration !== null && report.configurationVersion < configuration.version;
-  if (isBehind && context.now - child.configurationSentAt >= FULL_UPDATE_INTERVAL) {
+  const sendsConfiguration = isBehind && context.now - child.configurationSentAt >= FULL_UPDATE_INTERVAL;
+  if (sendsConfiguration) {
     child.configurationSentAt = context.now;
     const message = { kind: 'configurationNews', revision: configurationRevision, configuration } as const;
     context.emit({ kind: 'sendToChildren', link, message });
   }
+  return servers !== null || sendsConfiguration;
 }
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -29,7 +29,9 @@
     known.lastReportAt = context.now;
     known.reportSentAt = report.sentAt;
     known.daemons = report.daemons;
-    sendMissedUpdates(context, link, known, report);
+    if (sendMissedUpdates(context, link, known, report)) {
+      sendHeartbeat(context, link, known);
+    }
     return;
   }
   const relay = relayForNewChild(context, report);
@@ -76,7 +78,8 @@
   sendHeartbeat(context, link, child);
 }
 
-function sendMissedUpdates(context: RouterContext, link: number, child: Child, report: Report): void {
+/** Sends a child what it lacks according to its report. Returns whether updates from the store were among it. */
+function sendMissedUpdates(context: RouterContext, link: number, child: Child, report: Report): boolean {
   const { ownershipView, leadership, election } = context.state;
   const isCurrent =
     ownershipView.term > 0 && ownershipView.term === (leadership?.term ?? election.leader?.term);
@@ -85,7 +88,7 @@
     // The child missed an ownership change or has just connected.
     context.emit({ kind: 'sendToChildren', link, message: fullOwnershipMessage(ownershipView) });
   }
-  sendUpdatesSince(context, link, child, report);
+  return sendUpdatesSince(context, link, child, report);
 }
 
 /** Removes a child whose connection has ended. */
