Review: equal revisions mean equal lists, and a confirmation can't be kept from ending

- A batch with two changes of one server: one that was removed and is back was dropped by daemons that knew it to be back, and one that was added and removed stayed as a ghost.
The last change counts.
- A first failed call opened the gate for 2.2 s, with the next call 1.5 s later: it follows after 0.5 s now.
A 429 shows no outage by itself.
- A request's configuration is compared at the present moment: the earliest moment at which the request may have come errs to the wrong side.
- The first report after a suspension carried the time of the resume and was not accepted.

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -60,6 +60,8 @@
 interface ActiveCall {
   readonly kind: FeedFailure['call'];
   readonly startedAt: Milliseconds;
+  /** Whether the call is answered at once, so that it need not be replaced by a confirmation. */
+  readonly isImmediate: boolean;
   cancel: CancelCall;
 }
 
@@ -114,15 +116,19 @@
   }
 
   /**
-   * Asks the store at once whether there are changes after `revision`; null: after the last known one. A watch in flight is
-   * cancelled, because the store may never answer it.
+   * Asks the store at once whether there are changes after `revision`; null: after the last known one. Lists instead if there is no
+   * revision, or if the store has forgotten its history. A watch that waits for changes is cancelled, because the store may never
+   * answer it; other calls are left to end, since their responses may be arriving.
    */
   confirm(revision: number | null): void {
+    if (this.#call?.isImmediate === true) {
+      return;
+    }
     this.#isConfirmationPending = true;
-    this.#revision = revision ?? this.#revision;
-    if (this.#call?.kind === 'watch') {
-      this.#cancelCall();
+    if (!this.#isRefreshPending) {
+      this.#revision = revision ?? this.#revision;
     }
+    this.#cancelCall();
     this.#cancelPause?.();
     this.#cancelPause = null;
     this.#startNextCall();
@@ -157,12 +163,12 @@
   }
 
   #list(): void {
-    const call = this.#startCall('list');
+    const call = this.#startCall('list', true);
     call.cancel = this.#source.list((outcome) => this.#receiveList(call, outcome));
   }
 
   #watch(revision: number, timing: WatchTiming): void {
-    const call = this.#startCall('watch');
+    const call = this.#startCall('watch', timing === CONFIRMATION_WATCH);
     // The store never answers a watch that it received during an outage or whose connection is dead. With a long timeout, changes
     // would take effect late on all daemons.
     call.cancel = this.#source.watch(revision, timing, (outcome) =>
@@ -170,8 +176,8 @@
     );
   }
 
-  #startCall(kind: FeedFailure['call']): ActiveCall {
-    const call = { kind, startedAt: this.#timers.now(), cancel: () => undefined };
+  #startCall(kind: FeedFailure['call'], isImmediate: boolean): ActiveCall {
+    const call = { kind, startedAt: this.#timers.now(), isImmediate, cancel: () => undefined };
     this.#call = call;
     return call;
   }
--- a/src/router/news/feed-health-state.ts
+++ b/src/router/news/feed-health-state.ts
@@ -7,8 +7,8 @@
   answeredAt: Milliseconds;
   /** Every change that the store accepted before this time has been applied here; minus infinity: never confirmed. */
   confirmedAt: Milliseconds;
-  /** Whether the last call ended without a response. */
-  isFailing: boolean;
+  /** Number of calls that have ended without a response since the last response. */
+  failures: number;
   /**
    * When a call last showed that the store is unavailable to this daemon, or two in a row ended without a response; minus infinity:
    * not since the last response.
@@ -22,7 +22,7 @@
   return {
     answeredAt: Number.NEGATIVE_INFINITY,
     confirmedAt: Number.NEGATIVE_INFINITY,
-    isFailing: false,
+    failures: 0,
     unavailableAt: Number.NEGATIVE_INFINITY,
     confirmationAskedAt: Number.NEGATIVE_INFINITY,
   };
--- a/src/router/news/feed-health.ts
+++ b/src/router/news/feed-health.ts
@@ -12,8 +12,8 @@
   if (confirmedAt !== null && sentAt > context.state.resumedAt) {
     health.confirmedAt = Math.max(health.confirmedAt, confirmedAt);
   }
-  if (health.isFailing) {
-    health.isFailing = false;
+  if (health.failures > 0) {
+    health.failures = 0;
     health.unavailableAt = Number.NEGATIVE_INFINITY;
     context.log('feed_regained', { feed });
   }
@@ -24,11 +24,11 @@
   const { feed, call, reason } = event;
   const health = context.state.feeds[feed];
   context.state.counters.feed_failures += 1;
-  if (event.isConclusive || health.isFailing) {
+  health.failures += 1;
+  if (event.isConclusive || health.failures > 1) {
     health.unavailableAt = context.now;
   }
-  if (!health.isFailing) {
-    health.isFailing = true;
+  if (health.failures === 1) {
     context.log('feed_lost', { feed, call, waited: Math.round(event.waited), reason }, 'warn');
   }
 }
--- a/src/router/news/store-confirmation.ts
+++ b/src/router/news/store-confirmation.ts
@@ -12,7 +12,7 @@
 
 /** Minimum time between two requests for a confirmation of a feed. */
 const CONFIRMATION_INTERVAL: Milliseconds = 500;
-/** The same while the store doesn't answer, which saves calls that are billed nevertheless. */
+/** The same once several calls have failed, which saves calls that are billed nevertheless. A single failure may be an accident. */
 const FAILED_CONFIRMATION_INTERVAL: Milliseconds = 1_500;
 /** The store counts as unavailable for this long after a call to it has failed; longer than a call and the interval together. */
 const UNAVAILABILITY_VALIDITY: Milliseconds = 2_200;
@@ -76,7 +76,7 @@
   if (isFirst && confirmedAt === Number.NEGATIVE_INFINITY) {
     health.confirmationAskedAt = now + FIRST_CONFIRMATION_TIMEOUT - CONFIRMATION_INTERVAL;
   }
-  const interval = health.isFailing ? FAILED_CONFIRMATION_INTERVAL : CONFIRMATION_INTERVAL;
+  const interval = health.failures > 1 ? FAILED_CONFIRMATION_INTERVAL : CONFIRMATION_INTERVAL;
   if (now - health.confirmationAskedAt < interval) {
     return;
   }
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -35,7 +35,7 @@
 export interface FailedCall {
   readonly kind: 'failed';
   readonly reason: string;
-  /** Whether a part of a response had arrived: the store is available, and the transfer took too long. */
+  /** Whether the store is available: it throttles calls, or a response had begun to arrive and took too long. */
   readonly isResponding: boolean;
 }
 /** Result of a list call. */
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -37,7 +37,7 @@
 export function receiveRequest(context: RouterContext, event: RequestArrivedEvent): void {
   const { state, now } = context;
   state.counters.requests += 1;
-  const configuration = usableConfiguration(state, now - event.readDelay);
+  const configuration = usableConfiguration(context);
   if (configuration !== null) {
     admitRequest(context, event, configuration, now);
   } else if (state.earlyRequests.size < MAX_EARLY_REQUESTS) {
@@ -47,10 +47,10 @@
   }
 }
 
-/** Returns the configuration if a request that arrived at the given time may be routed by it, otherwise null. */
-function usableConfiguration(state: RouterState, arrivedAt: Milliseconds): Configuration | null {
+/** Returns the configuration if requests may be routed by it now, otherwise null. */
+function usableConfiguration({ state, now }: RouterContext): Configuration | null {
   const isUsable =
-    state.serversRevision !== null && isStoreDataUsable(state, arrivedAt, state.bounds.configuration);
+    state.serversRevision !== null && isStoreDataUsable(state, now, state.bounds.configuration);
   return isUsable ? state.configuration : null;
 }
 
@@ -66,7 +66,7 @@
   const { state } = context;
   const { earlyRequests } = state;
   for (const [requestId, { event, readAt }] of earlyRequests) {
-    const configuration = usableConfiguration(state, readAt - event.readDelay);
+    const configuration = usableConfiguration(context);
     if (configuration !== null) {
       earlyRequests.delete(requestId);
       admitRequest(context, event, configuration, readAt);
--- a/src/router/server-directory.ts
+++ b/src/router/server-directory.ts
@@ -77,7 +77,7 @@
 
 /**
  * Applies server changes up to a revision. Returns those that a daemon at the former revision may lack, among them removals of
- * servers that this daemon never knew; null: there are none.
+ * servers that this daemon never knew; null: a later revision is known already, or nothing has changed since.
  */
 export function receiveServerChanges(
   context: RouterContext,
@@ -88,13 +88,15 @@
   if (former !== null && revision < former) {
     return null;
   }
+  // An entry that was removed and is back must not be removed by the earlier of the two changes.
+  const latest = [...new Map(changes.map((change) => [change.id, change])).values()];
   const isLacking = ({ server }: ServerChange): boolean => server === null || server.revision > (former ?? 0);
-  const later = changes.filter((change) => isLacking(change) || isNewChange(context, change));
-  if (later.length === 0) {
+  const lacking = latest.filter((change) => isLacking(change) || isNewChange(context, change));
+  if (lacking.length === 0 && revision === former) {
     return null;
   }
-  applyNewChanges(context, later, revision);
-  return { former, revision, changes: later };
+  applyNewChanges(context, lacking, revision);
+  return { former, revision, changes: lacking };
 }
 
 /** Applies those of the changes that are new, and returns them. */
--- a/src/router/suspension.ts
+++ b/src/router/suspension.ts
@@ -9,13 +9,15 @@
   ResumedEvent,
   WriteOutcome,
 } from './events.js';
-import type { FeedName } from './model/identifiers.js';
+import type { FeedName, Milliseconds } from './model/identifiers.js';
 import { discardPermits } from './limits/permit-exchange.js';
 import { dropCandidacy } from './ownership/candidacy.js';
 import { discardConfirmations } from './news/store-data-age.js';
-import { sendReportNow } from './tree/reports.js';
 import type { RouterContext } from './router-context.js';
 
+/** Delay from the end of a suspension to the next report: the shortest that makes its time a later one. */
+const REPORT_DELAY: Milliseconds = 1;
+
 const STORE_FEEDS: readonly FeedName[] = ['configuration', 'servers'];
 
 /** Handles the end of a suspension, before any other event that follows it. */
@@ -28,8 +30,8 @@
   discardConfirmations(state);
   discardPermits(context);
   refreshWatchedFeeds(context);
-  // The parent's response confirms this daemon's data again.
-  sendReportNow(context);
+  // The parent's response confirms this daemon's data again. A report with the time of the resume could have been sent before it.
+  state.election.nextReportAt = context.now + REPORT_DELAY;
 }
 
 const SUSPENDED_REASON = 'the machine was suspended meanwhile';
--- a/test/router-runtime/test-object-feed.ts
+++ b/test/router-runtime/test-object-feed.ts
@@ -130,6 +130,22 @@
     expect(calls[2]?.wait).toEqual(WAIT);
   });
 
+  it('is not asked for again while its response may be arriving', () => {
+    feed.confirm(5);
+    clock.runUntil(900);
+    feed.confirm(5);
+    expect(calls.map(({ isCancelled }) => isCancelled)).toEqual([false]);
+    calls[0]?.watch(EMPTY);
+    expect(confirmations.length).toEqual(1);
+  });
+
+  it('lists when the store has forgotten the revision, however soon it is asked for again', () => {
+    feed.confirm(5);
+    calls[0]?.watch({ kind: 'forgotten' });
+    feed.confirm(5);
+    expect(calls.map(({ revision }) => revision)).toEqual([5, null]);
+  });
+
   it('is the only call when the feed is not followed', () => {
     feed.confirm(5);
     calls[0]?.watch(EMPTY);
--- a/test/router/news/test-store-confirmation.ts
+++ b/test/router/news/test-store-confirmation.ts
@@ -102,6 +102,10 @@
     daemon.tickUntil(daemon.now + 0.6 * bound);
     fail(STORE_DATA);
     daemon.effects = [];
+    daemon.tickUntil(daemon.now + 600);
+    expect(askedFeeds()).toEqual(['configuration', 'servers']);
+    fail(STORE_DATA);
+    daemon.effects = [];
     daemon.tickUntil(daemon.now + 3_100);
     expect(askedFeeds().filter((feed) => feed === 'servers').length).toEqual(2);
   });
--- a/test/router/news/test-store-updates.ts
+++ b/test/router/news/test-store-updates.ts
@@ -244,6 +244,29 @@
     expect(state.serversRevision).toEqual(15);
   });
 
+  it('bring a daemon to the revision of a list without differences', () => {
+    receiveAllData();
+    const update = { kind: 'serverNews', base: 10, completeFrom: 20, revision: 20, changes: [] } as const;
+    receiveMessage({ ...update, changes: [] });
+    expect(state.serversRevision).toEqual(20);
+  });
+
+  it('keep a server that was removed and is back, and drop one that was added and removed', () => {
+    receiveAllData();
+    const back = { id: 's1', server: server('s1', 13) };
+    handleEvent({ kind: 'serversChanged', changes: [back], revision: 14 });
+    const changes = [
+      { id: 's1', server: null },
+      back,
+      { id: 's9', server: server('s9', 12) },
+      { id: 's9', server: null },
+    ];
+    handleEvent({ kind: 'serversChanged', changes, revision: 15 });
+    expect([...state.servers.keys()].sort()).toEqual(['s1', 's2']);
+    const [, last] = sentMessages('serverNews').filter(({ revision }) => revision === 15);
+    expect(last?.changes).toEqual([{ id: 's9', server: null }]);
+  });
+
   it('include the removal of a server that this daemon never knew, for those that know it', () => {
     receiveAllData();
     effects = [];
