A daemon that has just started does not wait for the confirmation of evacuated zones

Servers are listed at the start, evacuated zones by most daemons only 1.5 s later or by their parent's heartbeat.

--- a/src/router/news/store-confirmation.ts
+++ b/src/router/news/store-confirmation.ts
@@ -38,12 +38,17 @@
   );
 }
 
-/** Returns whether the list of evacuated zones may be acted on at a time. */
+/**
+ * Returns whether the list of evacuated zones may be acted on at a time. After a start or a suspension it is used before its first
+ * confirmation, which comes later than that of the servers: callers are waiting, and few zones are ever evacuated.
+ */
 export function areEvacuationsUsable(state: RouterState, at: Milliseconds): boolean {
   const { evacuation } = state.bounds;
+  const confirmedAt = evacuationsConfirmedAt(state);
   return (
     evacuation === null ||
-    at - evacuationsConfirmedAt(state) <= maxDataAge(evacuation) ||
+    confirmedAt === Number.NEGATIVE_INFINITY ||
+    at - confirmedAt <= maxDataAge(evacuation) ||
     isUnavailable(state, 'evacuations', at)
   );
 }
--- a/test/router/news/test-store-confirmation.ts
+++ b/test/router/news/test-store-confirmation.ts
@@ -126,6 +126,16 @@
     expect(forwardedRequests()).toEqual([1]);
   });
 
+  it('may be used after a start although the evacuated zones are not confirmed yet', () => {
+    daemon.event({ kind: 'resumed', length: 1_000, isCounted: true });
+    daemon.receiveRequest(1, '/read/1');
+    expect(forwardedRequests()).toEqual([]);
+    daemon.tickUntil(daemon.now + 20);
+    confirm(STORE_DATA);
+    daemon.tickUntil(daemon.now + 40);
+    expect(forwardedRequests()).toEqual([1]);
+  });
+
   it('dates the evacuation of a zone from the last confirmation of all zones', () => {
     const confirmedAt = daemon.now - 20;
     daemon.tickUntil(daemon.now + 600);
