--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -176,7 +176,7 @@
     }
   /** The request never left this daemon. `refused` says that the connection was refused: nothing listens at the address. */
   | { readonly kind: 'notSent'; readonly reason: string; readonly refused: boolean }
-  /** This daemon did not write the request after all, because the server may not get it any more. */
+  /** The runtime checked right before the write and found that the server may not get the request any more. */
   | { readonly kind: 'withheld' }
   /** The request may have been executed. */
   | {
--- a/src/router/news/store-updates.ts
+++ b/src/router/news/store-updates.ts
@@ -72,6 +72,7 @@
 
 /** Applies changes of servers from the store. */
 export function applyStoredServerChanges(context: RouterContext, event: ServersChangedEvent): void {
+  // A watch reports every change after the position at which it began, which is this daemon's or an earlier one.
   applyServerChanges(context, { ...event, completeFrom: 0 }, 'store');
 }
 
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -69,7 +69,7 @@
   sendReportSoon(context);
 }
 
-/** Makes the next report due now, so that a new parent learns at once which daemon has connected. */
+/** Makes the next report due now, so that a new parent learns at once which daemon has connected and confirms its data. */
 export function sendReportNow(context: RouterContext): void {
   context.state.election.nextReportAt = context.now;
 }
