Keys of an ended server are free only when its successor released them or its leases expired

Cause: the leader concluded from one refused probe, grant or release that nobody held keys under the grants of the ended server, and reassigned them at once. A renewal that was in flight, or earlier, had been accepted by the server that followed at its address. Only the server list's way of naming a successor asked that one for the release. That way also took the consent of the next incarnation at another address for that of the server at the former one.

Why this fix works: server-succession.ts records, for every way of learning of it, which server listens at an address. The ended server's leases run on whatever the way; only the consent of the server at the address, or their end, frees the keys. An answer of an ended server no longer makes it responsive.

--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -3,6 +3,7 @@
 import type { FeedName, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { RequestFingerprint } from './model/request-fingerprint.js';
 import type { ServerDescription } from './model/server.js';
+import type { InstanceName } from './model/server-incarnation.js';
 import type { LimitReading } from './model/server-limit.js';
 import type { ServerNotice } from './model/server-notice.js';
 import type { EvacuationStatement } from './news/zone-evacuations.js';
@@ -120,8 +121,8 @@
 export type ControlOutcome =
   | { readonly kind: 'accepted'; readonly handover: string | null }
   | { readonly kind: 'higherFence' }
-  /** Another incarnation answers at the server's address. */
-  | { readonly kind: 'otherInstance' }
+  /** A server of another name listens at the server's address; `instance` is that name, or null if the answer did not state it. */
+  | { readonly kind: 'otherInstance'; readonly instance: InstanceName | null }
   | { readonly kind: 'rejected'; readonly status: number }
   | { readonly kind: 'unanswered'; readonly reason: string }
   /** The call never reached the server. `refused` says that the connection was refused: nothing listens at the address. */
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -10,7 +10,7 @@
 import { sendHeartbeatSoon } from '../tree/heartbeats.js';
 import type { Candidacy } from './election-state.js';
 import { INITIAL_CONFIRMATION_RETRY_DELAY } from './leader-confirmation.js';
-import { recordServerList } from './leader.js';
+import { recordServerList } from './server-succession.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import {
   GRANT_TIMEOUT,
@@ -58,6 +58,7 @@
     leases: new Map(),
     pendingCalls: new Map(),
     addresses: new Map(),
+    successors: new Map(),
     rests: new BackOffReports(),
     permitBuckets: new PermitBuckets(),
     recentLimits: new RecentLimits(),
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -1,7 +1,7 @@
 /**
  * State of the leader beyond what is in the store. It is lost with the leader; a successor does not need it.
  */
-import type { Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { Address, Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { KeyLoad } from './key-load.js';
 import type { OwnershipTable } from './ownership-table.js';
 import type { RecentPeak } from './recent-peak.js';
@@ -46,22 +46,13 @@
   unresponsive: boolean;
   /** The process of the server has certainly ended, so it is not called any more. */
   ended: boolean;
-  /**
-   * No process holds keys under the grants of the server: the one at its address refuses calls that are meant
-   * for it.
-   */
-  holdsNothing: boolean;
-  /**
-   * The server that followed at the address or under the name, and may have accepted renewals that were meant
-   * for this one; null if none is known.
-   */
-  successor: ServerId | null;
 }
 
 /** A call to a server that is in progress. */
 export interface PendingCall {
   readonly action: 'grant' | 'release' | 'probe';
   readonly server: ServerId;
+  readonly address: Address;
   /** Name of the unit, as returned by unitName. */
   readonly unit: string;
   readonly fence: Fence;
@@ -104,7 +95,12 @@
   readonly leases: Map<ServerId, ServerLease>;
   readonly pendingCalls: Map<number, PendingCall>;
   /** Addresses of servers, including those that are no longer listed. */
-  readonly addresses: Map<ServerId, string>;
+  readonly addresses: Map<ServerId, Address>;
+  /**
+   * Servers that listen at the addresses of ended ones. Only their release shows that no server holds keys under the grants of the
+   * ended ones before these expire.
+   */
+  readonly successors: Map<Address, ServerId>;
   readonly keyLoad: Map<ServiceName, KeyLoad>;
   /** Estimates of the time that servers work on a request. */
   readonly serviceTimeEstimators: Map<ServerId, ServiceTimeEstimator>;
--- a/src/router/ownership/server-lease.ts
+++ b/src/router/ownership/server-lease.ts
@@ -25,8 +25,6 @@
       probeInFlight: false,
       unresponsive: false,
       ended: false,
-      holdsNothing: false,
-      successor: null,
     };
     leadership.leases.set(server, lease);
   }
@@ -42,9 +40,6 @@
  * or not it answers.
  */
 export function leaseEnd(leadership: Leadership, lease: ServerLease, now: Milliseconds): Milliseconds {
-  if (lease.holdsNothing) {
-    return Number.NEGATIVE_INFINITY;
-  }
   if (lease.grantsInProgress > 0) {
     // The server counts its lease from the arrival, which may be as late as the end of the call.
     return Number.POSITIVE_INFINITY;
@@ -77,7 +72,7 @@
   }
 }
 
-/** Records an answered call: the server is alive, and executed the call no later than now. */
+/** Records an answered call: the server at the address executed it no later than now. */
 export function recordAnswer(leadership: Leadership, call: PendingCall, now: Milliseconds): void {
   const lease = leaseOf(leadership, call.server);
   if (call.action === 'grant') {
@@ -88,7 +83,8 @@
     leadership.lateCallSeenAt = now;
   }
   lease.unanswered = 0;
-  lease.unresponsive = false;
+  // The answer of a server that has ended came from the next one at its address.
+  lease.unresponsive = lease.ended;
 }
 
 /** Records that a call got no answer. A call that was sent may have arrived at any time until now, or may still be executed late. */
@@ -117,25 +113,11 @@
 }
 
 /**
- * Records that the server's process has ended, because another process at its address refused a call that was
- * meant for it.
- */
-export function recordRefusalByOtherInstance(leadership: Leadership, server: ServerId): void {
-  const lease = leaseOf(leadership, server);
-  lease.ended = true;
-  lease.unresponsive = true;
-  lease.holdsNothing = true;
-}
-
-/**
- * Records that the server's process has ended, because the server list names another incarnation at its
- * address or under its name. The successor may have accepted renewals that were meant for the ended server,
- * so reassigning the keys at once gave them two owners. The successor is therefore asked to release them
- * first.
+ * Records that the server's process has ended. Its leases run on: the next server at its address may have accepted renewals that were
+ * meant for it, and may still accept those in flight.
  */
-export function recordSuccessor(leadership: Leadership, server: ServerId, successor: ServerId): void {
+export function recordEnded(leadership: Leadership, server: ServerId): void {
   const lease = leaseOf(leadership, server);
   lease.ended = true;
   lease.unresponsive = true;
-  lease.successor = successor;
 }
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -3,7 +3,7 @@
  * left a call unanswered.
  */
 import type { ControlEndedEvent, ControlOutcome } from '../events.js';
-import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import type { Address, Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingCall, UnitProgress } from './leadership-state.js';
 import {
@@ -23,8 +23,8 @@
   recordCallEnded,
   recordGrantSent,
   recordUnansweredCall,
-  recordRefusalByOtherInstance,
 } from './server-lease.js';
+import { addressOf, recordOtherInstance, successorOf } from './server-succession.js';
 import { writeTable } from './table-write.js';
 
 const DEFAULT_HEALTH_PATH = '/health';
@@ -59,12 +59,23 @@
     context.log('release_waited_out', { unit: unitName(unit), fence: unit.fence, former });
     return;
   }
+  const successor = lease.ended ? successorOf(context, leadership, former) : undefined;
+  if (lease.ended && successor === undefined) {
+    probeServer(context, leadership, unit, former);
+    return;
+  }
   if (context.now < progress.nextCallAt) {
     return;
   }
   progress.nextCallAt = context.now + RELEASE_RETRY_INTERVAL;
-  const holder = lease.successor ?? former;
-  callServer(context, leadership, unit, holder, 'release', unit.fence - 1, 0, RELEASE_TIMEOUT);
+  callServer(context, leadership, unit, {
+    action: 'release',
+    server: successor ?? former,
+    address: addressOf(context, leadership, former),
+    fence: unit.fence - 1,
+    leaseDuration: 0,
+    timeout: RELEASE_TIMEOUT,
+  });
 }
 
 /**
@@ -91,7 +102,7 @@
     return;
   }
   if (lease.unanswered > 0 && !isBackingOff(context, unit.owner)) {
-    probeOwner(context, leadership, unit);
+    probeServer(context, leadership, unit, unit.owner);
     return;
   }
   if (context.now < progress.nextCallAt || isWithdrawnByPendingWrite(leadership, unit, progress)) {
@@ -99,7 +110,15 @@
   }
   const leaseDuration = Math.min(LEASE_DURATION, context.state.bounds.longestLease);
   progress.nextCallAt = context.now + LEASE_RENEWAL_INTERVAL;
-  if (callServer(context, leadership, unit, unit.owner, 'grant', unit.fence, leaseDuration, GRANT_TIMEOUT)) {
+  const isSent = callServer(context, leadership, unit, {
+    action: 'grant',
+    server: unit.owner,
+    address: addressOf(context, leadership, unit.owner),
+    fence: unit.fence,
+    leaseDuration,
+    timeout: GRANT_TIMEOUT,
+  });
+  if (isSent) {
     progress.callsInFlight += 1;
     progress.ownerMayHold = true;
     recordGrantSent(lease, leaseDuration, context.now);
@@ -114,29 +133,32 @@
   return (state.servers.get(server)?.backOff.left(now) ?? 0) > 0;
 }
 
-/**
- * Probes a server that left a call unanswered, to learn whether it is alive and still the same incarnation.
- */
-function probeOwner(context: RouterContext, leadership: Leadership, unit: Unit): void {
-  const lease = leaseOf(leadership, unit.owner);
+/** Probes the address of a server to learn whether it is alive, or which server listens there instead. */
+function probeServer(context: RouterContext, leadership: Leadership, unit: Unit, server: ServerId): void {
+  const lease = leaseOf(leadership, server);
   if (lease.probeInFlight || context.now < lease.nextProbeAt) {
     return;
   }
   lease.nextProbeAt = context.now + PROBE_INTERVAL;
-  lease.probeInFlight = callServer(context, leadership, unit, unit.owner, 'probe', 0, 0, PROBE_TIMEOUT);
+  lease.probeInFlight = callServer(context, leadership, unit, {
+    action: 'probe',
+    server,
+    address: addressOf(context, leadership, server),
+    fence: 0,
+    leaseDuration: 0,
+    timeout: PROBE_TIMEOUT,
+  });
 }
 
-function callServer(
-  context: RouterContext,
-  leadership: Leadership,
-  unit: Unit,
-  server: ServerId,
-  action: PendingCall['action'],
-  fence: number,
-  leaseDuration: Milliseconds,
-  timeout: Milliseconds,
-): boolean {
-  const address = context.state.servers.get(server)?.server.address ?? leadership.addresses.get(server);
+/** A call to a server for a unit. `address` is undefined if the server was never listed. */
+interface UnitCall extends Pick<PendingCall, 'action' | 'server' | 'fence' | 'leaseDuration'> {
+  readonly address: Address | undefined;
+  readonly timeout: Milliseconds;
+}
+
+/** Sends a call unless the server's address is unknown. Returns whether it was sent. */
+function callServer(context: RouterContext, leadership: Leadership, unit: Unit, call: UnitCall): boolean {
+  const { action, server, address, fence, leaseDuration, timeout } = call;
   if (address === undefined) {
     return false;
   }
@@ -154,18 +176,18 @@
     fence,
     hold: leaseDuration,
     handover,
-    timeout: timeout,
+    timeout,
     healthPath: context.state.configuration?.services.get(unit.service)?.healthPath ?? DEFAULT_HEALTH_PATH,
   });
-  const call: PendingCall = {
+  leadership.pendingCalls.set(callId, {
     action,
     server,
+    address,
     unit: unitName(unit),
     fence,
-    leaseDuration: leaseDuration,
+    leaseDuration,
     sentAt: context.now,
-  };
-  leadership.pendingCalls.set(callId, call);
+  });
   return true;
 }
 
@@ -220,7 +242,7 @@
       recordUnansweredCall(leadership, call, outcome.kind === 'unanswered', context.now);
       break;
     case 'otherInstance':
-      recordRefusalByOtherInstance(leadership, call.server);
+      recordOtherInstance(context, leadership, call, outcome.instance);
       break;
     default:
       recordAnswer(leadership, call, context.now);
@@ -245,14 +267,14 @@
   if (progress.phase !== 'releasing') {
     return;
   }
-  // Only the refusal of a call to the former owner itself proves that it has ended. The refusal of a call to
-  // its successor may come from the former owner, if an entry of the server list named a wrong address.
-  const hasFormerEnded = outcome.kind === 'otherInstance' && called === unit.releasing;
-  if (outcome.kind === 'accepted' || hasFormerEnded) {
+  if (outcome.kind === 'accepted') {
     progress.phase = 'granting';
-    progress.handover = outcome.kind === 'accepted' ? outcome.handover : null;
+    progress.handover = outcome.handover;
     progress.nextCallAt = context.now;
     context.log('unit_released', { unit: unitName(unit), fence: unit.fence, former: unit.releasing });
+  } else if (outcome.kind === 'otherInstance' && called === unit.releasing) {
+    // The server that refused may hold the keys under a renewal that it accepted, so it is asked next.
+    progress.nextCallAt = context.now;
   }
 }
 
--- a/test/platform/test-server-control-client.ts
+++ b/test/platform/test-server-control-client.ts
@@ -144,6 +144,28 @@
     ]);
     api.close();
   });
+
+  // The leader asks the server that refused to release the keys, which it can do at once only if it knows the name.
+  it('states the name of a server that refuses a call for another one, if the response has it', async () => {
+    for (const [header, instance] of [
+      ['Fennelferry-Instance-Id: i-2\r\n', 'i-2'],
+      ['', null],
+    ]) {
+      server.removeAllListeners('connection');
+      server.on('connection', (socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () =>
+          socket.write(`HTTP/1.1 421 Misdirected Request\r\n${header}Content-Length: 0\r\n\r\n`),
+        );
+      });
+      const api = new ServerControlClient();
+      expect(await api.call(grant(LONG_TIMEOUT), IGNORING_LISTENER)).toEqual({
+        kind: 'otherInstance',
+        instance: instance as string | null,
+      });
+      api.close();
+    }
+  });
 });
 /** Blocks the event loop, so that a timer that is due runs before the loop detects that a connection is established. */
 function blockLoop(): void {
--- a/test/router/ownership/test-server-incarnations.ts
+++ b/test/router/ownership/test-server-incarnations.ts
@@ -21,10 +21,26 @@
 /** A server that has just started is assigned no keys while other servers can take them. */
 const COLD_AND_UNLISTED = { listedAfter: UNLISTED_TIME, warmupLeft: 8_000 };
 
+/** Time after which a server is listed that no list names during a test. */
+const LONG_UNLISTED_TIME = 60_000;
+/** Time within which the keys of an ended server are granted to others. */
+const RECOVERY = 6_000;
+
 function ownerIn(simulation: RouterSimulation): SimulatedServer {
   return simulation.servers.find(({ alive, holdings }) => alive && holdings.size > 0) as SimulatedServer;
 }
 
+/** Moves the keys of one server to another one, and returns that one, which renews its two units at different times. */
+function ownerOfTwoUnits(simulation: RouterSimulation): SimulatedServer {
+  const [, , drained] = simulation.servers;
+  simulation.drain((drained as SimulatedServer).id);
+  simulation.clock.runUntil(simulation.clock.now + 1_500);
+  const units = simulation.leader()?.state.leadership?.table.units ?? [];
+  const owners = units.map(({ owner }) => owner);
+  const id = owners.find((owner, index) => owners.indexOf(owner) !== index);
+  return simulation.servers.find((server) => server.id === id) as SimulatedServer;
+}
+
 /**
  * Returns the violations in which two servers hold a key. Others are expected: a grant that reaches the wrong
  * server has the fence that the right one had, which no daemon can prevent.
@@ -41,7 +57,7 @@
       const owner = ownerIn(simulation);
       owner.alive = false;
       const next = simulation.addServer(owner.address, undefined, COLD_AND_UNLISTED);
-      next.checksInstanceName = false;
+      next.callsCheckedForName = new Set();
       simulation.clock.schedule(UNLISTED_TIME, () => simulation.removeEntry(owner.id));
       simulation.clock.runUntil(SETTLED + 12_000);
       expect(doubleOwnerships(simulation)).toEqual([]);
@@ -49,6 +65,59 @@
     }
   });
 
+  // One of two renewals timed out and the next server accepted the other; the probe after the time-out named that server.
+  it('have one owner when a probe names the next server at its address, which accepted another renewal', () => {
+    for (let seed = 1; seed <= 40; seed += 1) {
+      const simulation = new RouterSimulation(seed, 3, 5);
+      simulation.clock.runUntil(SETTLED + seed * 37);
+      const owner = ownerOfTwoUnits(simulation);
+      owner.alive = false;
+      simulation.clock.runUntil(simulation.clock.now + seed * 10);
+      const next = simulation.addServer(owner.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+      next.callsCheckedForName = new Set();
+      simulation.clock.runUntil(simulation.clock.now + RECOVERY);
+      expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
+      expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+    }
+  });
+
+  // The next server rejected the release because it was meant for another one, but had accepted a renewal that was too.
+  for (const statesName of [true, false]) {
+    it(`have one owner when the next server rejects their release and ${statesName ? 'states' : 'does not state'} its name`, () => {
+      for (let seed = 1; seed <= 20; seed += 1) {
+        const simulation = new RouterSimulation(seed, 3, 5);
+        simulation.clock.runUntil(SETTLED + seed * 37);
+        const owner = ownerIn(simulation);
+        owner.alive = false;
+        const next = simulation.addServer(owner.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+        next.callsCheckedForName = new Set(['release']);
+        next.statesNameInRejections = statesName;
+        simulation.clock.runUntil(simulation.clock.now + UNLISTED_TIME);
+        simulation.drain(owner.id);
+        simulation.clock.runUntil(simulation.clock.now + RECOVERY);
+        expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
+        expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+      }
+    });
+  }
+
+  // The entry of the next incarnation has another address, so its consent says nothing about the server that took over the former one.
+  it('have one owner when the owner restarts at another address and another server listens at its former one', () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const simulation = new RouterSimulation(seed, 3, 5);
+      simulation.clock.runUntil(SETTLED + seed * 37);
+      const owner = ownerIn(simulation);
+      owner.alive = false;
+      const next = simulation.addServer(owner.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+      next.callsCheckedForName = new Set();
+      simulation.clock.runUntil(simulation.clock.now + UNLISTED_TIME);
+      simulation.restartServer(owner, 2, '10.0.1.99:80');
+      simulation.clock.runUntil(simulation.clock.now + RECOVERY);
+      expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
+      expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+    }
+  });
+
   it('are granted again under a higher fence when the owner restarts under its name within a heartbeat', () => {
     for (let seed = 1; seed <= 20; seed += 1) {
       const simulation = new RouterSimulation(seed, 3, 5);
--- a/test/router/quarantine/test-crash-detection.ts
+++ b/test/router/quarantine/test-crash-detection.ts
@@ -48,7 +48,7 @@
 describe('a server that closed the connection of a request', () => {
   const outcomes: readonly [string, ControlOutcome, number][] = [
     ['refuses connections', { kind: 'notSent', reason: 'refused', refused: true }, 1],
-    ['is another incarnation', { kind: 'otherInstance' }, 1],
+    ['is another incarnation', { kind: 'otherInstance', instance: 's9' }, 1],
     ['is unreachable', { kind: 'notSent', reason: 'connect timeout', refused: false }, 1],
     ['answers no probe', { kind: 'unanswered', reason: 'timeout' }, 1],
     ['answers a probe', { kind: 'accepted', handover: null }, 0],
--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -112,17 +112,17 @@
     this.serverEntries.put(instance, { ...entry, revision });
   }
 
-  /** Crashes a server and restarts it at its address under its former name; its entry is replaced but never removed. */
-  restartServer(server: SimulatedServer, born: number): SimulatedServer {
+  /** Crashes a server and restarts it under its former name, by default at its address; its entry is replaced but never removed. */
+  restartServer(server: SimulatedServer, born: number, address = server.address): SimulatedServer {
     const entry = this.#entries.get(instanceOf(server.id));
     if (entry === undefined) {
       throw new Error(`${server.id} is not listed`);
     }
     server.alive = false;
     const id = buildServerId(instanceOf(server.id), born);
-    const next = new SimulatedServer(id, server.address, this.clock, this.checker);
+    const next = new SimulatedServer(id, address, this.clock, this.checker);
     this.servers.push(next);
-    this.#writeEntry({ ...entry, id });
+    this.#writeEntry({ ...entry, id, address });
     return next;
   }
 
--- a/test/router/support/simulated-server.ts
+++ b/test/router/support/simulated-server.ts
@@ -48,8 +48,10 @@
   alive = true;
   /** Whether connections are refused: the process has ended and its machine is still running. */
   refusesConnections = false;
-  /** Whether the server rejects calls that are meant for a server of another name. */
-  checksInstanceName = true;
+  /** Calls that the server rejects if they are meant for a server of another name. Responses to health probes always state its name. */
+  callsCheckedForName: ReadonlySet<ControlEffect['action']> = new Set(['grant', 'release']);
+  /** Whether its rejections of such calls state the server's name. */
+  statesNameInRejections = true;
   /** Whether daemons can reach the server. */
   reachable = true;
   /** Names of the daemons that cannot reach the server. */
@@ -136,8 +138,10 @@
     return;
   }
   const isNamed = instanceOf(server.id) === instanceOf(effect.server);
-  if (!isNamed && server.checksInstanceName) {
-    clock.schedule(1, () => answer({ kind: 'otherInstance' }));
+  if (!isNamed && (server.callsCheckedForName.has(effect.action) || effect.action === 'probe')) {
+    const isNameStated = effect.action === 'probe' || server.statesNameInRejections;
+    const instance = isNameStated ? instanceOf(server.id) : null;
+    clock.schedule(1, () => answer({ kind: 'otherInstance', instance }));
     return;
   }
   const execute = (): ControlOutcome => (server.alive ? server.handleCall(effect) : unanswered);
