Requests that are held back outlast the restart of all daemons

Cause: crashes that close together hold a request back without quarantining it, and only quarantines were stored.

Why this fix works: the leader stores held-back requests with their lost copies; what the store says needs no confirmation time at any daemon (a new field of crash records, which earlier builds ignore). A held-back request under which three servers have crashed follows the retest rule of quarantines.

--- a/src/router/quarantine/crash-entry.ts
+++ b/src/router/quarantine/crash-entry.ts
@@ -87,7 +87,8 @@
       age: Math.max(0, Math.round(now - at)),
       copies: this.copies.of(server),
     }));
-    return { fingerprint, ended, exonerated: [...this.#exonerated], quarantined, retested };
+    const heldBack = this.copies.isConfirmed;
+    return { fingerprint, ended, exonerated: [...this.#exonerated], quarantined, retested, heldBack };
   }
 
   /** Adds the crash of a server under the request. */
@@ -158,8 +159,14 @@
     return now - this.#suspectedAt >= confirmation && span >= CORRELATED_CRASH_WINDOW;
   }
 
-  /** Returns whether a request that is held back and was received again is sent now. */
+  /**
+   * Returns whether a request that is held back and was received again is sent now. If as many servers have crashed under it as a
+   * quarantine needs, though all at once, it is sent no sooner than a quarantined one.
+   */
   tryAcquireTrial(now: Milliseconds): boolean {
+    if (this.isQuarantineCandidate) {
+      return this.tryAcquireRetest(now);
+    }
     if (now - this.#lastTrialAt < TRIAL_INTERVAL) {
       return false;
     }
--- a/src/router/quarantine/crash-record.ts
+++ b/src/router/quarantine/crash-record.ts
@@ -21,9 +21,11 @@
   readonly quarantined: boolean;
   /** Whether the quarantined request was sent once more and the server's side closed the connection again. */
   readonly retested: boolean;
+  /** Whether the store says that the request is held back, so that this is not confirmed again. */
+  readonly heldBack: boolean;
 }
 
 /** Returns a record of a request without crashes. */
 export function emptyCrashRecord(fingerprint: string): CrashRecord {
-  return { fingerprint, ended: [], exonerated: [], quarantined: false, retested: false };
+  return { fingerprint, ended: [], exonerated: [], quarantined: false, retested: false, heldBack: false };
 }
--- a/src/router/quarantine/crash-table.ts
+++ b/src/router/quarantine/crash-table.ts
@@ -13,6 +13,10 @@
 const MAX_SUSPICIONS = 512;
 const MAX_QUARANTINES = 256;
 
+function isEntryHeldBack(entry: CrashEntry, confirmation: Milliseconds, now: Milliseconds): boolean {
+  return !entry.quarantined && entry.copies.meetThresholdFor(confirmation, now);
+}
+
 export class CrashTable {
   /** Entries by the value of the fingerprint, in the order of their last change. */
   readonly #entries = new Map<string, CrashEntry>();
@@ -40,6 +44,17 @@
       .map((entry) => entry.toRecord(now));
   }
 
+  /**
+   * Returns the records of requests that are held back, the last changed one last.
+   *
+   * @param confirmation how long ago the last of the needed copies must have been reported lost
+   */
+  heldBack(confirmation: Milliseconds, now: Milliseconds): CrashRecord[] {
+    return [...this.#entries.values()]
+      .filter((entry) => isEntryHeldBack(entry, confirmation, now))
+      .map((entry) => entry.toRecord(now));
+  }
+
   /** Returns all records, for a daemon that has just joined. */
   records(now: Milliseconds): CrashRecord[] {
     return [...this.#entries.values()].map((entry) => entry.toRecord(now));
@@ -67,7 +82,7 @@
    */
   isHeldBack(fingerprint: RequestFingerprint, confirmation: Milliseconds, now: Milliseconds): boolean {
     const entry = this.#find(fingerprint);
-    return entry !== undefined && !entry.quarantined && entry.copies.meetThresholdFor(confirmation, now);
+    return entry !== undefined && isEntryHeldBack(entry, confirmation, now);
   }
 
   /** Returns whether a request that is held back and was received again is sent now. */
@@ -86,7 +101,9 @@
     const isNewQuarantine = record.quarantined && this.#quarantine(entry);
     const isNewRetest = record.retested && !entry.retested;
     entry.retested ||= record.retested;
-    if (exonerated.length === 0 && ended.length === 0 && !isNewQuarantine && !isNewRetest) {
+    const isNewlyHeldBack = record.heldBack && entry.copies.confirm();
+    const hasNewState = isNewQuarantine || isNewRetest || isNewlyHeldBack;
+    if (exonerated.length === 0 && ended.length === 0 && !hasNewState) {
       this.#removeIfEmpty(entry);
       return null;
     }
--- a/src/router/quarantine/lost-copies.ts
+++ b/src/router/quarantine/lost-copies.ts
@@ -43,6 +43,20 @@
     return now - this.#thresholdMetAt >= confirmation;
   }
 
+  /** Whether the threshold is met and counts as confirmed at any time. */
+  get isConfirmed(): boolean {
+    return this.#thresholdMetAt === Number.NEGATIVE_INFINITY;
+  }
+
+  /** Treats the threshold, if it is met, as confirmed. Returns whether that is new. */
+  confirm(): boolean {
+    if (this.isConfirmed || this.#copyCount() < LOST_COPIES_TO_HOLD_BACK) {
+      return false;
+    }
+    this.#thresholdMetAt = Number.NEGATIVE_INFINITY;
+    return true;
+  }
+
   #copyCount(): number {
     return [...this.#byServer.values()].reduce((total, { size }) => total + size, 0);
   }
--- a/src/router/quarantine/quarantine.ts
+++ b/src/router/quarantine/quarantine.ts
@@ -10,7 +10,8 @@
 import type { ActiveRequest } from '../request/active-request.js';
 import { cancelAttempt, endWithOwnAnswer } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
-import type { CrashRecord } from './crash-record.js';
+import type { RouterState } from '../router-state.js';
+import { type CrashRecord, emptyCrashRecord } from './crash-record.js';
 import { LOST_COPIES_TO_HOLD_BACK } from './lost-copies.js';
 import type { SuspectedCrash } from './crash-detection-state.js';
 
@@ -33,6 +34,11 @@
 /** Reason given to the caller of a quarantined request. */
 export const QUARANTINE_REASON = 'servers have ended under this request: it is not sent to any other';
 
+/** Returns how long a request is suspected before it is quarantined or held back. */
+export function confirmationTime({ bounds }: RouterState): Milliseconds {
+  return bounds.contact * CONFIRMATION_SHARE;
+}
+
 /** The origin of a record: another daemon, the store, or this daemon's own observation. */
 type RecordSource = UpdateSource | 'observed';
 
@@ -77,13 +83,11 @@
       .filter((value) => value === fingerprint)
       .slice(0, LOST_COPIES_TO_HOLD_BACK)
       .map((_, index) => `${daemon}/${life}/${index}`);
-  const otherFields = { exonerated: [], quarantined: false, retested: false };
   mergeCrashRecords(
     context,
     fingerprints.map((fingerprint) => ({
-      fingerprint,
+      ...emptyCrashRecord(fingerprint),
       ended: [{ server: id, age, copies: copiesOf(fingerprint) }],
-      ...otherFields,
     })),
     'observed',
   );
@@ -207,8 +211,8 @@
  */
 export function isHeldBack(context: RouterContext, { fingerprint }: ActiveRequest): boolean {
   const { state, now } = context;
-  const { crashTable, leadership, bounds } = state;
-  if (crashTable.isEmpty || !crashTable.isHeldBack(fingerprint, bounds.contact * CONFIRMATION_SHARE, now)) {
+  const { crashTable, leadership } = state;
+  if (crashTable.isEmpty || !crashTable.isHeldBack(fingerprint, confirmationTime(state), now)) {
     return false;
   }
   return leadership === null || !crashTable.tryAcquireTrial(fingerprint, now);
@@ -231,11 +235,11 @@
 /** Quarantines the requests that have been suspected for the confirmation time, and removes expired records. */
 export function tickQuarantine(context: RouterContext): void {
   const { state, now } = context;
-  const { crashTable, bounds } = state;
+  const { crashTable } = state;
   if (crashTable.isEmpty) {
     return;
   }
-  const confirmed = crashTable.confirmSuspicions(bounds.contact * CONFIRMATION_SHARE, now);
+  const confirmed = crashTable.confirmSuspicions(confirmationTime(state), now);
   broadcastRecords(context, confirmed, 'observed');
   confirmed.forEach((record) => beginQuarantine(context, record));
   if (now >= state.nextCrashExpiryAt) {
--- a/src/router/quarantine/stored-quarantines-state.ts
+++ b/src/router/quarantine/stored-quarantines-state.ts
@@ -7,9 +7,9 @@
   term: number | null;
   /** The revision of the object, or null when there is none. */
   revision: number | null;
-  /** The fingerprints in the object, as sorted text. */
+  /** The fingerprints in the object and their states, as sorted text. */
   storedFingerprints: string;
-  /** The fingerprints of the write in progress, as sorted text, or null. */
+  /** The same of the write in progress, or null. */
   pendingFingerprints: string | null;
   nextCallAt: Milliseconds;
 }
--- a/src/router/quarantine/stored-quarantines.ts
+++ b/src/router/quarantine/stored-quarantines.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps the quarantined requests in the store, so that quarantines survive the loss of all daemons at once. Only the
- * leader reads and writes them: one read per leadership, one write per change. Suspicions are not stored: after such a
- * loss a request could crash at most three more servers before it is quarantined again.
+ * Keeps the requests that are quarantined or held back in the store, so that both states survive the loss of all daemons at once.
+ * Only the leader reads and writes them: one read per leadership, one write per change. Other suspicions are not stored: they rest on
+ * fewer lost copies than it takes to hold a request back.
  */
 import * as z from 'zod';
 import type { ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
@@ -9,8 +9,8 @@
 import { FINGERPRINT_HEAD_LENGTH } from '../model/request-fingerprint.js';
 import { LEADERSHIP_VALIDITY } from '../ownership/ownership-timing.js';
 import type { RouterContext } from '../router-context.js';
-import type { CrashRecord } from './crash-record.js';
-import { mergeCrashRecords } from './quarantine.js';
+import { type CrashRecord, emptyCrashRecord } from './crash-record.js';
+import { confirmationTime, mergeCrashRecords } from './quarantine.js';
 
 /** Minimum time between two calls to the store. Refused calls are billed, too. */
 const CALL_INTERVAL: Milliseconds = 500;
@@ -19,27 +19,64 @@
   .length(2 * FINGERPRINT_HEAD_LENGTH)
   .regex(/^[0-9a-f]+$/);
 
+/** Limit on the stored requests that are held back, which keeps the object small. The last changed ones are stored. */
+const MAX_STORED_HELD_BACK = 128;
+
 const quarantinesSchema = z.object({
   quarantines: z.array(z.object({ fingerprint: FINGERPRINT_SCHEMA, servers: z.array(z.string()) })),
+  /** Absent in objects of earlier versions. */
+  heldBack: z
+    .array(
+      z.object({
+        fingerprint: FINGERPRINT_SCHEMA,
+        crashes: z.array(z.object({ server: z.string(), copies: z.array(z.string()) })),
+      }),
+    )
+    .default([]),
 });
 type QuarantinesRecord = z.infer<typeof quarantinesSchema>;
 
 function currentQuarantines({ state, now }: RouterContext): QuarantinesRecord {
-  const quarantines = state.crashTable
+  const { crashTable } = state;
+  const quarantines = crashTable
     .quarantines(now)
     .map(({ fingerprint, ended }) => ({ fingerprint, servers: ended.map(({ server }) => server) }));
-  return { quarantines };
+  const heldBack = crashTable
+    .heldBack(confirmationTime(state), now)
+    .slice(-MAX_STORED_HELD_BACK)
+    .map(({ fingerprint, ended }) => ({
+      fingerprint,
+      crashes: ended.map(({ server, copies = [] }) => ({ server, copies })),
+    }));
+  return { quarantines, heldBack };
 }
 
-/** Returns the sorted fingerprints alone: further crashes under a quarantined request are not worth a write. */
-function sortedFingerprints({ quarantines }: QuarantinesRecord): string {
-  return quarantines
-    .map(({ fingerprint }) => fingerprint)
+/** Returns the sorted fingerprints alone: further crashes under a stored request are not worth a write. */
+function sortedFingerprints({ quarantines, heldBack }: QuarantinesRecord): string {
+  return [
+    ...quarantines.map(({ fingerprint }) => `quarantined ${fingerprint}`),
+    ...heldBack.map(({ fingerprint }) => `held back ${fingerprint}`),
+  ]
     .sort()
     .join();
 }
 
-/** Reads the quarantines that earlier leaders stored, then writes each change. */
+function toCrashRecords({ quarantines, heldBack }: QuarantinesRecord): CrashRecord[] {
+  return [
+    ...quarantines.map(({ fingerprint, servers }) => ({
+      ...emptyCrashRecord(fingerprint),
+      ended: servers.map((server) => ({ server, age: 0 })),
+      quarantined: true,
+    })),
+    ...heldBack.map(({ fingerprint, crashes }) => ({
+      ...emptyCrashRecord(fingerprint),
+      ended: crashes.map((crash) => ({ ...crash, age: 0 })),
+      heldBack: true,
+    })),
+  ];
+}
+
+/** Reads what earlier leaders stored, then writes each change. */
 export function tickStoredQuarantines(context: RouterContext): void {
   const { state, now } = context;
   const { leadership, storedQuarantines } = state;
@@ -79,14 +116,7 @@
     return;
   }
   state.storedQuarantines.storedFingerprints = sortedFingerprints(parsed.data);
-  const records: CrashRecord[] = parsed.data.quarantines.map(({ fingerprint, servers }) => ({
-    fingerprint,
-    ended: servers.map((server) => ({ server, age: 0 })),
-    exonerated: [],
-    quarantined: true,
-    retested: false,
-  }));
-  mergeCrashRecords(context, records, 'store');
+  mergeCrashRecords(context, toCrashRecords(parsed.data), 'store');
 }
 
 /** Handles the result of the leader's read of the stored quarantines. */
--- a/test/router-runtime/test-quarantine-admin.ts
+++ b/test/router-runtime/test-quarantine-admin.ts
@@ -19,7 +19,14 @@
 async function startAdmin(events: RouterEvent[]): Promise<string> {
   const { state, now } = new SingleDaemon();
   const ended = ['s1', 's2', 's3'].map((server) => ({ server, age: 0 }));
-  const record = { fingerprint: FINGERPRINT, ended, exonerated: [], quarantined: true, retested: false };
+  const record = {
+    fingerprint: FINGERPRINT,
+    ended,
+    exonerated: [],
+    quarantined: true,
+    retested: false,
+    heldBack: false,
+  };
   state.crashTable.merge(record, now);
   const server = createRouterAdmin(state, new RouterMetrics(state, new Map()), (event) => events.push(event));
   admin = server;
--- a/test/router/ownership/test-server-incarnations.ts
+++ b/test/router/ownership/test-server-incarnations.ts
@@ -182,7 +182,7 @@
   it('counts the ends of three incarnations under one name as three', () => {
     const table = new CrashTable();
     const ended = [1, 2, 3].map((born) => ({ server: buildServerId('s1', born), age: born * 1_000 }));
-    const none = { exonerated: [], quarantined: false, retested: false };
+    const none = { exonerated: [], quarantined: false, retested: false, heldBack: false };
     table.merge({ fingerprint: fingerprintOf('deadly').value, ended, ...none }, 10_000);
     expect(table.crashCount(fingerprintOf('deadly'))).toEqual(3);
   });
--- a/test/router/quarantine/test-crash-table.ts
+++ b/test/router/quarantine/test-crash-table.ts
@@ -10,7 +10,7 @@
 
 function crashRecord(servers: readonly string[], age = 0, fingerprint = DEADLY): CrashRecord {
   const ended = servers.map((server) => ({ server, age }));
-  const otherFields = { exonerated: [], quarantined: false, retested: false };
+  const otherFields = { exonerated: [], quarantined: false, retested: false, heldBack: false };
   return { fingerprint: fingerprint.value, ended, ...otherFields };
 }
 
@@ -48,6 +48,17 @@
     expect(learnedLate.confirmSuspicions(CONFIRMATION_TIME, CONFIRMATION_TIME).length).toEqual(1);
   });
 
+  // A request that crashes servers was sent to one more each second by the leader while three crashes at once did not quarantine it.
+  it('sends a request under which three servers crashed at once no sooner than a quarantined one', () => {
+    const table = new CrashTable();
+    const ended = ['s1', 's2', 's3'].map((server) => ({ server, age: 0, copies: [`copy at ${server}`] }));
+    table.merge({ ...crashRecord([]), ended }, 0);
+    expect(table.isHeldBack(DEADLY, CONFIRMATION_TIME, CONFIRMATION_TIME)).toEqual(true);
+    expect(table.tryAcquireTrial(DEADLY, CONFIRMATION_TIME)).toEqual(false);
+    const trials = Array.from({ length: 21 }, () => table.tryAcquireTrial(DEADLY, 10_000));
+    expect(trials).toEqual([...Array.from({ length: 20 }, () => false), true]);
+  });
+
   it('permanently discounts the crashes of a request that is cleared', () => {
     const table = createQuarantinedTable();
     table.exonerateRequest(DEADLY, 7_000);
--- a/test/router/quarantine/test-quarantine-propagation.ts
+++ b/test/router/quarantine/test-quarantine-propagation.ts
@@ -72,6 +72,26 @@
   });
 });
 
+describe('a request that is held back', () => {
+  // Only quarantines were stored: a request under which three servers had crashed at once crashed three more after a restart of all daemons.
+  it('is held back by every daemon after all have restarted', () => {
+    const simulation = new RouterSimulation(5, 6, 6);
+    const traffic = new RequestTraffic(simulation, 8);
+    traffic.crashingRequests.add(REQUEST.name);
+    simulation.clock.runUntil(SETTLING_TIME);
+    simulation.daemons.slice(0, 3).forEach((daemon) => traffic.sendRequest(daemon, REQUEST));
+    simulation.clock.runUntil(simulation.clock.now + CRASH_INTERVAL);
+    expect(daemonsWithQuarantine(simulation)).toEqual([]);
+    simulation.daemons.forEach((daemon) => (daemon.alive = false));
+    simulation.daemons.forEach((daemon) => simulation.startDaemon(daemon));
+    simulation.clock.runUntil(simulation.clock.now + CRASH_INTERVAL);
+    const holding = simulation.daemons.filter(({ state }) =>
+      state.crashTable.isHeldBack(fingerprintOf(REQUEST.name), CRASH_INTERVAL, simulation.clock.now),
+    );
+    expect(holding).toEqual(simulation.daemons);
+  });
+});
+
 describe('copies of a request that becomes quarantined', () => {
   it('end at once, both in flight and waiting', () => {
     const daemon = new SingleDaemon();
@@ -80,7 +100,7 @@
     daemon.receiveRequest(3, '/read/2');
     expect(daemon.state.requests.size).toEqual(3);
     const ended = ['a', 'b', 'c'].map((server) => ({ server, age: 0 }));
-    const otherFields = { ended, exonerated: [], quarantined: true, retested: false };
+    const otherFields = { ended, exonerated: [], quarantined: true, retested: false, heldBack: false };
     const records = ['/read/1', '/rack/1'].map((name) => ({
       fingerprint: fingerprintOf(name).value,
       ...otherFields,
