A response of the store that is overdue still confirms data

Cause: each confirmation was given up after 400 ms. At a store that takes that long, one feed is confirmed and the other is not, so the data is too old to act on and the store does not count as away either.

Why this fix works: an overdue call stays in flight and its response counts; the next is sent beside it, on a new connection in case the old ones are dead. Daemons ask sooner by the response time they have seen, the leader first. An overdue response confirms data but does not show that the store is available.

--- a/src/http-client/index.ts
+++ b/src/http-client/index.ts
@@ -13,4 +13,4 @@
 
 export { Agent, Client, Dispatcher, Pool };
 export { buildResettingConnector } from './resetting-connector.js';
-export { RecyclingPool, SlowTransferError } from './recycling-pool.js';
+export { type DueTime, RecyclingPool, SlowTransferError } from './recycling-pool.js';
--- a/src/http-client/recycling-pool.ts
+++ b/src/http-client/recycling-pool.ts
@@ -97,6 +97,12 @@
   }
 }
 
+/** When a response must have begun, in milliseconds from the start of the call, and what to do if it has not. */
+export interface DueTime {
+  readonly time: number;
+  readonly onOverdue: () => void;
+}
+
 export class RecyclingPool {
   readonly #origin: string;
   readonly #options: UndiciPool.Options;
@@ -112,15 +118,17 @@
 
   /**
    * Makes a call. Rejects if no response begins within the timeout (milliseconds), with a `SlowTransferError` if the rest of it takes
-   * too long, or if `cancelSignal` aborts the call. Only a timeout replaces the connections, since a cancelled call does not show
-   * that they have failed.
+   * too long, or if `cancelSignal` aborts the call. A timeout or an overdue response replaces the connections for later calls; a
+   * cancelled call does not, since it does not show that they have failed.
    */
   async request(
     request: PoolRequest,
     timeout: number,
     cancelSignal?: AbortSignal,
+    due: DueTime | null = null,
   ): Promise<{ answer: Dispatcher.ResponseData; text: string }> {
     const pool = this.#pool;
+    const dueSignal = due === null ? null : this.#watchDueTime(pool, due, () => pool.isWritten(call));
     const timeoutSignal: TimeoutSignal = new TimeoutSignal(timeout, () => pool.isWritten(call));
     const signal =
       cancelSignal === undefined
@@ -129,9 +137,11 @@
     const call: Dispatcher.RequestOptions = { ...request, signal };
     try {
       const answer = await pool.request(call);
+      dueSignal?.clear();
       timeoutSignal.restart(TRANSFER_TIMEOUT_MILLISECONDS);
       return { answer, text: await readBody(answer, timeoutSignal.signal) };
     } finally {
+      dueSignal?.clear();
       timeoutSignal.clear();
       if (timeoutSignal.signal.aborted && cancelSignal?.aborted !== true) {
         this.#retire(pool);
@@ -145,6 +155,15 @@
     this.#retired.forEach((pool) => void pool.destroy());
   }
 
+  #watchDueTime(pool: TrackingPool, { time, onOverdue }: DueTime, isWritten: () => boolean): TimeoutSignal {
+    const dueSignal = new TimeoutSignal(time, isWritten);
+    dueSignal.signal.addEventListener('abort', () => {
+      this.#retire(pool);
+      onOverdue();
+    });
+    return dueSignal;
+  }
+
   #retire(pool: TrackingPool): void {
     if (pool !== this.#pool) {
       return;
--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -10,6 +10,7 @@
   FeedChange,
   FeedSource,
   ListOutcome,
+  WatchedChanges,
   WatchOutcome,
 } from '../router/ports.js';
 import type { CancelTimer, Timers } from './timers.js';
@@ -23,7 +24,13 @@
  */
 const MAX_RETRY_INTERVAL: Milliseconds = 1_500;
 
-/** A call that ended without a usable response. */
+/**
+ * Overdue confirmations that are left in flight beside the newest one. A store whose responses take longer than the interval between
+ * two confirmations would otherwise never confirm anything.
+ */
+const MAX_OVERDUE_CALLS = 2;
+
+/** A call that ended without a usable response, or whose response is overdue. */
 export interface FeedFailure {
   readonly call: 'list' | 'watch';
   /** Time from the start of the call until it failed. */
@@ -33,6 +40,18 @@
   readonly isConclusive: boolean;
 }
 
+/** A response of the store to a call. */
+export interface FeedAnswer {
+  /** When the call was sent. */
+  readonly sentAt: Milliseconds;
+  /** All changes that the store had accepted by then have been reported; null: unknown. */
+  readonly confirmedAt: Milliseconds | null;
+  /** Time from the end of the call's wait, or from its start, to the response. */
+  readonly responseTime: Milliseconds;
+  /** Whether the call had been reported as failed before. */
+  readonly isOverdue: boolean;
+}
+
 /** Timers and timeouts of a feed. */
 export interface FeedTiming {
   readonly timers: Timers;
@@ -46,13 +65,8 @@
 export interface FeedListener<Item> {
   onList(items: readonly FeedChange<Item>[], revision: number): void;
   onChanges(changes: readonly FeedChange<Item>[], revision: number): void;
-  /**
-   * The store responded to a call.
-   *
-   * @param sentAt when the call was sent
-   * @param confirmedAt all changes that the store had accepted by then have been reported; null: unknown
-   */
-  onAnswer(sentAt: Milliseconds, confirmedAt: Milliseconds | null): void;
+  /** The store responded to a call. */
+  onAnswer(answer: FeedAnswer): void;
   /** A call ended without a usable response. */
   onFailure(failure: FeedFailure): void;
 }
@@ -62,6 +76,10 @@
   readonly startedAt: Milliseconds;
   /** Whether the call is answered at once, so that it need not be replaced by a confirmation. */
   readonly isImmediate: boolean;
+  /** Time for which the store waits for changes before it responds. */
+  readonly wait: Milliseconds;
+  /** Whether the call has been reported as failed although its response still counts. */
+  isOverdue: boolean;
   cancel: CancelCall;
 }
 
@@ -83,6 +101,8 @@
   /** Whether the last response to a watch contained changes. */
   #hasChanged = false;
   #call: ActiveCall | null = null;
+  /** Overdue confirmations beside which newer calls were started, oldest first. */
+  #overdueCalls: ActiveCall[] = [];
   #cancelPause: CancelTimer | null = null;
 
   constructor(source: FeedSource<Item>, listener: FeedListener<Item>, timing: FeedTiming) {
@@ -118,17 +138,21 @@
   /**
    * Asks the store at once whether there are changes after `revision`; null: after the last known one. Lists instead if there is no
    * revision, or if the store has forgotten its history. A watch that waits for changes is cancelled, because the store may never
-   * answer it; other calls are left to end, since their responses may be arriving.
+   * answer it; other calls are left to end, since their responses may be arriving. An overdue one is asked beside.
    */
   confirm(revision: number | null): void {
-    if (this.#call?.isImmediate === true) {
+    if (this.#call?.isImmediate === true && !this.#call.isOverdue) {
       return;
     }
     this.#isConfirmationPending = true;
     if (!this.#isRefreshPending) {
       this.#revision = revision ?? this.#revision;
     }
-    this.#cancelCall();
+    if (this.#call?.isOverdue === true) {
+      this.#setAsideOverdueCall(this.#call);
+    } else {
+      this.#cancelCall();
+    }
     this.#cancelPause?.();
     this.#cancelPause = null;
     this.#startNextCall();
@@ -138,6 +162,8 @@
   close(): void {
     this.#isClosed = true;
     this.#cancelCall();
+    this.#overdueCalls.forEach((call) => call.cancel());
+    this.#overdueCalls = [];
     this.#cancelPause?.();
   }
 
@@ -146,6 +172,14 @@
     this.#call = null;
   }
 
+  #setAsideOverdueCall(call: ActiveCall): void {
+    this.#call = null;
+    this.#overdueCalls.push(call);
+    if (this.#overdueCalls.length > MAX_OVERDUE_CALLS) {
+      this.#overdueCalls.shift()?.cancel();
+    }
+  }
+
   /** Starts the next call, unless a call is in flight or the pause before the next one has not passed. */
   #startNextCall(): void {
     const isIdle = this.#call === null && this.#cancelPause === null;
@@ -163,25 +197,35 @@
   }
 
   #list(): void {
-    const call = this.#startCall('list', true);
+    const call = this.#startCall('list', true, 0);
     call.cancel = this.#source.list((outcome) => this.#receiveList(call, outcome));
   }
 
   #watch(revision: number, timing: WatchTiming): void {
-    const call = this.#startCall('watch', timing === CONFIRMATION_WATCH);
+    const call = this.#startCall('watch', timing === CONFIRMATION_WATCH, timing.wait);
     // The store never answers a watch that it received during an outage or whose connection is dead. With a long timeout, changes
     // would take effect late on all daemons.
-    call.cancel = this.#source.watch(revision, timing, (outcome) =>
-      this.#receiveWatch(call, timing.wait, outcome),
+    call.cancel = this.#source.watch(
+      revision,
+      timing,
+      (outcome) => this.#receiveWatch(call, outcome),
+      () => this.#reportOverdue(call),
     );
   }
 
-  #startCall(kind: FeedFailure['call'], isImmediate: boolean): ActiveCall {
-    const call = { kind, startedAt: this.#timers.now(), isImmediate, cancel: () => undefined };
+  #startCall(kind: FeedFailure['call'], isImmediate: boolean, wait: Milliseconds): ActiveCall {
+    const startedAt = this.#timers.now();
+    const call = { kind, startedAt, isImmediate, wait, isOverdue: false, cancel: () => undefined };
     this.#call = call;
     return call;
   }
 
+  /** Reports a call as failed and leaves it in flight. */
+  #reportOverdue(call: ActiveCall): void {
+    call.isOverdue = true;
+    this.#reportFailure(call, { reason: 'the response is overdue', isResponding: false });
+  }
+
   #receiveList(call: ActiveCall, outcome: ListOutcome<Item>): void {
     this.#call = null;
     if (outcome.kind === 'failed') {
@@ -193,16 +237,15 @@
     this.#recordResponse(call, call.startedAt);
   }
 
-  #receiveWatch(call: ActiveCall, wait: Milliseconds, outcome: WatchOutcome<Item>): void {
+  #receiveWatch(call: ActiveCall, outcome: WatchOutcome<Item>): void {
+    if (this.#call !== call) {
+      this.#receiveOverdue(call, outcome);
+      return;
+    }
     this.#call = null;
     if (outcome.kind === 'changes') {
-      // A watch without changes doesn't advance the revision: a store that is about to discard its history may have withheld changes.
       this.#hasChanged = outcome.changes.length > 0;
-      if (this.#hasChanged) {
-        this.#revision = Math.max(this.#revision ?? 0, outcome.revision);
-        this.#listener.onChanges(outcome.changes, outcome.revision);
-      }
-      this.#recordResponse(call, this.#confirmedBy(call, wait, !this.#hasChanged));
+      this.#recordResponse(call, this.#applyChanges(call, outcome));
       return;
     }
     // The next call lists everything, including the changes that the watch may have missed.
@@ -215,26 +258,54 @@
     }
   }
 
+  /** Handles the end of an overdue call beside which a newer one was started. That one shows whether the store still has the history. */
+  #receiveOverdue(call: ActiveCall, outcome: WatchOutcome<Item>): void {
+    this.#overdueCalls = this.#overdueCalls.filter((other) => other !== call);
+    if (outcome.kind === 'changes') {
+      this.#reportAnswer(call, this.#applyChanges(call, outcome));
+    }
+  }
+
+  /** Reports the changes of a watch. Returns the time up to which they confirm the feed. */
+  #applyChanges(call: ActiveCall, { changes, revision }: WatchedChanges<Item>): Milliseconds {
+    // A watch without changes doesn't advance the revision: a store that is about to discard its history may have withheld changes.
+    if (changes.length > 0) {
+      this.#revision = Math.max(this.#revision ?? 0, revision);
+      this.#listener.onChanges(changes, revision);
+    }
+    return this.#confirmedBy(call, changes.length === 0);
+  }
+
   /**
    * Returns the earliest time at which the store may have produced a response. A watch without changes was answered at the end
    * of its wait, which began when the call reached the store. Others may have been answered at once and read late.
    */
-  #confirmedBy({ startedAt }: ActiveCall, wait: Milliseconds, isEmpty: boolean): Milliseconds {
+  #confirmedBy({ startedAt, wait }: ActiveCall, isEmpty: boolean): Milliseconds {
     const hasWaited = this.#timers.now() - startedAt >= wait;
     return isEmpty && hasWaited ? startedAt + wait : startedAt;
   }
 
-  #recordResponse({ startedAt }: ActiveCall, confirmedAt: Milliseconds | null): void {
+  #recordResponse(call: ActiveCall, confirmedAt: Milliseconds | null): void {
     this.#consecutiveFailures = 0;
-    this.#listener.onAnswer(startedAt, confirmedAt);
-    this.#schedulePause(this.#pacing.nextPause(this.#timers.now() - startedAt));
+    this.#reportAnswer(call, confirmedAt);
+    this.#schedulePause(this.#pacing.nextPause(this.#timers.now() - call.startedAt));
   }
 
-  #recordFailure({ kind, startedAt }: ActiveCall, { reason, isResponding }: FailedCall): void {
-    this.#consecutiveFailures += 1;
+  #reportAnswer({ startedAt, wait, isOverdue }: ActiveCall, confirmedAt: Milliseconds | null): void {
+    const responseTime = Math.max(0, this.#timers.now() - startedAt - wait);
+    this.#listener.onAnswer({ sentAt: startedAt, confirmedAt, responseTime, isOverdue });
+  }
+
+  #reportFailure({ kind, startedAt }: ActiveCall, { reason, isResponding }: Omit<FailedCall, 'kind'>): void {
     const waited = this.#timers.now() - startedAt;
     const isConclusive = !isResponding && this.#isLoopTimely();
     this.#listener.onFailure({ call: kind, waited, reason, isConclusive });
+  }
+
+  #recordFailure(call: ActiveCall, failure: FailedCall): void {
+    this.#consecutiveFailures += 1;
+    this.#reportFailure(call, failure);
+    const waited = this.#timers.now() - call.startedAt;
     const delay = Math.min(MAX_RETRY_INTERVAL, MIN_RETRY_DELAY * 2 ** (this.#consecutiveFailures - 1));
     this.#schedulePause(Math.max(MIN_RETRY_DELAY, Math.min(delay, MAX_RETRY_INTERVAL - waited)));
   }
--- a/src/router-runtime/store-feeds.ts
+++ b/src/router-runtime/store-feeds.ts
@@ -15,7 +15,7 @@
   dispatch: Dispatch,
 ): Pick<FeedListener<unknown>, 'onAnswer' | 'onFailure'> {
   return {
-    onAnswer: (sentAt, confirmedAt) => dispatch({ kind: 'feedAnswered', feed, sentAt, confirmedAt }),
+    onAnswer: (answer) => dispatch({ kind: 'feedAnswered', feed, ...answer }),
     onFailure: (failure) => dispatch({ kind: 'feedFailed', feed, ...failure }),
   };
 }
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -67,6 +67,10 @@
   readonly sentAt: Milliseconds;
   /** Every change that the store accepted before this time has been reported; null: the response doesn't confirm that. */
   readonly confirmedAt: Milliseconds | null;
+  /** Time from the end of the call's wait, or from its start, to the response. */
+  readonly responseTime: Milliseconds;
+  /** Whether the response came after the call had been reported as failed. */
+  readonly isOverdue: boolean;
 }
 /** A list or watch call of a feed ended without a usable answer of the store. */
 export interface FeedFailedEvent {
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -42,10 +42,13 @@
       'longest (ms, the greatest delay), lasted (ms), busiest (the kinds of events that took the most time meanwhile, ms)',
   },
   feed_lost: {
-    when: 'a list or watch call to the store ends without a response',
-    fields: 'feed, call (list or watch), waited (ms until the call was given up), reason',
+    when: 'a list or watch call to the store ends without a response, or the response is overdue',
+    fields: 'feed, call (list or watch), waited (ms since the call was sent), reason',
+  },
+  feed_regained: {
+    when: 'the store answers list or watch calls of the feed again',
+    fields: 'feed, response_time (ms, without the wait for changes)',
   },
-  feed_regained: { when: 'the store answers list or watch calls of the feed again', fields: 'feed' },
   feed_behind: {
     when: 'other daemons have known a newer version of a feed for 0.6 s: the feed is listed again',
     fields: 'feed, own (version), newest (version at other daemons)',
--- a/src/router/news/feed-health-state.ts
+++ b/src/router/news/feed-health-state.ts
@@ -11,9 +11,11 @@
   failures: number;
   /**
    * When a call last showed that the store is unavailable to this daemon, or two in a row ended without a response; minus infinity:
-   * not since the last response.
+   * not since the last response that was not overdue.
    */
   unavailableAt: Milliseconds;
+  /** Response time of the store that is expected of its next call. */
+  responseTime: Milliseconds;
   /** When a confirmation was last requested, because none had come from the store or from other daemons for too long. */
   confirmationAskedAt: Milliseconds;
 }
@@ -24,6 +26,7 @@
     confirmedAt: Number.NEGATIVE_INFINITY,
     failures: 0,
     unavailableAt: Number.NEGATIVE_INFINITY,
+    responseTime: 0,
     confirmationAskedAt: Number.NEGATIVE_INFINITY,
   };
 }
--- a/src/router/news/store-confirmation.ts
+++ b/src/router/news/store-confirmation.ts
@@ -8,7 +8,7 @@
 import type { RouterState } from '../router-state.js';
 import { hasRelayParent } from '../tree/tree-state.js';
 import { evacuationsConfirmedAt, storeDataConfirmedAt } from './store-data-age.js';
-import { confirmationAge, maxDataAge } from './store-watch-timing.js';
+import { confirmationAge, maxDataAge, type TreePlace } from './store-watch-timing.js';
 
 /** Minimum time between two requests for a confirmation of a feed. */
 const CONFIRMATION_INTERVAL: Milliseconds = 500;
@@ -53,6 +53,13 @@
   );
 }
 
+function placeInTree({ leadership, tree, election }: RouterState): TreePlace {
+  if (leadership !== null) {
+    return 'leader';
+  }
+  return hasRelayParent(tree, election.leader?.address) ? 'belowRelay' : 'childOfLeader';
+}
+
 /** Asks the store to confirm data that has been unconfirmed for long. */
 export function tickStoreConfirmation(context: RouterContext): void {
   const { state, now } = context;
@@ -61,15 +68,19 @@
     // The data is listed at the start.
     return;
   }
-  const isRelayed = hasRelayParent(state.tree, state.election.leader?.address);
+  const place = placeInTree(state);
   const storeDataBound = Math.min(bounds.configuration, bounds.drain);
   const dataConfirmedAt = storeDataConfirmedAt(state);
-  if (now - dataConfirmedAt > confirmationAge(storeDataBound, isRelayed)) {
+  const responseTime = Math.max(...STORE_DATA_FEEDS.map((feed) => state.feeds[feed].responseTime));
+  if (now - dataConfirmedAt > confirmationAge(storeDataBound, place, responseTime)) {
     STORE_DATA_FEEDS.forEach((feed) => askForConfirmation(context, feed, dataConfirmedAt));
   }
   const { evacuation } = bounds;
   const zonesConfirmedAt = evacuationsConfirmedAt(state);
-  if (evacuation !== null && now - zonesConfirmedAt > confirmationAge(evacuation, isRelayed)) {
+  if (
+    evacuation !== null &&
+    now - zonesConfirmedAt > confirmationAge(evacuation, place, state.feeds.evacuations.responseTime)
+  ) {
     EVACUATION_FEEDS.forEach((feed) => askForConfirmation(context, feed, zonesConfirmedAt));
   }
 }
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -25,9 +25,15 @@
   /** Null: the item was removed. */
   readonly item: Item | null;
 }
+/** Changes that a watch returned, and the revision up to which there are no others. */
+export interface WatchedChanges<Item> {
+  readonly kind: 'changes';
+  readonly changes: readonly FeedChange<Item>[];
+  readonly revision: number;
+}
 /** Result of a watch call. */
 export type WatchOutcome<Item> =
-  | { readonly kind: 'changes'; readonly changes: readonly FeedChange<Item>[]; readonly revision: number }
+  | WatchedChanges<Item>
   /** The store no longer has the changes after the revision: the feed must be listed again. */
   | { readonly kind: 'forgotten' }
   | FailedCall;
@@ -50,8 +56,13 @@
 export interface FeedSource<Item> {
   readonly name: string;
   list(done: (outcome: ListOutcome<Item>) => void): CancelCall;
-  /** Waits for changes after a revision. */
-  watch(revision: number, timing: WatchTiming, done: (outcome: WatchOutcome<Item>) => void): CancelCall;
+  /** Waits for changes after a revision. Calls `onOverdue` at most once, and before `done`. */
+  watch(
+    revision: number,
+    timing: WatchTiming,
+    done: (outcome: WatchOutcome<Item>) => void,
+    onOverdue: () => void,
+  ): CancelCall;
 }
 
 /** The lists in the platform's store that daemons watch. */
--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -34,7 +34,9 @@
 }
 
 function watch(): Promise<WatchOutcome<ServerDescription>> {
-  return new Promise((resolve) => feed.watch(5, { wait: 1_000, timeout: 1_600 }, resolve));
+  return new Promise((resolve) =>
+    feed.watch(5, { wait: 1_000, dueTime: null, timeout: 1_600 }, resolve, () => undefined),
+  );
 }
 
 async function listNames(items: readonly unknown[]): Promise<string[]> {
--- a/test/platform/test-object-store-client.ts
+++ b/test/platform/test-object-store-client.ts
@@ -1,12 +1,13 @@
 import { expect } from 'earl';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
+import type { WatchOutcome } from '../../src/router/ports.js';
 import { MutingServer } from '../support/muting-server.js';
 
 const OBJECT_JSON = JSON.stringify({ metadata: { name: 'main', revision: 5 }, spec: {} });
 const RESPONSE = `HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${OBJECT_JSON.length}\r\n\r\n${OBJECT_JSON}`;
 /** The number of connections that the client keeps. */
-const CONNECTIONS = 6;
+const CONNECTIONS = 12;
 
 /** Waits until connections can be reused: this takes one turn of the event loop after their responses. */
 function connectionsReusable(): Promise<void> {
@@ -40,6 +41,25 @@
     expect((await api.read('leader')).kind).toEqual('found');
   });
 
+  // A watch that was given up when it was overdue confirmed nothing at a slow store. One that stays must not keep others on a dead connection.
+  it('leaves an overdue watch in flight and makes later calls on new connections', async () => {
+    const feed = api.feed(
+      'items',
+      () => 'item',
+      () => undefined,
+    );
+    server.holdResponsesUntil(2);
+    const timing = { wait: 1, dueTime: 20, timeout: 60_000 };
+    let outcome: Promise<WatchOutcome<string>> | undefined;
+    await new Promise<void>((onOverdue) => {
+      outcome = new Promise((done) => feed.watch(4, timing, done, onOverdue));
+    });
+    expect((await api.read('leader')).kind).toEqual('found');
+    // The server's only response is not one to a watch. That it was read shows that the watch was not given up.
+    expect(await outcome).toEqual({ kind: 'failed', reason: 'status 200', isResponding: false });
+    expect(server.connections).toEqual(2);
+  });
+
   it('reuses the connection after a response', async () => {
     expect((await api.read('leader')).kind).toEqual('found');
     await connectionsReusable();
--- a/test/router-runtime/test-object-feed.ts
+++ b/test/router-runtime/test-object-feed.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from 'node:test';
 import type { FeedSource, ListOutcome, WatchOutcome } from '../../src/router/ports.js';
 import { CONFIRMATION_WATCH, type WatchTiming } from '../../src/router/news/store-watch-timing.js';
-import { type FeedFailure, ObjectFeed } from '../../src/router-runtime/object-feed.js';
+import { type FeedAnswer, type FeedFailure, ObjectFeed } from '../../src/router-runtime/object-feed.js';
 import { VirtualClock } from '../router/support/virtual-clock.js';
 
 const WAIT = 500;
@@ -14,11 +14,13 @@
   isCancelled: boolean;
   readonly list: (outcome: ListOutcome<string>) => void;
   readonly watch: (outcome: WatchOutcome<string>) => void;
+  readonly overdue: () => void;
 }
 
 let clock: VirtualClock;
 let calls: Call[];
 let confirmations: (number | null)[];
+let answers: FeedAnswer[];
 let failures: FeedFailure[];
 let isLoopTimely: boolean;
 let feed: ObjectFeed<string>;
@@ -35,15 +37,19 @@
 
 const source: FeedSource<string> = {
   name: 'items',
-  list: (done) => addCall({ revision: null, wait: 0, list: done, watch: ignore }),
-  watch: (revision, { wait }: WatchTiming, done) => addCall({ revision, wait, list: ignore, watch: done }),
+  list: (done) => addCall({ revision: null, wait: 0, list: done, watch: ignore, overdue: ignore }),
+  watch: (revision, { wait }: WatchTiming, done, onOverdue) =>
+    addCall({ revision, wait, list: ignore, watch: done, overdue: onOverdue }),
 };
 
 function createFeed(): ObjectFeed<string> {
   const listener = {
     onList: ignore,
     onChanges: ignore,
-    onAnswer: (_sentAt: number, confirmedAt: number | null) => confirmations.push(confirmedAt),
+    onAnswer: (answer: FeedAnswer) => {
+      answers.push(answer);
+      confirmations.push(answer.confirmedAt);
+    },
     onFailure: (failure: FeedFailure) => failures.push(failure),
   };
   const timers = {
@@ -58,7 +64,7 @@
   };
   return new ObjectFeed(source, listener, {
     timers,
-    watchTiming: () => ({ wait: WAIT, timeout: WAIT + 600 }),
+    watchTiming: () => ({ wait: WAIT, dueTime: null, timeout: WAIT + 600 }),
     isLoopTimely: () => isLoopTimely,
   });
 }
@@ -68,6 +74,7 @@
     clock = new VirtualClock();
     calls = [];
     confirmations = [];
+    answers = [];
     failures = [];
     isLoopTimely = true;
     feed = createFeed();
@@ -112,6 +119,7 @@
     clock = new VirtualClock();
     calls = [];
     confirmations = [];
+    answers = [];
     failures = [];
     isLoopTimely = true;
     feed = createFeed();
@@ -139,6 +147,36 @@
     expect(confirmations.length).toEqual(1);
   });
 
+  // Each confirmation was given up after 400 ms, so a store that took 450 ms confirmed nothing, and daemons refused all requests.
+  it('is asked for beside an overdue one, whose response still counts', () => {
+    feed.confirm(5);
+    clock.runUntil(400);
+    calls[0]?.overdue();
+    expect(failures.map(({ waited, isConclusive }) => [waited, isConclusive])).toEqual([[400, true]]);
+    clock.runUntil(500);
+    feed.confirm(5);
+    expect(calls.map(({ isCancelled }) => isCancelled)).toEqual([false, false]);
+    clock.runUntil(700);
+    calls[0]?.watch(EMPTY);
+    clock.runUntil(800);
+    calls[1]?.watch(EMPTY);
+    const { wait } = CONFIRMATION_WATCH;
+    expect(answers).toEqual([
+      { sentAt: 0, confirmedAt: wait, responseTime: 700 - wait, isOverdue: true },
+      { sentAt: 500, confirmedAt: 500 + wait, responseTime: 300 - wait, isOverdue: false },
+    ]);
+  });
+
+  it('leaves no more than two overdue ones in flight', () => {
+    for (let call = 0; call < 4; call += 1) {
+      feed.confirm(5);
+      calls[call]?.overdue();
+    }
+    expect(calls.map(({ isCancelled }) => isCancelled)).toEqual([true, false, false, false]);
+    feed.close();
+    expect(calls.every(({ isCancelled }) => isCancelled)).toEqual(true);
+  });
+
   it('lists when the store has forgotten the revision, however soon it is asked for again', () => {
     feed.confirm(5);
     calls[0]?.watch({ kind: 'forgotten' });
--- a/test/router/news/test-feed-health.ts
+++ b/test/router/news/test-feed-health.ts
@@ -4,7 +4,7 @@
 import type { RouterEvent } from '../../../src/router/events.js';
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
-import { CONFIGURATION } from '../support/single-daemon.js';
+import { CONFIGURATION, PROMPT_RESPONSE } from '../support/single-daemon.js';
 import { BOUNDS } from '../support/bounds.js';
 
 let state: RouterState;
@@ -41,12 +41,24 @@
 
   it('logs when the store answers again, and records when it last did', () => {
     expect(
-      logsOf(900, { kind: 'feedAnswered', feed: 'configuration', sentAt: 800, confirmedAt: null }),
+      logsOf(900, {
+        kind: 'feedAnswered',
+        feed: 'configuration',
+        sentAt: 800,
+        confirmedAt: null,
+        ...PROMPT_RESPONSE,
+      }),
     ).toEqual([]);
     logsOf(1_000, FAILURE);
     expect(state.feeds.configuration.answeredAt).toEqual(900);
     expect(
-      logsOf(3_000, { kind: 'feedAnswered', feed: 'configuration', sentAt: 800, confirmedAt: null }).length,
+      logsOf(3_000, {
+        kind: 'feedAnswered',
+        feed: 'configuration',
+        sentAt: 800,
+        confirmedAt: null,
+        ...PROMPT_RESPONSE,
+      }).length,
     ).toEqual(1);
     expect(state.feeds.configuration.answeredAt).toEqual(3_000);
     expect(state.feeds.servers.answeredAt).toEqual(Number.NEGATIVE_INFINITY);
--- a/test/router/news/test-store-confirmation.ts
+++ b/test/router/news/test-store-confirmation.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { beforeEach, describe, it } from 'node:test';
 import type { FeedName } from '../../../src/router/model/identifiers.js';
-import { describeServer, SingleDaemon } from '../support/single-daemon.js';
+import { describeServer, PROMPT_RESPONSE, SingleDaemon } from '../support/single-daemon.js';
 
 const KEY = 7;
 const STORE_DATA: readonly FeedName[] = ['configuration', 'servers'];
@@ -21,7 +21,13 @@
 
 function confirm(feeds: readonly FeedName[]): void {
   for (const feed of feeds) {
-    daemon.event({ kind: 'feedAnswered', feed, sentAt: daemon.now, confirmedAt: daemon.now });
+    daemon.event({
+      kind: 'feedAnswered',
+      feed,
+      sentAt: daemon.now,
+      confirmedAt: daemon.now,
+      ...PROMPT_RESPONSE,
+    });
   }
 }
 
--- a/test/router/news/test-store-data-age.ts
+++ b/test/router/news/test-store-data-age.ts
@@ -7,7 +7,7 @@
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { evacuationsConfirmedAt, storeDataConfirmedAt } from '../../../src/router/news/store-data-age.js';
 import { BOUNDS } from '../support/bounds.js';
-import { CONFIGURATION, describeServer } from '../support/single-daemon.js';
+import { CONFIGURATION, describeServer, PROMPT_RESPONSE } from '../support/single-daemon.js';
 
 const PARENT_LINK = -1;
 const NEVER = Number.NEGATIVE_INFINITY;
@@ -51,7 +51,7 @@
   feed: 'configuration' | 'servers' | 'evacuations',
   confirmedAt: number | null,
 ): RouterEvent {
-  return { kind: 'feedAnswered', feed, sentAt: now, confirmedAt };
+  return { kind: 'feedAnswered', feed, sentAt: now, confirmedAt, ...PROMPT_RESPONSE };
 }
 
 describe('the time up to which data is confirmed', () => {
@@ -100,7 +100,7 @@
     expect(evacuationsConfirmedAt(state)).toEqual(NEVER);
     handle(heartbeat({ reportSentAt: now - 50 }));
     for (const feed of ['configuration', 'servers', 'evacuations'] as const) {
-      handle({ kind: 'feedAnswered', feed, sentAt: now - 50, confirmedAt: now + 100 });
+      handle({ kind: 'feedAnswered', feed, sentAt: now - 50, confirmedAt: now + 100, ...PROMPT_RESPONSE });
     }
     expect(storeDataConfirmedAt(state)).toEqual(NEVER);
     expect(evacuationsConfirmedAt(state)).toEqual(NEVER);
--- a/test/router/support/simulated-feed.ts
+++ b/test/router/support/simulated-feed.ts
@@ -111,7 +111,8 @@
     return {
       name: this.name,
       list: (done) => this.#list(isReachable, done),
-      watch: (revision, timing, done) => this.#watch(isReachable, revision, timing, done),
+      watch: (revision, timing, done, onOverdue) =>
+        this.#watch(isReachable, revision, timing, done, onOverdue),
     };
   }
 
@@ -124,7 +125,7 @@
     if (!this.#store.isDown && isReachable()) {
       this.#clock.schedule(this.#store.latency(), () => {
         const items = [...this.#items].map(([id, item]) => ({ id, item }));
-        call.finish({ kind: 'listed', items, revision: this.#store.revision });
+        this.#respond(call, { kind: 'listed', items, revision: this.#store.revision });
       });
     }
     return () => call.cancel();
@@ -133,11 +134,15 @@
   #watch(
     isReachable: () => boolean,
     revision: number,
-    { wait, timeout }: WatchTiming,
+    { wait, dueTime, timeout }: WatchTiming,
     done: (outcome: WatchOutcome<Item>) => void,
+    onOverdue: () => void,
   ): CancelCall {
     this.watchCalls += 1;
     const call = new SimulatedCall(done);
+    if (dueTime !== null) {
+      this.#clock.schedule(dueTime, () => (call.isOpen ? onOverdue() : undefined));
+    }
     this.#clock.schedule(timeout, () =>
       call.finish({ kind: 'failed', reason: 'no answer', isResponding: false }),
     );
@@ -149,7 +154,7 @@
 
   #startWatch(watcher: Watcher<Item>, wait: Milliseconds): void {
     if (watcher.revision < this.#compactedRevision) {
-      this.#clock.schedule(this.#store.latency(), () => watcher.call.finish({ kind: 'forgotten' }));
+      this.#clock.schedule(this.#store.latency(), () => this.#respond(watcher.call, { kind: 'forgotten' }));
       return;
     }
     this.#watchers = this.#watchers.filter(({ call }) => call.isOpen);
@@ -158,11 +163,20 @@
     this.#clock.schedule(wait, () => {
       if (this.#watchers.includes(watcher) && this.#canNotify(watcher)) {
         this.#removeWatcher(watcher);
-        watcher.call.finish({ kind: 'changes', changes: [], revision: this.#store.revision });
+        this.#respond(watcher.call, { kind: 'changes', changes: [], revision: this.#store.revision });
       }
     });
   }
 
+  #respond<Outcome>(call: SimulatedCall<Outcome>, outcome: Outcome): void {
+    const delay = this.#store.nextResponseDelay();
+    if (delay === 0) {
+      call.finish(outcome);
+    } else {
+      this.#clock.schedule(delay, () => call.finish(outcome));
+    }
+  }
+
   #removeWatcher(watcher: Watcher<Item>): void {
     this.#watchers = this.#watchers.filter((other) => other !== watcher);
   }
@@ -181,7 +195,9 @@
         this.#removeWatcher(watcher);
         const { revision } = this.#store;
         const delay = 2 + this.#store.fraction() * (MAX_NOTIFICATION_DELAY - 2);
-        this.#clock.schedule(delay, () => watcher.call.finish({ kind: 'changes', changes, revision }));
+        this.#clock.schedule(delay, () =>
+          this.#respond(watcher.call, { kind: 'changes', changes, revision }),
+        );
       } else if (changes.length > 0) {
         this.#notifyLater();
       }
--- a/test/router/support/simulated-store.ts
+++ b/test/router/support/simulated-store.ts
@@ -15,6 +15,8 @@
   downUntil = 0;
   /** Factor by which calls take longer than usual. */
   latencyFactor = 1;
+  /** Mean time by which each response is late after the store has handled the call; each is up to a fifth more or less. */
+  responseDelay = 0;
   /** Share of writes whose response is lost; some of these writes are applied seconds later. */
   lostWriteShare = 0;
   /** Number of reads so far. */
@@ -48,6 +50,11 @@
     return (1 + this.#random.fraction() * 4) * this.latencyFactor;
   }
 
+  /** Returns the delay of a response. Without a delay, no random number is drawn. */
+  nextResponseDelay(): number {
+    return this.responseDelay === 0 ? 0 : this.responseDelay * (0.8 + 0.4 * this.#random.fraction());
+  }
+
   get isDown(): boolean {
     return this.#clock.now < this.downUntil;
   }
@@ -61,7 +68,7 @@
     this.#clock.schedule(this.latency(), () => {
       const found = this.#objects.get(object);
       const outcome: ReadOutcome = found === undefined ? { kind: 'absent' } : { kind: 'found', ...found };
-      this.#clock.schedule(this.latency(), () => answer(outcome));
+      this.#clock.schedule(this.latency() + this.nextResponseDelay(), () => answer(outcome));
     });
   }
 
@@ -85,7 +92,7 @@
     }
     this.#clock.schedule(this.latency(), () => {
       const outcome = this.#apply(object, value, revision);
-      this.#clock.schedule(this.latency(), () => answer(outcome));
+      this.#clock.schedule(this.latency() + this.nextResponseDelay(), () => answer(outcome));
     });
   }
 
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -91,10 +91,13 @@
   };
 }
 
+/** Fields of an event that says that the store answered at once. */
+export const PROMPT_RESPONSE = { responseTime: 0, isOverdue: false } as const;
+
 /** Reports that the store has confirmed all data of a daemon. */
 export function confirmData(state: RouterState, now: number): void {
   for (const feed of FEEDS) {
-    reduce(state, now, { kind: 'feedAnswered', feed, sentAt: now, confirmedAt: now });
+    reduce(state, now, { kind: 'feedAnswered', feed, sentAt: now, confirmedAt: now, ...PROMPT_RESPONSE });
   }
 }
 
