--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -3,14 +3,12 @@
  * left a call unanswered.
  */
 import type { ControlEndedEvent, ControlOutcome } from '../events.js';
-import type { Address, Milliseconds, ServerId } from '../model/identifiers.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingCall, UnitProgress } from './leadership-state.js';
 import {
   GRANT_TIMEOUT,
   LEASE_DURATION,
-  PROBE_INTERVAL,
-  PROBE_TIMEOUT,
   RELEASE_TIMEOUT,
   RELEASE_RETRY_INTERVAL,
   LEASE_RENEWAL_INTERVAL,
@@ -26,9 +24,8 @@
 } from './server-lease.js';
 import { addressOf, recordOtherInstance, successorOf } from './server-succession.js';
 import { writeTable } from './table-write.js';
+import { callServer, probeServer } from './unit-calls.js';
 
-const DEFAULT_HEALTH_PATH = '/health';
-const CALL_COUNTERS = { grant: 'grants', release: 'releases', probe: 'probes' } as const;
 /** Delay before the retry of a grant that the server rejected for another reason than its fence. */
 const REJECTED_GRANT_RETRY_DELAY: Milliseconds = 300;
 
@@ -133,64 +130,6 @@
   return (state.servers.get(server)?.backOff.left(now) ?? 0) > 0;
 }
 
-/** Probes the address of a server to learn whether it is alive, or which server listens there instead. */
-function probeServer(context: RouterContext, leadership: Leadership, unit: Unit, server: ServerId): void {
-  const lease = leaseOf(leadership, server);
-  if (lease.probeInFlight || context.now < lease.nextProbeAt) {
-    return;
-  }
-  lease.nextProbeAt = context.now + PROBE_INTERVAL;
-  lease.probeInFlight = callServer(context, leadership, unit, {
-    action: 'probe',
-    server,
-    address: addressOf(context, leadership, server),
-    fence: 0,
-    leaseDuration: 0,
-    timeout: PROBE_TIMEOUT,
-  });
-}
-
-/** A call to a server for a unit. `address` is undefined if the server was never listed. */
-interface UnitCall extends Pick<PendingCall, 'action' | 'server' | 'fence' | 'leaseDuration'> {
-  readonly address: Address | undefined;
-  readonly timeout: Milliseconds;
-}
-
-/** Sends a call unless the server's address is unknown. Returns whether it was sent. */
-function callServer(context: RouterContext, leadership: Leadership, unit: Unit, call: UnitCall): boolean {
-  const { action, server, address, fence, leaseDuration, timeout } = call;
-  if (address === undefined) {
-    return false;
-  }
-  const { counters } = context.state;
-  counters[CALL_COUNTERS[action]] += 1;
-  const handover =
-    action === 'grant' ? (leadership.unitProgress.get(unitName(unit))?.handover ?? null) : null;
-  const { from, to } = unit;
-  const callId = context.callServer({
-    action,
-    server,
-    address,
-    from,
-    to,
-    fence,
-    hold: leaseDuration,
-    handover,
-    timeout,
-    healthPath: context.state.configuration?.services.get(unit.service)?.healthPath ?? DEFAULT_HEALTH_PATH,
-  });
-  leadership.pendingCalls.set(callId, {
-    action,
-    server,
-    address,
-    unit: unitName(unit),
-    fence,
-    leaseDuration,
-    sentAt: context.now,
-  });
-  return true;
-}
-
 /** Handles the end of a call to a server. */
 export function receiveControlEnded(
   context: RouterContext,
