A daemon denies a route only by a configuration that is confirmed

Cause: while the store does not answer, a daemon goes on with what it knows, and also told callers by it that a route did not exist.

The new test got 404 before.

Why this fix works: without a confirmation within 0.8 of the bound the answer is 503 with a Retry-After, which is true whether or not the route exists.

--- a/src/router/news/store-confirmation.ts
+++ b/src/router/news/store-confirmation.ts
@@ -27,14 +27,18 @@
   return now - feeds[feed].unavailableAt <= UNAVAILABILITY_VALIDITY;
 }
 
+/** Returns whether the configuration and the servers are confirmed up to shortly before a time, where changes must be in force within `bound`. */
+export function isStoreDataConfirmed(state: RouterState, at: Milliseconds, bound: Milliseconds): boolean {
+  return at - storeDataConfirmedAt(state) <= maxDataAge(bound);
+}
+
 /**
  * Returns whether the configuration and the servers may be acted on at a time, where changes must be in force within `bound`:
  * they are confirmed up to shortly before, or the store doesn't answer this daemon.
  */
 export function isStoreDataUsable(state: RouterState, at: Milliseconds, bound: Milliseconds): boolean {
   return (
-    at - storeDataConfirmedAt(state) <= maxDataAge(bound) ||
-    STORE_DATA_FEEDS.every((feed) => isUnavailable(state, feed, at))
+    isStoreDataConfirmed(state, at, bound) || STORE_DATA_FEEDS.every((feed) => isUnavailable(state, feed, at))
   );
 }
 
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -2,7 +2,7 @@
 import type { RequestArrivedEvent } from '../events.js';
 import type { Configuration, Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
-import { isStoreDataUsable } from '../news/store-confirmation.js';
+import { isStoreDataConfirmed, isStoreDataUsable } from '../news/store-confirmation.js';
 import type { RouterState } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
@@ -54,6 +54,19 @@
   return isUsable ? state.configuration : null;
 }
 
+/**
+ * Refuses a request that has no route. While the store does not answer, a newer configuration may have one; callers would not return
+ * after a 404.
+ */
+function refuseWithoutRoute(context: RouterContext, event: RequestArrivedEvent): void {
+  if (isStoreDataConfirmed(context.state, context.now, context.state.bounds.configuration)) {
+    refuseBeforeAdmission(context, event, NOT_FOUND, 'no route', null);
+    return;
+  }
+  const reason = 'no route in a configuration that is not confirmed';
+  refuseBeforeAdmission(context, event, UNAVAILABLE, reason, NO_CONFIGURATION_RETRY_AFTER);
+}
+
 function refuseEarlyRequest(context: RouterContext, event: RequestArrivedEvent): void {
   const { configuration, serversRevision } = context.state;
   const isFirst = configuration === null || serversRevision === null;
@@ -86,7 +99,7 @@
   const { state } = context;
   const route = state.routes.match(event.host, event.target);
   if (route === undefined) {
-    refuseBeforeAdmission(context, event, NOT_FOUND, 'no route', null);
+    refuseWithoutRoute(context, event);
     return;
   }
   if (event.readDelay >= route.latencyObjective * MAX_READ_DELAY_FRACTION) {
--- a/test/router/news/test-store-confirmation.ts
+++ b/test/router/news/test-store-confirmation.ts
@@ -76,6 +76,24 @@
     expect(daemon.effectsOfKind('answer').map(({ status }) => status)).toEqual([404]);
   });
 
+  // After an outage of the store, callers were told that the newest route did not exist, and do not return after a 404.
+  it('shows no caller that a route does not exist while the store does not answer', () => {
+    daemon.tickUntil(daemon.now + 0.85 * daemon.state.bounds.configuration);
+    fail(STORE_DATA);
+    daemon.receiveRequest(1, '/unknown/1');
+    daemon.receiveRequest(2, '/read/1');
+    const refusals = (): (readonly [number, boolean])[] =>
+      daemon.effectsOfKind('answer').map(({ status, retryAfter }) => [status, retryAfter !== null]);
+    expect(refusals()).toEqual([[503, true]]);
+    expect(forwardedRequests()).toEqual([2]);
+    confirm(STORE_DATA);
+    daemon.receiveRequest(3, '/unknown/1');
+    expect(refusals()).toEqual([
+      [503, true],
+      [404, false],
+    ]);
+  });
+
   it('is used while the store does not answer', () => {
     daemon.tickUntil(daemon.now + 0.7 * bound);
     fail(ALL_FEEDS);
