--- a/test/router/ownership/test-server-incarnations.ts
+++ b/test/router/ownership/test-server-incarnations.ts
@@ -26,6 +26,26 @@
 /** Time within which the keys of an ended server are granted to others. */
 const RECOVERY = 6_000;
 
+/** Returns a simulation whose keys are owned, at a time that depends on the seed. */
+function settledSimulation(seed: number): RouterSimulation {
+  const simulation = new RouterSimulation(seed, 3, 5);
+  simulation.clock.runUntil(SETTLED + seed * 37);
+  return simulation;
+}
+
+/** Crashes a server. Another one, which no list names, listens at its address. */
+function replaceUnlisted(simulation: RouterSimulation, server: SimulatedServer): SimulatedServer {
+  server.alive = false;
+  return simulation.addServer(server.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+}
+
+/** Expects that every key has one owner, and that no two servers have held one. */
+function expectOneOwnerSoon(simulation: RouterSimulation, seed: number): void {
+  simulation.clock.runUntil(simulation.clock.now + RECOVERY);
+  expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
+  expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+}
+
 function ownerIn(simulation: RouterSimulation): SimulatedServer {
   return simulation.servers.find(({ alive, holdings }) => alive && holdings.size > 0) as SimulatedServer;
 }
@@ -52,8 +72,7 @@
 describe('keys of an owner that has ended', () => {
   it('have one owner when the next server at its address accepts grants that were meant for it', () => {
     for (let seed = 1; seed <= 20; seed += 1) {
-      const simulation = new RouterSimulation(seed, 3, 5);
-      simulation.clock.runUntil(SETTLED + seed * 37);
+      const simulation = settledSimulation(seed);
       const owner = ownerIn(simulation);
       owner.alive = false;
       const next = simulation.addServer(owner.address, undefined, COLD_AND_UNLISTED);
@@ -68,16 +87,13 @@
   // One of two renewals timed out and the next server accepted the other; the probe after the time-out named that server.
   it('have one owner when a probe names the next server at its address, which accepted another renewal', () => {
     for (let seed = 1; seed <= 40; seed += 1) {
-      const simulation = new RouterSimulation(seed, 3, 5);
-      simulation.clock.runUntil(SETTLED + seed * 37);
+      const simulation = settledSimulation(seed);
       const owner = ownerOfTwoUnits(simulation);
       owner.alive = false;
       simulation.clock.runUntil(simulation.clock.now + seed * 10);
-      const next = simulation.addServer(owner.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+      const next = replaceUnlisted(simulation, owner);
       next.callsCheckedForName = new Set();
-      simulation.clock.runUntil(simulation.clock.now + RECOVERY);
-      expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
-      expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+      expectOneOwnerSoon(simulation, seed);
     }
   });
 
@@ -85,18 +101,14 @@
   for (const statesName of [true, false]) {
     it(`have one owner when the next server rejects their release and ${statesName ? 'states' : 'does not state'} its name`, () => {
       for (let seed = 1; seed <= 20; seed += 1) {
-        const simulation = new RouterSimulation(seed, 3, 5);
-        simulation.clock.runUntil(SETTLED + seed * 37);
+        const simulation = settledSimulation(seed);
         const owner = ownerIn(simulation);
-        owner.alive = false;
-        const next = simulation.addServer(owner.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+        const next = replaceUnlisted(simulation, owner);
         next.callsCheckedForName = new Set(['release']);
         next.statesNameInRejections = statesName;
         simulation.clock.runUntil(simulation.clock.now + UNLISTED_TIME);
         simulation.drain(owner.id);
-        simulation.clock.runUntil(simulation.clock.now + RECOVERY);
-        expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
-        expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+        expectOneOwnerSoon(simulation, seed);
       }
     });
   }
@@ -104,24 +116,19 @@
   // The entry of the next incarnation has another address, so its consent says nothing about the server that took over the former one.
   it('have one owner when the owner restarts at another address and another server listens at its former one', () => {
     for (let seed = 1; seed <= 20; seed += 1) {
-      const simulation = new RouterSimulation(seed, 3, 5);
-      simulation.clock.runUntil(SETTLED + seed * 37);
+      const simulation = settledSimulation(seed);
       const owner = ownerIn(simulation);
-      owner.alive = false;
-      const next = simulation.addServer(owner.address, undefined, { listedAfter: LONG_UNLISTED_TIME });
+      const next = replaceUnlisted(simulation, owner);
       next.callsCheckedForName = new Set();
       simulation.clock.runUntil(simulation.clock.now + UNLISTED_TIME);
       simulation.restartServer(owner, 2, '10.0.1.99:80');
-      simulation.clock.runUntil(simulation.clock.now + RECOVERY);
-      expect([seed, doubleOwnerships(simulation)]).toEqual([seed, []]);
-      expect([seed, simulation.unservedKeys()]).toEqual([seed, []]);
+      expectOneOwnerSoon(simulation, seed);
     }
   });
 
   it('are granted again under a higher fence when the owner restarts under its name within a heartbeat', () => {
     for (let seed = 1; seed <= 20; seed += 1) {
-      const simulation = new RouterSimulation(seed, 3, 5);
-      simulation.clock.runUntil(SETTLED + seed * 37);
+      const simulation = settledSimulation(seed);
       const former = ownerIn(simulation);
       const next = simulation.restartServer(former, 2);
       simulation.clock.runUntil(SETTLED + 8_000);
