A quick answer does not shrink the admission window at an owner

Cause: the window shrinks while the mean duration of answers is late. The mean lags behind, so the first quick answers after a slow phase shrank the window further, below one request, and the time between two requests followed the late mean.

Why this fix works: only an answer that is late itself shrinks the window. The tests of overloaded owners, which need the window to shrink, pass unchanged.

--- a/src/router/request/admission-window.ts
+++ b/src/router/request/admission-window.ts
@@ -73,8 +73,12 @@
   answered(duration: Milliseconds, objective: Milliseconds, inFlight: number, now: Milliseconds): void {
     const mean = this.#meanDuration ?? duration;
     this.#meanDuration = mean + (duration - mean) * DURATION_SAMPLE_WEIGHT;
-    if (this.#meanDuration > objective * LATE_FRACTION) {
-      this.#reduce(LATE_DECREASE_FACTOR, now - duration, now);
+    const lateDuration = objective * LATE_FRACTION;
+    if (this.#meanDuration > lateDuration) {
+      // A quick answer shows that the owner recovers, although the mean is still that of the late ones.
+      if (duration > lateDuration) {
+        this.#reduce(LATE_DECREASE_FACTOR, now - duration, now);
+      }
     } else if (inFlight + 1 >= Math.floor(this.#size)) {
       this.#size = Math.min(MAX_WINDOW, this.#size + WINDOW_INCREASE * Math.min(this.#size, 1 / this.#size));
     }
--- a/test/router/request/test-admission-window.ts
+++ b/test/router/request/test-admission-window.ts
@@ -105,6 +105,28 @@
     expect(window.allows(0, now + 15_000)).toEqual(true);
   });
 
+  // After some late answers, quick ones went on reducing the window, so that callers were refused for seconds at an idle owner.
+  it('is not reduced further by quick answers after late ones', () => {
+    const window = new AdmissionWindow(8, 5);
+    let now = 0;
+    for (let late = 0; late < 5; late += 1) {
+      now += 1_500;
+      window.sent(now - 1_400);
+      window.answered(1_400, 400, 0, now);
+    }
+    let refused = 0;
+    for (let request = 0; request < 20; request += 1) {
+      now += 250;
+      if (window.allows(0, now)) {
+        window.sent(now);
+        window.answered(30, 400, 0, now + 30);
+      } else {
+        refused += 1;
+      }
+    }
+    expect(refused).toEqual(0);
+  });
+
   it('grows within seconds once the owner sheds no more requests', () => {
     const window = new AdmissionWindow(3, 11);
     window.answered(100, 800, 0, 0);
