--- a/src/router/ownership/server-succession.ts
+++ b/src/router/ownership/server-succession.ts
@@ -27,7 +27,7 @@
   return address === undefined ? undefined : leadership.successors.get(address);
 }
 
-/** Records that a call reached another server than it was meant for, which states its name or not (null). */
+/** Records that a call reached another server than it was meant for. `instance` is the name that this server stated, or null. */
 export function recordOtherInstance(
   { state }: RouterContext,
   leadership: Leadership,
