--- a/test/soak/disconnecting-callers.ts
+++ b/test/soak/disconnecting-callers.ts
@@ -45,7 +45,7 @@
   readonly #random: SeededRandom;
   readonly #promises: PromiseChecker;
   readonly #environment: DisconnectEnvironment;
-  /** Earliest time at which each request may have reached a server first. */
+  /** Earliest time at which each request may have reached a server, at its last arrival so far. */
   readonly #arrivedAt = new Map<string, number>();
   readonly #abandoned = new Map<string, AbandonedRequest>();
   #nextAttempt = 1;
