--- a/src/router/request/admission-window.ts
+++ b/src/router/request/admission-window.ts
@@ -21,8 +21,6 @@
 const INITIAL_DURATION: Milliseconds = 200;
 /** Answers count as late when their mean duration exceeds this fraction of the latency objective. */
 const LATE_FRACTION = 0.7;
-/** Answers within this fraction of the time from which they are late show that the owner has no queue. */
-const QUICK_FRACTION = 0.5;
 /** Weight of one answer in the mean duration. Requests differ, so a single long one says little. */
 const DURATION_SAMPLE_WEIGHT = 0.25;
 const LATE_DECREASE_FACTOR = 0.75;
@@ -75,12 +73,8 @@
   answered(duration: Milliseconds, objective: Milliseconds, inFlight: number, now: Milliseconds): void {
     const mean = this.#meanDuration ?? duration;
     this.#meanDuration = mean + (duration - mean) * DURATION_SAMPLE_WEIGHT;
-    const lateDuration = objective * LATE_FRACTION;
-    if (this.#meanDuration > lateDuration) {
-      // A quick answer shows that the owner is idle again, although the mean is still that of the late ones.
-      if (duration > lateDuration * QUICK_FRACTION) {
-        this.#reduce(LATE_DECREASE_FACTOR, now - duration, now);
-      }
+    if (this.#meanDuration > objective * LATE_FRACTION) {
+      this.#reduce(LATE_DECREASE_FACTOR, now - duration, now);
     } else if (inFlight + 1 >= Math.floor(this.#size)) {
       this.#size = Math.min(MAX_WINDOW, this.#size + WINDOW_INCREASE * Math.min(this.#size, 1 / this.#size));
     }
