--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -49,6 +49,8 @@
   lastAnswerAt: Milliseconds = -1;
   /** Number of failures since the server last answered a request; a rejection is no answer. */
   failures = 0;
+  /** Whether the server is reserved for the most urgent route of its service. */
+  isReserved = false;
   /** Answers since the last report to the leader. */
   readonly unreported: UnreportedAnswers = { requests: 0, total: 0 };
   readonly #profile: ServiceProfile;
