--- a/src/router-runtime/loop-monitor.ts
+++ b/src/router-runtime/loop-monitor.ts
@@ -14,6 +14,8 @@
 /** The period ends when no tick has been this late for {@link CAUGHT_UP_DURATION}. */
 const CAUGHT_UP_THRESHOLD: Milliseconds = 50;
 const CAUGHT_UP_DURATION: Milliseconds = 1_000;
+/** Delays of ticks are kept for this long. */
+const DELAY_RETENTION: Milliseconds = 5_000;
 /** The number of event kinds that are reported at the end of the period. */
 const MAX_REPORTED_EVENT_KINDS = 4;
 
@@ -50,6 +52,8 @@
   #behindSince: Milliseconds | null = null;
   #lastLateAt: Milliseconds = 0;
   #longestDelay: Milliseconds = 0;
+  /** Ticks that were not on time, oldest first. */
+  #lateTicks: { readonly at: Milliseconds; readonly delay: Milliseconds }[] = [];
   #handlingTimesAtStart: ReadonlyMap<EventKind, Milliseconds> = new Map();
 
   /** @param interval milliseconds between two ticks */
@@ -64,6 +68,7 @@
     this.#lastTickAt = now;
     this.#ticksUntilPolled = Math.max(0, this.#ticksUntilPolled - 1);
     this.#listener.onTick(this.#delay);
+    this.#keepDelay(now);
     if (this.#delay >= BEHIND_THRESHOLD) {
       this.#recordLateTick(now);
     }
@@ -97,6 +102,19 @@
     return this.maxUnreadTime(now) <= MAX_ON_TIME_DELAY;
   }
 
+  /** Returns the largest delay of the loop since a time, which may lie up to {@link DELAY_RETENTION} in the past. */
+  longestDelaySince(since: Milliseconds, now: Milliseconds): Milliseconds {
+    const delays = this.#lateTicks.filter(({ at }) => at >= since).map(({ delay }) => delay);
+    return Math.max(this.maxUnreadTime(now), ...delays);
+  }
+
+  #keepDelay(now: Milliseconds): void {
+    if (this.#delay > MAX_ON_TIME_DELAY) {
+      this.#lateTicks = this.#lateTicks.filter(({ at }) => now - at <= DELAY_RETENTION);
+      this.#lateTicks.push({ at: now, delay: this.#delay });
+    }
+  }
+
   #recordLateTick(now: Milliseconds): void {
     this.#longestDelay = Math.max(this.#longestDelay, this.#delay);
     if (this.#behindSince === null) {
--- a/src/router-runtime/path-checker.ts
+++ b/src/router-runtime/path-checker.ts
@@ -2,6 +2,7 @@
 import { createConnection } from 'node:net';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 import type { CheckPathEffect } from '../router/effects.js';
+import { CHECK_TIMED_OUT } from '../router/events.js';
 import { splitAddress } from '../settings/address.js';
 
 /**
@@ -25,7 +26,7 @@
       done(failure);
     }
   };
-  const timer = setTimeout(() => barrier.afterPoll(() => finish('timeout')), timeout);
+  const timer = setTimeout(() => barrier.afterPoll(() => finish(CHECK_TIMED_OUT)), timeout);
   socket.on('connect', () => finish(null));
   socket.on('error', (error: NodeJS.ErrnoException) => finish(error.code ?? error.message));
 }
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -8,6 +8,7 @@
 import { FrameReader } from '../runtime/peer-transport.js';
 import { splitAddress } from '../settings/address.js';
 import { listen } from './listen.js';
+import { RecentOutput } from './peer-output.js';
 import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
 
 const LENGTH_BYTES = 4;
@@ -52,6 +53,7 @@
   readonly #listener: PeerLinksListener;
   readonly #server: Server;
   readonly #children = new Map<number, Socket>();
+  readonly #recentOutput = new RecentOutput(() => performance.now());
   #nextLink = 1;
   #parentAddress: string | null = null;
   #parent: Socket | null = null;
@@ -101,6 +103,17 @@
     }
   }
 
+  /** Bytes for other daemons that the operating system has not accepted yet. */
+  get unwrittenBytes(): number {
+    const sockets = [...this.#children.values(), ...(this.#parent === null ? [] : [this.#parent])];
+    return sockets.reduce((sum, { writableLength }) => sum + writableLength, 0);
+  }
+
+  /** Bytes written to other daemons lately, of which the operating system may hold some. */
+  get recentlyWrittenBytes(): number {
+    return this.#recentOutput.bytes;
+  }
+
   /** Closes every connection and the listening socket. */
   close(): void {
     this.#isClosed = true;
@@ -116,6 +129,7 @@
     if (socket.writableLength > MAX_BACKLOG_BYTES) {
       socket.destroy();
     } else {
+      this.#recentOutput.record(bytes.length);
       socket.write(bytes);
     }
   }
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -7,7 +7,13 @@
 import { randomInt } from 'node:crypto';
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { SettingsError } from '../errors.js';
-import type { ControlEffect, Effect, ReadObjectEffect, WriteObjectEffect } from '../router/effects.js';
+import type {
+  CheckPathEffect,
+  ControlEffect,
+  Effect,
+  ReadObjectEffect,
+  WriteObjectEffect,
+} from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import type { Milliseconds, ServerId } from '../router/model/identifiers.js';
@@ -288,9 +294,7 @@
       case 'control':
         return void this.#callServer(effect);
       case 'checkPath':
-        return checkPath(effect, this.#barrier, (failure) =>
-          this.dispatch({ kind: 'pathChecked', checkId: effect.checkId, failure }),
-        );
+        return this.#checkPath(effect);
       case 'readObject':
         return void this.#readObject(effect);
       case 'writeObject':
@@ -312,6 +316,16 @@
     }
   }
 
+  #checkPath(effect: CheckPathEffect): void {
+    const startedAt = this.#now();
+    checkPath(effect, this.#barrier, (failure) => {
+      const loopDelay = this.#loopMonitor.longestDelaySince(startedAt, this.#now());
+      const { unwrittenBytes, recentlyWrittenBytes } = this.#peers;
+      const conditions = { loopDelay, unwrittenBytes, recentlyWrittenBytes };
+      this.dispatch({ kind: 'pathChecked', checkId: effect.checkId, failure, ...conditions });
+    });
+  }
+
   async #callServer(effect: ControlEffect): Promise<void> {
     const sentAt = PROCESS_CLOCK.now();
     const { server } = effect;
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -48,6 +48,7 @@
   'requests_for_others',
   'path_check_rounds',
   'path_checks',
+  'path_checks_inconclusive',
   'paths_lost',
   'malformed_answers',
   'malformed_load_reports',
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -211,8 +211,21 @@
       readonly isClosedByServer: boolean;
     };
 
+/** How a check of a path failed in which neither a connection nor a refusal arrived in time. */
+export const CHECK_TIMED_OUT = 'timeout';
+
+/** How busy this daemon was during a check of a path. */
+export interface CheckConditions {
+  /** The largest delay of the event loop during the check. */
+  readonly loopDelay: Milliseconds;
+  /** Bytes for other daemons that the operating system had not accepted when the check ended. */
+  readonly unwrittenBytes: number;
+  /** Bytes written to other daemons during the check and shortly before it, which the operating system may not have sent yet. */
+  readonly recentlyWrittenBytes: number;
+}
+
 /** A check of the path to a server ended. */
-export interface PathCheckedEvent {
+export interface PathCheckedEvent extends CheckConditions {
   readonly kind: 'pathChecked';
   readonly checkId: number;
   /** Why no connection could be opened; null: one was. */
--- a/src/router/reachability/path-checks.ts
+++ b/src/router/reachability/path-checks.ts
@@ -6,7 +6,8 @@
 import type { Milliseconds, ServiceName } from '../model/identifiers.js';
 import type { KnownServer, RouterState } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
-import { sendReportNow } from '../tree/reports.js';
+import { CHECK_TIMEOUT, isInconclusive } from './check-conditions.js';
+import { LOST_CHECK_INTERVAL, losePath, restorePath } from './lost-path.js';
 import { isPathSuspect } from './path-suspicion.js';
 import { MIN_CHECK_INTERVAL, pathTo, type PathCheck, type ServicePath } from './reachability-state.js';
 
@@ -14,11 +15,12 @@
 const EVALUATION_INTERVAL: Milliseconds = 40;
 /** Servers of a service that are checked in one round. The path is lost if none of them can be reached. */
 const CHECKS_PER_ROUND = 3;
-/** Several times as long as a connection takes to open between regions, and shorter than a retransmission. */
-const CHECK_TIMEOUT: Milliseconds = 200;
 const MAX_CHECK_INTERVAL: Milliseconds = 2_000;
-/** Interval of checks while the path is lost. */
-const LOST_CHECK_INTERVAL: Milliseconds = 200;
+/**
+ * Rounds of checks are repeated for this long while they are inconclusive; then they count. An owner's lease ends 1,650 ms after the leader
+ * has lost its path at the earliest, and another daemon that reaches the owner must lead by then.
+ */
+const MAX_DOUBT: Milliseconds = 1_200;
 /** Consecutive successful checks after which a lost path is used again. */
 const CHECKS_TO_RESTORE = 2;
 /** Interval of the checks of a single server. */
@@ -112,13 +114,21 @@
 }
 
 function beginRound(context: RouterContext, service: ServiceName, path: ServicePath): void {
+  path.failedSince = Math.max(path.heardAt, context.now - MAX_CHECK_INTERVAL);
+  sendChecks(context, service, path);
+}
+
+/** Sends the checks of a round. */
+function sendChecks(context: RouterContext, service: ServiceName, path: ServicePath): void {
   const { state, now } = context;
   const servers = chooseServers(context, service, CHECKS_PER_ROUND);
   if (servers.length === 0) {
+    path.status = 'open';
     return;
   }
   path.status = 'checking';
-  path.failedSince = Math.max(path.heardAt, now - MAX_CHECK_INTERVAL);
+  path.roundStartedAt = now;
+  path.inconclusiveChecks = 0;
   path.checksInProgress = servers.length;
   path.outcomes = [];
   servers.forEach((known) => checkServer(context, known, false));
@@ -194,16 +204,19 @@
   state.reachability.checks.delete(event.checkId);
   const isReached = event.failure === null;
   const path = pathTo(state.reachability, check.service);
+  const isDoubtful = isInconclusive(event);
+  state.counters.path_checks_inconclusive += isDoubtful ? 1 : 0;
   const contact = state.servers.get(check.server)?.contact;
   if (contact !== undefined) {
-    contact.isOutOfReach = !isReached;
+    contact.isOutOfReach = isDoubtful ? contact.isOutOfReach : !isReached;
     contact.checkEndedAt = context.now;
     contact.failedSince = isReached ? null : contact.failedSince;
   }
   path.provenAt = isReached ? context.now : path.provenAt;
   if (!check.isOfServerOnly) {
     path.checksInProgress -= 1;
-    path.outcomes.push(`${check.server} ${event.failure ?? 'reached'}`);
+    path.inconclusiveChecks += isDoubtful ? 1 : 0;
+    path.outcomes.push(`${check.server} ${event.failure ?? 'reached'}${isDoubtful ? ' (inconclusive)' : ''}`);
     applyCheck(context, check, path, isReached);
   }
 }
@@ -217,64 +230,34 @@
     }
   } else if (path.status === 'checking' && isReached) {
     path.status = 'open';
+    path.doubtfulSince = null;
     path.nextCheckAt = context.now + path.checkInterval;
     path.checkInterval = Math.min(MAX_CHECK_INTERVAL, path.checkInterval * 2);
     path.failedConnections.clear();
   } else if (path.status === 'checking' && path.checksInProgress === 0) {
-    losePath(context, check.service, path);
+    endFailedRound(context, check.service, path);
   }
 }
 
-function losePath(context: RouterContext, service: ServiceName, path: ServicePath): void {
-  const { state, now } = context;
-  path.status = 'lost';
-  path.lostAt = now;
-  path.successfulChecks = 0;
-  path.nextCheckAt = now + LOST_CHECK_INTERVAL;
-  state.counters.paths_lost += 1;
-  const since = Math.round(now - path.failedSince);
-  context.log('path_lost', { service, checks: path.outcomes, since }, 'warn');
-  const servers = [...(state.serversByService.get(service)?.values() ?? [])];
-  discardSilence(servers, path.failedSince);
-  withdrawUnsentAttempts(context, service);
-  for (const { server } of servers) {
-    context.emit({ kind: 'forgetConnections', address: server.address });
-  }
-  // What broke this path may have broken others, which may be used less.
-  state.serversByService.forEach((_, other) => requestPathCheck(context, other));
-  sendReportNow(context);
-}
-
-/** Discards times of unanswered requests that are not reported yet: the servers did not work on them. */
-function discardSilence(servers: readonly KnownServer[], since: Milliseconds): void {
-  for (const { load } of servers) {
-    if (load.lastAnswerAt <= since) {
-      load.unreported.total = 0;
-      load.unreported.requests = 0;
-    }
+/** Ends a round of checks of which none succeeded. An inconclusive round is repeated, unless a server has responded since it began. */
+function endFailedRound(context: RouterContext, service: ServiceName, path: ServicePath): void {
+  if (path.inconclusiveChecks === 0) {
+    declareLost(context, service, path);
+    return;
   }
-}
-
-function withdrawUnsentAttempts(context: RouterContext, service: ServiceName): void {
-  for (const request of context.state.requests.values()) {
-    if (request.service === service && request.server !== null) {
-      context.emit({ kind: 'withdraw', requestId: request.id, attempt: request.attemptNumber });
-    }
+  path.doubtfulSince ??= path.roundStartedAt;
+  if (path.heardAt > path.roundStartedAt) {
+    path.status = 'open';
+    path.doubtfulSince = null;
+  } else if (context.now - path.doubtfulSince < MAX_DOUBT) {
+    sendChecks(context, service, path);
+  } else {
+    declareLost(context, service, path);
   }
 }
 
-function restorePath(context: RouterContext, service: ServiceName, path: ServicePath): void {
-  const { state, now } = context;
-  path.status = 'open';
-  path.nextCheckAt = now + MIN_CHECK_INTERVAL;
-  path.checkInterval = MIN_CHECK_INTERVAL;
-  path.heardAt = now;
-  path.failedConnections.clear();
-  for (const { load, contact } of state.serversByService.get(service)?.values() ?? []) {
-    load.forgetFailures();
-    contact.failedSince = null;
-    contact.isOutOfReach = false;
-  }
-  context.log('path_restored', { service, lasted: Math.round(now - path.lostAt) });
-  sendReportNow(context);
+function declareLost(context: RouterContext, service: ServiceName, path: ServicePath): void {
+  losePath(context, service, path);
+  // What broke this path may have broken others, which may be used less.
+  context.state.serversByService.forEach((_, other) => requestPathCheck(context, other));
 }
--- a/src/router/reachability/reachability-state.ts
+++ b/src/router/reachability/reachability-state.ts
@@ -22,6 +22,12 @@
   /** Servers that connections could not be opened to, with the time of the failure. */
   readonly failedConnections: Map<ServerId, Milliseconds>;
   checksInProgress: number;
+  /** When the current round of checks began. */
+  roundStartedAt: Milliseconds;
+  /** Checks of the current round that were inconclusive because this daemon was busy. */
+  inconclusiveChecks: number;
+  /** When the first of the consecutive rounds began that were inconclusive; null: the last one was not. */
+  doubtfulSince: Milliseconds | null;
   /** Outcomes of the current round of checks, for the log. */
   outcomes: string[];
   /** Consecutive successful checks since the path was lost. */
@@ -68,6 +74,9 @@
       lostAt: Number.NEGATIVE_INFINITY,
       failedConnections: new Map(),
       checksInProgress: 0,
+      roundStartedAt: Number.NEGATIVE_INFINITY,
+      inconclusiveChecks: 0,
+      doubtfulSince: null,
       outcomes: [],
       successfulChecks: 0,
       nextCheckAt: 0,
--- a/test/router-runtime/test-loop-monitor.ts
+++ b/test/router-runtime/test-loop-monitor.ts
@@ -50,6 +50,20 @@
     ]);
   });
 
+  // A check of a path during which the loop was late at its middle only would count as proof of a lost path.
+  it('remembers the longest delay since a time', () => {
+    const loop = new MonitoredLoop();
+    loop.tickAfter(INTERVAL, 2);
+    const startedAt = loop.now;
+    loop.tickAfter(INTERVAL + 90);
+    loop.tickAfter(INTERVAL, 5);
+    const endedAt = loop.now;
+    expect(loop.monitor.longestDelaySince(startedAt, endedAt)).toEqual(90);
+    loop.tickAfter(INTERVAL, 5);
+    expect(loop.monitor.longestDelaySince(endedAt, loop.now)).toEqual(0);
+    expect(loop.monitor.longestDelaySince(endedAt, loop.now + INTERVAL + 60)).toEqual(60);
+  });
+
   // A request that arrived while the machine was suspended would count as recent on a clock that stops during a suspension.
   it('is not on time after a suspension until the sockets have been polled', () => {
     const loop = new MonitoredLoop();
--- /dev/null
+++ b/test/router/reachability/test-busy-leader.ts
@@ -0,0 +1,72 @@
+/** Guards against a leader that resigns because it is busy, and against one that does not resign because it is always busy. */
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+import type { CheckConditions } from '../../../src/router/events.js';
+import { isInconclusive } from '../../../src/router/reachability/check-conditions.js';
+import { createDeployment, leaderOf, SETTLED, type Deployment } from '../support/settled-deployment.js';
+import { IDLE_CONDITIONS } from '../support/simulated-server.js';
+
+/** No server responds for this long, as observed at a busy leader with a full link. */
+const CONGESTION = 900;
+/** A leader that is always busy must hand over before the leases of its owners end, in milliseconds. */
+const MAX_HANDOVER = 1_650;
+const BUSY: readonly (readonly [string, CheckConditions])[] = [
+  ['its event loop is late', { ...IDLE_CONDITIONS, loopDelay: 51 }],
+  ['bytes for other daemons are unwritten', { ...IDLE_CONDITIONS, unwrittenBytes: 1 }],
+  ['it has written much to other daemons', { ...IDLE_CONDITIONS, recentlyWrittenBytes: 125_001 }],
+];
+
+function countEvents({ simulation }: Deployment, name: string): number {
+  return simulation.events.filter((line) => {
+    const [at, , event] = line.split(' ');
+    return Number(at) >= SETTLED && event === name;
+  }).length;
+}
+
+describe('a check of a path that times out', () => {
+  for (const [title, conditions] of BUSY) {
+    it(`is inconclusive when ${title}`, () => {
+      const check = { kind: 'pathChecked', checkId: 1, ...conditions } as const;
+      expect(isInconclusive({ ...check, failure: 'timeout' })).toEqual(true);
+      expect(isInconclusive({ ...check, failure: 'ECONNREFUSED' })).toEqual(false);
+      expect(isInconclusive({ ...check, failure: null })).toEqual(false);
+    });
+  }
+
+  it('is conclusive at a daemon that is not busy', () => {
+    const conditions = { loopDelay: 50, unwrittenBytes: 0, recentlyWrittenBytes: 125_000 };
+    const check = { kind: 'pathChecked', checkId: 1, failure: 'timeout', ...conditions } as const;
+    expect(isInconclusive(check)).toEqual(false);
+  });
+});
+
+describe('a busy leader that hears from no server', () => {
+  for (const [title, conditions] of BUSY) {
+    it(`goes on leading when ${title} and the servers respond again`, () => {
+      const deployment = createDeployment(31);
+      const { simulation, traffic } = deployment;
+      const leader = leaderOf(simulation);
+      leader.checkConditions = conditions;
+      traffic.breakPaths([leader], simulation.servers, 'silent');
+      simulation.clock.runUntil(SETTLED + CONGESTION);
+      traffic.restorePaths([leader], simulation.servers);
+      simulation.clock.runUntil(SETTLED + 5_000);
+      expect(countEvents(deployment, 'path_lost')).toEqual(0);
+      expect(countEvents(deployment, 'leadership_lost')).toEqual(0);
+      expect(leaderOf(simulation) === leader).toEqual(true);
+      expect(simulation.checker.violations).toEqual([]);
+    });
+  }
+
+  // Output to a daemon that reads nothing stays unwritten: without a bound such a leader would never find its paths lost.
+  it('hands over before the leases of its owners end when its paths are lost', () => {
+    const deployment = createDeployment(32);
+    const { simulation, traffic } = deployment;
+    const leader = leaderOf(simulation);
+    leader.checkConditions = { ...IDLE_CONDITIONS, unwrittenBytes: 1 };
+    traffic.breakPaths([leader], simulation.servers, 'silent');
+    simulation.clock.runUntil(SETTLED + MAX_HANDOVER);
+    expect(leader.state.leadership).toEqual(null);
+    expect(countEvents(deployment, 'leadership_lost')).toEqual(1);
+  });
+});
--- a/test/router/support/simulated-calls.ts
+++ b/test/router/support/simulated-calls.ts
@@ -7,6 +7,7 @@
   type CallFaults,
   receiverOf,
   simulateCall,
+  IDLE_CONDITIONS,
   simulatePathCheck,
   type SimulatedServer,
 } from './simulated-server.js';
@@ -54,7 +55,12 @@
     const { life, name } = daemon;
     const receiver = receiverOf(this.#servers, address);
     simulatePathCheck(this.#clock, receiver, name, timeout, (failure) =>
-      this.#deliver(daemon, life, { kind: 'pathChecked', checkId, failure }),
+      this.#deliver(daemon, life, {
+        kind: 'pathChecked',
+        checkId,
+        failure,
+        ...(daemon.checkConditions ?? IDLE_CONDITIONS),
+      }),
     );
   }
 }
--- a/test/router/support/simulated-daemon.ts
+++ b/test/router/support/simulated-daemon.ts
@@ -1,6 +1,7 @@
 /** A simulated daemon as tests and simulated traffic see it. */
 import type { DaemonClock } from '../../../src/clock/daemon-clock.js';
 import type { Effect } from '../../../src/router/effects.js';
+import type { CheckConditions } from '../../../src/router/events.js';
 import type { RouterState } from '../../../src/router/router-state.js';
 import type { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
 import type { SimulatedMachine } from './simulated-machine.js';
@@ -12,6 +13,8 @@
   state: RouterState;
   life: number;
   alive: boolean;
+  /** How busy the daemon is while it checks paths; it is idle by default. */
+  checkConditions?: CheckConditions;
   /** Whether other daemons can reach this daemon. */
   peersReachable: boolean;
   /** Whether the daemon can reach the store. */
--- a/test/router/support/simulated-server.ts
+++ b/test/router/support/simulated-server.ts
@@ -1,6 +1,6 @@
 /** Simulated servers that hold keys by grants, and a checker that each key has at most one owner. */
 import type { SeededRandom } from '../../../src/core/random.js';
-import type { ControlOutcome } from '../../../src/router/events.js';
+import type { CheckConditions, ControlOutcome } from '../../../src/router/events.js';
 import { instanceOf } from '../../../src/router/model/server-incarnation.js';
 import type { ControlEffect } from '../../../src/router/effects.js';
 import type { VirtualClock } from './virtual-clock.js';
@@ -147,6 +147,9 @@
   }
 }
 
+/** Conditions of a check at a daemon that has nothing else to do. */
+export const IDLE_CONDITIONS: CheckConditions = { loopDelay: 0, unwrittenBytes: 0, recentlyWrittenBytes: 0 };
+
 /** Faults of calls to servers. */
 export interface CallFaults {
   /** Share of calls that get no response and are executed 2 to 12 s later. */
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -10,6 +10,7 @@
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { BOUNDS_WITH_RETRIES } from './bounds.js';
 import { fingerprintOf } from './fingerprints.js';
+import { IDLE_CONDITIONS } from './simulated-server.js';
 
 /** Two routes to a balanced service and one to a keyed service. */
 export const CONFIGURATION: Configuration = {
@@ -140,7 +141,7 @@
   #answerPathCheck(effect: Effect): void {
     if (effect.kind === 'checkPath') {
       const failure = this.hasPath ? null : 'timeout';
-      this.event({ kind: 'pathChecked', checkId: effect.checkId, failure });
+      this.event({ kind: 'pathChecked', checkId: effect.checkId, failure, ...IDLE_CONDITIONS });
     }
   }
 
