--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -7,6 +7,7 @@
 import { storeDataAge } from '../router/news/store-data-age.js';
 import { RouterContext } from '../router/router-context.js';
 import type { RouterState } from '../router/router-state.js';
+import { registerLoadView } from './load-view-metrics.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5];
@@ -69,6 +70,7 @@
     );
     this.#registerFeedAges(state);
     this.#registerLimits(state);
+    registerLoadView(this.registry, state);
     this.#registerGauge('resident_bytes', () => process.memoryUsage.rss());
   }
 
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -51,6 +51,7 @@
   'paths_lost',
   'malformed_answers',
   'malformed_load_reports',
+  'malformed_load_views',
   'malformed_peer_messages',
   'malformed_store_objects',
   'log_lines_dropped',
--- /dev/null
+++ b/src/router/load-view/demand-rise.ts
@@ -0,0 +1,33 @@
+/** Decides whether demand has risen enough to be reported early. Pure. */
+import type { Milliseconds } from '../model/identifiers.js';
+
+/** Demand is reported early when it is this many times the reported one. */
+const RISE_FACTOR = 1.5;
+/** With fewer requests than this, a rise is more likely chance. */
+const MIN_RISEN_REQUESTS = 3;
+/** A rise must exceed chance by this many standard deviations; a daemon counts only a few requests in the time that is examined. */
+const RISE_DEVIATIONS = 2;
+
+/** A rise of the demand of all daemons is sent down early from this factor and this number of slots on; less may be chance. */
+const FLEET_RISE_FACTOR = 1.25;
+const MIN_FLEET_RISE_SLOTS = 0.5;
+
+/**
+ * Returns whether a daemon's demand has risen.
+ *
+ * @param requests arrivals within the last `span`
+ * @param reportedRate the rate that was last reported, in requests per millisecond
+ */
+export function hasDemandRisen(requests: number, span: Milliseconds, reportedRate: number): boolean {
+  const expected = reportedRate * span;
+  return (
+    requests >= MIN_RISEN_REQUESTS &&
+    requests >= expected * RISE_FACTOR &&
+    requests >= expected + RISE_DEVIATIONS * Math.sqrt(expected)
+  );
+}
+
+/** Returns whether the demand of all daemons, in slots, has risen. */
+export function hasFleetDemandRisen(slots: number, formerSlots: number): boolean {
+  return slots >= formerSlots * FLEET_RISE_FACTOR && slots - formerSlots >= MIN_FLEET_RISE_SLOTS;
+}
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -221,6 +221,10 @@
     when: 'a server of a service sends a load report that cannot be parsed, logged once for each service',
     fields: 'server, service, found',
   },
+  malformed_load_view: {
+    when: 'the load of a service in a message of another daemon has numbers that are unreadable, logged once for each service: it is ignored',
+    fields: 'service, peer (the daemon that reported, or the leader that announced the load), found',
+  },
   malformed_store_object: {
     when: 'an object of the store cannot be parsed, logged once for each object: it is skipped, and no server is taken from it',
     fields: 'kind, name',
--- a/src/router/ownership/known-leader.ts
+++ b/src/router/ownership/known-leader.ts
@@ -1,5 +1,6 @@
 /** Which daemon leads, as read from the store or received from other daemons. */
 import { comparePeerVersions } from '../feed-lag.js';
+import { receiveAnnouncedLoads } from '../load-view/fleet-load.js';
 import { recordParentConfirmation } from '../news/store-data-age.js';
 import { applyEvacuations } from '../news/apply-evacuations.js';
 import type { Heartbeat, LeaderIdentity, LeaderNotice } from '../peers/messages.js';
@@ -107,7 +108,8 @@
   state.pathlessDaemons = heartbeat.pathlessDaemons;
   receiveProxies(context, heartbeat.proxies);
   applyEvacuations(context, heartbeat.evacuations);
-  if (recordParentConfirmation(context, heartbeat)) {
+  const hasDemandRisen = receiveAnnouncedLoads(context, heartbeat);
+  if (recordParentConfirmation(context, heartbeat) || hasDemandRisen) {
     sendHeartbeatSoon(context);
   }
   comparePeerVersions(context, heartbeat);
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -132,6 +132,7 @@
     reportHeld: 0,
     daemons: state.daemons,
     pathlessDaemons: state.pathlessDaemons,
+    serviceLoads: [],
     proxies: [],
     watchers: [],
     configurationVersion: 0,
--- a/src/router/ownership/report-aggregation.ts
+++ b/src/router/ownership/report-aggregation.ts
@@ -1,4 +1,5 @@
 /** Aggregates at the leader the reports of what it and all daemons below it have observed. */
+import { computeFleetLoad } from '../load-view/fleet-load.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import { setDaemonCount } from '../request/request-dispatch.js';
 import type { RouterContext } from '../router-context.js';
@@ -64,4 +65,5 @@
   }
   state.pathlessDaemons = countPathlessDaemons(context);
   setDaemonCount(state, leadership.daemonCount.record(1 + countDescendants(state.tree, now), now));
+  computeFleetLoad(context, leadership.startedAt);
 }
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -3,6 +3,7 @@
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { InstanceName } from '../model/server-incarnation.js';
 import type { ServerDescription } from '../model/server.js';
+import type { AnnouncedServiceLoad, ReportedServiceLoad } from '../load-view/load-messages.js';
 import type { RestReport } from '../notices/back-off-reports.js';
 import type { PermitAnswer, PermitAsk } from '../limits/permit-messages.js';
 import type { LimitStatement } from '../limits/server-limits.js';
@@ -68,6 +69,12 @@
   readonly needsProxies: boolean;
   /** Number of daemons in the sender's subtree, including itself, that have lost their path to the servers of a service. */
   readonly pathlessDaemons: number;
+  /** What the sender and its subtree have counted for balanced services since the last report. */
+  readonly serviceLoads: ReportedServiceLoad[];
+  /** Number of daemons whose counts these are; 0 if the sender's software version doesn't send them. */
+  readonly loadDaemons: number;
+  /** The sender or a descendant has seen demand rise since the last report. */
+  readonly demandRose: boolean;
 }
 /** Identifies the daemon that leads, and its term. */
 export interface LeaderIdentity {
@@ -118,6 +125,8 @@
   readonly proxies: ProxyDescription[];
   /** Number of daemons that have lost their path to the servers of a service. */
   readonly pathlessDaemons: number;
+  /** Load of balanced services over all daemons; empty if the leader's software version doesn't send it. */
+  readonly serviceLoads: AnnouncedServiceLoad[];
 }
 /** The ownership of a unit, a key range with one owner. */
 export interface UnitStatement {
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -1,5 +1,6 @@
 /** Applies the result of an attempt to its request and its server. */
 import type { AttemptEndedEvent, AttemptResult, LoadReading } from '../events.js';
+import { recordLoadReading, recordWorkTime } from '../load-view/load-recording.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import { recordMisdirectedRequest } from '../ownership/isolation.js';
 import type { RouterContext } from '../router-context.js';
@@ -94,7 +95,7 @@
   const { state, now } = context;
   switch (result.kind) {
     case 'answered':
-      recordAnswer(request, known, recordLoadReport(context, known, result.load), now);
+      recordAnswer(context, request, known, recordLoadReport(context, known, result.load));
       state.requests.delete(request.id);
       state.counters.answered += 1;
       recordRequestAnswered(context, request, result.status);
@@ -158,6 +159,7 @@
   }
   if (!('unreadable' in reading)) {
     known.load.report(reading, context.now);
+    recordLoadReading(context, known, reading);
     return reading;
   }
   const { counters, serviceProfiles } = context.state;
@@ -173,12 +175,16 @@
 }
 
 function recordAnswer(
+  context: RouterContext,
   request: ActiveRequest,
   known: KnownServer | undefined,
   load: ReportedLoad | null,
-  now: Milliseconds,
 ): void {
+  const { now } = context;
   const duration = now - request.attemptStartedAt;
+  if (!mayHaveWaited(request, load)) {
+    recordWorkTime(context, request, duration);
+  }
   known?.backOff.recordAnswer(request.attemptStartedAt);
   known?.load.answered(duration, now, mayHaveWaited(request, load));
   known?.load.window.answered(duration, request.route.latencyObjective, known.load.inFlight.size, now);
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -5,6 +5,7 @@
 import { isStoreDataConfirmed, isStoreDataUsable } from '../news/store-confirmation.js';
 import type { RouterState } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
+import { recordArrival } from '../load-view/load-recording.js';
 import type { ActiveRequest } from './active-request.js';
 import {
   isHeldBack,
@@ -134,6 +135,7 @@
   if (request.key !== null && event.origin === null) {
     addKeyRequestCounts(context, { service: request.service, keys: [request.key], counts: [1] });
   }
+  recordArrival(context, request);
   dispatchRequest(context, request);
 }
 
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -1,5 +1,6 @@
 /** The complete state of one daemon. Only the reducer changes it, and in place. */
 import { SeededRandom } from '../core/random.js';
+import { createLoadViewState, type LoadViewState } from './load-view/load-view-state.js';
 import { createRouterCounters, type RouterCounters } from './counters.js';
 import { type ComparedFeed, createFeedLag, type FeedLag } from './feed-lag-state.js';
 import type { Configuration } from './model/configuration.js';
@@ -128,6 +129,7 @@
   readonly targetRotation: TargetRotation;
   /** Requests for each key since the last report, at this daemon and its subtree. */
   readonly keyTallies: Map<ServiceName, KeyRequestCounts>;
+  readonly loadView: LoadViewState;
   /** Requests during which servers have crashed. */
   readonly crashTable: CrashTable;
   nextCrashExpiryAt: Milliseconds;
@@ -185,6 +187,7 @@
     retryBudgets: new Map(),
     targetRotation: new TargetRotation(),
     keyTallies: new Map(),
+    loadView: createLoadViewState(),
     crashTable: new CrashTable(),
     nextCrashExpiryAt: 0,
     brokenConnections: createCrashDetectionState(),
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -1,5 +1,7 @@
 /** Handles the reports of this daemon's children: merges their data, sends the updates that they lack, and redirects new ones to relays. */
 import { comparePeerVersions } from '../feed-lag.js';
+import { receiveLoadReport } from '../load-view/load-reports.js';
+import { FLEET_WINDOW, LoadWindow } from '../load-view/load-window.js';
 import { sendUpdatesSince } from '../news/store-updates.js';
 import { applyEvacuations } from '../news/apply-evacuations.js';
 import { createNoticeSnapshots } from '../notices/notice-snapshots.js';
@@ -27,8 +29,12 @@
   if (report.overloaded || report.rests.length > 0) {
     reportOverload(context);
   }
+  if (report.demandRose && context.state.leadership === null) {
+    sendReportSoon(context);
+  }
   const known = context.state.tree.children.get(link);
   if (known !== undefined) {
+    receiveLoadReport(context, known, report, context.now - known.lastReportAt);
     known.lastReportAt = context.now;
     known.reportSentAt = report.sentAt;
     known.daemons = report.daemons;
@@ -87,10 +93,13 @@
     proxies: [],
     needsProxies: false,
     pathlessDaemons: 0,
+    loadDaemons: 0,
+    loadWindow: new LoadWindow(FLEET_WINDOW),
     serversSentAt: Number.NEGATIVE_INFINITY,
     configurationSentAt: Number.NEGATIVE_INFINITY,
   };
   recordReach(context, child, report);
+  receiveLoadReport(context, child, report, 0);
   state.tree.children.set(link, child);
   state.tree.started.push({ daemon, life });
   context.log('child_joined', { child: daemon, leads: state.leadership !== null });
--- a/src/router/tree/heartbeats.ts
+++ b/src/router/tree/heartbeats.ts
@@ -1,5 +1,6 @@
 /** Heartbeats to the children: the leader's own, or those that a relay forwards with the age of the leader's last heartbeat. */
 import type { Milliseconds } from '../model/identifiers.js';
+import { buildAnnouncedLoads, recordLoadsAnnounced } from '../load-view/fleet-load.js';
 import { LEADERSHIP_VALIDITY, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT } from '../ownership/ownership-timing.js';
 import { evacuationsAge, storeDataAge } from '../news/store-data-age.js';
 import type { Heartbeat } from '../peers/messages.js';
@@ -83,6 +84,7 @@
     daemons: state.daemons,
     pathlessDaemons: state.pathlessDaemons,
     watchers: [],
+    serviceLoads: buildAnnouncedLoads(context),
   };
 }
 
@@ -105,6 +107,7 @@
     daemons: state.daemons,
     pathlessDaemons: state.pathlessDaemons,
     watchers: chooseStoreWatchers(context),
+    serviceLoads: buildAnnouncedLoads(context),
   };
 }
 
@@ -138,6 +141,7 @@
   tree.nextHeartbeatAt = context.now + (leadership === null ? RELAY_HEARTBEAT_INTERVAL : HEARTBEAT_INTERVAL);
   const heartbeat = buildHeartbeat(context);
   if (heartbeat !== null) {
+    recordLoadsAnnounced(context);
     tree.children.forEach((child, link) => sendTo(context, heartbeat, link, child));
   }
 }
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -1,5 +1,6 @@
 /** A daemon's periodic report to its parent: that it is alive, the versions it knows, and the requests and response times in its subtree. */
 import type { Milliseconds, ServiceName } from '../model/identifiers.js';
+import { buildLoadReport, detectDemandRise } from '../load-view/load-reports.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { KeySample, ServerTimes } from '../peers/messages.js';
 import { describeOwnReach } from '../proxying/proxy-candidate.js';
@@ -94,6 +95,9 @@
 export function tickReports(context: RouterContext): void {
   const { state, now } = context;
   const { election, tree, identity } = state;
+  if (detectDemandRise(context)) {
+    sendReportSoon(context);
+  }
   if (now < election.nextReportAt) {
     return;
   }
@@ -129,6 +133,7 @@
       proxies: proxiesBelow(context),
       needsProxies: areProxiesNeeded(context),
       pathlessDaemons: countPathlessDaemons(context),
+      ...buildLoadReport(context),
     },
   });
 }
--- a/src/router/tree/tree-state.ts
+++ b/src/router/tree/tree-state.ts
@@ -3,6 +3,7 @@
  * child keeps one connection to its parent. Reports are sent up the tree; heartbeats, ownership and updates from the store are sent down.
  */
 import type { DaemonName, Milliseconds } from '../model/identifiers.js';
+import type { LoadWindow } from '../load-view/load-window.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
 import type { DaemonLife, ServerTimes } from '../peers/messages.js';
 
@@ -26,6 +27,10 @@
   needsProxies: boolean;
   /** Daemons in the child's subtree that have lost their path to the servers of a service. */
   pathlessDaemons: number;
+  /** Daemons in the child's subtree whose counts are in its reports; 0: its software version doesn't send them. */
+  loadDaemons: number;
+  /** The counts in the child's last reports, from which the leader computes the load of all daemons. */
+  readonly loadWindow: LoadWindow;
   /** When the child was last sent the complete list of servers. */
   serversSentAt: Milliseconds;
   /** When the child was last sent a configuration. */
--- a/test/router/limits/test-unanswered-permits.ts
+++ b/test/router/limits/test-unanswered-permits.ts
@@ -39,7 +39,7 @@
   daemon.event({
     kind: 'peerMessage',
     link: 0,
-    message: { ...message, watchers: [], proxies: [], pathlessDaemons: 0 },
+    message: { ...message, watchers: [], proxies: [], pathlessDaemons: 0, serviceLoads: [] },
   });
   daemon.state.tree.parent = PARENT;
 }
--- a/test/router/news/test-store-data-age.ts
+++ b/test/router/news/test-store-data-age.ts
@@ -44,6 +44,7 @@
       watchers: [],
       proxies: [],
       pathlessDaemons: 0,
+      serviceLoads: [],
       ...change,
     },
   };
@@ -152,5 +153,8 @@
     proxies: [],
     needsProxies: false,
     pathlessDaemons: 0,
+    serviceLoads: [],
+    loadDaemons: 1,
+    demandRose: false,
   };
 }
--- a/test/router/news/test-store-updates.ts
+++ b/test/router/news/test-store-updates.ts
@@ -38,6 +38,9 @@
   proxies: [],
   needsProxies: false,
   pathlessDaemons: 0,
+  serviceLoads: [],
+  loadDaemons: 1,
+  demandRose: false,
 };
 
 let state: RouterState;
@@ -78,6 +81,7 @@
     watchers: [],
     proxies: [],
     pathlessDaemons: 0,
+    serviceLoads: [],
     configurationVersion: 1,
     serversRevision: 5,
     serversPosition: 10,
--- a/test/router/proxying/test-proxied-lifecycle.ts
+++ b/test/router/proxying/test-proxied-lifecycle.ts
@@ -71,7 +71,7 @@
   daemon.event({
     kind: 'peerMessage',
     link: 0,
-    message: { ...HEARTBEAT, watchers: [], proxies, pathlessDaemons },
+    message: { ...HEARTBEAT, watchers: [], proxies, pathlessDaemons, serviceLoads: [] },
   });
 }
 
--- a/test/router/test-feed-lag.ts
+++ b/test/router/test-feed-lag.ts
@@ -29,6 +29,7 @@
     watchers: [],
     proxies: [],
     pathlessDaemons: 0,
+    serviceLoads: [],
     daemons: 3,
     configurationVersion,
     serversRevision,
--- a/test/router/tree/test-relay-choice.ts
+++ b/test/router/tree/test-relay-choice.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
+import { FLEET_WINDOW, LoadWindow } from '../../../src/router/load-view/load-window.js';
 import { chooseRelay } from '../../../src/router/tree/relay-choice.js';
 import type { Child } from '../../../src/router/tree/tree-state.js';
 
@@ -17,6 +18,8 @@
     proxies: [],
     needsProxies: false,
     pathlessDaemons: 0,
+    loadDaemons: 1,
+    loadWindow: new LoadWindow(FLEET_WINDOW),
     configurationSentAt: 0,
   };
 }
--- a/test/router/tree/test-watchers.ts
+++ b/test/router/tree/test-watchers.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
+import { FLEET_WINDOW, LoadWindow } from '../../../src/router/load-view/load-window.js';
 import { RouterContext } from '../../../src/router/router-context.js';
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { chooseStoreWatchers } from '../../../src/router/tree/heartbeats.js';
@@ -17,6 +18,8 @@
     proxies: [],
     needsProxies: false,
     pathlessDaemons: 0,
+    loadDaemons: 1,
+    loadWindow: new LoadWindow(FLEET_WINDOW),
   };
   return { daemon, life: 1, address: `${daemon}:70`, zone, lastReportAt, daemons: 1, ...sent };
 }
--- a/test/wire/test-peer-codec.ts
+++ b/test/wire/test-peer-codec.ts
@@ -57,6 +57,14 @@
       },
     ],
     pathlessDaemons: 2,
+    serviceLoads: [
+      {
+        service: 'logs',
+        demands: [{ priority: 0, slots: 12.5 }],
+        groups: [{ reserved: true, meanLoad: 0.75 }],
+        age: 40,
+      },
+    ],
     configurationVersion: 7,
     serversRevision: 9,
     evacuations: { revision: 2 ** 40, zones: ['z1', 'z2'] },
