--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -180,7 +180,7 @@
 ): void {
   const duration = now - request.attemptStartedAt;
   known?.backOff.recordAnswer(request.attemptStartedAt);
-  known?.load.answered(duration, now, mayHaveWaited(request, load));
+  known?.load.answered(duration, now, mayHaveWaited(request, load), request.route);
   known?.load.window.answered(duration, request.route.latencyObjective, known.load.inFlight.size, now);
 }
 
@@ -260,7 +260,7 @@
   if (now - request.attemptStartedAt < MAX_SHED_TIME) {
     load.recordShed(server.slots, now);
   } else {
-    load.recordUnanswered(now - request.attemptStartedAt, now, !request.sentToFreeSlot);
+    load.recordUnanswered(now - request.attemptStartedAt, now, !request.sentToFreeSlot, request.route);
   }
 }
 
--- /dev/null
+++ b/src/router/request/balanced-service.ts
@@ -0,0 +1,48 @@
+/** Updates what the choice among a balanced service's servers depends on: the mean loads, and the set of reserved servers. */
+import { type ServiceLoadView, UNKNOWN_LOAD } from '../load-view/load-view.js';
+import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { RouterContext } from '../router-context.js';
+import type { KnownServer, RouterState } from '../router-state.js';
+import type { ActiveRequest } from './active-request.js';
+import type { ServiceProfile } from './service-profile.js';
+
+/** Time between two updates. A surge is acted on within half a second, and the cost of an update is spread over many requests. */
+const REFRESH_INTERVAL: Milliseconds = 50;
+
+/** Stands in for the load view of `src/router/load-view/` until that exists. */
+const loadViewOf: (state: RouterState, service: ServiceName, now: Milliseconds) => ServiceLoadView = () =>
+  UNKNOWN_LOAD;
+
+/** Returns the profile of a request's service with recent loads and reserved servers; undefined: no server of it was ever known. */
+export function refreshBalancedService(
+  context: RouterContext,
+  { service, route }: ActiveRequest,
+): ServiceProfile | undefined {
+  const { state, now } = context;
+  const profile = state.serviceProfiles.get(service);
+  const servers = state.serversByService.get(service);
+  if (profile === undefined || servers === undefined) {
+    return undefined;
+  }
+  profile.recordDemand(route, now);
+  if (profile.isRefreshDue(state.serversRevision, now)) {
+    profile.nextRefreshAt = now + REFRESH_INTERVAL;
+    profile.refreshedRevision = state.serversRevision;
+    refresh(context, profile, service, servers);
+  }
+  return profile;
+}
+
+function refresh(
+  { state, now }: RouterContext,
+  profile: ServiceProfile,
+  service: ServiceName,
+  servers: ReadonlyMap<ServerId, KnownServer>,
+): void {
+  const view = loadViewOf(state, service, now);
+  profile.groups.update(view, state.daemons, profile.mean, now);
+  profile.reserved.update(view, servers, state.serversRevision, ({ server, drainingSince, coldUntil }) => {
+    const isEvacuated = state.evacuations.age(server.zone, now) !== null;
+    return drainingSince === null && coldUntil <= now && !isEvacuated;
+  });
+}
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -8,6 +8,7 @@
 import type { KnownServer } from '../router-state.js';
 import { equalShare } from '../sharing/equal-share.js';
 import type { ActiveRequest } from './active-request.js';
+import { refreshBalancedService } from './balanced-service.js';
 import { coldSendInterval } from './cold-admission.js';
 import {
   createPermitRefusal,
@@ -21,12 +22,14 @@
   timeUntilPermit,
 } from './refusals.js';
 import { findIneligibility, type EligibilityContext } from './server-eligibility.js';
-import { selectServer, type SelectionContext } from './server-selection.js';
+import {
+  MAX_EXPECTED_TIME_FRACTION,
+  MAX_WAITING_PER_SLOT,
+  selectServer,
+  type Selection,
+  type SelectionContext,
+} from './server-selection.js';
 
-/** Requests that may wait at a server for each of its slots before the server counts as at capacity. */
-const MAX_WAITING_PER_SLOT = 3;
-/** A request is not sent to a server without a free slot where it is expected to take more than this fraction of its latency objective. */
-const MAX_EXPECTED_TIME_FRACTION = 0.95;
 /** Fraction of a server's connection limit that all daemons together use. */
 const USED_CONNECTION_FRACTION = 0.9;
 /** Fraction of the allowed time for which requests still go to an owner of keys in an evacuated zone while its keys move. */
@@ -84,7 +87,7 @@
   };
 }
 
-/** Returns whether a server would shed a new request, or answer it too late for its latency objective. */
+/** Returns whether an owner of keys would shed a new request, or answer it too late for its latency objective. */
 function isAtCapacity(
   { now }: RouterContext,
   { load, server }: KnownServer,
@@ -100,6 +103,17 @@
   return isLate || estimatedInFlight >= server.slots * (1 + MAX_WAITING_PER_SLOT);
 }
 
+/** Returns whether a request would make more urgent routes late at an owner of keys, whose queue runs in order of arrival. */
+function delaysMoreUrgent(
+  { state, now }: RouterContext,
+  known: KnownServer,
+  request: ActiveRequest,
+): boolean {
+  const profile = state.serviceProfiles.get(request.service);
+  const wait = known.load.waitBehindNext(known.server.slots, now);
+  return profile?.makesMoreUrgentLate(request.route.priority, wait, now) ?? false;
+}
+
 /** Returns the owner of a key, or a refusal while this daemon doesn't know that the owner holds the key. */
 function findOwner(context: RouterContext, service: ServiceName, key: number): KnownServer | RoutingRefusal {
   const { ownershipView, servers, recentlyRejectedUnits } = context.state;
@@ -125,6 +139,7 @@
   if ('reason' in known) {
     return known;
   }
+  context.state.serviceProfiles.get(request.service)?.recordDemand(request.route, context.now);
   const { window, inFlight } = known.load;
   const ineligibility = findIneligibility(known, ownerEligibilityContext(context, request));
   const isEligible = ineligibility === null || ineligibility === 'awaits_permit';
@@ -135,6 +150,9 @@
   if (isEligible && !hasCapacity) {
     return createOverloadRefusal(context, known);
   }
+  if (isEligible && delaysMoreUrgent(context, known, request)) {
+    return createTransientRefusal(`the owner ${known.server.id} has room for more urgent requests only`);
+  }
   return ineligibility === null ? known : createOwnerRefusal(context, request, known, ineligibility);
 }
 
@@ -143,9 +161,9 @@
   candidates: ReadonlyMap<ServerId, KnownServer>,
   selection: SelectionContext,
   drain: Milliseconds,
-): KnownServer | undefined {
+): Selection<KnownServer> {
   const chosen = selectServer(candidates.values(), selection);
-  const areAllDraining = chosen === undefined && [...candidates.values()].every(isDraining);
+  const areAllDraining = chosen.kind === 'none' && [...candidates.values()].every(isDraining);
   return areAllDraining
     ? selectServer(candidates.values(), { ...selection, drainingGrace: maxDataAge(drain) })
     : chosen;
@@ -179,23 +197,33 @@
 function selectBalancedServer(context: RouterContext, request: ActiveRequest): KnownServer | RoutingRefusal {
   const { serversByService, identity, random, bounds } = context.state;
   const candidates = serversByService.get(request.service);
+  const profile = refreshBalancedService(context, request);
+  if (candidates === undefined || profile === undefined) {
+    return refuseWithoutServer(context, request);
+  }
+  const { route } = request;
   const selection = {
     ...balancedEligibilityContext(context, request),
-    latencyObjective: request.route.latencyObjective,
+    route,
+    workTime: profile.workTime(route),
+    mayUseReserved: profile.reserved.allows(route.priority),
     zone: identity.zone,
     random,
     tried: request.triedServers,
   };
-  const chosen =
-    candidates === undefined ? undefined : selectServerOrDraining(candidates, selection, bounds.drain);
-  if (chosen === undefined) {
-    return refuseWithoutServer(context, request);
-  }
-  if (isAtCapacity(context, chosen, request)) {
-    return createTransientRefusal('every server is full');
+  const chosen = selectServerOrDraining(candidates, selection, bounds.drain);
+  switch (chosen.kind) {
+    case 'none':
+      return refuseWithoutServer(context, request);
+    case 'full':
+      return createTransientRefusal('every server is full');
+    case 'selected': {
+      const { server } = chosen;
+      const drainingGrace = Number.POSITIVE_INFINITY;
+      const ineligibility = findIneligibility(server, { ...selection, drainingGrace });
+      return ineligibility === 'awaits_permit' ? createPermitRefusal(context, request, server) : server;
+    }
   }
-  const ineligibility = findIneligibility(chosen, { ...selection, drainingGrace: Number.POSITIVE_INFINITY });
-  return ineligibility === 'awaits_permit' ? createPermitRefusal(context, request, chosen) : chosen;
 }
 
 /** Returns the server that a request goes to now, or why no server may get it. */
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -231,7 +231,8 @@
   context.emit({ kind: 'cancel', requestId: request.id, attempt: request.attemptNumber });
   endProxiedAttempt(context, request);
   const known = endAttempt(context, request);
-  known?.load.recordUnanswered(context.now - request.attemptStartedAt, context.now, !request.sentToFreeSlot);
+  const { attemptStartedAt, sentToFreeSlot, route } = request;
+  known?.load.recordUnanswered(context.now - attemptStartedAt, context.now, !sentToFreeSlot, route);
 }
 
 /** Records a failure of a server and avoids the server for a time that grows with its failures. */
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -1,10 +1,10 @@
 /** Estimates the load and the speed of one server from this daemon's own requests there and from what the server reports. */
+import type { Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import { AdmissionWindow } from './admission-window.js';
-import { ServiceProfile } from './service-profile.js';
+import { expectedQueuedRounds } from './load-estimate.js';
+import type { ServiceProfile } from './service-profile.js';
 
-/** The estimate of other daemons' requests at a server decays by a factor of e in this time. */
-const LOAD_DECAY_TIME: Milliseconds = 400;
 /** A slowdown that a server reported decays by a factor of e in this time; the true value changes many times a second. */
 const SLOWDOWN_DECAY_TIME: Milliseconds = 300;
 /** Weight of a new load report against the decayed estimate. */
@@ -49,13 +49,15 @@
   lastAnswerAt: Milliseconds = -1;
   /** Number of failures since the server last answered a request; a rejection is no answer. */
   failures = 0;
-  /** Whether the server is reserved for the most urgent route of its service. */
+  /** Whether the server is reserved for the most urgent requests of its service; see `reserved-servers.ts`. */
   isReserved = false;
   /** Answers since the last report to the leader. */
   readonly unreported: UnreportedAnswers = { requests: 0, total: 0 };
   readonly #profile: ServiceProfile;
   /** Average time of a request on an idle slot of this server; null before the first sample. */
   #serverTime: Milliseconds | null = null;
+  /** Average time of a request on an idle slot as a multiple of its route's mean; unlike the time, it doesn't depend on the mix of routes. */
+  #relativeTime = 1;
   #sampledAt: Milliseconds = 0;
   #otherRequests = 0;
   /** Slowdown that the server last reported. */
@@ -82,40 +84,55 @@
     return Math.max(this.serviceTime, this.#profile.mean);
   }
 
-  /** Returns the estimated number of other daemons' requests at the server; old reports count little. */
+  /** Returns the estimated number of other daemons' requests at the server; it decays from the last report to the mean of its group. */
   otherRequests(now: Milliseconds): number {
-    return this.#otherRequests * Math.exp((this.#reportedAt - now) / LOAD_DECAY_TIME);
+    const { groups } = this.#profile;
+    const usual = groups.otherRequests(this.isReserved);
+    return usual + (this.#otherRequests - usual) * Math.exp((this.#reportedAt - now) / groups.loadDecayTime);
   }
 
   /** Records the load that the server reported with an answer. */
   report(load: ReportedLoad, now: Milliseconds): void {
-    const reported = Math.max(0, load.running + load.waiting - this.inFlight.size);
+    const reported = this.#withoutOwn(load);
+    this.#profile.groups.recordReport(this.isReserved, reported, now);
+    this.#assume(reported, load.slowdown ?? 1, now);
+  }
+
+  /** Returns the number of other daemons' requests in a load report. */
+  #withoutOwn({ running, waiting }: ReportedLoad): number {
+    return Math.max(0, running + waiting - this.inFlight.size);
+  }
+
+  #assume(reported: number, slowdown: number, now: Milliseconds): void {
     const previous = this.otherRequests(now);
     this.#otherRequests = previous + (reported - previous) * LOAD_REPORT_WEIGHT;
-    this.#slowdown = load.slowdown ?? 1;
+    this.#slowdown = slowdown;
     this.#reportedAt = now;
   }
 
   /** Records that the server shed a request without a load report: it is assumed to have as many requests waiting as it has slots. */
   recordShed(slots: number, now: Milliseconds): void {
-    this.report({ running: slots, waiting: slots, slots, slowdown: null }, now);
+    this.#assume(this.#withoutOwn({ running: slots, waiting: slots, slots, slowdown: null }), 1, now);
   }
 
   /** Records an answer and its duration; `waited` is whether the request may have waited for a slot of the server. */
-  answered(duration: Milliseconds, now: Milliseconds, waited: boolean): void {
+  answered(duration: Milliseconds, now: Milliseconds, waited: boolean, route: Route): void {
     this.lastAnswerAt = now;
     this.failures = 0;
     this.unreported.requests += 1;
     this.unreported.total += duration;
     if (!waited) {
-      this.#profile.addSample(duration);
-      this.#addSample(duration, SERVICE_TIME_SAMPLE_WEIGHT, now);
+      this.#profile.addSample(duration, route);
+      this.#addSample(duration, SERVICE_TIME_SAMPLE_WEIGHT, now, route);
     }
+    this.#profile.groups.recordAnswer(this.isReserved, this.#profile.workTime(route));
   }
 
-  #addSample(duration: Milliseconds, weight: number, now: Milliseconds): void {
+  #addSample(duration: Milliseconds, weight: number, now: Milliseconds, route: Route): void {
     const previous = this.#decayedTime(now);
+    const relative = this.#decayedRelativeTime(now);
     this.#serverTime = previous + (duration - previous) * weight;
+    this.#relativeTime = relative + (duration / this.#profile.workTime(route) - relative) * weight;
     this.#sampledAt = now;
   }
 
@@ -126,11 +143,19 @@
     return this.#serverTime === null ? mean : mean + (this.#serverTime - mean) * decay;
   }
 
+  /** Returns the time of a request here as a multiple of its route's mean, decayed towards 1 with the age of the last sample. */
+  #decayedRelativeTime(now: Milliseconds): number {
+    if (this.#serverTime === null) {
+      return 1;
+    }
+    return 1 + (this.#relativeTime - 1) * Math.exp((this.#sampledAt - now) / SERVICE_TIME_DECAY_TIME);
+  }
+
   /** Records that a request ended without an answer after `duration`; `waited` is whether it may have waited for a slot of the server. */
-  recordUnanswered(duration: Milliseconds, now: Milliseconds, waited: boolean): void {
+  recordUnanswered(duration: Milliseconds, now: Milliseconds, waited: boolean, route: Route): void {
     this.unreported.total += duration;
-    if (!waited && duration > this.serviceTime) {
-      this.#addSample(duration, UNANSWERED_SAMPLE_WEIGHT, now);
+    if (!waited && duration > this.#usualTimeOf(route)) {
+      this.#addSample(duration, UNANSWERED_SAMPLE_WEIGHT, now, route);
     }
   }
 
@@ -145,7 +170,29 @@
     return this.inFlight.size + this.otherRequests(now);
   }
 
-  /** Returns the expected time until a new request at the server is answered. */
+  #usualTimeOf(route: Route): Milliseconds {
+    const { hasSeveralRoutes } = this.#profile;
+    return hasSeveralRoutes ? this.#relativeTime * this.#profile.workTime(route) : this.serviceTime;
+  }
+
+  /** Returns the expected time until a new request of a route at a balanced server is answered, without a slowdown. */
+  balancedResponseTime(slots: number, route: Route, now: Milliseconds): Milliseconds {
+    const profile = this.#profile;
+    const rounds = expectedQueuedRounds(slots, this.inFlight.size, this.otherRequests(now));
+    if (!profile.hasSeveralRoutes) {
+      return this.#decayedTime(now) * (1 + rounds);
+    }
+    const queueWork = profile.groups.queueWork(this.isReserved) ?? profile.mean;
+    return this.#decayedRelativeTime(now) * (profile.workTime(route) + rounds * queueWork);
+  }
+
+  /** Returns how long the next request waits at an owner of keys after one more request was sent there. */
+  waitBehindNext(slots: number, now: Milliseconds): Milliseconds {
+    const queuedRounds = Math.max(0, this.estimatedInFlight(now) + 2 - slots) / slots;
+    return this.#decayedTime(now) * queuedRounds;
+  }
+
+  /** Returns the expected time until a new request at an owner of keys is answered. */
   expectedResponseTime(slots: number, now: Milliseconds): Milliseconds {
     const queuedRounds = Math.max(0, this.estimatedInFlight(now) + 1 - slots) / slots;
     return this.#decayedTime(now) * (1 + queuedRounds);
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -1,14 +1,28 @@
 /** Selects the server for a request that any server of its service can run. */
 import type { SeededRandom } from '../../core/random.js';
+import type { Route } from '../model/configuration.js';
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import { COLD_SLOWDOWN } from './request-timing.js';
-import { findIneligibility, type CandidateServer, type EligibilityContext } from './server-eligibility.js';
+import {
+  findIneligibility,
+  type CandidateServer,
+  type EligibilityContext,
+  type Ineligibility,
+} from './server-eligibility.js';
 
-/** Extra cost of a server in another zone, as a fraction of the latency objective; traffic between zones is expensive. */
-const OTHER_ZONE_COST_FRACTION = 0.3;
+/** Assumed time of one network way between two zones. */
+const OTHER_ZONE_WAY: Milliseconds = 1.5;
+/**
+ * A server in another zone costs at least this fraction of the route's work time: more than the jitter, so that requests cross zones only
+ * when the own zone's servers are busier, and little enough that they cross before a queue forms there.
+ */
+const OTHER_ZONE_WORK_FRACTION = 0.2;
 /** Random fraction added to a server's cost, which spreads requests over servers with nearly equal costs. */
 const COST_JITTER = 0.15;
-
+/** Requests that may wait at a server for each of its slots before the server counts as at capacity. */
+export const MAX_WAITING_PER_SLOT = 3;
+/** A request is not sent to a server without a free slot where it is expected to take more than this fraction of its latency objective. */
+export const MAX_EXPECTED_TIME_FRACTION = 0.95;
 /** Typical time until a permit arrives. As an extra cost, it prefers servers that need no permit, or for which this daemon has one. */
 const PERMIT_WAIT_COST: Milliseconds = 30;
 
@@ -16,19 +30,44 @@
 export interface SelectionContext extends EligibilityContext {
   /** Zone of this daemon. */
   readonly zone: string;
-  readonly latencyObjective: Milliseconds;
+  readonly route: Route;
+  /** Mean work time of the route. */
+  readonly workTime: Milliseconds;
+  /** Whether the request may go to reserved servers. */
+  readonly mayUseReserved: boolean;
   readonly random: SeededRandom;
   /** Servers that the request has been sent to already. */
   readonly tried: readonly ServerId[];
 }
 
-function cost(candidate: CandidateServer, context: SelectionContext): Milliseconds {
-  const { server, load, coldUntil } = candidate;
-  const coldFactor = coldUntil > context.now ? COLD_SLOWDOWN : 1;
-  const baseTime = load.expectedResponseTime(server.slots, context.now);
-  const expectedTime = baseTime * load.slowdown(context.now) * coldFactor;
-  const zoneCost = server.zone === context.zone ? 0 : context.latencyObjective * OTHER_ZONE_COST_FRACTION;
-  return expectedTime * (1 + COST_JITTER * context.random.fraction()) + zoneCost;
+/** The selected server; `full`: servers may get the request, but none has room; `none`: no server may get it. */
+export type Selection<Server> =
+  { readonly kind: 'selected'; readonly server: Server } | { readonly kind: 'full' | 'none' };
+
+function expectedTime({ server, load, coldUntil }: CandidateServer, context: SelectionContext): Milliseconds {
+  const { now, route } = context;
+  const coldFactor = coldUntil > now ? COLD_SLOWDOWN : 1;
+  return load.balancedResponseTime(server.slots, route, now) * load.slowdown(now) * coldFactor;
+}
+
+function cost({ server }: CandidateServer, time: Milliseconds, context: SelectionContext): Milliseconds {
+  const otherZoneCost = Math.max(2 * OTHER_ZONE_WAY, context.workTime * OTHER_ZONE_WORK_FRACTION);
+  const zoneCost = server.zone === context.zone ? 0 : otherZoneCost;
+  return time * (1 + COST_JITTER * context.random.fraction()) + zoneCost;
+}
+
+/** Returns whether a server would take a new request and answer it within its objective, or has a free slot. */
+function hasRoom(
+  { server, load }: CandidateServer,
+  time: Milliseconds,
+  { now, route }: SelectionContext,
+): boolean {
+  const estimatedInFlight = load.estimatedInFlight(now);
+  if (estimatedInFlight < server.slots) {
+    return true;
+  }
+  const isLate = time > route.latencyObjective * MAX_EXPECTED_TIME_FRACTION;
+  return !isLate && estimatedInFlight < server.slots * (1 + MAX_WAITING_PER_SLOT);
 }
 
 /** Keeps the server with the lowest cost of those added. */
@@ -44,28 +83,51 @@
   }
 }
 
-/** Returns the server with the lowest cost, mainly the expected response time; undefined when no server may get the request. */
+/** Selects the server with the lowest cost, mainly the expected response time, of those that have room. */
 export function selectServer<Server extends CandidateServer>(
   candidates: Iterable<Server>,
   context: SelectionContext,
-): Server | undefined {
+): Selection<Server> {
   const eligible = new LowestCost<Server>();
   const awaitingPermit = new LowestCost<Server>();
   const permitRequested = new LowestCost<Server>();
+  let isAnyFull = false;
   for (const candidate of candidates) {
-    const gate = context.tried.includes(candidate.server.id)
-      ? 'tried'
-      : findIneligibility(candidate, context);
-    if (gate === null) {
-      eligible.add(candidate, cost(candidate, context));
-    } else if (gate === 'awaits_permit') {
+    const gate = findObstacle(candidate, context);
+    if (gate !== null && gate !== 'awaits_permit') {
+      continue;
+    }
+    const time = expectedTime(candidate, context);
+    if (!hasRoom(candidate, time, context)) {
+      isAnyFull = true;
+    } else if (gate === null) {
+      eligible.add(candidate, cost(candidate, time, context));
+    } else {
       const isAsked = candidate.permits.isRequested(context.seeker.id);
-      (isAsked ? permitRequested : awaitingPermit).add(
-        candidate,
-        cost(candidate, context) + PERMIT_WAIT_COST,
-      );
+      const permitCost = cost(candidate, time, context) + PERMIT_WAIT_COST;
+      (isAsked ? permitRequested : awaitingPermit).add(candidate, permitCost);
     }
   }
+  const server = chooseByPermit(eligible, awaitingPermit, permitRequested);
+  return server === undefined ? { kind: isAnyFull ? 'full' : 'none' } : { kind: 'selected', server };
+}
+
+/** Returns why a server may not get the request, or null when it may. */
+function findObstacle(
+  candidate: CandidateServer,
+  context: SelectionContext,
+): Ineligibility | 'tried' | 'reserved' | null {
+  if (candidate.load.isReserved && !context.mayUseReserved) {
+    return 'reserved';
+  }
+  return context.tried.includes(candidate.server.id) ? 'tried' : findIneligibility(candidate, context);
+}
+
+function chooseByPermit<Server>(
+  eligible: LowestCost<Server>,
+  awaitingPermit: LowestCost<Server>,
+  permitRequested: LowestCost<Server>,
+): Server | undefined {
   if (permitRequested.server !== undefined) {
     // The requested permit is still missing and the leader may be gone, so a server that needs no permit is preferred.
     return eligible.server ?? permitRequested.server;
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -1,5 +1,8 @@
-/** Mean time of a service's requests on an idle slot, over all of its servers. */
+/** Work times of a service's requests on an idle slot, over all of its servers, and the load of its server groups. */
+import type { Route } from '../model/configuration.js';
 import type { Milliseconds } from '../model/identifiers.js';
+import { ReservedServers } from './reserved-servers.js';
+import { ServerGroups } from './server-groups.js';
 
 /** Assumed service time before any request has been measured. */
 const INITIAL_SERVICE_TIME: Milliseconds = 80;
@@ -7,6 +10,27 @@
 const MIN_SAMPLE_WEIGHT = 0.02;
 /** Number of samples below which the mean says little about the service. */
 const MIN_SAMPLES = 5;
+/** A route has demand at this daemon for this long after its last request, which bridges the gaps of a route with few requests. */
+const ROUTE_DEMAND_TIME: Milliseconds = 2_000;
+
+/** Running mean of durations. */
+class MeanTime {
+  mean: Milliseconds = INITIAL_SERVICE_TIME;
+  sampleCount = 0;
+
+  add(duration: Milliseconds): void {
+    this.sampleCount += 1;
+    this.mean += (duration - this.mean) * Math.max(MIN_SAMPLE_WEIGHT, 1 / this.sampleCount);
+  }
+}
+
+/** Requests of one route to the service. */
+interface RouteRecord {
+  readonly work: MeanTime;
+  route: Route;
+  /** Time of this daemon's last request of the route. */
+  requestedAt: Milliseconds;
+}
 
 /** Shared by all servers of one service; gives the expected service time of a server with few samples of its own. */
 export class ServiceProfile {
@@ -16,22 +40,76 @@
   loggedUnreadableBackoff = false;
   /** Whether the log already has an unreadable rate limit from a server of the service. */
   loggedUnreadableLimit = false;
-  #mean: Milliseconds = INITIAL_SERVICE_TIME;
-  #sampleCount = 0;
+  /** Load of the reserved and the shared servers, if the service is balanced. */
+  readonly groups = new ServerGroups();
+  readonly reserved = new ReservedServers();
+  /** When loads and reserved servers are updated next. */
+  nextRefreshAt: Milliseconds = 0;
+  /** Revision of the server list at the last update. */
+  refreshedRevision: number | null = null;
+  readonly #service = new MeanTime();
+  readonly #routes = new Map<string, RouteRecord>();
 
   /** Mean time of a request on an idle slot. */
   get mean(): Milliseconds {
-    return this.#mean;
+    return this.#service.mean;
   }
 
   /** Whether there are enough samples to judge a server by the mean. */
   get hasEnoughSamples(): boolean {
-    return this.#sampleCount >= MIN_SAMPLES;
+    return this.#service.sampleCount >= MIN_SAMPLES;
+  }
+
+  /** Whether requests of more than one route come to the service. */
+  get hasSeveralRoutes(): boolean {
+    return this.#routes.size > 1;
+  }
+
+  /** Returns whether loads and reserved servers are to be updated: after some time, and at once when the server list has changed. */
+  isRefreshDue(revision: number | null, now: Milliseconds): boolean {
+    return now >= this.nextRefreshAt || revision !== this.refreshedRevision;
+  }
+
+  /** Records that a request of a route is to be sent. */
+  recordDemand(route: Route, now: Milliseconds): void {
+    const record = this.#recordOf(route);
+    record.route = route;
+    record.requestedAt = now;
   }
 
   /** Adds the duration of a request that did not wait for a slot. */
-  addSample(duration: Milliseconds): void {
-    this.#sampleCount += 1;
-    this.#mean += (duration - this.#mean) * Math.max(MIN_SAMPLE_WEIGHT, 1 / this.#sampleCount);
+  addSample(duration: Milliseconds, route: Route): void {
+    this.#service.add(duration);
+    this.#recordOf(route).work.add(duration);
+  }
+
+  /** Mean time of a route's request on an idle slot; before the first sample, the mean of the service. */
+  workTime(route: Route): Milliseconds {
+    const work = this.#routes.get(route.name)?.work;
+    return work === undefined || work.sampleCount === 0 ? this.mean : work.mean;
+  }
+
+  /** Returns whether a more urgent route with demand would be late at a server where its next request waits for `wait`. */
+  makesMoreUrgentLate(priority: number, wait: Milliseconds, now: Milliseconds): boolean {
+    if (!this.hasSeveralRoutes || wait <= 0) {
+      return false;
+    }
+    for (const { route, requestedAt } of this.#routes.values()) {
+      const hasDemand = now - requestedAt < ROUTE_DEMAND_TIME;
+      const isMoreUrgent = route.priority < priority;
+      if (isMoreUrgent && hasDemand && wait > route.latencyObjective - this.workTime(route)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #recordOf(route: Route): RouteRecord {
+    let record = this.#routes.get(route.name);
+    if (record === undefined) {
+      record = { work: new MeanTime(), route, requestedAt: Number.NEGATIVE_INFINITY };
+      this.#routes.set(route.name, record);
+    }
+    return record;
   }
 }
--- a/test/router/request/test-server-load.ts
+++ b/test/router/request/test-server-load.ts
@@ -1,6 +1,7 @@
 import { ServerBackOff } from '../../../src/router/notices/server-back-off.js';
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
+import type { Route } from '../../../src/router/model/configuration.js';
 import { ServerContact } from '../../../src/router/reachability/server-contact.js';
 import { SeededRandom } from '../../../src/core/random.js';
 import { ZoneEvacuations } from '../../../src/router/news/zone-evacuations.js';
@@ -10,8 +11,10 @@
 import type { CandidateServer } from '../../../src/router/request/server-eligibility.js';
 import { selectServer } from '../../../src/router/request/server-selection.js';
 import { ServiceProfile } from '../../../src/router/request/service-profile.js';
-import { describeServer } from '../support/single-daemon.js';
+import { CONFIGURATION, describeServer } from '../support/single-daemon.js';
 
+/** A route with a latency objective of 400 ms. */
+const ROUTE = CONFIGURATION.routes[0] as Route;
 const IDLE = { running: 0, waiting: 0, slots: 2, slowdown: 1 };
 
 function createCandidate(id: string): CandidateServer {
@@ -33,9 +36,11 @@
   const random = new SeededRandom(1);
   let selections = 0;
   for (let round = 0; round < 100; round += 1) {
-    const context = { now, zone: 'z', latencyObjective: 400, random, tried: [], maxInFlight: 9 };
+    const context = { now, zone: 'z', random, tried: [], maxInFlight: 9 };
+    const choice = { route: ROUTE, workTime: 80, mayUseReserved: true };
     const best = selectServer([first, second], {
       ...context,
+      ...choice,
       coldInterval: null,
       drainingGrace: 0,
       evacuationGrace: 0,
@@ -44,7 +49,7 @@
       seeker: { id: 1, priority: 1, holdUntil: now },
       evacuations: new ZoneEvacuations(),
     });
-    selections += best === first ? 1 : 0;
+    selections += best.kind === 'selected' && best.server === first ? 1 : 0;
   }
   return selections;
 }
