--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -186,7 +186,7 @@
     recordWorkTime(context, request, duration);
   }
   known?.backOff.recordAnswer(request.attemptStartedAt);
-  known?.load.answered(duration, now, mayHaveWaited(request, load));
+  known?.load.answered(duration, now, mayHaveWaited(request, load), request.route);
   known?.load.window.answered(duration, request.route.latencyObjective, known.load.inFlight.size, now);
 }
 
@@ -266,7 +266,7 @@
   if (now - request.attemptStartedAt < MAX_SHED_TIME) {
     load.recordShed(server.slots, now);
   } else {
-    load.recordUnanswered(now - request.attemptStartedAt, now, !request.sentToFreeSlot);
+    load.recordUnanswered(now - request.attemptStartedAt, now, !request.sentToFreeSlot, request.route);
   }
 }
 
