--- a/src/router/request/balanced-service.ts
+++ b/src/router/request/balanced-service.ts
@@ -1,18 +1,14 @@
 /** Updates what the choice among a balanced service's servers depends on: the mean loads, and the set of reserved servers. */
-import { type ServiceLoadView, UNKNOWN_LOAD } from '../load-view/load-view.js';
+import { loadViewOf } from '../load-view/load-view-of.js';
 import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
-import type { KnownServer, RouterState } from '../router-state.js';
+import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
 import type { ServiceProfile } from './service-profile.js';
 
 /** Time between two updates. A surge is acted on within half a second, and the cost of an update is spread over many requests. */
 const REFRESH_INTERVAL: Milliseconds = 50;
 
-/** Stands in for the load view of `src/router/load-view/` until that exists. */
-const loadViewOf: (state: RouterState, service: ServiceName, now: Milliseconds) => ServiceLoadView = () =>
-  UNKNOWN_LOAD;
-
 /** Returns the profile of a request's service with recent loads and reserved servers; undefined: no server of it was ever known. */
 export function refreshBalancedService(
   context: RouterContext,
