--- a/src/router-runtime/peer-codec.ts
+++ b/src/router-runtime/peer-codec.ts
@@ -40,13 +40,22 @@
   return { kind, revision, configuration: { ...configuration, services } };
 }
 
+/** Long messages that have been encoded. The same one is often sent to many daemons, such as the ownership to those that join a new leader. */
+const encodedMessages = new WeakMap<PeerMessage, Uint8Array>();
+
 /** Returns a message as a protobuf frame, deflated if it is long. */
 export function encodePeerMessage(message: PeerMessage): Uint8Array {
+  return encodedMessages.get(message) ?? encode(message);
+}
+
+function encode(message: PeerMessage): Uint8Array {
   const bytes = router.Frame.encode({ [message.kind]: toWire(message) } as router.IFrame).finish();
   if (bytes.length < MIN_DEFLATED_BYTES) {
     return bytes;
   }
-  return router.Frame.encode({ deflated: deflateRawSync(bytes, { level: DEFLATE_LEVEL }) }).finish();
+  const frame = router.Frame.encode({ deflated: deflateRawSync(bytes, { level: DEFLATE_LEVEL }) }).finish();
+  encodedMessages.set(message, frame);
+  return frame;
 }
 
 function decodeFrame(bytes: Uint8Array): router.Frame {
--- a/src/router/ownership/ownership-view.ts
+++ b/src/router/ownership/ownership-view.ts
@@ -48,20 +48,25 @@
     this.#byService = byService;
   }
 
+  /** Returns whether this is the view with the given term and sequence. */
+  is(term: number, sequence: number): boolean {
+    return this.term === term && this.sequence === sequence;
+  }
+
   /** Returns whether this view replaces the other. */
   isNewerThan(other: OwnershipView): boolean {
     return this.term > other.term || (this.term === other.term && this.sequence > other.sequence);
   }
 
-  /** Returns the view after a change: the given units replace those that they overlap. */
-  changed(sequence: number, units: readonly UnitView[]): OwnershipView {
+  /** Returns the view of a term after a change: the given units replace those that they overlap. */
+  changed(term: number, sequence: number, units: readonly UnitView[]): OwnershipView {
     const byService = new Map(this.#byService);
     for (const [service, changed] of groupByService(units)) {
       const before = byService.get(service) ?? [];
       const kept = before.filter((unit) => !changed.some((other) => overlap(unit, other)));
       byService.set(service, [...kept, ...changed].sort(byFirstKey));
     }
-    return new OwnershipView(this.term, sequence, [...byService.values()].flat(), byService);
+    return new OwnershipView(term, sequence, [...byService.values()].flat(), byService);
   }
 
   /** Returns the unit that contains a key. */
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -44,6 +44,9 @@
   readonly serversPosition: number;
   /** Sequence number of the sender's ownership view, or 0 if the view belongs to another term. */
   readonly ownershipSequence: number;
+  /** Term and sequence number of the sender's ownership view, whichever leader it is from; 0 from an earlier software version. */
+  readonly viewTerm: number;
+  readonly viewSequence: number;
   /** Number of daemons in the sender's subtree, including itself. */
   readonly daemons: number;
   /** Daemons that have joined the sender's subtree since the last report. */
@@ -135,6 +138,8 @@
   readonly sequence: number;
   /** Sequence number to which `units` is a delta, or 0 if `units` is a snapshot. */
   readonly base: number;
+  /** Term of the view that `base` belongs to; 0: the term of this message. */
+  readonly baseTerm: number;
   readonly units: UnitStatement[];
 }
 /** Sent by the leader to a daemon that should connect to a relay instead. */
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -116,6 +116,8 @@
   /** How many of them have lost their path to the servers of a service. */
   pathlessDaemons: number;
   ownershipView: OwnershipView;
+  /** The last view of the leader before this one. */
+  formerOwnershipView: OwnershipView;
   readonly recentlyRejectedUnits: RecentlyRejectedUnits;
   readonly election: ElectionState;
   readonly isolation: IsolationState;
@@ -176,6 +178,7 @@
     daemons: INITIAL_DAEMON_COUNT,
     pathlessDaemons: 0,
     ownershipView: EMPTY_VIEW,
+    formerOwnershipView: EMPTY_VIEW,
     recentlyRejectedUnits: new RecentlyRejectedUnits(),
     election: createElectionState(),
     isolation: createIsolationState(),
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -3,7 +3,7 @@
 import { sendUpdatesSince } from '../news/store-updates.js';
 import { applyEvacuations } from '../news/apply-evacuations.js';
 import { createNoticeSnapshots } from '../notices/notice-snapshots.js';
-import { fullOwnershipMessage } from '../ownership/ownership-broadcast.js';
+import { missedOwnershipMessage } from '../ownership/ownership-broadcast.js';
 import type { Report } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
 import { sendHeartbeat } from './heartbeats.js';
@@ -110,7 +110,7 @@
   const isChanging = leadership?.viewChanged === true;
   if (isCurrent && report.ownershipSequence !== ownershipView.sequence && !isChanging) {
     // The child missed an ownership change or has just connected.
-    context.emit({ kind: 'sendToChildren', link, message: fullOwnershipMessage(ownershipView) });
+    context.emit({ kind: 'sendToChildren', link, message: missedOwnershipMessage(context.state, report) });
   }
   return sendUpdatesSince(context, link, child, report);
 }
--- a/src/router/tree/reports.ts
+++ b/src/router/tree/reports.ts
@@ -116,6 +116,8 @@
       serversPosition: state.serversRevision ?? 0,
       ownershipSequence:
         state.ownershipView.term === election.leader?.term ? state.ownershipView.sequence : 0,
+      viewTerm: state.ownershipView.term,
+      viewSequence: state.ownershipView.sequence,
       daemons: 1 + countDescendants(state.tree, now),
       started,
       overloaded,
--- a/test/router/news/test-store-data-age.ts
+++ b/test/router/news/test-store-data-age.ts
@@ -139,6 +139,8 @@
     serversRevision: 1,
     serversPosition: 5,
     ownershipSequence: 0,
+    viewTerm: 0,
+    viewSequence: 0,
     daemons: 1,
     started: [],
     evacuations: null,
--- a/test/router/news/test-store-updates.ts
+++ b/test/router/news/test-store-updates.ts
@@ -25,6 +25,8 @@
   serversRevision: 5,
   serversPosition: 15,
   ownershipSequence: 0,
+  viewTerm: 0,
+  viewSequence: 0,
   daemons: 1,
   started: [],
   evacuations: null,
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -31,7 +31,14 @@
     confirmData(this.state, this.now);
     this.readLeader();
     const unit = { service: SERVICE, from: 0, to: 65_535, owner: 's1', fence: 3, granted: true };
-    const statement: Ownership = { kind: 'ownership', term: 1, sequence: 1, base: 0, units: [unit] };
+    const statement: Ownership = {
+      kind: 'ownership',
+      term: 1,
+      sequence: 1,
+      base: 0,
+      baseTerm: 0,
+      units: [unit],
+    };
     this.event({ kind: 'peerMessage', link: 1, message: statement });
   }
 
