--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -111,7 +111,7 @@
 ): boolean {
   const profile = state.serviceProfiles.get(request.service);
   const wait = known.load.waitBehindNext(known.server.slots, now);
-  return profile?.makesMoreUrgentLate(request.route.priority, wait, now) ?? false;
+  return profile !== undefined && wait > profile.maxWaitForMoreUrgent(request.route.priority, now);
 }
 
 /** Returns the owner of a key, or a refusal while this daemon doesn't know that the owner holds the key. */
@@ -207,6 +207,7 @@
     route,
     workTime: profile.workTime(route),
     mayUseReserved: profile.reserved.allows(route.priority),
+    maxWaitBehind: profile.maxWaitBehind(route.priority, context.now),
     zone: identity.zone,
     random,
     tried: request.triedServers,
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -186,6 +186,13 @@
     return this.#decayedRelativeTime(now) * (profile.workTime(route) + rounds * queueWork);
   }
 
+  /** Returns how long the next request is expected to wait at a balanced server after one more request was sent there. */
+  waitBehindBalanced(slots: number, now: Milliseconds): Milliseconds {
+    const { groups, mean } = this.#profile;
+    const rounds = expectedQueuedRounds(slots, this.inFlight.size + 1, this.otherRequests(now));
+    return this.#decayedRelativeTime(now) * rounds * (groups.queueWork(this.isReserved) ?? mean);
+  }
+
   /** Returns how long the next request waits at an owner of keys after one more request was sent there. */
   waitBehindNext(slots: number, now: Milliseconds): Milliseconds {
     const queuedRounds = Math.max(0, this.estimatedInFlight(now) + 2 - slots) / slots;
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -21,6 +21,11 @@
 const COST_JITTER = 0.15;
 /** Requests that may wait at a server for each of its slots before the server counts as at capacity. */
 export const MAX_WAITING_PER_SLOT = 3;
+/**
+ * Other daemons' requests at a server vary around their estimate like a Poisson variable. A server counts as at capacity when this many
+ * standard deviations more would fill its queue; without them, a tenth to a third of the sends in a surge were rejected.
+ */
+const QUEUE_DEVIATIONS = 2;
 /** A request is not sent to a server without a free slot where it is expected to take more than this fraction of its latency objective. */
 export const MAX_EXPECTED_TIME_FRACTION = 0.95;
 /** Typical time until a permit arrives. As an extra cost, it prefers servers that need no permit, or for which this daemon has one. */
@@ -35,6 +40,8 @@
   readonly workTime: Milliseconds;
   /** Whether the request may go to reserved servers. */
   readonly mayUseReserved: boolean;
+  /** Longest wait of the next request after this one at a shared server, so that more urgent requests still answer in time there. */
+  readonly maxWaitBehind: Milliseconds;
   readonly random: SeededRandom;
   /** Servers that the request has been sent to already. */
   readonly tried: readonly ServerId[];
@@ -60,14 +67,18 @@
 function hasRoom(
   { server, load }: CandidateServer,
   time: Milliseconds,
-  { now, route }: SelectionContext,
+  { now, route, maxWaitBehind }: SelectionContext,
 ): boolean {
+  if (load.waitBehindBalanced(server.slots, now) > maxWaitBehind) {
+    return false;
+  }
   const estimatedInFlight = load.estimatedInFlight(now);
   if (estimatedInFlight < server.slots) {
     return true;
   }
   const isLate = time > route.latencyObjective * MAX_EXPECTED_TIME_FRACTION;
-  return !isLate && estimatedInFlight < server.slots * (1 + MAX_WAITING_PER_SLOT);
+  const spread = QUEUE_DEVIATIONS * Math.sqrt(load.otherRequests(now));
+  return !isLate && estimatedInFlight + spread < server.slots * (1 + MAX_WAITING_PER_SLOT);
 }
 
 /** Keeps the server with the lowest cost of those added. */
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -89,19 +89,23 @@
     return work === undefined || work.sampleCount === 0 ? this.mean : work.mean;
   }
 
-  /** Returns whether a more urgent route with demand would be late at a server where its next request waits for `wait`. */
-  makesMoreUrgentLate(priority: number, wait: Milliseconds, now: Milliseconds): boolean {
-    if (!this.hasSeveralRoutes || wait <= 0) {
-      return false;
-    }
-    for (const { route, requestedAt } of this.#routes.values()) {
-      const hasDemand = now - requestedAt < ROUTE_DEMAND_TIME;
-      const isMoreUrgent = route.priority < priority;
-      if (isMoreUrgent && hasDemand && wait > route.latencyObjective - this.workTime(route)) {
-        return true;
+  /** Returns the longest wait at a server with which every more urgent route that has demand answers within its objective. */
+  maxWaitForMoreUrgent(priority: number, now: Milliseconds): Milliseconds {
+    let longest = Number.POSITIVE_INFINITY;
+    if (this.hasSeveralRoutes) {
+      for (const { route, requestedAt } of this.#routes.values()) {
+        if (route.priority < priority && now - requestedAt < ROUTE_DEMAND_TIME) {
+          // A server without a queue makes no request late, however long the work is.
+          longest = Math.min(longest, Math.max(0, route.latencyObjective - this.workTime(route)));
+        }
       }
     }
-    return false;
+    return longest;
+  }
+
+  /** Returns the longest wait behind a request at a shared server: limited while the reserved servers are too few for the urgent demand. */
+  maxWaitBehind(priority: number, now: Milliseconds): Milliseconds {
+    return this.reserved.isSufficient ? Number.POSITIVE_INFINITY : this.maxWaitForMoreUrgent(priority, now);
   }
 
   #recordOf(route: Route): RouteRecord {
--- a/test/router/request/test-server-load.ts
+++ b/test/router/request/test-server-load.ts
@@ -37,7 +37,12 @@
   let selections = 0;
   for (let round = 0; round < 100; round += 1) {
     const context = { now, zone: 'z', random, tried: [], maxInFlight: 9 };
-    const choice = { route: ROUTE, workTime: 80, mayUseReserved: true };
+    const choice = {
+      route: ROUTE,
+      workTime: 80,
+      mayUseReserved: true,
+      maxWaitBehind: Number.POSITIVE_INFINITY,
+    };
     const best = selectServer([first, second], {
       ...context,
       ...choice,
