--- a/src/router/request/balanced-service.ts
+++ b/src/router/request/balanced-service.ts
@@ -4,6 +4,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer, RouterState } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
+import type { CandidateServer } from './server-eligibility.js';
 import type { ServiceProfile } from './service-profile.js';
 
 /** Time between two updates. A surge is acted on within half a second, and the cost of an update is spread over many requests. */
@@ -41,8 +42,7 @@
 ): void {
   const view = loadViewOf(state, service, now);
   profile.groups.update(view, state.daemons, profile.mean, now);
-  profile.reserved.update(view, servers, state.serversRevision, ({ server, drainingSince, coldUntil }) => {
-    const isEvacuated = state.evacuations.age(server.zone, now) !== null;
-    return drainingSince === null && coldUntil <= now && !isEvacuated;
-  });
+  const isUsable = ({ server, drainingSince, coldUntil }: CandidateServer): boolean =>
+    drainingSince === null && coldUntil <= now && state.evacuations.age(server.zone, now) === null;
+  profile.reserved.update(view, servers, state.serversRevision, isUsable, now);
 }
--- a/src/router/request/reserved-servers.ts
+++ b/src/router/request/reserved-servers.ts
@@ -3,7 +3,7 @@
  * the server list and the demand, in a way that gives nearly the same set when the inputs differ a little.
  */
 import type { ServiceLoadView } from '../load-view/load-view.js';
-import type { ServerId } from '../model/identifiers.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import { hashText } from '../model/text-hash.js';
 import type { CandidateServer } from './server-eligibility.js';
 
@@ -19,6 +19,9 @@
 /** The set's size follows the demand in steps of a quarter, so that daemons with slightly different demand mostly agree. */
 const DEMAND_STEP = Math.log(1.25);
 
+/** A demand that this daemon only extrapolates from its own requests is averaged over about this time, since it sees few of them. */
+const OWN_DEMAND_TIME: Milliseconds = 2_000;
+
 /** Demand for which servers are reserved. */
 export interface UrgentDemand {
   /** The least urgent priority whose requests may go to reserved servers. */
@@ -134,10 +137,27 @@
   /** Whether the reserved servers are enough for the urgent demand; more than half of the servers are never reserved. */
   isSufficient = true;
   readonly #step = new DemandStep();
+  #meanDemand = 0;
+  #updatedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #order: readonly CandidateServer[] = [];
   /** The list of servers that the order was computed from. */
   #orderedRevision: number | null = null;
 
+  #demand(view: ServiceLoadView, now: Milliseconds): UrgentDemand | null {
+    const observed = urgentDemand(view, view.source === 'own' ? 0 : this.#minimum);
+    const weight = view.source === 'own' ? 1 - Math.exp((this.#updatedAt - now) / OWN_DEMAND_TIME) : 1;
+    this.#meanDemand += ((observed?.slots ?? 0) - this.#meanDemand) * weight;
+    this.#updatedAt = now;
+    const priority = observed?.priority ?? this.priority;
+    return priority === null || this.#meanDemand < this.#minimum
+      ? null
+      : { priority, slots: this.#meanDemand };
+  }
+
+  get #minimum(): number {
+    return this.priority === null ? MIN_URGENT_DEMAND : MIN_KEPT_DEMAND;
+  }
+
   #slots(): number {
     return this.#order.reduce((sum, { load, server }) => sum + (load.isReserved ? server.slots : 0), 0);
   }
@@ -157,8 +177,9 @@
     servers: ReadonlyMap<ServerId, CandidateServer>,
     revision: number | null,
     isUsable: (known: CandidateServer) => boolean,
+    now: Milliseconds,
   ): void {
-    const demand = urgentDemand(view, this.priority === null ? MIN_URGENT_DEMAND : MIN_KEPT_DEMAND);
+    const demand = this.#demand(view, now);
     if (demand === null && this.priority === null) {
       return;
     }
--- a/src/router/request/server-groups.ts
+++ b/src/router/request/server-groups.ts
@@ -7,8 +7,15 @@
 
 /** The weight of a load report in this daemon's own mean decays by a factor of e in this time. */
 const OWN_MEAN_TIME: Milliseconds = 1_000;
+/** The same while there is a mean over all daemons, which is half a second old: the own reports say what has changed since. */
+const RECENT_REPORT_TIME: Milliseconds = 300;
 /** Weight of an assumed idle server in the own mean, so that the mean falls to zero when no reports come any more. */
 const IDLE_WEIGHT = 0.2;
+/**
+ * Weight of the mean over all daemons, in reports of this daemon. With that mean alone all daemons sent and stopped at the same times, and a
+ * surge had up to a fifth of the sends rejected.
+ */
+const FLEET_WEIGHT = 1;
 /** Weight of one answer in the mean work time of the requests at a group's servers. */
 const QUEUE_WORK_WEIGHT = 0.05;
 /** The estimate for an owner of keys decays by a factor of e in this time. */
@@ -16,12 +23,18 @@
 /** The estimate for a balanced server decays by a factor of e in this many mean work times, in which the requests at it are replaced. */
 const LOAD_DECAY_WORK_TIMES = 2;
 
-/** Mean of values over about the last second. */
+/** Mean of values, of which recent ones count more. */
 class RecentMean {
+  readonly #time: Milliseconds;
   #sum = 0;
   #weight = 0;
   #updatedAt: Milliseconds = 0;
 
+  /** @param time time in which a value's weight decays by a factor of e */
+  constructor(time: Milliseconds) {
+    this.#time = time;
+  }
+
   add(value: number, now: Milliseconds): void {
     const decay = this.#decay(now);
     this.#sum = this.#sum * decay + value;
@@ -29,13 +42,14 @@
     this.#updatedAt = now;
   }
 
-  at(now: Milliseconds): number {
+  /** Returns the mean, together with a value of the given weight that was known before. */
+  at(now: Milliseconds, prior: number, priorWeight: number): number {
     const decay = this.#decay(now);
-    return (this.#sum * decay) / (this.#weight * decay + IDLE_WEIGHT);
+    return (this.#sum * decay + prior * priorWeight) / (this.#weight * decay + priorWeight);
   }
 
   #decay(now: Milliseconds): number {
-    return Math.exp((this.#updatedAt - now) / OWN_MEAN_TIME);
+    return Math.exp((this.#updatedAt - now) / this.#time);
   }
 }
 
@@ -45,7 +59,21 @@
   otherRequests = 0;
   /** Mean work time of the requests at the servers; null before the first answer. */
   queueWork: Milliseconds | null = null;
-  readonly ownMean = new RecentMean();
+  readonly #ownMean = new RecentMean(OWN_MEAN_TIME);
+  readonly #recentMean = new RecentMean(RECENT_REPORT_TIME);
+
+  add(otherRequests: number, now: Milliseconds): void {
+    this.#ownMean.add(otherRequests, now);
+    this.#recentMean.add(otherRequests, now);
+  }
+
+  /** Updates the mean of other daemons' requests, with the mean over all daemons if it is known. */
+  update(fleetMean: number | null, now: Milliseconds): void {
+    this.otherRequests =
+      fleetMean === null
+        ? this.#ownMean.at(now, 0, IDLE_WEIGHT)
+        : this.#recentMean.at(now, fleetMean, FLEET_WEIGHT);
+  }
 }
 
 export class ServerGroups {
@@ -56,7 +84,7 @@
 
   /** Records the number of other daemons' requests that a server reported. */
   recordReport(isReserved: boolean, otherRequests: number, now: Milliseconds): void {
-    this.#group(isReserved).ownMean.add(otherRequests, now);
+    this.#group(isReserved).add(otherRequests, now);
   }
 
   /** Records an answer to a request whose route has the given mean work time. */
@@ -76,9 +104,8 @@
   }
 
   #update(isReserved: boolean, view: ServiceLoadView, othersShare: number, now: Milliseconds): void {
-    const group = this.#group(isReserved);
     const mean = view.meanLoad(isReserved);
-    group.otherRequests = mean === null ? group.ownMean.at(now) : mean * othersShare;
+    this.#group(isReserved).update(mean === null ? null : mean * othersShare, now);
   }
 
   /** Mean number of other daemons' requests at a server of a group. */
--- a/test/router/support/balanced-traffic.ts
+++ b/test/router/support/balanced-traffic.ts
@@ -207,7 +207,7 @@
     daemon.refreshAt = now + REFRESH_INTERVAL;
     const view = this.#viewOf(daemon);
     daemon.profile.groups.update(view, this.#setting.daemons, daemon.profile.mean, now);
-    daemon.profile.reserved.update(view, daemon.candidates, 1, () => true);
+    daemon.profile.reserved.update(view, daemon.candidates, 1, () => true, now);
   }
 
   #dispatch(daemon: Daemon, request: Request): void {
