--- a/src/router/request/reserved-servers.ts
+++ b/src/router/request/reserved-servers.ts
@@ -134,8 +134,6 @@
   priority: number | null = null;
   /** Number of usable reserved servers. */
   size = 0;
-  /** Whether the reserved servers are enough for the urgent demand; more than half of the servers are never reserved. */
-  isSufficient = true;
   readonly #step = new DemandStep();
   #meanDemand = 0;
   #updatedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -158,10 +156,6 @@
     return this.priority === null ? MIN_URGENT_DEMAND : MIN_KEPT_DEMAND;
   }
 
-  #slots(): number {
-    return this.#order.reduce((sum, { load, server }) => sum + (load.isReserved ? server.slots : 0), 0);
-  }
-
   /** Returns whether requests of a priority may go to the reserved servers. */
   allows(priority: number): boolean {
     return this.priority === null || priority <= this.priority;
@@ -193,6 +187,5 @@
     this.priority = demand?.priority ?? null;
     const slots = demand === null ? 0 : this.#step.follow(demand.slots);
     this.size = markReserved(this.#order, slots, isUsable);
-    this.isSufficient = this.#slots() * MAX_RESERVED_USE >= slots;
   }
 }
--- a/src/router/request/server-groups.ts
+++ b/src/router/request/server-groups.ts
@@ -15,7 +15,7 @@
  * Weight of the mean over all daemons, in reports of this daemon. With that mean alone all daemons sent and stopped at the same times, and a
  * surge had up to a fifth of the sends rejected.
  */
-const FLEET_WEIGHT = 1;
+const FLEET_WEIGHT = 0.3;
 /** Weight of one answer in the mean work time of the requests at a group's servers. */
 const QUEUE_WORK_WEIGHT = 0.05;
 /** The estimate for an owner of keys decays by a factor of e in this time. */
