--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -4,12 +4,8 @@
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest, RequestProxy } from '../request/active-request.js';
 import { DEFAULT_RETRY_AFTER } from '../request/request-timing.js';
-import {
-  dispatchRequest,
-  endWithOwnAnswer,
-  recordAttemptOutcome,
-  recordRequestEnd,
-} from '../request/request-dispatch.js';
+import { dispatchRequest, recordAttemptOutcome } from '../request/request-dispatch.js';
+import { endWithOwnAnswer, recordRequestEnd } from '../request/request-ending.js';
 import { endProxiedAttempt } from './proxy-load.js';
 
 /** Results for which the proxy responded. */
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -11,13 +11,8 @@
 import { recordLoadReport } from './load-reports.js';
 import { processLostAttempt } from './lost-attempt.js';
 import { processRejection } from './rejected-attempt.js';
-import {
-  avoidAfterFailure,
-  dispatchRequest,
-  endAttempt,
-  recordAttemptOutcome,
-  recordRequestEnd,
-} from './request-dispatch.js';
+import { avoidAfterFailure, dispatchRequest, endAttempt, recordAttemptOutcome } from './request-dispatch.js';
+import { recordRequestEnd } from './request-ending.js';
 import type { ReportedLoad } from './server-load.js';
 
 /** Processes the end of an attempt; ignores an attempt that isn't the request's current one. */
--- a/src/router/request/lost-attempt.ts
+++ b/src/router/request/lost-attempt.ts
@@ -7,12 +7,8 @@
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import type { ActiveRequest } from './active-request.js';
-import {
-  avoidAfterFailure,
-  dispatchRequest,
-  endWithOwnAnswer,
-  recordRequestEnd,
-} from './request-dispatch.js';
+import { avoidAfterFailure, dispatchRequest } from './request-dispatch.js';
+import { endWithOwnAnswer, recordRequestEnd } from './request-ending.js';
 import { DEFAULT_RETRY_AFTER } from './request-timing.js';
 
 /** Delay before a request for a key is sent to its owner again after a lost attempt: sent at once, it would fail again. */
--- a/src/router/request/rejected-attempt.ts
+++ b/src/router/request/rejected-attempt.ts
@@ -7,7 +7,8 @@
 import { reportOverload } from '../tree/reports.js';
 import type { ActiveRequest } from './active-request.js';
 import { recordLoadReport } from './load-reports.js';
-import { avoidAfterFailure, dispatchRequest, endWithOwnAnswer } from './request-dispatch.js';
+import { avoidAfterFailure, dispatchRequest } from './request-dispatch.js';
+import { endWithOwnAnswer } from './request-ending.js';
 import { HELD_RETRY_INTERVAL, OVERLOAD_RETRY_AFTER } from './request-timing.js';
 import type { ReportedLoad } from './server-load.js';
 
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -2,8 +2,6 @@
  * Forwards a request to a server, holds it, or ends it. The daemon answers that a request has not run only with proof: no attempt was sent,
  * or a server rejected each one that was.
  */
-import type { RequestOutcome } from '../effects.js';
-import type { LogEventName } from '../log-events.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import { storeDataAge } from '../news/store-data-age.js';
 import type { RouterContext } from '../router-context.js';
@@ -15,20 +13,10 @@
 import { requestPermit, recordPermitAnswer } from '../limits/permit-exchange.js';
 import { findDestination } from './destination.js';
 import { isRefusal, type RoutingRefusal } from './refusals.js';
+import { endWithOwnAnswer } from './request-ending.js';
 import { RetryBudget } from './retry-budget.js';
 import { DEFAULT_RETRY_AFTER, HELD_RETRY_INTERVAL } from './request-timing.js';
 
-const BAD_GATEWAY = 502;
-const UNAVAILABLE = 503;
-const GATEWAY_TIMEOUT = 504;
-/** Log event for each outcome of a request. */
-const LOG_EVENTS: Readonly<Record<RequestOutcome, LogEventName>> = {
-  answered: 'request_answered',
-  refused: 'request_refused',
-  failed: 'request_failed',
-  broken_off: 'request_broken_off',
-  caller_left: 'caller_left',
-};
 /** Maximum number of attempts of a request, including attempts that were never sent. */
 const MAX_ATTEMPTS_INCLUDING_UNSENT = 6;
 /** A request is no longer sent when less than this fraction of its latency objective is left until its deadline. */
@@ -148,65 +136,6 @@
   }
 }
 
-/** Ends a request with the daemon's own answer: a failure if the request may have run, else a refusal. */
-export function endWithOwnAnswer(
-  context: RouterContext,
-  request: ActiveRequest,
-  reason: string,
-  retryAfter: Milliseconds | null,
-  isPathLost = false,
-): void {
-  const { state, now } = context;
-  state.requests.delete(request.id);
-  const isPastDeadline = now >= request.deadlineAt;
-  const failed = request.mayHaveRun;
-  const failureStatus = isPastDeadline ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-  const status = failed ? failureStatus : UNAVAILABLE;
-  state.counters[failed ? 'failed' : 'refused'] += 1;
-  const answerRetryAfter = failed ? null : retryAfter;
-  context.emit({
-    kind: 'answer',
-    requestId: request.id,
-    status,
-    reason,
-    retryAfter: answerRetryAfter,
-    mayHaveRun: failed,
-    attempts: request.attempts,
-    isPathLost,
-  });
-  recordRequestEnd(context, request, failed ? 'failed' : 'refused', status, reason);
-}
-
-/** Records the end of a request in the log and the latency histograms. */
-export function recordRequestEnd(
-  context: RouterContext,
-  request: ActiveRequest,
-  outcome: RequestOutcome,
-  status: number,
-  reason: string,
-): void {
-  const { state, now } = context;
-  context.emit({ kind: 'requestEnded', outcome, duration: now - request.arrivedAt });
-  context.log(LOG_EVENTS[outcome], {
-    attempt_id: request.attemptId,
-    status,
-    reason,
-    route: request.route.name,
-    service: request.service,
-    key: request.key,
-    configuration: state.configuration?.version ?? null,
-    ownership: request.key === null ? null : `${state.ownershipView.term}.${state.ownershipView.sequence}`,
-    servers: state.serversRevision,
-    ...(request.dataAge !== null ? { data_age: request.dataAge } : {}),
-    attempts: request.attemptOutcomes,
-    milliseconds: Math.round(now - request.arrivedAt),
-    ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
-    ...(request.origin === null ? {} : { proxied_for: request.origin.daemon }),
-    ...(request.triedProxies.length === 0 ? {} : { proxy: request.triedProxies.at(-1) }),
-    ...(request.lostAttempts > 0 ? { fingerprint: request.fingerprint.value } : {}),
-  });
-}
-
 /** Removes a request from its server's requests in flight, and returns the server; undefined without one, or when it isn't listed any more. */
 export function endAttempt(context: RouterContext, request: ActiveRequest): KnownServer | undefined {
   const known = request.server === null ? undefined : context.state.servers.get(request.server);
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -9,14 +9,8 @@
 import { findDestination } from './destination.js';
 import { isRefusal } from './refusals.js';
 import { processEarlyRequests } from './request-arrival.js';
-import {
-  avoidAfterFailure,
-  retryBudgetOf,
-  cancelAttempt,
-  dispatchRequest,
-  endWithOwnAnswer,
-  recordRequestEnd,
-} from './request-dispatch.js';
+import { avoidAfterFailure, retryBudgetOf, cancelAttempt, dispatchRequest } from './request-dispatch.js';
+import { endWithOwnAnswer, recordRequestEnd } from './request-ending.js';
 import { DEFAULT_RETRY_AFTER, HOLD_FRACTION } from './request-timing.js';
 
 /** A request is taken from an unresponsive server after the longer of this fraction of its latency objective and this many service times. */
