--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -22,6 +22,8 @@
   'limits_read',
   'refused_at_limits',
   'refused_read_late',
+  'held_displaced',
+  'refused_behind_more_urgent',
   'permits_asked',
   'permits_denied',
   'malformed_limits',
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -214,6 +214,11 @@
     when: 'a request is refused: it was not executed and never will be',
     fields: REQUEST_FIELDS,
   },
+  load_shed: {
+    when: 'a request is refused for want of room while more urgent ones wait for or demand the capacity, at most once a second for each service',
+    fields:
+      'service, refused (number of such requests since the last line, by priority), for_priority (the most urgent priority that waits or has demand), reserved_mean_load, shared_mean_load (requests at a server of each group; null: unknown)',
+  },
   request_failed: { when: 'a request is given up: it may have been executed', fields: REQUEST_FIELDS },
   request_broken_off: { when: 'a streamed response broke off', fields: REQUEST_FIELDS },
   caller_left: { when: 'the caller closed its connection', fields: REQUEST_FIELDS },
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -36,7 +36,6 @@
   }
   switch (result.kind) {
     case 'answered':
-      state.requests.delete(request.id);
       state.counters.answered += 1;
       recordRequestEnd(context, request, 'answered', result.status, '');
       return;
@@ -99,7 +98,6 @@
   request.mayHaveRun = true;
   avoidProxy(context, proxy);
   if (isResponseStarted) {
-    state.requests.delete(request.id);
     state.counters.failed += 1;
     recordRequestEnd(context, request, 'broken_off', 0, reason);
   } else if (request.route.repeatable) {
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -54,6 +54,7 @@
   tickStoredQuarantines,
 } from './quarantine/stored-quarantines.js';
 import { receiveAttemptEnded } from './request/attempt-outcome.js';
+import { dispatchHeldAfterNews } from './request/held-rounds.js';
 import { receiveRequest, processEarlyRequests } from './request/request-arrival.js';
 import { processPermitAnswers } from './request/request-dispatch.js';
 import { receiveCallerLeft, tickRequests } from './request/request-ticks.js';
@@ -74,6 +75,7 @@
 export function reduce(state: RouterState, now: Milliseconds, event: RouterEvent): Effect[] {
   const context = new RouterContext(state, now);
   dispatch(context, event);
+  dispatchHeldAfterNews(context, event);
   return context.effects;
 }
 
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -56,10 +56,12 @@
   sentToFreeSlot: boolean;
   /** Whether the attempt in flight used a permit of its server's rate limit. */
   usedPermit: boolean;
-  /** Time at which a held request is dispatched again. */
+  /** Time at which a held request is dispatched again; infinite: with the other requests that wait for room. */
   retryAt: Milliseconds;
   /** Servers that the request has been sent to; empty for a request with a key, which can go to the owner only. */
   readonly triedServers: ServerId[];
+  /** Number of rejections by servers that reported free slots; counted for requests without a key. */
+  rejectionsWithFreeSlots: number;
   /** Number of attempts that were lost: the server may have run the request, and no whole answer came. */
   lostAttempts: number;
   /**
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -15,6 +15,7 @@
   createOwnerRefusal,
   createRefusal,
   createLimitRefusal,
+  createRoomRefusal,
   createTransientRefusal,
   createBackoffRefusal,
   createOverloadRefusal,
@@ -171,7 +172,7 @@
       ? createBackoffRefusal(context, request, 'every server wants rest', left)
       : createLimitRefusal(context, request, 'every server is at its limit, or wants rest', left);
   }
-  return createTransientRefusal(
+  return createRoomRefusal(
     evacuations.isEmpty ? 'no server takes requests' : 'no server outside of evacuated zones takes requests',
   );
 }
@@ -192,7 +193,7 @@
     return refuseWithoutServer(context, request);
   }
   if (isAtCapacity(context, chosen, request)) {
-    return createTransientRefusal('every server is full');
+    return createRoomRefusal('every server is full');
   }
   const ineligibility = findIneligibility(chosen, { ...selection, drainingGrace: Number.POSITIVE_INFINITY });
   return ineligibility === 'awaits_permit' ? createPermitRefusal(context, request, chosen) : chosen;
--- a/src/router/request/lost-attempt.ts
+++ b/src/router/request/lost-attempt.ts
@@ -73,7 +73,6 @@
     request.possibleCrashes += now - request.attemptStartedAt >= MAX_SHED_TIME ? 1 : 0;
   }
   if (result.isResponseStarted) {
-    context.state.requests.delete(request.id);
     context.state.counters.failed += 1;
     recordRequestEnd(context, request, 'broken_off', 0, result.reason);
     return;
--- a/src/router/request/refusals.ts
+++ b/src/router/request/refusals.ts
@@ -25,6 +25,8 @@
   readonly canHold: boolean;
   /** Time after which the caller should retry. */
   readonly retryAfter: Milliseconds;
+  /** Whether the request is held until a server has room; the retry time is then the shortest one, and the load decides on the rest. */
+  readonly waitsForRoom: boolean;
   /** Server whose rate limit requires a permit for the request; null: no permit is needed. */
   readonly permitFrom: KnownServer | null;
   /** Whether a server's rate limit is the reason. */
@@ -46,14 +48,20 @@
   canHold: boolean,
   retryAfter = OWNER_RETRY_AFTER,
 ): RoutingRefusal {
-  return { reason, canHold, retryAfter, permitFrom: null, isRateLimited: false, isPathLost: false };
+  const conditions = { permitFrom: null, isRateLimited: false, isPathLost: false, waitsForRoom: false };
+  return { reason, canHold, retryAfter, ...conditions };
 }
 
-/** Returns a refusal for a condition that ends soon. */
+/** Returns a refusal for a condition that ends soon, but not with room at a server. */
 export function createTransientRefusal(reason: string): RoutingRefusal {
   return createRefusal(reason, true, OVERLOAD_RETRY_AFTER);
 }
 
+/** Returns a refusal because no server has room. */
+export function createRoomRefusal(reason: string): RoutingRefusal {
+  return { ...createTransientRefusal(reason), waitsForRoom: true };
+}
+
 /** Returns a refusal that lasts for `left`: the request is held only if that ends in time, else refused at once with a retry time. */
 function createTimedRefusal(
   { now, state }: RouterContext,
@@ -114,7 +122,7 @@
 /** Returns a refusal because an owner is at capacity, and records the overload. */
 export function createOverloadRefusal(context: RouterContext, { server }: KnownServer): RoutingRefusal {
   reportOverload(context);
-  return createTransientRefusal(`the owner ${server.id} is full`);
+  return createRoomRefusal(`the owner ${server.id} is full`);
 }
 
 /** Returns the refusal for an owner of a key that may not get the request now. */
@@ -136,7 +144,7 @@
     case 'backing_off':
       return createBackoffRefusal(context, request, `${owner} wants rest`, backOff.left(now));
     case 'recovering':
-      return createTransientRefusal(`${owner} takes one request at a time after its rest`);
+      return createRoomRefusal(`${owner} takes one request at a time after its rest`);
     case 'cold': {
       const retryAfter = Math.max(OWNER_RETRY_AFTER, coldUntil - now);
       return createRefusal(`${owner} is cold and takes few requests`, false, retryAfter);
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -212,6 +212,7 @@
     usedPermit: false,
     retryAt: 0,
     triedServers: [],
+    rejectionsWithFreeSlots: 0,
     lostAttempts: 0,
     possibleCrashes: 0,
     mayHaveRun: false,
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -11,6 +11,14 @@
 import { type ActiveRequest, isHeld } from './active-request.js';
 import type { PermitAnswer } from '../limits/permit-messages.js';
 import { requestPermit, recordPermitAnswer } from '../limits/permit-exchange.js';
+import {
+  BEHIND_HELD,
+  canWait,
+  findRequestAhead,
+  holdForRoom,
+  refuseForRoom,
+  retryTimeOf,
+} from './held-queue.js';
 import { findDestination } from './destination.js';
 import { isRefusal, type RoutingRefusal } from './refusals.js';
 import { endWithOwnAnswer } from './request-ending.js';
@@ -44,39 +52,60 @@
   }
 }
 
-/** Forwards a request to a server, holds it, or ends it with the daemon's own answer. */
+/** Forwards a request to a server, holds it, or ends it with the daemon's own answer. It does not overtake requests that wait for room. */
 export function dispatchRequest(context: RouterContext, request: ActiveRequest): void {
+  const ahead = findRequestAhead(context, request);
+  if (ahead === undefined) {
+    dispatchFirst(context, request);
+  } else if (canWait(context, request)) {
+    holdForRoom(context, request, BEHIND_HELD);
+  } else if (ahead.route.priority < request.route.priority) {
+    refuseForRoom(context, request, BEHIND_HELD);
+  } else {
+    // It can't be held any longer, and one of the same urgency that was sent to no server says little of what is left for this one.
+    dispatchFirst(context, request);
+  }
+}
+
+/** Dispatches a request that no held one is ahead of. Returns false when no server has room for it. */
+export function dispatchFirst(context: RouterContext, request: ActiveRequest): boolean {
   const { state, now } = context;
   const { route } = request;
+  state.heldQueues.get(request.service)?.requests.remove(request);
   if (request.deadlineAt - now < route.latencyObjective * MIN_TIME_LEFT_FRACTION) {
     endWithOwnAnswer(context, request, 'too little time is left', DEFAULT_RETRY_AFTER);
-    return;
+    return true;
   }
   if (request.attempts >= route.maxAttempts || request.attemptNumber >= MAX_ATTEMPTS_INCLUDING_UNSENT) {
-    endWithOwnAnswer(context, request, 'no attempt is left', DEFAULT_RETRY_AFTER);
-    return;
+    endWithOwnAnswer(context, request, 'no attempt is left', retryTimeOf(context, request));
+    return true;
   }
   const destination = findProxy(context, request) ?? findDestination(context, request);
   if (isRefusal(destination)) {
     holdOrRefuse(context, request, destination);
-    return;
+    return !destination.waitsForRoom;
   }
   if (request.attempts > request.prepaidAttempts && !retryBudgetOf(context, request.service).tryTake()) {
     state.counters.retries_over_budget += 1;
-    endWithOwnAnswer(context, request, 'the retry budget is spent', DEFAULT_RETRY_AFTER);
-    return;
+    endWithOwnAnswer(context, request, 'the retry budget is spent', retryTimeOf(context, request));
+    return true;
   }
   if ('server' in destination) {
     forwardRequest(context, request, destination);
   } else {
     forwardToProxy(context, request, destination);
   }
+  return true;
 }
 
-/** Holds a request if it may be sent in time, and asks for the permit that it needs; otherwise ends it. */
+/** Holds a request if it may be sent in time, and asks for the permit that it needs; otherwise ends it. One that waits for room is queued. */
 function holdOrRefuse(context: RouterContext, request: ActiveRequest, refusal: RoutingRefusal): void {
   const { state, now } = context;
   const { canHold, permitFrom, isRateLimited, reason, retryAfter } = refusal;
+  if (refusal.waitsForRoom) {
+    holdForRoom(context, request, refusal);
+    return;
+  }
   if (!canHold || now + HELD_RETRY_INTERVAL > request.holdUntil) {
     state.counters.refused_at_limits += isRateLimited ? 1 : 0;
     endWithOwnAnswer(context, request, reason, retryAfter, refusal.isPathLost);
--- a/src/router/request/request-ending.ts
+++ b/src/router/request/request-ending.ts
@@ -26,7 +26,6 @@
   isPathLost = false,
 ): void {
   const { state, now } = context;
-  state.requests.delete(request.id);
   const isPastDeadline = now >= request.deadlineAt;
   const failed = request.mayHaveRun;
   const failureStatus = isPastDeadline ? GATEWAY_TIMEOUT : BAD_GATEWAY;
@@ -46,7 +45,7 @@
   recordRequestEnd(context, request, failed ? 'failed' : 'refused', status, reason);
 }
 
-/** Records the end of a request in the log and the latency histograms. */
+/** Removes a request from the state, and records its end in the log and the latency histograms. */
 export function recordRequestEnd(
   context: RouterContext,
   request: ActiveRequest,
@@ -55,6 +54,8 @@
   reason: string,
 ): void {
   const { state, now } = context;
+  state.requests.delete(request.id);
+  state.heldQueues.get(request.service)?.requests.remove(request);
   context.emit({ kind: 'requestEnded', outcome, duration: now - request.arrivedAt });
   context.log(LOG_EVENTS[outcome], {
     attempt_id: request.attemptId,
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -8,6 +8,7 @@
 import { type ActiveRequest, isHeld } from './active-request.js';
 import { findDestination } from './destination.js';
 import { isRefusal } from './refusals.js';
+import { dispatchAllHeldRequests, dispatchHeldRequests, updateMinimumShares } from './held-rounds.js';
 import { processEarlyRequests } from './request-arrival.js';
 import { avoidAfterFailure, retryBudgetOf, cancelAttempt, dispatchRequest } from './request-dispatch.js';
 import { endWithOwnAnswer, recordRequestEnd } from './request-ending.js';
@@ -41,16 +42,21 @@
   if (request === undefined) {
     return;
   }
+  const { server, service, key } = request;
   state.counters.callers_left += 1;
-  state.requests.delete(requestId);
   cancelAttempt(context, request, 'cancelled, the caller left');
   recordRequestEnd(context, request, 'caller_left', 0, 'the caller closed its connection');
+  if (server !== null) {
+    dispatchHeldRequests(context, service, key === null ? null : server);
+  }
 }
 
 /** Dispatches held requests again, ends requests past their deadline, and moves requests away from unresponsive servers. */
 export function tickRequests(context: RouterContext): void {
   const { state, now } = context;
   processEarlyRequests(context);
+  updateMinimumShares(context);
+  dispatchAllHeldRequests(context);
   for (const request of [...state.requests.values()]) {
     if (isHeld(request)) {
       if (now >= request.retryAt) {
--- /dev/null
+++ b/src/router/request/retry-time.ts
@@ -0,0 +1,55 @@
+/** Computes when the caller of a refused request should return: once a server is expected to have room for it, spread out at random. */
+import type { Milliseconds } from '../model/identifiers.js';
+
+/** Callers honour a retry time up to this fraction of the time that they have left; a longer one is of no use to them. */
+const HONOURED_FRACTION = 1 / 3;
+/** A server has room for a request that it is expected to answer within this fraction of the latency objective. */
+const ROOM_FRACTION = 0.95;
+/** Fraction of the rest of the objective over which callers are spread; the other half is left for their answers. */
+const OBJECTIVE_SPREAD_FRACTION = 0.5;
+/**
+ * Fraction of the longest honoured time over which callers are spread when the load is expected to fall later than that. Sent back all at
+ * the end of that time, they would return together.
+ */
+const LATE_SPREAD_FRACTION = 0.5;
+
+/** Inputs of a retry time. */
+export interface RetryTimeInputs {
+  /** Lowest expected response time of the servers that the request may go to. */
+  readonly responseTime: Milliseconds;
+  readonly latencyObjective: Milliseconds;
+  /** Time since the caller's request arrived. */
+  readonly elapsed: Milliseconds;
+  /** Time until the deadline of the caller's request. */
+  readonly timeLeft: Milliseconds;
+  /** Shortest useful retry time, unless callers don't honour one as long. */
+  readonly minimum: Milliseconds;
+  /** Random number in [0, 1). */
+  readonly fraction: number;
+}
+
+/** Returns the time after which the caller of a refused request should send it again. */
+export function retryTime(inputs: RetryTimeInputs): Milliseconds {
+  const { timeLeft, fraction } = inputs;
+  const latest = Math.max(0, timeLeft) * HONOURED_FRACTION;
+  const roomAt = timeUntilRoom(inputs);
+  const earliest = Math.min(roomAt, latest * (1 - LATE_SPREAD_FRACTION));
+  const spread = Math.min(spreadAfter(inputs, roomAt, earliest), latest - earliest);
+  return earliest + spread * fraction;
+}
+
+/**
+ * Returns the time until a server is expected to have room. While no more requests are sent to it, the expected response time of a server
+ * falls by the time that passes.
+ */
+function timeUntilRoom({ responseTime, latencyObjective, minimum }: RetryTimeInputs): Milliseconds {
+  return Math.max(minimum, responseTime - latencyObjective * ROOM_FRACTION);
+}
+
+/** Returns the time over which callers are spread: half of the rest of the objective while they can be in time, else up to the deadline. */
+function spreadAfter(inputs: RetryTimeInputs, roomAt: Milliseconds, earliest: Milliseconds): Milliseconds {
+  const { responseTime, latencyObjective, elapsed, timeLeft } = inputs;
+  const objectiveLeft = latencyObjective - elapsed - roomAt;
+  const responseTimeThen = Math.min(responseTime, latencyObjective * ROOM_FRACTION);
+  return responseTimeThen <= objectiveLeft ? objectiveLeft * OBJECTIVE_SPREAD_FRACTION : timeLeft - earliest;
+}
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -32,6 +32,7 @@
 import { createReachabilityState, type ReachabilityState } from './reachability/reachability-state.js';
 import type { ServerContact } from './reachability/server-contact.js';
 import type { SendWindows } from './sharing/send-windows.js';
+import type { HeldQueue } from './request/held-queue.js';
 import type { RetryBudget } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
@@ -124,6 +125,8 @@
   readonly requests: Map<number, ActiveRequest>;
   /** Requests that wait for a usable configuration, by request id. */
   readonly earlyRequests: Map<number, EarlyRequest>;
+  /** Requests that wait for a server with room. */
+  readonly heldQueues: Map<ServiceName, HeldQueue>;
   readonly retryBudgets: Map<ServiceName, RetryBudget>;
   readonly targetRotation: TargetRotation;
   /** Requests for each key since the last report, at this daemon and its subtree. */
@@ -182,6 +185,7 @@
     leadership: null,
     requests: new Map(),
     earlyRequests: new Map(),
+    heldQueues: new Map(),
     retryBudgets: new Map(),
     targetRotation: new TargetRotation(),
     keyTallies: new Map(),
