--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -4,12 +4,8 @@
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest, RequestProxy } from '../request/active-request.js';
 import { DEFAULT_RETRY_AFTER } from '../request/request-timing.js';
-import {
-  dispatchRequest,
-  endWithOwnAnswer,
-  recordAttemptOutcome,
-  recordRequestEnd,
-} from '../request/request-dispatch.js';
+import { dispatchRequest, recordAttemptOutcome } from '../request/request-dispatch.js';
+import { endWithOwnAnswer, recordRequestEnd } from '../request/request-ending.js';
 import { endProxiedAttempt } from './proxy-load.js';
 
 /** Results for which the proxy responded. */
@@ -40,7 +36,6 @@
   }
   switch (result.kind) {
     case 'answered':
-      state.requests.delete(request.id);
       state.counters.answered += 1;
       recordRequestEnd(context, request, 'answered', result.status, '');
       return;
@@ -103,7 +98,6 @@
   request.mayHaveRun = true;
   avoidProxy(context, proxy);
   if (isResponseStarted) {
-    state.requests.delete(request.id);
     state.counters.failed += 1;
     recordRequestEnd(context, request, 'broken_off', 0, reason);
   } else if (request.route.repeatable) {
--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -16,6 +16,7 @@
   createOwnerRefusal,
   createRefusal,
   createLimitRefusal,
+  createRoomRefusal,
   createTransientRefusal,
   createBackoffRefusal,
   createOverloadRefusal,
@@ -189,7 +190,7 @@
       ? createBackoffRefusal(context, request, 'every server wants rest', left)
       : createLimitRefusal(context, request, 'every server is at its limit, or wants rest', left);
   }
-  return createTransientRefusal(
+  return createRoomRefusal(
     evacuations.isEmpty ? 'no server takes requests' : 'no server outside of evacuated zones takes requests',
   );
 }
@@ -217,7 +218,7 @@
     case 'none':
       return refuseWithoutServer(context, request);
     case 'full':
-      return createTransientRefusal('every server is full');
+      return createRoomRefusal('every server is full');
     case 'selected': {
       const { server } = chosen;
       const drainingGrace = Number.POSITIVE_INFINITY;
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -8,15 +8,10 @@
 import { type ActiveRequest, isHeld } from './active-request.js';
 import { findDestination } from './destination.js';
 import { isRefusal } from './refusals.js';
+import { dispatchAllHeldRequests, dispatchHeldAfterAttempt, updateMinimumShares } from './held-rounds.js';
 import { processEarlyRequests } from './request-arrival.js';
-import {
-  avoidAfterFailure,
-  retryBudgetOf,
-  cancelAttempt,
-  dispatchRequest,
-  endWithOwnAnswer,
-  recordRequestEnd,
-} from './request-dispatch.js';
+import { avoidAfterFailure, retryBudgetOf, cancelAttempt, dispatchRequest } from './request-dispatch.js';
+import { endWithOwnAnswer, recordRequestEnd } from './request-ending.js';
 import { DEFAULT_RETRY_AFTER, HOLD_FRACTION } from './request-timing.js';
 
 /** A request is taken from an unresponsive server after the longer of this fraction of its latency objective and this many service times. */
@@ -47,16 +42,21 @@
   if (request === undefined) {
     return;
   }
+  const { server } = request;
   state.counters.callers_left += 1;
-  state.requests.delete(requestId);
   cancelAttempt(context, request, 'cancelled, the caller left');
   recordRequestEnd(context, request, 'caller_left', 0, 'the caller closed its connection');
+  if (server !== null) {
+    dispatchHeldAfterAttempt(context, request);
+  }
 }
 
 /** Dispatches held requests again, ends requests past their deadline, and moves requests away from unresponsive servers. */
 export function tickRequests(context: RouterContext): void {
   const { state, now } = context;
   processEarlyRequests(context);
+  updateMinimumShares(context);
+  dispatchAllHeldRequests(context);
   for (const request of [...state.requests.values()]) {
     if (isHeld(request)) {
       if (now >= request.retryAt) {
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -16,7 +16,7 @@
  * A server in another zone costs at least this fraction of the route's work time: more than the jitter, so that requests cross zones only
  * when the own zone's servers are busier, and little enough that they cross before a queue forms there.
  */
-const OTHER_ZONE_WORK_FRACTION = 0.2;
+const OTHER_ZONE_WORK_FRACTION = 0.6;
 /** Random fraction added to a server's cost, which spreads requests over servers with nearly equal costs. */
 const COST_JITTER = 0.15;
 /** Requests that may wait at a server for each of its slots before the server counts as at capacity. */
--- a/test/router/load-view/test-load-view-failures.ts
+++ b/test/router/load-view/test-load-view-failures.ts
@@ -29,7 +29,12 @@
 }
 
 /** Returns the mean, over time, of the demand in a view as a multiple of the true one. */
-function meanRatio(surge: LoadSurge, daemon: () => SimulatedDaemon, priority: number, length: number): number {
+function meanRatio(
+  surge: LoadSurge,
+  daemon: () => SimulatedDaemon,
+  priority: number,
+  length: number,
+): number {
   const ratios: number[] = [];
   for (let elapsed = 0; elapsed < length; elapsed += STEP) {
     runFor(surge, STEP);
--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -45,7 +45,8 @@
   /** Performs the daemons' effects on requests; null: there are no requests. */
   requests: RequestEffectHandler | null = null;
   /** Replaces each message that a daemon sends, for example to omit fields as an earlier version does. */
-  replaceMessage: (sender: SimulatedDaemon, message: PeerMessage) => PeerMessage = (_sender, message) => message;
+  replaceMessage: (sender: SimulatedDaemon, message: PeerMessage) => PeerMessage = (_sender, message) =>
+    message;
   readonly configurations: SimulatedFeed<Configuration>;
   readonly serverEntries: SimulatedFeed<ServerDescription>;
   readonly evacuations: SimulatedFeed<string>;
