Bound the memory for slow readers and pipelined requests of callers

A caller that reads nothing held a server's answer without a time limit, 2,000 pipelined requests were all handled at once, requests ran behind a 413 that closes the connection, a planned stop lost the answers behind the first, and malformed bytes were answered with a 400 in place of an earlier answer.

--- a/src/router-runtime/attempt-sender.ts
+++ b/src/router-runtime/attempt-sender.ts
@@ -122,6 +122,7 @@
       isWriteAllowed,
       onFinished: (result, reusable) => {
         connections.release(effect.address, connection, reusable);
+        exchange.wasSent ||= attempt.isSent;
         if (exchange.attempt === attempt) {
           exchange.attempt = null;
         }
--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -22,6 +22,9 @@
 
 /** Writes a server's response to the caller. */
 export interface ResponseSink {
+  /** Accounts for bytes that are buffered until the response is complete. */
+  hold(bytes: number): void;
+  release(bytes: number): void;
   /** Sends a complete response. A response that had no length is sent without one. */
   sendComplete(status: number, rawHeaders: string[], body: Buffer, hasLength: boolean): void;
   /** Sends the head and the first bytes of a long response. Returns false if the writer must wait for `onDrain`. */
@@ -71,6 +74,11 @@
     this.#listener = listener;
   }
 
+  /** Whether the request has been at least partly written: the server may run it. */
+  get isSent(): boolean {
+    return this.#isSent;
+  }
+
   /** Sends the request. */
   start(): void {
     const { method, path, headers, body } = this.#request;
@@ -89,7 +97,7 @@
   /** Cancels the attempt and closes its connection. */
   cancel(): void {
     if (!this.#isFinished) {
-      this.#isFinished = true;
+      this.#finish();
       if (this.#isStreaming) {
         this.#sink.abortStream();
       }
@@ -101,7 +109,7 @@
   /** Cancels the attempt if it has not been sent. */
   withdraw(): void {
     if (!this.#isFinished && !this.#isSent) {
-      this.#isFinished = true;
+      this.#finish();
       this.#listener.onFinished({ kind: 'withdrawn', reason: 'no longer needed' }, false);
     }
   }
@@ -146,11 +154,12 @@
     }
     this.#chunks.push(Buffer.from(chunk));
     this.#bufferedBytes += chunk.length;
+    this.#sink.hold(chunk.length);
     if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) {
       return true;
     }
     this.#isStreaming = true;
-    const firstBytes = Buffer.concat(this.#chunks.splice(0));
+    const firstBytes = this.#takeBuffered();
     return this.#sink.beginStream(this.#status, this.#reader.rawHeaders, firstBytes, () => this.#resume());
   }
 
@@ -166,7 +175,8 @@
       this.#fail('the answer was reset', true);
       return;
     }
-    this.#isFinished = true;
+    const body = this.#takeBuffered();
+    this.#finish();
     const reusable = !isDelimitedByClose;
     if (this.#isStreaming) {
       this.#sink.endStream();
@@ -176,7 +186,7 @@
     const result = this.#reader.classify();
     if (result.kind === 'answered') {
       const hasLength = this.#reader.hasLength();
-      this.#sink.sendComplete(this.#status, this.#reader.rawHeaders, Buffer.concat(this.#chunks), hasLength);
+      this.#sink.sendComplete(this.#status, this.#reader.rawHeaders, body, hasLength);
     }
     this.#listener.onFinished(result, reusable);
   }
@@ -186,7 +196,7 @@
       return;
     }
     const code = error.code ?? '';
-    this.#isFinished = true;
+    this.#finish();
     if (this.#isWithheld) {
       this.#listener.onFinished({ kind: 'withheld' }, false);
       return;
@@ -204,12 +214,27 @@
     this.#listener.onFinished(this.#lostResult(error.message, CONNECTION_CLOSED_CODES.has(code)), false);
   }
 
+  /** Returns the buffered bytes, which the attempt no longer holds. */
+  #takeBuffered(): Buffer {
+    const body = Buffer.concat(this.#chunks.splice(0));
+    this.#sink.release(this.#bufferedBytes);
+    this.#bufferedBytes = 0;
+    return body;
+  }
+
+  #finish(): void {
+    this.#isFinished = true;
+    this.#chunks = [];
+    this.#sink.release(this.#bufferedBytes);
+    this.#bufferedBytes = 0;
+  }
+
   #lostResult(reason: string, connectionEnded: boolean): AttemptResult {
     return { kind: 'lost', reason, isResponseStarted: this.#isStreaming, isClosedByServer: connectionEnded };
   }
 
   #fail(reason: string, connectionEnded = false): void {
-    this.#isFinished = true;
+    this.#finish();
     if (this.#isStreaming) {
       this.#sink.abortStream();
     }
--- a/src/router-runtime/caller-frontend.ts
+++ b/src/router-runtime/caller-frontend.ts
@@ -2,7 +2,7 @@
  * The HTTP servers for callers, and for daemons that send requests of their callers here: reads complete requests, passes them to the reducer,
  * and sends the attempts and responses that it decides on. Built directly on Node's HTTP server, because a framework on top would cost more than the work itself.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { AnswerEffect } from '../router/effects.js';
@@ -14,39 +14,30 @@
 import { headerValue } from './headers.js';
 import { takeOrigin } from './proxy-headers.js';
 import { createCallerWriter, createProxyWriter, type ResponseWriter } from './response-writers.js';
-import { AttemptSender, type AttemptSenderOptions } from './attempt-sender.js';
+import { AttemptSender } from './attempt-sender.js';
+import { CallerConnection, type ConnectionListener, type RequestSlot } from './caller-connection.js';
+import type { CallerFrontendOptions, LoopStatus } from './caller-frontend-options.js';
+import { createCallerServer } from './caller-server.js';
 import type { Exchange } from './exchange.js';
 import { LazyFingerprint } from './lazy-fingerprint.js';
 import { listen } from './listen.js';
 import { ArrivalQueue } from './arrival-queue.js';
+import { NOT_RUN, RequestBody } from './request-body.js';
+import { TransferLimits, type TransferStatistics } from './transfer-limits.js';
 
-const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 1_000;
-const INITIAL_HEADER_TIMEOUT_MILLISECONDS = 10_000;
-const INITIAL_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 /** The largest request body accepted before the first configuration sets a limit. */
 const INITIAL_MAX_BODY_BYTES = 1024 * 1024;
-const TOO_LARGE = 413;
 const BAD_REQUEST = 400;
+/** Used when no memory limit is given: the smallest one in use. */
+const DEFAULT_MEMORY_MEGABYTES = 210;
+const CALLER_NOT_READING = 'the caller does not read its answers';
+const ANSWER_OUT_OF_TURN = 'its long answer waited for too long behind an earlier one';
+const BEHIND_CLOSING_ANSWER = 'an earlier answer closes the connection';
 /** Room for the headers that daemons add to those of a caller. */
 const PROXY_HEADER_BYTES = 8 * 1024;
 
-/** How far the event loop is behind. */
-export interface LoopStatus {
-  /** Returns how many milliseconds a request that is read now may have waited unread. */
-  readDelay(): Milliseconds;
-  /** Returns whether the loop has polled its sockets a short time ago. */
-  isOnTime(): boolean;
-}
-
-/** Dependencies of the frontend. */
-export interface CallerFrontendOptions extends AttemptSenderOptions {
-  readonly loop: LoopStatus;
-  /** Returns how long a request may wait unread and still be answered in time, or null if no route matches it. */
-  readonly longestReadDelay: (host: string, target: string) => Milliseconds | null;
-}
-
-/** Answers that have run nothing and say nothing of the path to servers. */
-const NOT_RUN = { retryAfter: null, mayHaveRun: false, attempts: 0, isPathLost: false } as const;
+/** Reads a request whose head has been read. */
+type Receiver = (incoming: IncomingMessage, slot: RequestSlot) => void;
 
 export class CallerFrontend {
   readonly server: Server;
@@ -57,11 +48,18 @@
   readonly #protocol: RequestProtocol;
   readonly #dispatch: (event: RouterEvent) => void;
   readonly #loop: LoopStatus;
-  readonly #barrier: AttemptSenderOptions['barrier'];
+  readonly #barrier: CallerFrontendOptions['barrier'];
   readonly #longestReadDelay: (incoming: IncomingMessage) => Milliseconds;
   readonly #arrivals: ArrivalQueue<number>;
-  /** Unfinished requests of each open caller connection: more than one if the caller pipelines. */
-  readonly #requestsByConnection = new WeakMap<Socket, Set<number>>();
+  readonly #transfers: TransferLimits;
+  readonly #callerConnections = new WeakMap<Socket, CallerConnection>();
+  readonly #connectionListener: ConnectionListener = {
+    wasSent: (requestId) => this.#wasSent(requestId),
+    onUnreachable: (requestId) => this.#reportDisconnect(requestId, BEHIND_CLOSING_ANSWER),
+    onNotReading: (requestId) => this.#reportDisconnect(requestId, CALLER_NOT_READING),
+    onWaitedTooLong: (requestId) => this.#reportDisconnect(requestId, ANSWER_OUT_OF_TURN),
+    onDisconnected: (requestId) => this.#reportDisconnect(requestId),
+  };
   readonly #usedConnections = new WeakSet<Socket>();
   readonly #exchanges = new Map<number, Exchange>();
   #nextRequestId = 1;
@@ -75,6 +73,7 @@
     this.#dispatch = dispatch;
     this.#loop = loop;
     this.#barrier = barrier;
+    this.#transfers = new TransferLimits(options.memoryMegabytes ?? DEFAULT_MEMORY_MEGABYTES);
     this.#longestReadDelay = (incoming) =>
       longestReadDelay(incoming.headers.host ?? '', incoming.url ?? '/') ?? Number.POSITIVE_INFINITY;
     this.#arrivals = new ArrivalQueue(
@@ -83,27 +82,41 @@
       (requestId, readDelay) => this.#dispatchArrival(requestId, readDelay),
     );
     const isClosing = (): boolean => this.#isClosing;
-    this.server = this.#createServer((incoming, outgoing) =>
-      this.#readRequest(incoming, createCallerWriter(outgoing, isClosing), outgoing, null),
-    );
-    this.proxyServer = this.#createServer((incoming, outgoing) =>
-      this.#readProxiedRequest(incoming, outgoing),
+    this.server = this.#createServer((incoming, slot) =>
+      this.#readRequest(incoming, slot, createCallerWriter(slot, isClosing), null),
     );
+    this.proxyServer = this.#createServer((incoming, slot) => this.#readProxiedRequest(incoming, slot));
   }
 
-  #createServer(receive: (incoming: IncomingMessage, outgoing: ServerResponse) => void): Server {
-    const server = createServer(
-      { connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS, noDelay: true },
-      receive,
-    );
+  #createServer(receive: Receiver): Server {
+    const server = createCallerServer({
+      onConnection: (socket) => {
+        const connection = new CallerConnection(socket, this.#transfers, this.#connectionListener);
+        this.#callerConnections.set(socket, connection);
+      },
+      onRequest: (incoming, outgoing) => this.#receive(incoming, outgoing, receive),
+      mayAnswerMalformed: (socket) => this.#callerConnections.get(socket)?.mayAnswerMalformed === true,
+    });
     this.#barrier.watch(server);
-    server.on('connection', (socket) => this.#detectDisconnect(socket));
-    server.headersTimeout = INITIAL_HEADER_TIMEOUT_MILLISECONDS;
-    server.requestTimeout = 0;
-    server.keepAliveTimeout = INITIAL_IDLE_TIMEOUT_MILLISECONDS;
     return server;
   }
 
+  #receive(incoming: IncomingMessage, outgoing: ServerResponse, receive: Receiver): void {
+    const connection = this.#callerConnections.get(incoming.socket);
+    const slot = connection?.addRequest(this.#nextRequestId, outgoing) ?? null;
+    if (slot === null) {
+      incoming.resume();
+      return;
+    }
+    this.#nextRequestId += 1;
+    receive(incoming, slot);
+  }
+
+  /** What the metrics show of the data in transfer. */
+  get transfers(): TransferStatistics {
+    return this.#transfers;
+  }
+
   /** Returns the number of requests whose response has not ended. */
   get inFlight(): number {
     return this.#exchanges.size;
@@ -147,59 +160,40 @@
     this.proxyServer.closeAllConnections();
   }
 
-  /** Reports callers that disconnect. A caller that half-closes its connection counts as disconnected, even if it would still read. */
-  #detectDisconnect(socket: Socket): void {
-    const requests = new Set<number>();
-    this.#requestsByConnection.set(socket, requests);
-    const onDisconnect = (): void => requests.forEach((requestId) => this.#reportDisconnect(requestId));
-    socket.on('end', onDisconnect);
-    socket.on('error', onDisconnect);
-    socket.on('close', onDisconnect);
-  }
-
-  #readProxiedRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    const writer = createProxyWriter(outgoing);
+  #readProxiedRequest(incoming: IncomingMessage, slot: RequestSlot): void {
+    const writer = createProxyWriter(slot);
     const origin = takeOrigin(incoming.rawHeaders);
     if (origin === null) {
+      incoming.resume();
       writer.answer({ ...NOT_RUN, status: BAD_REQUEST, reason: 'malformed description of the request' });
       return;
     }
-    this.#readRequest(incoming, writer, outgoing, origin);
+    this.#readRequest(incoming, slot, writer, origin);
   }
 
   #readRequest(
     incoming: IncomingMessage,
+    slot: RequestSlot,
     writer: ResponseWriter,
-    outgoing: ServerResponse,
     origin: RequestOrigin | null,
   ): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    let refused = false;
-    incoming.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > this.#maxBodyBytes && !refused) {
-        refused = true;
-        outgoing.shouldKeepAlive = false;
-        writer.answer({ ...NOT_RUN, status: TOO_LARGE, reason: 'the body is too long' });
-      }
-      if (!refused) {
-        chunks.push(chunk);
-      }
-    });
-    incoming.on('error', () => undefined);
-    const requestId = this.#nextRequestId;
-    this.#nextRequestId += 1;
-    incoming.on('end', () => {
-      if (!refused) {
-        const body = bytes === 0 ? null : chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
-        outgoing.on('finish', () => this.#removeExchange(requestId));
-        this.#addRequest(requestId, { incoming, writer, origin, body });
-      }
+    new RequestBody(incoming, slot, this.#transfers, () => this.#maxBodyBytes, {
+      onRefused: (answer) => writer.answer(answer),
+      onComplete: (body) => {
+        const readAt = PROCESS_CLOCK.now();
+        slot.outgoing.on('finish', () => this.#removeExchange(slot.requestId));
+        slot.connection.admit(slot, () => {
+          this.#addRequest(slot.requestId, { incoming, writer, slot, origin, body }, readAt);
+        });
+      },
     });
   }
 
-  #addRequest(requestId: number, received: Pick<Exchange, 'incoming' | 'writer' | 'origin' | 'body'>): void {
+  #addRequest(
+    requestId: number,
+    received: Pick<Exchange, 'incoming' | 'writer' | 'slot' | 'origin' | 'body'>,
+    readAt: Milliseconds,
+  ): void {
     const { incoming, writer } = received;
     const { rawHeaders } = incoming;
     const attemptId = headerValue(rawHeaders, this.#protocol.attemptId) ?? '';
@@ -215,17 +209,18 @@
       key,
       isDispatched: false,
       attempt: null,
+      wasSent: false,
       attemptNumber: 0,
       isAttemptWaiting: false,
     };
     this.#exchanges.set(requestId, exchange);
-    this.#requestsByConnection.get(incoming.socket)?.add(requestId);
+    const readDelay = this.#loop.readDelay() + PROCESS_CLOCK.now() - readAt;
     const isFirst = this.#isFirstRequestOn(incoming.socket);
     if (!isFirst && this.#arrivals.isEmpty && this.#loop.isOnTime()) {
       // The caller's disconnect can't be unread behind this request for longer than the usual delay of the loop.
-      this.#dispatchArrival(requestId, this.#loop.readDelay());
+      this.#dispatchArrival(requestId, readDelay);
     } else {
-      this.#arrivals.add(requestId, this.#loop.readDelay(), this.#longestReadDelay(incoming));
+      this.#arrivals.add(requestId, readDelay, this.#longestReadDelay(incoming));
     }
   }
 
@@ -273,24 +268,26 @@
     return Number.isFinite(timeout) && timeout >= 0 ? timeout : null;
   }
 
-  #reportDisconnect(requestId: number): void {
+  #wasSent(requestId: number): boolean {
+    const exchange = this.#exchanges.get(requestId);
+    return exchange !== undefined && (exchange.wasSent || exchange.attempt?.isSent === true);
+  }
+
+  /** Reports that a request's answer can't be delivered; without a reason, because its caller has disconnected. */
+  #reportDisconnect(requestId: number, reason?: string): void {
     const exchange = this.#exchanges.get(requestId);
     if (exchange === undefined) {
       return;
     }
     // The reducer must learn this before the attempt ends: otherwise it would retry the attempt on another server.
     const { attemptId, isDispatched } = exchange;
-    this.#dispatch({ kind: 'callerLeft', requestId, attemptId, isArrivalReported: isDispatched });
+    this.#dispatch({ kind: 'callerLeft', requestId, attemptId, isArrivalReported: isDispatched, reason });
     exchange.attempt?.cancel();
     this.#removeExchange(requestId);
   }
 
   #removeExchange(requestId: number): void {
-    const exchange = this.#exchanges.get(requestId);
-    if (exchange !== undefined) {
-      this.#exchanges.delete(requestId);
-      this.#requestsByConnection.get(exchange.incoming.socket)?.delete(requestId);
-    }
+    this.#exchanges.delete(requestId);
   }
 
   /** Sends a response that the daemon itself produces. */
--- /dev/null
+++ b/src/router-runtime/request-body.ts
@@ -0,0 +1,94 @@
+/** Reads the bodies of requests, within the limits on one body and on the memory for all of them. */
+import type { IncomingMessage } from 'node:http';
+import type { Milliseconds } from '../router/model/identifiers.js';
+import type { RequestSlot } from './caller-connection.js';
+import type { OwnAnswer } from './response-writers.js';
+import type { TransferLimits } from './transfer-limits.js';
+
+const TOO_LARGE = 413;
+const UNAVAILABLE = 503;
+/** Memory becomes free as requests end, most within their objectives, and within 2 s from callers that do not read. */
+const MEMORY_RETRY_AFTER: Milliseconds = 1_000;
+
+/** Answers that have run nothing and say nothing of the path to servers. */
+export const NOT_RUN = { retryAfter: null, mayHaveRun: false, attempts: 0, isPathLost: false } as const;
+const BODY_TOO_LONG: OwnAnswer = { ...NOT_RUN, status: TOO_LARGE, reason: 'the body is too long' };
+const NO_MEMORY: OwnAnswer = {
+  ...NOT_RUN,
+  status: UNAVAILABLE,
+  reason: 'there is no memory for the request',
+  retryAfter: MEMORY_RETRY_AFTER,
+};
+
+/** Receives a body, or why it is not read. */
+export interface BodyListener {
+  onComplete(body: Buffer | null): void;
+  /** Sends an answer instead; the rest of the body is discarded. */
+  onRefused(answer: OwnAnswer): void;
+}
+
+export class RequestBody {
+  readonly #slot: RequestSlot;
+  readonly #limits: TransferLimits;
+  readonly #maxBytes: () => number;
+  readonly #listener: BodyListener;
+  readonly #chunks: Buffer[] = [];
+  #bytes = 0;
+  #isRefused = false;
+
+  constructor(
+    incoming: IncomingMessage,
+    slot: RequestSlot,
+    limits: TransferLimits,
+    maxBytes: () => number,
+    listener: BodyListener,
+  ) {
+    this.#slot = slot;
+    this.#limits = limits;
+    this.#maxBytes = maxBytes;
+    this.#listener = listener;
+    const statedBytes = Number(incoming.headers['content-length'] ?? 0);
+    if (statedBytes <= maxBytes() && !limits.hasRoomForRequest(statedBytes)) {
+      this.#refuseForMemory();
+    }
+    incoming.on('data', (chunk: Buffer) => this.#take(chunk));
+    incoming.on('error', () => undefined);
+    incoming.on('end', () => this.#complete());
+  }
+
+  #take(chunk: Buffer): void {
+    this.#bytes += chunk.length;
+    if (this.#isRefused) {
+      return;
+    }
+    if (this.#bytes > this.#maxBytes()) {
+      this.#slot.outgoing.shouldKeepAlive = false;
+      this.#refuse(BODY_TOO_LONG);
+    } else if (this.#limits.hasRoomForRequest(chunk.length)) {
+      this.#slot.connection.holdBody(this.#slot, chunk.length);
+      this.#chunks.push(chunk);
+    } else {
+      this.#refuseForMemory();
+    }
+  }
+
+  #refuseForMemory(): void {
+    this.#limits.countAbort('no_memory');
+    this.#refuse(NO_MEMORY);
+  }
+
+  #refuse(answer: OwnAnswer): void {
+    this.#isRefused = true;
+    this.#chunks.length = 0;
+    this.#slot.connection.releaseBody(this.#slot);
+    this.#listener.onRefused(answer);
+  }
+
+  #complete(): void {
+    if (!this.#isRefused) {
+      const isWhole = this.#chunks.length === 1;
+      const body = isWhole ? (this.#chunks[0] as Buffer) : Buffer.concat(this.#chunks);
+      this.#listener.onComplete(this.#bytes === 0 ? null : body);
+    }
+  }
+}
--- a/src/router-runtime/response-writers.ts
+++ b/src/router-runtime/response-writers.ts
@@ -1,9 +1,10 @@
 /** Writes responses to callers, and to daemons that have sent a request here for a caller of theirs. */
-import type { ServerResponse } from 'node:http';
 import type { AnswerEffect } from '../router/effects.js';
 import { forwardedHeaders, headerValue } from './headers.js';
 import { outcomeHeader, type ProxyOutcome } from './proxy-headers.js';
 import type { ResponseSink } from './attempt.js';
+import type { RequestSlot } from './caller-connection.js';
+import { StreamedAnswer } from './streamed-answer.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const NO_HEADERS: ReadonlySet<string> = new Set();
@@ -21,24 +22,33 @@
   answer(answer: OwnAnswer): void;
 }
 
+/** Sends the whole body, which counts as held until the caller's connection has taken it. */
+function endWith({ outgoing, buffer }: RequestSlot, body: Buffer): void {
+  buffer.hold(body.length);
+  outgoing.end(body, () => buffer.release(body.length));
+}
+
 function createSink(
-  outgoing: ServerResponse,
+  slot: RequestSlot,
   writeHead: (status: number, rawHeaders: string[], length: number | null) => void,
 ): ResponseSink {
+  let streamed: StreamedAnswer | null = null;
   return {
+    hold: (bytes) => slot.buffer.hold(bytes),
+    release: (bytes) => slot.buffer.release(bytes),
     sendComplete: (status, rawHeaders, body, hasLength) => {
       writeHead(status, rawHeaders, hasLength ? body.length : null);
-      outgoing.end(body);
+      endWith(slot, body);
     },
     beginStream: (status, rawHeaders, body, onDrain) => {
       const length = headerValue(rawHeaders, 'content-length');
       writeHead(status, rawHeaders, length === null ? null : Number(length));
-      outgoing.on('drain', onDrain);
-      return outgoing.write(body);
+      streamed = new StreamedAnswer(slot, onDrain);
+      return streamed.write(body);
     },
-    more: (chunk) => outgoing.write(Buffer.from(chunk)),
-    endStream: () => outgoing.end(),
-    abortStream: () => outgoing.destroy(),
+    more: (chunk) => streamed?.write(Buffer.from(chunk)) ?? true,
+    endStream: () => streamed?.end(),
+    abortStream: () => streamed?.abort(),
   };
 }
 
@@ -51,7 +61,14 @@
  *
  * @param isClosing whether the connection is closed after the response, so that the caller connects to another daemon
  */
-export function createCallerWriter(outgoing: ServerResponse, isClosing: () => boolean): ResponseWriter {
+export function createCallerWriter(slot: RequestSlot, isClosing: () => boolean): ResponseWriter {
+  const { outgoing, connection } = slot;
+  const settleClosing = (): void => {
+    outgoing.shouldKeepAlive &&= !connection.closesWith(slot, isClosing());
+    if (!outgoing.shouldKeepAlive) {
+      connection.closeAfter(slot);
+    }
+  };
   const writeHead = (status: number, rawHeaders: string[], length: number | null): void => {
     const headers = forwardedHeaders(rawHeaders, NO_HEADERS);
     if (length === null) {
@@ -61,7 +78,7 @@
     } else {
       headers.push('Content-Length', String(length));
     }
-    outgoing.shouldKeepAlive &&= !isClosing();
+    settleClosing();
     outgoing.writeHead(status, headers);
   };
   const answer = (own: OwnAnswer): void => {
@@ -73,15 +90,16 @@
     if (own.retryAfter !== null) {
       headers.push('Retry-After', (own.retryAfter / MILLISECONDS_PER_SECOND).toFixed(3));
     }
-    outgoing.shouldKeepAlive &&= !isClosing();
+    settleClosing();
     outgoing.writeHead(own.status, headers);
-    outgoing.end(body);
+    endWith(slot, body);
   };
-  return { sink: createSink(outgoing, writeHead), answer };
+  return { sink: createSink(slot, writeHead), answer };
 }
 
 /** Returns the writer for a daemon that has sent a request here. The end of each response is marked. */
-export function createProxyWriter(outgoing: ServerResponse): ResponseWriter {
+export function createProxyWriter(slot: RequestSlot): ResponseWriter {
+  const { outgoing } = slot;
   // The header is the server's business.
   outgoing.sendDate = false;
   const writeHead = (status: number, rawHeaders: string[], length: number | null): void => {
@@ -102,7 +120,7 @@
       : { kind: 'refused', reason, retryAfter, attempts, isPathLost };
     const body = ownBody(own);
     outgoing.writeHead(own.status, [...outcomeHeader(outcome), 'Content-Length', String(body.length)]);
-    outgoing.end(body);
+    endWith(slot, body);
   };
-  return { sink: createSink(outgoing, writeHead), answer };
+  return { sink: createSink(slot, writeHead), answer };
 }
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -32,6 +32,7 @@
 import { MAX_CONNECTIONS_PER_PROXY, ServerConnections } from './server-connections.js';
 import { StoreFeeds } from './store-feeds.js';
 import { PROCESS_TIMERS } from './timers.js';
+import { registerTransferMetrics } from './transfer-metrics.js';
 
 const MAX_INCARNATION = 2 ** 47;
 /** New requests may still arrive for this long after the readiness endpoint has begun to report 503. */
@@ -91,6 +92,7 @@
     this.#log = new EventLog(daemon, this.state.counters);
     this.#frontend = new CallerFrontend({
       protocol: platform.protocol,
+      memoryMegabytes: settings.limits.memoryMegabytes,
       connections: this.#connections,
       proxyConnections: this.#proxyConnections,
       barrier: this.#barrier,
@@ -127,6 +129,7 @@
     this.#barrier.watch(this.#readiness);
     this.#barrier.setLoopCheck(() => this.#loopMonitor.isOnTime(this.#now()));
     this.#metrics = new RouterMetrics(this.state, this.#loopMonitor.eventHandlingTimes);
+    registerTransferMetrics(this.#metrics.registry, this.#frontend.transfers);
     this.#admin = createRouterAdmin(this.state, this.#metrics, (event) => this.dispatch(event));
     this.#feeds = new StoreFeeds(platform.feeds, (event) => this.dispatch(event), {
       timers: PROCESS_TIMERS,
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -151,9 +151,11 @@
   /** The daemon that sent the request here for its caller; null: the caller itself did. */
   readonly origin: RequestOrigin | null;
 }
-/** The caller closed its connection. */
+/** The caller closed its connection, or the request's answer can no longer be delivered on it. */
 export interface CallerLeftEvent {
   readonly kind: 'callerLeft';
+  /** Why the answer can't be delivered; absent: the caller closed its connection. */
+  readonly reason?: string | undefined;
   readonly requestId: number;
   readonly attemptId: string;
   /** Whether the request's `requestArrived` event was delivered before. */
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -31,13 +31,13 @@
 /** Cancels the request of a caller that closed its connection. */
 export function receiveCallerLeft(context: RouterContext, event: CallerLeftEvent): void {
   const { state } = context;
-  const { requestId, attemptId, isArrivalReported } = event;
+  const { requestId, attemptId, isArrivalReported, reason } = event;
   if (!isArrivalReported) {
     state.counters.callers_left_unread += 1;
     context.log('caller_left', {
       attempt_id: attemptId,
       status: 0,
-      reason: CALLER_LEFT_BEFORE_READ,
+      reason: reason ?? CALLER_LEFT_BEFORE_READ,
       milliseconds: 0,
     });
     return;
@@ -50,7 +50,7 @@
   state.counters.callers_left += 1;
   state.requests.delete(requestId);
   cancelAttempt(context, request, 'cancelled, the caller left');
-  recordRequestEnd(context, request, 'caller_left', 0, 'the caller closed its connection');
+  recordRequestEnd(context, request, 'caller_left', 0, reason ?? 'the caller closed its connection');
 }
 
 /** Dispatches held requests again, ends requests past their deadline, and moves requests away from unresponsive servers. */
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -40,6 +40,8 @@
   let body: string | null = null;
   let hasLength = true;
   const sink: ResponseSink = {
+    hold: () => undefined,
+    release: () => undefined,
     sendComplete: (_status, _headers, bytes, withLength) => {
       body = bytes.toString();
       hasLength = withLength;
