--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -14,6 +14,29 @@
 export const HOST = 'soak.example';
 export const ZONES = ['z0', 'z1', 'z2'];
 
+/** A route of the service whose servers work on few requests at a time and report their load. */
+export interface RushRoute {
+  readonly name: string;
+  readonly priority: number;
+  readonly targetLatencyS: number;
+  readonly timeoutS: number;
+  /** Time that a server works on a request. */
+  readonly workMilliseconds: number;
+}
+
+/** The urgent route and the less urgent one, with the times of a deployment whose routes share servers (docs/load-control.md). */
+export const RUSH_ROUTES: readonly [RushRoute, RushRoute] = [
+  { name: 'urgent', priority: 0, targetLatencyS: 0.25, timeoutS: 1, workMilliseconds: 48 },
+  { name: 'bulk', priority: 2, targetLatencyS: 1.5, timeoutS: 3, workMilliseconds: 300 },
+];
+export const RUSH_SERVICE = 'shared';
+export const RUSH_SLOTS_PER_SERVER = 2;
+
+function rushRoute({ name, priority, targetLatencyS, timeoutS }: RushRoute): object {
+  const times = { timeoutS, targetLatencyS, priority, maxAttempts: 2 };
+  return { name, host: HOST, pathPrefix: `/${name}/`, routeType: 'safe', service: RUSH_SERVICE, ...times };
+}
+
 function route(name: string, service: string, routeType: 'safe' | 'unsafe'): object {
   const times = { timeoutS: 2, targetLatencyS: 0.4, priority: 1, maxAttempts: 2 };
   return { name, host: HOST, pathPrefix: `/${name}/`, routeType, service, ...times };
@@ -25,14 +48,17 @@
 }
 
 /** Returns the configuration of a version, in the form in which operators write it. */
-export function createConfiguration(version: number): object {
+export function createConfiguration(version: number, hasRush = false): object {
+  const rushRoutes = hasRush ? RUSH_ROUTES.map(rushRoute) : [];
+  const rushServices = hasRush ? [{ name: RUSH_SERVICE, maxConns: 100 }] : [];
   const added = versionsWithRoutes(version).map((number) => route(`added-${number}`, 'plain', 'safe'));
   return {
     version,
-    routes: [route('keyed', 'keyed', 'safe'), route('once', 'plain', 'unsafe'), ...added],
+    routes: [route('keyed', 'keyed', 'safe'), route('once', 'plain', 'unsafe'), ...added, ...rushRoutes],
     services: [
       { name: 'keyed', maxConns: 100, sharded: true },
       { name: 'plain', maxConns: 100 },
+      ...rushServices,
     ],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutS: 3, idleTimeoutS: 30 },
   };
@@ -51,11 +77,15 @@
   };
 }
 
+/** Capacity that the entries of servers state which work on any number of requests at a time. */
+const UNLIMITED_SERVER_CAPACITY = 8;
+
 /** Returns the entry of a server in the store. A server whose start time is not known states none. */
 export function createServerEntry(
   { service, address, zone, born }: FakeServer,
   state: 'ready' | 'draining',
 ): object {
-  const capacity = { version: '1', capacity: 8, warmupLeftS: 0, sequence: 1 };
+  const slots = service === RUSH_SERVICE ? RUSH_SLOTS_PER_SERVER : UNLIMITED_SERVER_CAPACITY;
+  const capacity = { version: '1', capacity: slots, warmupLeftS: 0, sequence: 1 };
   return { service, address, zone, state, ...capacity, ...(born === null ? {} : { born }) };
 }
--- a/test/soak/fake-server.ts
+++ b/test/soak/fake-server.ts
@@ -1,6 +1,8 @@
 /** Fake upstream server with the platform's API: runs requests, holds key ranges by grants, and reports to an observer what reaches it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { RUSH_ROUTES, RUSH_SERVICE, RUSH_SLOTS_PER_SERVER } from './deployment.js';
+import { SlotQueue } from './slot-queue.js';
 import { now } from './soak-clock.js';
 
 interface Grant {
@@ -29,6 +31,13 @@
 /** Part of the path of requests that crash each server that runs them. */
 export const CRASHING_PATH_PART = 'deadly';
 
+/** Returns how long a server works on a request. */
+function workTime(path: string): number {
+  const rushRoute = RUSH_ROUTES.find(({ name }) => path.startsWith(`/${name}/`));
+  const usual = rushRoute?.workMilliseconds ?? WORK_MILLISECONDS;
+  return path.includes(SLOW_PATH_PART) ? SLOW_WORK_MILLISECONDS : usual;
+}
+
 export class FakeServer {
   readonly id: string;
   readonly service: string;
@@ -49,6 +58,8 @@
   #seenFences: { from: number; to: number; fence: number }[] = [];
   readonly #observer: ServerObserver;
   readonly #server: Server;
+  /** Null: the server works on any number of requests at a time and does not report its load. */
+  readonly #queue: SlotQueue | null;
 
   constructor(id: string, service: string, zone: string, keyed: boolean, observer: ServerObserver) {
     this.id = id;
@@ -56,6 +67,7 @@
     this.zone = zone;
     this.keyed = keyed;
     this.#observer = observer;
+    this.#queue = service === RUSH_SERVICE ? new SlotQueue(RUSH_SLOTS_PER_SERVER) : null;
     this.#server = createServer({ keepAliveTimeout: 60_000 }, (request, response) =>
       this.#receive(request, response),
     );
@@ -150,6 +162,7 @@
     return {
       ...(this.announcesDraining ? { 'Server-Leaving': '1' } : {}),
       ...(this.limit === null ? {} : { 'Server-Limit': this.limit }),
+      ...(this.#queue === null ? {} : { 'Fennelferry-Server-Load': this.#queue.report }),
     };
   }
 
@@ -173,19 +186,32 @@
     }
     this.attemptsInProgress.add(attemptId);
     response.on('close', () => this.attemptsInProgress.delete(attemptId));
-    const isSlowRequest = request.url?.includes(SLOW_PATH_PART) === true;
-    setTimeout(
-      () => {
-        if (request.url?.includes(CRASHING_PATH_PART) === true) {
-          this.#observer.onCrashingRequest(this, attemptId);
-          return;
-        }
-        const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
-        response.writeHead(200, { ...headers, ...this.#noticeHeaders() }).end(this.id);
-        this.#observer.onAnswer(this, attemptId);
-      },
-      isSlowRequest ? SLOW_WORK_MILLISECONDS : WORK_MILLISECONDS,
-    );
+    this.#queueWork(request.url ?? '', attemptId, response);
+  }
+
+  #queueWork(path: string, attemptId: string, response: ServerResponse): void {
+    if (this.#queue === null) {
+      this.#work(path, attemptId, response, () => undefined);
+      return;
+    }
+    const isQueued = this.#queue.add((done) => this.#work(path, attemptId, response, done));
+    if (!isQueued) {
+      response.writeHead(503, { 'fennelferry-not-executed': '1', ...this.#noticeHeaders() }).end();
+      this.#observer.onAnswer(this, attemptId);
+    }
+  }
+
+  #work(path: string, attemptId: string, response: ServerResponse, done: () => void): void {
+    setTimeout(() => {
+      done();
+      if (path.includes(CRASHING_PATH_PART)) {
+        this.#observer.onCrashingRequest(this, attemptId);
+        return;
+      }
+      const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
+      response.writeHead(200, { ...headers, ...this.#noticeHeaders() }).end(this.id);
+      this.#observer.onAnswer(this, attemptId);
+    }, workTime(path));
   }
 }
 
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,5 @@
 /**
- * Runs the long soak by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving --paths`.
+ * Runs the long soak by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving --paths --rush`.
  *
  * `--program FILE` starts all daemons from another build. `--program-of-half FILE` starts every second daemon from that build, so that two builds run
  * beside each other. A daemon keeps its build over restarts, and the report line says how many elections each build won.
@@ -28,6 +28,7 @@
     limits: { type: 'boolean', default: false },
     leaving: { type: 'boolean', default: false },
     paths: { type: 'boolean', default: false },
+    rush: { type: 'boolean', default: false },
   },
 });
 
@@ -47,6 +48,7 @@
     faults,
     logDirectory: folder,
     serverCrashes,
+    rush,
   } = report;
   const won = report.leadershipsWon.map(([program, count]) => `${count} by ${program}`).join(', ');
   const builds = values['program-of-half'] === undefined ? '' : `; elections won: ${won}`;
@@ -54,6 +56,9 @@
   print(
     `seed ${seed}: ${verdict}; ${requests} requests, ${answered} answered; ${versions} versions; ${serverCrashes} servers crashed; ${faults.length} faults; longest stall ${longestStallMilliseconds} ms, longest gap of a daemon ${longestGapMilliseconds} ms${builds}`,
   );
+  if (rush !== '') {
+    print(`  ${rush}`);
+  }
   if (violations.length > 0) {
     violations.slice(0, 10).forEach((violation) => print(`  ${violation}`));
     faults.forEach((fault) => print(`    at ${fault}`));
@@ -99,6 +104,7 @@
       hasLimits: values.limits,
       hasDisconnects: values.leaving,
       hasPathFaults: values.paths,
+      hasRush: values.rush,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
     brokenRuns += report === null || report.violations.length > 0 ? 1 : 0;
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -21,6 +21,8 @@
   readonly hasDisconnects: boolean;
   /** Whether daemons lose their paths to all servers. */
   readonly hasPathFaults: boolean;
+  /** Whether two routes of different priority share servers, and the less urgent one surges. */
+  readonly hasRush: boolean;
 }
 
 /** Returns the program that a daemon runs in all its processes, by the daemon's index. */
@@ -35,6 +37,8 @@
   readonly requests: number;
   readonly answered: number;
   readonly versions: number;
+  /** Counts of the routes that share servers; empty without a rush. */
+  readonly rush: string;
   /** Number of servers that crashed while running a request. */
   readonly serverCrashes: number;
   /** Elections won by the daemons of each program, counted from their logs. Log lines that a killed process had not written are not counted. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -12,13 +12,22 @@
 import { ConfigurationProbes } from './configuration-probes.js';
 import { DaemonProcess, leadershipsWonByProgram } from './daemon-process.js';
 import { CrashingRequests } from './crashing-requests.js';
-import { createConfiguration, createDaemonSettings, createServerEntry, TIMING, ZONES } from './deployment.js';
+import {
+  createConfiguration,
+  createDaemonSettings,
+  createServerEntry,
+  RUSH_SERVICE,
+  RUSH_SLOTS_PER_SERVER,
+  TIMING,
+  ZONES,
+} from './deployment.js';
 import { allocateDaemonPorts, allocatePorts, portOf } from './ports.js';
 import { DisconnectingCallers } from './disconnecting-callers.js';
 import { LimitFaults } from './limit-faults.js';
 import { NoticeFaults } from './notice-faults.js';
 import { PathFaults } from './path-faults.js';
 import { StoreOutages } from './store-outages.js';
+import { Rush } from './rush.js';
 import { PromiseChecker } from './promise-checker.js';
 import { drawFaults, type Fault } from './fault-schedule.js';
 import { programOf, type SoakOptions, type SoakReport } from './soak-report.js';
@@ -41,6 +50,8 @@
 const FAULT_FREE_MILLISECONDS = 12_000;
 /** Last number of the first caller's loopback address. */
 const FIRST_CALLER_HOST = 2;
+/** Servers of the service that two routes share, for each server of another service: enough for some hundred requests a second. */
+const RUSH_SERVERS_PER_SERVER = 3;
 const CALL_INTERVAL_MILLISECONDS = 60;
 const CRASHING_REQUEST_INTERVAL_MILLISECONDS = 900;
 /** Milliseconds after which a stopping daemon, which may be paused meanwhile, is killed as the platform would do. */
@@ -72,6 +83,7 @@
   #serverCount = 0;
   readonly #outages: StoreOutages;
   readonly #pathFaults: PathFaults | null;
+  readonly #rush: Rush | null;
   #finished = false;
 
   constructor(options: SoakOptions, store: RemoteStore) {
@@ -82,6 +94,7 @@
     this.#pathFaults = options.hasPathFaults
       ? new PathFaults(options.seed, this.#promises, { daemons: this.#daemons, wasUndisturbed })
       : null;
+    this.#rush = options.hasRush ? this.#createRush() : null;
   }
 
   async run(): Promise<SoakReport> {
@@ -103,11 +116,12 @@
       ? this.#createDisconnectingCallers().run(length)
       : Promise.resolve();
     const pathFaults = this.#pathFaults?.run(length) ?? Promise.resolve();
+    const rush = this.#rush?.run(length) ?? Promise.resolve();
     for (const { at, fault } of schedule) {
       await pause(startedAt + at - now());
       faults.push(this.#performFault(fault));
     }
-    await Promise.all([...faults, notices, limits, disconnects, pathFaults]);
+    await Promise.all([...faults, notices, limits, disconnects, pathFaults, rush]);
     await pause(FAULT_FREE_MILLISECONDS);
     await checkServedAgain(this.#callers, this.#newestVersion, this.#crashingRequests, this.#promises);
     this.#finished = true;
@@ -140,6 +154,9 @@
       await this.#addServer('keyed');
       await this.#addServer('plain');
     }
+    for (let index = 0; this.#rush !== null && index < servers * RUSH_SERVERS_PER_SERVER; index += 1) {
+      await this.#addServer(RUSH_SERVICE);
+    }
     const ports = await allocateDaemonPorts(daemons);
     const { hasCrashes, hasPathFaults } = this.#options;
     const inReach = [...ports.flatMap((addresses) => Object.values(addresses)), this.#store.address];
@@ -160,12 +177,12 @@
     this.#newestVersion += 1;
     const version = this.#newestVersion;
     this.#probes.recordWriting(version);
-    const at = await this.#store.put('config', 'main', createConfiguration(version));
+    const at = await this.#store.put('config', 'main', createConfiguration(version, this.#options.hasRush));
     this.#probes.recordWritten(version, at);
   }
 
   /** Adds a server on a port; null: any free one outside of the ephemeral range, so that it is free again when the server restarts. */
-  async #addServer(service: 'keyed' | 'plain', port: number | null = null): Promise<void> {
+  async #addServer(service: string, port: number | null = null): Promise<void> {
     this.#serverCount += 1;
     const zone = ZONES[this.#serverCount % ZONES.length] as string;
     const isKeyed = service === 'keyed';
@@ -188,7 +205,7 @@
       store: this.#store,
       daemons: this.#daemons,
       activeServers: () => this.#activeServers(),
-      addSimilarServer: (server) => this.#addServer(server.keyed ? 'keyed' : 'plain'),
+      addSimilarServer: (server) => this.#addServer(server.service),
       restart: (server, after) => this.#restartServer(server, after),
       excludeFromFaults: (server) => void this.#drainingByNotice.add(server),
       putEntry: (server) => void this.#putEntry(server, 'ready'),
@@ -206,6 +223,14 @@
     return limitFaults;
   }
 
+  #createRush(): Rush {
+    return new Rush(this.#options.seed, this.#promises, {
+      connections: this.#connections,
+      daemons: this.#daemons,
+      slots: this.#options.servers * RUSH_SERVERS_PER_SERVER * RUSH_SLOTS_PER_SERVER,
+    });
+  }
+
   #createDisconnectingCallers(): DisconnectingCallers {
     const disconnectingCallers = new DisconnectingCallers(this.#options.seed, this.#promises, {
       connections: this.#connections,
@@ -307,7 +332,7 @@
     if (server === undefined) {
       return;
     }
-    await this.#addServer(server.keyed ? 'keyed' : 'plain');
+    await this.#addServer(server.service);
     this.#arrivalChecks.recordDraining(server, Number.POSITIVE_INFINITY);
     if (!isUnresponsive) {
       this.#arrivalChecks.recordDraining(server, await this.#putEntry(server, 'draining'));
@@ -381,7 +406,7 @@
     this.#promises.servers.splice(this.#promises.servers.indexOf(server), 1);
     await pause(SERVER_RESTART_MILLISECONDS);
     if (!this.#finished) {
-      await this.#addServer(server.keyed ? 'keyed' : 'plain', server.port);
+      await this.#addServer(server.service, server.port);
     }
     await pause(ENTRY_LAPSE_MILLISECONDS - SERVER_RESTART_MILLISECONDS);
     await this.#store.remove('servers', server.id);
@@ -395,6 +420,7 @@
       requests: outcomes.length,
       answered: outcomes.filter(({ status }) => status === 200).length,
       versions: this.#newestVersion,
+      rush: this.#rush?.summary ?? '',
       serverCrashes: this.#crashingRequests.crashCount,
       leadershipsWon: [...leadershipsWonByProgram(this.#daemons)],
       longestStallMilliseconds: Math.round(this.#stallHistogram.max / NANOSECONDS_PER_MILLISECOND),
--- a/test/soak/test-soak.ts
+++ b/test/soak/test-soak.ts
@@ -30,6 +30,7 @@
         hasLimits: false,
         hasDisconnects: false,
         hasPathFaults: false,
+        hasRush: false,
       }),
     );
     for (const report of await Promise.all(runs)) {
@@ -47,6 +48,7 @@
       hasLimits: false,
       hasDisconnects: false,
       hasPathFaults: false,
+      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -62,6 +64,7 @@
       hasLimits: false,
       hasDisconnects: false,
       hasPathFaults: false,
+      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -76,6 +79,7 @@
       hasLimits: false,
       hasDisconnects: true,
       hasPathFaults: false,
+      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -90,6 +94,7 @@
       hasLimits: true,
       hasDisconnects: false,
       hasPathFaults: false,
+      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -104,6 +109,7 @@
       hasLimits: false,
       hasDisconnects: false,
       hasPathFaults: true,
+      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
