--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -216,7 +216,10 @@
   },
   request_failed: { when: 'a request is given up: it may have been executed', fields: REQUEST_FIELDS },
   request_broken_off: { when: 'a streamed response broke off', fields: REQUEST_FIELDS },
-  caller_left: { when: 'the caller closed its connection', fields: REQUEST_FIELDS },
+  caller_left: {
+    when: 'the caller closed its connection, or its answer can no longer be delivered there',
+    fields: REQUEST_FIELDS,
+  },
   malformed_load_report: {
     when: 'a server of a service sends a load report that cannot be parsed, logged once for each service',
     fields: 'server, service, found',
--- a/test/router/request/test-caller-disconnects.ts
+++ b/test/router/request/test-caller-disconnects.ts
@@ -51,6 +51,25 @@
   },
 };
 
+describe('a request whose answer can no longer be delivered', () => {
+  // Guards against a server that gets fewer requests, or a retry, because a caller does not read.
+  it('ends with the stated reason, without a retry and without blame for its server', () => {
+    const daemon = new SingleDaemon();
+    daemon.receiveRequest(1, '/read/1');
+    const { server } = daemon.state.requests.get(1) ?? {};
+    daemon.effects = [];
+    const reason = 'the caller does not read its answers';
+    daemon.event({ kind: 'callerLeft', requestId: 1, attemptId: 'a-1', isArrivalReported: true, reason });
+    expect(daemon.effectsOfKind('cancel').length).toEqual(1);
+    expect(daemon.effectsOfKind('forward')).toEqual([]);
+    const logged = daemon.effectsOfKind('log').filter(({ event }) => event === 'caller_left');
+    expect(logged.map(({ fields }) => fields['reason'])).toEqual([reason]);
+    const known = daemon.state.servers.get(server ?? '');
+    expect(known?.load.failures).toEqual(0);
+    expect(known?.load.avoidUntil).toEqual(0);
+  });
+});
+
 describe('a caller that disconnects while its request waits', () => {
   for (const [awaited, startWaiting] of Object.entries(WAITING_REQUESTS)) {
     it(`${awaited}: nothing more is sent, and the attempt in flight is cancelled`, () => {
