--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -11,6 +11,7 @@
 import { CallerConnections } from './caller-connections.js';
 import { ConfigurationProbes } from './configuration-probes.js';
 import { DaemonProcess, leadershipsWonByProgram } from './daemon-process.js';
+import { pauseDaemon, restartDaemon } from './daemon-faults.js';
 import { CrashingRequests } from './crashing-requests.js';
 import {
   createConfiguration,
@@ -54,9 +55,6 @@
 const RUSH_SERVERS_PER_SERVER = 3;
 const CALL_INTERVAL_MILLISECONDS = 60;
 const CRASHING_REQUEST_INTERVAL_MILLISECONDS = 900;
-/** Milliseconds after which a stopping daemon, which may be paused meanwhile, is killed as the platform would do. */
-const STOP_LIMIT = TIMING.stopGrace * MILLISECONDS_PER_SECOND + 2_000;
-
 export class Soak {
   readonly #options: SoakOptions;
   readonly #store: RemoteStore;
@@ -278,7 +276,7 @@
       case 'stop':
         return this.#restartDaemons(fault.daemons, fault.kind, fault.lasts);
       case 'pause':
-        await Promise.all(fault.daemons.map((index) => this.#pauseDaemon(index, fault.lasts)));
+        await Promise.all(fault.daemons.map((index) => pauseDaemon(this.#daemonAt(index), fault.lasts)));
         return;
       case 'drain':
         return this.#drain(fault.server, false);
@@ -289,41 +287,19 @@
     }
   }
 
-  async #interruptStore(mode: StoreMode, lasts: number): Promise<void> {
-    const end = this.#outages.begin(mode);
-    await pause(lasts);
-    end();
-  }
-
   async #restartDaemons(indexes: readonly number[], how: 'kill' | 'stop', delay: number): Promise<void> {
-    await Promise.all(indexes.map((index) => this.#restartDaemon(index, how, delay)));
+    const restarts = indexes.map((index) => restartDaemon(this.#daemonAt(index), how, delay, this.#promises));
+    await Promise.all(restarts);
   }
 
-  async #restartDaemon(index: number, how: 'kill' | 'stop', delay: number): Promise<void> {
-    const daemon = this.#daemons[index] as DaemonProcess;
-    if (!daemon.isRunning || daemon.stopping) {
-      return;
-    }
-    const ended = daemon.ended();
-    daemon.signal(how === 'kill' ? 'SIGKILL' : 'SIGTERM');
-    const isInTime = await Promise.race([ended.then(() => true), pause(STOP_LIMIT).then(() => false)]);
-    if (!isInTime) {
-      this.#promises.fail('a planned stop ends in time', daemon.name);
-      daemon.signal('SIGKILL');
-      await ended;
-    }
-    await pause(delay);
-    daemon.start();
+  #daemonAt(index: number): DaemonProcess {
+    return this.#daemons[index] as DaemonProcess;
   }
 
-  async #pauseDaemon(index: number, lasts: number): Promise<void> {
-    const daemon = this.#daemons[index] as DaemonProcess;
-    if (!daemon.isRunning || daemon.stopping || daemon.isPaused) {
-      return;
-    }
-    daemon.signal('SIGSTOP');
+  async #interruptStore(mode: StoreMode, lasts: number): Promise<void> {
+    const end = this.#outages.begin(mode);
     await pause(lasts);
-    daemon.signal('SIGCONT');
+    end();
   }
 
   /** Adds a server and removes another one, which is first marked as draining unless `isUnresponsive`. */
