--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -11,14 +11,24 @@
 import { CallerConnections } from './caller-connections.js';
 import { ConfigurationProbes } from './configuration-probes.js';
 import { DaemonProcess, leadershipsWonByProgram } from './daemon-process.js';
+import { pauseDaemon, restartDaemon } from './daemon-faults.js';
 import { CrashingRequests } from './crashing-requests.js';
-import { createConfiguration, createDaemonSettings, createServerEntry, TIMING, ZONES } from './deployment.js';
+import {
+  createConfiguration,
+  createDaemonSettings,
+  createServerEntry,
+  RUSH_SERVICE,
+  RUSH_SLOTS_PER_SERVER,
+  TIMING,
+  ZONES,
+} from './deployment.js';
 import { allocateDaemonPorts, allocatePorts, portOf } from './ports.js';
 import { DisconnectingCallers } from './disconnecting-callers.js';
 import { LimitFaults } from './limit-faults.js';
 import { NoticeFaults } from './notice-faults.js';
 import { PathFaults } from './path-faults.js';
 import { StoreOutages } from './store-outages.js';
+import { Rush } from './rush.js';
 import { PromiseChecker } from './promise-checker.js';
 import { drawFaults, type Fault } from './fault-schedule.js';
 import { programOf, type SoakOptions, type SoakReport } from './soak-report.js';
@@ -41,11 +51,10 @@
 const FAULT_FREE_MILLISECONDS = 12_000;
 /** Last number of the first caller's loopback address. */
 const FIRST_CALLER_HOST = 2;
+/** Servers of the service that two routes share, for each server of another service: enough for some hundred requests a second. */
+const RUSH_SERVERS_PER_SERVER = 3;
 const CALL_INTERVAL_MILLISECONDS = 60;
 const CRASHING_REQUEST_INTERVAL_MILLISECONDS = 900;
-/** Milliseconds after which a stopping daemon, which may be paused meanwhile, is killed as the platform would do. */
-const STOP_LIMIT = TIMING.stopGrace * MILLISECONDS_PER_SECOND + 2_000;
-
 export class Soak {
   readonly #options: SoakOptions;
   readonly #store: RemoteStore;
@@ -72,6 +81,7 @@
   #serverCount = 0;
   readonly #outages: StoreOutages;
   readonly #pathFaults: PathFaults | null;
+  readonly #rush: Rush | null;
   #finished = false;
 
   constructor(options: SoakOptions, store: RemoteStore) {
@@ -82,6 +92,7 @@
     this.#pathFaults = options.hasPathFaults
       ? new PathFaults(options.seed, this.#promises, { daemons: this.#daemons, wasUndisturbed })
       : null;
+    this.#rush = options.hasRush ? this.#createRush() : null;
   }
 
   async run(): Promise<SoakReport> {
@@ -103,11 +114,12 @@
       ? this.#createDisconnectingCallers().run(length)
       : Promise.resolve();
     const pathFaults = this.#pathFaults?.run(length) ?? Promise.resolve();
+    const rush = this.#rush?.run(length) ?? Promise.resolve();
     for (const { at, fault } of schedule) {
       await pause(startedAt + at - now());
       faults.push(this.#performFault(fault));
     }
-    await Promise.all([...faults, notices, limits, disconnects, pathFaults]);
+    await Promise.all([...faults, notices, limits, disconnects, pathFaults, rush]);
     await pause(FAULT_FREE_MILLISECONDS);
     await checkServedAgain(this.#callers, this.#newestVersion, this.#crashingRequests, this.#promises);
     this.#finished = true;
@@ -140,6 +152,9 @@
       await this.#addServer('keyed');
       await this.#addServer('plain');
     }
+    for (let index = 0; this.#rush !== null && index < servers * RUSH_SERVERS_PER_SERVER; index += 1) {
+      await this.#addServer(RUSH_SERVICE);
+    }
     const ports = await allocateDaemonPorts(daemons);
     const { hasCrashes, hasPathFaults } = this.#options;
     const inReach = [...ports.flatMap((addresses) => Object.values(addresses)), this.#store.address];
@@ -160,12 +175,12 @@
     this.#newestVersion += 1;
     const version = this.#newestVersion;
     this.#probes.recordWriting(version);
-    const at = await this.#store.put('config', 'main', createConfiguration(version));
+    const at = await this.#store.put('config', 'main', createConfiguration(version, this.#options.hasRush));
     this.#probes.recordWritten(version, at);
   }
 
   /** Adds a server on a port; null: any free one outside of the ephemeral range, so that it is free again when the server restarts. */
-  async #addServer(service: 'keyed' | 'plain', port: number | null = null): Promise<void> {
+  async #addServer(service: string, port: number | null = null): Promise<void> {
     this.#serverCount += 1;
     const zone = ZONES[this.#serverCount % ZONES.length] as string;
     const isKeyed = service === 'keyed';
@@ -188,7 +203,7 @@
       store: this.#store,
       daemons: this.#daemons,
       activeServers: () => this.#activeServers(),
-      addSimilarServer: (server) => this.#addServer(server.keyed ? 'keyed' : 'plain'),
+      addSimilarServer: (server) => this.#addServer(server.service),
       restart: (server, after) => this.#restartServer(server, after),
       excludeFromFaults: (server) => void this.#drainingByNotice.add(server),
       putEntry: (server) => void this.#putEntry(server, 'ready'),
@@ -206,6 +221,14 @@
     return limitFaults;
   }
 
+  #createRush(): Rush {
+    return new Rush(this.#options.seed, this.#promises, {
+      connections: this.#connections,
+      daemons: this.#daemons,
+      slots: this.#options.servers * RUSH_SERVERS_PER_SERVER * RUSH_SLOTS_PER_SERVER,
+    });
+  }
+
   #createDisconnectingCallers(): DisconnectingCallers {
     const disconnectingCallers = new DisconnectingCallers(this.#options.seed, this.#promises, {
       connections: this.#connections,
@@ -253,7 +276,7 @@
       case 'stop':
         return this.#restartDaemons(fault.daemons, fault.kind, fault.lasts);
       case 'pause':
-        await Promise.all(fault.daemons.map((index) => this.#pauseDaemon(index, fault.lasts)));
+        await Promise.all(fault.daemons.map((index) => pauseDaemon(this.#daemonAt(index), fault.lasts)));
         return;
       case 'drain':
         return this.#drain(fault.server, false);
@@ -264,41 +287,19 @@
     }
   }
 
-  async #interruptStore(mode: StoreMode, lasts: number): Promise<void> {
-    const end = this.#outages.begin(mode);
-    await pause(lasts);
-    end();
-  }
-
   async #restartDaemons(indexes: readonly number[], how: 'kill' | 'stop', delay: number): Promise<void> {
-    await Promise.all(indexes.map((index) => this.#restartDaemon(index, how, delay)));
+    const restarts = indexes.map((index) => restartDaemon(this.#daemonAt(index), how, delay, this.#promises));
+    await Promise.all(restarts);
   }
 
-  async #restartDaemon(index: number, how: 'kill' | 'stop', delay: number): Promise<void> {
-    const daemon = this.#daemons[index] as DaemonProcess;
-    if (!daemon.isRunning || daemon.stopping) {
-      return;
-    }
-    const ended = daemon.ended();
-    daemon.signal(how === 'kill' ? 'SIGKILL' : 'SIGTERM');
-    const isInTime = await Promise.race([ended.then(() => true), pause(STOP_LIMIT).then(() => false)]);
-    if (!isInTime) {
-      this.#promises.fail('a planned stop ends in time', daemon.name);
-      daemon.signal('SIGKILL');
-      await ended;
-    }
-    await pause(delay);
-    daemon.start();
+  #daemonAt(index: number): DaemonProcess {
+    return this.#daemons[index] as DaemonProcess;
   }
 
-  async #pauseDaemon(index: number, lasts: number): Promise<void> {
-    const daemon = this.#daemons[index] as DaemonProcess;
-    if (!daemon.isRunning || daemon.stopping || daemon.isPaused) {
-      return;
-    }
-    daemon.signal('SIGSTOP');
+  async #interruptStore(mode: StoreMode, lasts: number): Promise<void> {
+    const end = this.#outages.begin(mode);
     await pause(lasts);
-    daemon.signal('SIGCONT');
+    end();
   }
 
   /** Adds a server and removes another one, which is first marked as draining unless `isUnresponsive`. */
@@ -307,7 +308,7 @@
     if (server === undefined) {
       return;
     }
-    await this.#addServer(server.keyed ? 'keyed' : 'plain');
+    await this.#addServer(server.service);
     this.#arrivalChecks.recordDraining(server, Number.POSITIVE_INFINITY);
     if (!isUnresponsive) {
       this.#arrivalChecks.recordDraining(server, await this.#putEntry(server, 'draining'));
@@ -381,7 +382,7 @@
     this.#promises.servers.splice(this.#promises.servers.indexOf(server), 1);
     await pause(SERVER_RESTART_MILLISECONDS);
     if (!this.#finished) {
-      await this.#addServer(server.keyed ? 'keyed' : 'plain', server.port);
+      await this.#addServer(server.service, server.port);
     }
     await pause(ENTRY_LAPSE_MILLISECONDS - SERVER_RESTART_MILLISECONDS);
     await this.#store.remove('servers', server.id);
@@ -395,6 +396,7 @@
       requests: outcomes.length,
       answered: outcomes.filter(({ status }) => status === 200).length,
       versions: this.#newestVersion,
+      rush: this.#rush?.summary ?? '',
       serverCrashes: this.#crashingRequests.crashCount,
       leadershipsWon: [...leadershipsWonByProgram(this.#daemons)],
       longestStallMilliseconds: Math.round(this.#stallHistogram.max / NANOSECONDS_PER_MILLISECOND),
