--- a/src/router-runtime/router-metrics.ts
+++ b/src/router-runtime/router-metrics.ts
@@ -69,6 +69,7 @@
     );
     this.#registerFeedAges(state);
     this.#registerLimits(state);
+    this.#registerReservedServers(state);
     this.#registerGauge('resident_bytes', () => process.memoryUsage.rss());
   }
 
@@ -102,6 +103,23 @@
     });
   }
 
+  /** Registers the number of reserved servers of each service that has any, or had one since this daemon's start. */
+  #registerReservedServers(state: RouterState): void {
+    new Gauge({
+      name: 'fennelferry_router_reserved_servers',
+      help: 'servers reserved for the most urgent requests of a service',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect() {
+        for (const [service, { reserved }] of state.serviceProfiles) {
+          if (reserved.wasUsed) {
+            this.set({ service }, reserved.size);
+          }
+        }
+      },
+    });
+  }
+
   /** Registers the servers' rate limits, and the permits that this daemon grants for them while it is the leader. */
   #registerLimits(state: RouterState): void {
     this.#registerGauge('limited_servers', () => state.limits.inForce.size);
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -212,7 +212,7 @@
   request_answered: { when: "a server's response was sent to the caller", fields: REQUEST_FIELDS },
   request_refused: {
     when: 'a request is refused: it was not executed and never will be',
-    fields: REQUEST_FIELDS,
+    fields: `${REQUEST_FIELDS}; priority of its route; of a balanced service also reserved_mean_load and shared_mean_load (estimated mean number of other daemons' requests at a reserved and at a shared server)`,
   },
   request_failed: { when: 'a request is given up: it may have been executed', fields: REQUEST_FIELDS },
   request_broken_off: { when: 'a streamed response broke off', fields: REQUEST_FIELDS },
--- a/src/router/request/balanced-service.ts
+++ b/src/router/request/balanced-service.ts
@@ -46,3 +46,21 @@
     drainingSince === null && coldUntil <= now && state.evacuations.age(server.zone, now) === null;
   profile.reserved.update(view, servers, state.serversRevision, isUsable, now);
 }
+
+/** Returns the log fields that tell why a request was refused: its priority, and the mean loads of a balanced service's server groups. */
+export function refusalFields({ state }: RouterContext, request: ActiveRequest): Record<string, number> {
+  const { priority } = request.route;
+  const groups = request.key === null ? state.serviceProfiles.get(request.service)?.groups : undefined;
+  if (groups === undefined) {
+    return { priority };
+  }
+  return {
+    priority,
+    reserved_mean_load: roundLoad(groups.otherRequests(true)),
+    shared_mean_load: roundLoad(groups.otherRequests(false)),
+  };
+}
+
+function roundLoad(load: number): number {
+  return Math.round(load * 10) / 10;
+}
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -13,6 +13,7 @@
 import { type ActiveRequest, isHeld } from './active-request.js';
 import type { PermitAnswer } from '../limits/permit-messages.js';
 import { requestPermit, recordPermitAnswer } from '../limits/permit-exchange.js';
+import { refusalFields } from './balanced-service.js';
 import { findDestination } from './destination.js';
 import { isRefusal, type RoutingRefusal } from './refusals.js';
 import { RetryBudget } from './retry-budget.js';
@@ -200,6 +201,7 @@
     ...(request.dataAge !== null ? { data_age: request.dataAge } : {}),
     attempts: request.attemptOutcomes,
     milliseconds: Math.round(now - request.arrivedAt),
+    ...(outcome === 'refused' ? refusalFields(context, request) : {}),
     ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
     ...(request.origin === null ? {} : { proxied_for: request.origin.daemon }),
     ...(request.triedProxies.length === 0 ? {} : { proxy: request.triedProxies.at(-1) }),
--- a/src/router/request/reserved-servers.ts
+++ b/src/router/request/reserved-servers.ts
@@ -156,6 +156,11 @@
     return this.priority === null ? MIN_URGENT_DEMAND : MIN_KEPT_DEMAND;
   }
 
+  /** Whether servers have been reserved at any time. */
+  get wasUsed(): boolean {
+    return this.#orderedRevision !== null;
+  }
+
   /** Returns whether requests of a priority may go to the reserved servers. */
   allows(priority: number): boolean {
     return this.priority === null || priority <= this.priority;
--- a/test/router/support/balanced-traffic.ts
+++ b/test/router/support/balanced-traffic.ts
@@ -4,20 +4,17 @@
  */
 import { SeededRandom } from '../../../src/core/random.js';
 import { type ServiceLoadView, UNKNOWN_LOAD } from '../../../src/router/load-view/load-view.js';
-import { Permits } from '../../../src/router/limits/permits.js';
 import type { Route } from '../../../src/router/model/configuration.js';
 import { ZoneEvacuations } from '../../../src/router/news/zone-evacuations.js';
-import { ServerBackOff } from '../../../src/router/notices/server-back-off.js';
-import { ServerContact } from '../../../src/router/reachability/server-contact.js';
 import { HELD_RETRY_INTERVAL, HOLD_FRACTION } from '../../../src/router/request/request-timing.js';
 import { RetryBudget } from '../../../src/router/request/retry-budget.js';
 import type { CandidateServer } from '../../../src/router/request/server-eligibility.js';
 import { ServerLoad } from '../../../src/router/request/server-load.js';
 import { selectServer } from '../../../src/router/request/server-selection.js';
 import { ServiceProfile } from '../../../src/router/request/service-profile.js';
-import { SendWindows } from '../../../src/router/sharing/send-windows.js';
 import { BOUNDS } from './bounds.js';
 import { ObservedLoads } from './observed-loads.js';
+import { createCandidate } from './candidates.js';
 import { describeServer } from './single-daemon.js';
 import { type ServerResult, SlotServer } from './slot-server.js';
 import { VirtualClock } from './virtual-clock.js';
@@ -292,16 +289,3 @@
     counts.workInTime += isInTime ? request.work : 0;
   }
 }
-
-function createCandidate(server: CandidateServer['server'], load: ServerLoad): CandidateServer {
-  return {
-    server,
-    load,
-    contact: new ServerContact(),
-    coldUntil: 0,
-    drainingSince: null,
-    backOff: new ServerBackOff(),
-    coldSendWindows: new SendWindows(0),
-    permits: new Permits(0),
-  };
-}
