--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -197,6 +197,9 @@
 ): void {
   const { now } = context;
   const reading = recordLoadReport(context, known, result.load);
+  if (reading !== null && !result.misdirected) {
+    known?.load.recordRejection(reading, now);
+  }
   if (known !== undefined && known.backOff.left(now) > 0) {
     // The server's back-off decides: the request goes to another server, or is refused with the remaining time.
     dispatchRequest(context, request);
--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -20,6 +20,10 @@
 const MIN_UNRESPONSIVE_TIME: Milliseconds = 400;
 /** Minimum time until a server counts as unresponsive while its service has too few samples. */
 const MIN_UNRESPONSIVE_TIME_UNKNOWN_SERVICE: Milliseconds = 1_000;
+/** Weight of one request in the share of requests that a server rejects although it has a free slot. */
+const REJECTION_WEIGHT = 0.2;
+/** That share decays by a factor of e in this time, so that the server is tried again. */
+const REJECTION_DECAY_TIME: Milliseconds = 5_000;
 
 /** Load that a server reports with an answer. */
 export interface ReportedLoad {
@@ -60,6 +64,8 @@
   #relativeTime = 1;
   #sampledAt: Milliseconds = 0;
   #otherRequests = 0;
+  #rejectedShare = 0;
+  #rejectionsAt: Milliseconds = 0;
   /** Slowdown that the server last reported. */
   #slowdown = 1;
   #reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -115,10 +121,31 @@
     this.#assume(this.#withoutOwn({ running: slots, waiting: slots, slots, slowdown: null }), 1, now);
   }
 
+  /** Records that the server rejected a request. A server with a free slot rejects by fault and looks idle all the time. */
+  recordRejection({ running, slots }: ReportedLoad, now: Milliseconds): void {
+    if (running < slots) {
+      this.#updateRejections(1, now);
+    }
+  }
+
+  #updateRejections(isRejected: number, now: Milliseconds): void {
+    const share = this.rejectedShare(now);
+    this.#rejectedShare = share + (isRejected - share) * REJECTION_WEIGHT;
+    this.#rejectionsAt = now;
+  }
+
+  /** Returns the recent share of requests that the server rejected although it had a free slot. */
+  rejectedShare(now: Milliseconds): number {
+    return this.#rejectedShare === 0
+      ? 0
+      : this.#rejectedShare * Math.exp((this.#rejectionsAt - now) / REJECTION_DECAY_TIME);
+  }
+
   /** Records an answer and its duration; `waited` is whether the request may have waited for a slot of the server. */
   answered(duration: Milliseconds, now: Milliseconds, waited: boolean, route: Route): void {
     this.lastAnswerAt = now;
     this.failures = 0;
+    this.#updateRejections(0, now);
     this.unreported.requests += 1;
     this.unreported.total += duration;
     if (!waited) {
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -19,6 +19,11 @@
 const OTHER_ZONE_WORK_FRACTION = 0.2;
 /** Random fraction added to a server's cost, which spreads requests over servers with nearly equal costs. */
 const COST_JITTER = 0.15;
+/**
+ * A server that rejects all requests although it has free slots costs this many times its response time more. Half of the requests rejected
+ * double the cost: a rejected request takes a second attempt, and a retry from the budget.
+ */
+const REJECTION_COST_FACTOR = 2;
 /** Requests that may wait at a server for each of its slots before the server counts as at capacity. */
 export const MAX_WAITING_PER_SLOT = 3;
 /**
@@ -57,10 +62,15 @@
   return load.balancedResponseTime(server.slots, route, now) * load.slowdown(now) * coldFactor;
 }
 
-function cost({ server }: CandidateServer, time: Milliseconds, context: SelectionContext): Milliseconds {
+function cost(
+  { server, load }: CandidateServer,
+  time: Milliseconds,
+  context: SelectionContext,
+): Milliseconds {
   const otherZoneCost = Math.max(2 * OTHER_ZONE_WAY, context.workTime * OTHER_ZONE_WORK_FRACTION);
   const zoneCost = server.zone === context.zone ? 0 : otherZoneCost;
-  return time * (1 + COST_JITTER * context.random.fraction()) + zoneCost;
+  const rejectionFactor = 1 + REJECTION_COST_FACTOR * load.rejectedShare(context.now);
+  return time * rejectionFactor * (1 + COST_JITTER * context.random.fraction()) + zoneCost;
 }
 
 /** Returns whether a server would take a new request and answer it within its objective, or has a free slot. */
--- a/test/router/support/balanced-traffic.ts
+++ b/test/router/support/balanced-traffic.ts
@@ -278,6 +278,7 @@
     this.#observe(daemon, load.isReserved ? 'reserved' : 'shared', report.running + report.waiting);
     if (rejection !== null) {
       this[rejection === 'full' ? 'rejectedFull' : 'rejectedByFault'] += 1;
+      load.recordRejection(report, now);
       load.avoidUntil = Math.max(load.avoidUntil, now + REJECTION_AVOIDANCE);
       this.#dispatch(daemon, request);
       return;
