--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -212,7 +212,7 @@
   request_answered: { when: "a server's response was sent to the caller", fields: REQUEST_FIELDS },
   request_refused: {
     when: 'a request is refused: it was not executed and never will be',
-    fields: REQUEST_FIELDS,
+    fields: `${REQUEST_FIELDS}; priority of its route; of a balanced service also reserved_mean_load and shared_mean_load (estimated mean number of other daemons' requests at a reserved and at a shared server)`,
   },
   load_shed: {
     when: 'a request is refused for want of room while more urgent ones wait for or demand the capacity, at most once a second for each service',
--- a/src/router/request/request-ending.ts
+++ b/src/router/request/request-ending.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
+import { refusalFields } from './balanced-service.js';
 
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
@@ -70,6 +71,7 @@
     ...(request.dataAge !== null ? { data_age: request.dataAge } : {}),
     attempts: request.attemptOutcomes,
     milliseconds: Math.round(now - request.arrivedAt),
+    ...(outcome === 'refused' ? refusalFields(context, request) : {}),
     ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
     ...(request.origin === null ? {} : { proxied_for: request.origin.daemon }),
     ...(request.triedProxies.length === 0 ? {} : { proxy: request.triedProxies.at(-1) }),
