Callers that return before the time they were told take their turn at that time

In a simulation of 60 callers at two servers, those that returned at once got 7.4 requests through where the others got 1.3.

--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -33,6 +33,8 @@
   readonly readDelay: Milliseconds;
   /** Time at which the final answer is due: the caller's deadline or the route's timeout, whichever is earlier. */
   readonly deadlineAt: Milliseconds;
+  /** Its arrival, or the later time for which its caller was told to return: its turn among held requests. */
+  readonly turnAt: Milliseconds;
   /** Time after which the request is refused instead of held when it has not been sent. */
   readonly holdUntil: Milliseconds;
   /** Number of attempts that reached, or may have reached, a server. */
--- a/src/router/request/held-queue.ts
+++ b/src/router/request/held-queue.ts
@@ -1,10 +1,12 @@
 /** Holds requests until a server has room for them, and refuses those that can't be held with a time at which to return. */
 import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
 import { blocks, compareRanks, HeldRequests, type OrderingTimes, rankOf } from './held-requests.js';
 import { type LoadShedding, recordShedRequest } from './load-shedding.js';
 import { MinimumShare } from './minimum-share.js';
+import { RecentRefusals } from './recent-refusals.js';
 import { endWithOwnAnswer } from './request-ending.js';
 import { HELD_RETRY_INTERVAL, OVERLOAD_RETRY_AFTER } from './request-timing.js';
 import { retryTime } from './retry-time.js';
@@ -18,6 +20,7 @@
   readonly requests: HeldRequests<ActiveRequest>;
   readonly share: MinimumShare;
   readonly shedding: LoadShedding;
+  readonly refusals: RecentRefusals;
   /** Lowest expected response time of the service's servers, computed at `estimatedAt`. */
   responseTime: Milliseconds;
   estimatedAt: Milliseconds;
@@ -41,6 +44,7 @@
       requests: new HeldRequests(),
       share: new MinimumShare(),
       shedding: { refused: new Map(), nextLogAt: Number.NEGATIVE_INFINITY },
+      refusals: new RecentRefusals(),
       responseTime: 0,
       estimatedAt: Number.NEGATIVE_INFINITY,
     };
@@ -130,10 +134,27 @@
   request: ActiveRequest,
   { reason, retryAfter }: RoomRefusal,
 ): void {
-  const { requests, shedding } = heldQueueOf(context, request.service);
+  const { requests, shedding, refusals } = heldQueueOf(context, request.service);
   requests.remove(request);
   recordShedRequest(context, request, shedding, moreUrgentPriority(context, request));
-  endWithOwnAnswer(context, request, reason, retryTimeOf(context, request, retryAfter));
+  const wait = retryTimeOf(context, request, retryAfter);
+  const isEarly = request.turnAt > request.arrivedAt;
+  refusals.record(request.fingerprint.head, context.now + wait, isEarly, context.now);
+  endWithOwnAnswer(context, request, reason, wait);
+}
+
+/** Returns the time from which an arriving request takes its turn among held ones: its arrival, or when its caller was told to return. */
+export function turnOf(
+  { state, now }: RouterContext,
+  service: ServiceName,
+  fingerprint: RequestFingerprint,
+  arrivedAt: Milliseconds,
+): Milliseconds {
+  const refusals = state.heldQueues.get(service)?.refusals;
+  // The fingerprint is computed on first use, which most requests never need.
+  const returnAt =
+    refusals === undefined || refusals.isEmpty(now) ? null : refusals.returnTime(fingerprint.head, now);
+  return Math.max(arrivedAt, returnAt ?? arrivedAt);
 }
 
 /** Holds a request until a server may have room for it; refuses it if its hold time ends, or the least urgent one if too many are held. */
--- a/src/router/request/held-requests.ts
+++ b/src/router/request/held-requests.ts
@@ -15,6 +15,8 @@
 export interface HoldableRequest {
   readonly id: number;
   readonly arrivedAt: Milliseconds;
+  /** Its arrival, or the later time for which its caller was told to return. */
+  readonly turnAt: Milliseconds;
   readonly route: { readonly priority: number; readonly latencyObjective: Milliseconds };
 }
 
@@ -25,15 +27,11 @@
   readonly responseTimeOf: (request: Request) => Milliseconds;
 }
 
-/** Returns when the latency objective of a request ends. */
-export function objectiveEnd({ arrivedAt, route }: HoldableRequest): Milliseconds {
-  return arrivedAt + route.latencyObjective;
-}
-
 /** The place of a request in the order. */
 interface Rank {
   readonly priority: number;
   readonly isLate: boolean;
+  /** End of the objective, counted from the request's turn. */
   readonly objectiveEnd: Milliseconds;
   readonly id: number;
 }
@@ -43,9 +41,9 @@
   request: Request,
   { now, responseTimeOf }: OrderingTimes<Request>,
 ): Rank {
-  const end = objectiveEnd(request);
-  const isLate = now + responseTimeOf(request) > end;
-  return { priority: request.route.priority, isLate, objectiveEnd: end, id: request.id };
+  const { id, arrivedAt, turnAt, route } = request;
+  const isLate = now + responseTimeOf(request) > arrivedAt + route.latencyObjective;
+  return { priority: route.priority, isLate, objectiveEnd: turnAt + route.latencyObjective, id };
 }
 
 /** Compares two ranks; negative: the first one's request is dispatched first. */
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -13,6 +13,7 @@
   refuseQuarantined,
 } from '../quarantine/quarantine.js';
 import { addKeyRequestCounts } from '../tree/reports.js';
+import { turnOf } from './held-queue.js';
 import { retryBudgetOf, dispatchRequest } from './request-dispatch.js';
 import { HOLD_FRACTION, OVERLOAD_RETRY_AFTER } from './request-timing.js';
 
@@ -121,7 +122,7 @@
     refuseBeforeAdmission(context, event, UNAVAILABLE, reason, OVERLOAD_RETRY_AFTER);
     return;
   }
-  const request = createRequest(event, route, service, keyed ? event.key : null, readAt);
+  const request = createRequest(context, event, route, service, keyed ? event.key : null, readAt);
   if (isRefusedByQuarantine(context, request)) {
     refuseQuarantined(context, request);
     return;
@@ -177,6 +178,7 @@
 }
 
 function createRequest(
+  context: RouterContext,
   event: RequestArrivedEvent,
   route: Route,
   service: string,
@@ -197,6 +199,7 @@
     key,
     arrivedAt,
     readDelay: event.readDelay,
+    turnAt: turnOf(context, service, event.fingerprint, arrivedAt),
     deadlineAt: arrivedAt + timeout,
     holdUntil: arrivedAt + Math.min(timeout, route.latencyObjective) * HOLD_FRACTION,
     origin,
--- a/test/router/request/test-held-requests.ts
+++ b/test/router/request/test-held-requests.ts
@@ -14,7 +14,7 @@
 const TIMES: OrderingTimes<HoldableRequest> = { now: 1_000, responseTimeOf: () => 100 };
 
 function createRequest(id: number, route: HoldableRequest['route'], arrivedAt = 1_000): HoldableRequest {
-  return { id, arrivedAt, route };
+  return { id, arrivedAt, turnAt: arrivedAt, route };
 }
 
 function idsOf(held: HeldRequests<HoldableRequest>, times = TIMES): number[] {
--- a/test/router/request/test-held-surge.ts
+++ b/test/router/request/test-held-surge.ts
@@ -4,6 +4,7 @@
 import type { Route } from '../../../src/router/model/configuration.js';
 import { MAX_HELD_REQUESTS } from '../../../src/router/request/held-requests.js';
 import { BULK, PriorityDeployment, URGENT } from '../support/priority-deployment.js';
+import { simulateRetryingCallers } from '../support/retrying-callers.js';
 
 /** Counts how often the daemon looks for a server, at a deployment with one server. */
 function countTries({ daemon }: PriorityDeployment): () => number {
@@ -180,6 +181,18 @@
 });
 
 describe('refused callers', () => {
+  // Such callers were always among the held requests, and got 7.4 requests through where others got 1.3.
+  it('get no more than others when they return at once and often', () => {
+    for (const [servers, callers, impatient] of [
+      [2, 60, 30],
+      [2, 60, 5],
+      [4, 100, 10],
+    ] as const) {
+      const [served, servedOthers] = simulateRetryingCallers(servers, callers, impatient);
+      expect(served).toBeLessThanOrEqual(servedOthers * 1.05);
+    }
+  });
+
   it('return spread out', () => {
     const deployment = new PriorityDeployment(1);
     deployment.sendUntilHeld(BULK, 60);
--- a/test/router/support/priority-deployment.ts
+++ b/test/router/support/priority-deployment.ts
@@ -70,6 +70,7 @@
   readonly sends: { readonly requestId: number; readonly at: number }[] = [];
   /** Whether servers with free slots reject every request. */
   rejectAll = false;
+  readonly #answersById = new Map<number, CallerAnswer>();
   readonly #routes = new Map<number, string>();
   readonly #attempts = new Map<string, Attempt[]>();
   #nextRequest = 1;
@@ -88,12 +89,12 @@
     return this.daemon.now;
   }
 
-  /** Sends a caller's request and returns its id. */
-  send(route: Route, timeout = route.timeout): number {
+  /** Sends a caller's request and returns its id. A request of the same name is the same request again. */
+  send(route: Route, timeout = route.timeout, name: string | null = null): number {
     const requestId = this.#nextRequest;
     this.#nextRequest += 1;
     this.#routes.set(requestId, route.name);
-    this.daemon.receiveRequest(requestId, `/${route.name}/${requestId}`, timeout);
+    this.daemon.receiveRequest(requestId, `/${route.name}/${name ?? requestId}`, timeout);
     this.#takeEffects();
     return requestId;
   }
@@ -112,7 +113,7 @@
   }
 
   answerOf(requestId: number): CallerAnswer | undefined {
-    return this.answers.find((answer) => answer.requestId === requestId);
+    return this.#answersById.get(requestId);
   }
 
   /** Lets a time pass; `eachStep` is called before the events of each step. */
@@ -161,7 +162,9 @@
   }
 
   #recordAnswer(requestId: number, status: number, reason: string, retryAfter: number | null): void {
-    this.answers.push({ requestId, at: this.now, status, reason, retryAfter });
+    const answer = { requestId, at: this.now, status, reason, retryAfter };
+    this.answers.push(answer);
+    this.#answersById.set(requestId, answer);
   }
 
   #takeEffects(): void {
