--- a/src/router/ownership/assignment-plan.ts
+++ b/src/router/ownership/assignment-plan.ts
@@ -38,6 +38,10 @@
   const plan = new ServicePlan(table, input);
   plan.reassignFromIneligibleServers();
   plan.balance();
+  // Any change needs a write to the store, which then carries the rejoining as well.
+  if (plan.table !== table || input.isRejoiningDue) {
+    plan.rejoin();
+  }
   return plan.table;
 }
 
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -122,10 +122,11 @@
   return !isAskedFor && !isQuiet && waited < FIRST_ASSIGNMENT_MAX_WAIT;
 }
 
-/** Returns whether the owner of a unit holds it and answers calls. */
+/** Returns whether the owner of a unit, as the table in the store has it, holds it and answers calls. */
 function isMergeable(leadership: Leadership, unit: Unit): boolean {
-  const held = leadership.unitProgress.get(unitName(unit))?.phase === 'held';
-  return held && leaseOf(leadership, unit.owner).unanswered === 0;
+  const progress = leadership.unitProgress.get(unitName(unit));
+  const isHeld = progress?.phase === 'held' && progress.fence === unit.fence;
+  return isHeld && leaseOf(leadership, unit.owner).unanswered === 0;
 }
 
 /** Plans the assignment of all keyed services, and writes the table if it changed. */
@@ -136,6 +137,7 @@
   if (state.configuration === null || state.serversRevision === null) {
     return;
   }
+  const isMergingDue = now >= leadership.nextMergeAt;
   let table = leadership.table;
   for (const service of state.configuration.services.values()) {
     // What only this daemon can't reach stays where it is.
@@ -145,11 +147,12 @@
         service: service.name,
         servers: eligibleServers(context, leadership, service.name),
         rates: keyLoadOf(leadership, service.name).rates(now),
+        isRejoiningDue: isMergingDue,
         movePermission: (unit) => movePermissionOf(leadership, unit),
       });
     }
   }
-  if (table === leadership.table && now >= leadership.nextMergeAt) {
+  if (table !== leadership.table || isMergingDue) {
     leadership.nextMergeAt = now + UNIT_MERGE_INTERVAL;
     table = mergeAdjacentUnits(table, (unit) => isMergeable(leadership, unit));
     table = withoutFinishedReleases(leadership, table);
--- a/src/router/ownership/move-benefit.ts
+++ b/src/router/ownership/move-benefit.ts
@@ -17,6 +17,11 @@
 const FULL_KEY_SPACE_MOVE_COST = 150;
 /** Cost in requests of the calls to two servers, a write to the store and a view update for every daemon. */
 const MOVE_COORDINATION_COST = 0.5;
+/**
+ * Cost in requests of one more unit, which needs a renewal every 0.85 s. Higher values leave busy owners as they are: 1 gave 1.8 units for
+ * each of 83 servers and lost a quarter more requests (test-plan-replay.ts).
+ */
+export const UNIT_COST = 0.2;
 /** Rates and capacities are estimates, so a move must save this many times its cost. */
 const REQUIRED_BENEFIT_FACTOR = 1.5;
 
--- a/src/router/ownership/plan-input.ts
+++ b/src/router/ownership/plan-input.ts
@@ -21,6 +21,8 @@
   readonly servers: readonly EligibleServer[];
   /** Request rates by key, in key order. */
   readonly rates: readonly KeyRate[];
+  /** Whether units of cooled ranges are rejoined also when nothing else changes. */
+  readonly isRejoiningDue: boolean;
   /** Returns the permission to move a unit now, or null while the unit must stay. */
   readonly movePermission: (unit: Unit) => MovePermission | null;
 }
--- a/src/router/ownership/service-plan.ts
+++ b/src/router/ownership/service-plan.ts
@@ -2,7 +2,7 @@
 import type { Key, ServerId } from '../model/identifiers.js';
 import type { KeyRate } from './key-load.js';
 import { KeyRates, rangesUpToRate, type KeyRange } from './key-range.js';
-import { netBenefitOfMove, usableRate, type LoadedServer } from './move-benefit.js';
+import { netBenefitOfMove, UNIT_COST, usableRate, type LoadedServer } from './move-benefit.js';
 import { splitUnit, allocateFences, withUnits, type OwnershipTable, type Unit } from './ownership-table.js';
 import type { EligibleServer, MovePermission, PlanInput } from './plan-input.js';
 
@@ -13,8 +13,16 @@
  * servers.
  */
 const MOVED_LOAD_SHARES = [1.25, 0.6, 0.25];
+/** Units of cooled ranges are rejoined with adjacent units while a service has more units per server than this. */
+const TARGET_UNITS_PER_SERVER = 2;
+/** Value in requests of one unit less when a unit is moved for that alone. */
+const REJOIN_VALUE = 1;
+/** Cost in requests of each key moved for that, beyond its usual cost: wide units stay where they are. */
+const REJOIN_COST_PER_KEY = 0.003;
+/** Limit on the moves in one plan that only rejoin units. Each of them makes its keys slow for a while. */
+const MAX_REJOINS = 3;
 /** Limit on the units of a service per server. Each unit needs renewals of its own. */
-const MAX_UNITS_PER_SERVER = 10;
+const MAX_UNITS_PER_SERVER = 6;
 /**
  * Limit on the balancing moves in one plan of a service: the base limit, or more where there are many
  * servers.
@@ -24,6 +32,14 @@
 /** Fewer keys than this are not left as a unit of their own beside a range that is split off. */
 const MIN_REMAINDER_KEYS = 48;
 
+type KeySpan = Pick<KeyRange, 'from' | 'to'>;
+
+/** The units before and after a unit. */
+interface Neighbours {
+  readonly left: Unit | undefined;
+  readonly right: Unit | undefined;
+}
+
 /** A move of a part of a unit to another server. */
 interface PlannedMove {
   readonly unit: Unit;
@@ -151,14 +167,17 @@
       if (movePermission === null) {
         continue;
       }
+      const neighbours = this.#neighboursOf(unit);
+      const unitTargets = this.#withNeighbours(targets, neighbours, hot);
       for (const part of this.#partsToMove(unit, hot, targets)) {
-        for (const to of targets) {
-          const value = netBenefitOfMove({
+        for (const to of unitTargets) {
+          const benefit = netBenefitOfMove({
             from: this.#loaded(hot),
             to: this.#loaded(to),
             rate: part.rate,
             keys: part.to - part.from + 1,
           });
+          const value = benefit - UNIT_COST * this.#addedUnits(unit, part, to.id, neighbours);
           if (value > (best?.value ?? 0)) {
             best = { unit, part, to, permission: movePermission, value };
           }
@@ -168,6 +187,72 @@
     return best;
   }
 
+  #neighboursOf(unit: Unit): Neighbours {
+    const units = this.#units();
+    const index = units.indexOf(unit);
+    return { left: units[index - 1], right: units[index + 1] };
+  }
+
+  /** Returns targets together with the owners of adjacent units, with which a moved part can be merged. */
+  #withNeighbours(
+    targets: readonly EligibleServer[],
+    { left, right }: Neighbours,
+    hot: EligibleServer,
+  ): EligibleServer[] {
+    const owners = [left, right].map((unit) => this.#targetServers.find(({ id }) => id === unit?.owner));
+    const others = owners.filter(
+      (server) => server !== undefined && server.id !== hot.id,
+    ) as EligibleServer[];
+    return [...new Set([...targets, ...others])];
+  }
+
+  /** Returns by how many units a move increases the table, once adjacent units of one owner have been merged. */
+  #addedUnits(unit: Unit, part: KeyRange, to: ServerId, { left, right }: Neighbours): number {
+    const hasHead = part.from > unit.from && !this.#keepsHead(unit, part);
+    const hasTail = part.to < unit.to && !this.#keepsTail(unit, part);
+    const first = hasHead ? 1 : left?.owner === to ? -1 : 0;
+    const last = hasTail ? 1 : right?.owner === to ? -1 : 0;
+    return first + last;
+  }
+
+  /** Gives cooled units to owners of adjacent units, which then need only one renewal for both. */
+  rejoin(): void {
+    const excess = this.#units().length - this.#input.servers.length * TARGET_UNITS_PER_SERVER;
+    for (let moves = 0; moves < Math.min(MAX_REJOINS, excess); moves += 1) {
+      const best = this.#bestRejoin();
+      if (best === undefined) {
+        return;
+      }
+      this.#move(best.unit, best.to, best.permission);
+    }
+  }
+
+  #bestRejoin(): PlannedMove | undefined {
+    let best: PlannedMove | undefined;
+    for (const unit of this.#units()) {
+      const from = this.#input.servers.find(({ id }) => id === unit.owner);
+      const permission = from === undefined ? null : this.#input.movePermission(unit);
+      if (from === undefined || permission === null) {
+        continue;
+      }
+      const part = { from: unit.from, to: unit.to, rate: this.#rateOf(unit) };
+      const neighbours = this.#neighboursOf(unit);
+      for (const to of this.#withNeighbours([], neighbours, from)) {
+        const { rate } = part;
+        const keys = part.to - part.from + 1;
+        const benefit = netBenefitOfMove({ from: this.#loaded(from), to: this.#loaded(to), rate, keys });
+        const value =
+          benefit -
+          REJOIN_COST_PER_KEY * keys -
+          REJOIN_VALUE * this.#addedUnits(unit, part, to.id, neighbours);
+        if (value > (best?.value ?? 0)) {
+          best = { unit, part, to, permission, value };
+        }
+      }
+    }
+    return best;
+  }
+
   /**
    * Returns servers that load may move to: the least utilised, the one with the most spare throughput, and
    * the one with the highest throughput.
@@ -239,10 +324,17 @@
     if (from === unit.from && to === unit.to) {
       return unit;
     }
-    const keepsHead = from - unit.from < MIN_REMAINDER_KEYS && this.#isUnrequested(unit.from, from - 1);
-    const head = keepsHead ? unit : (this.#split(unit, from, from) ?? unit);
-    const keepsTail = head.to - to < MIN_REMAINDER_KEYS && this.#isUnrequested(to + 1, head.to);
-    return keepsTail ? head : (this.#split(head, to + 1, head.from) ?? head);
+    const part = { from, to };
+    const head = this.#keepsHead(unit, part) ? unit : (this.#split(unit, from, from) ?? unit);
+    return this.#keepsTail(unit, part) ? head : (this.#split(head, to + 1, head.from) ?? head);
+  }
+
+  #keepsHead(unit: Unit, { from }: KeySpan): boolean {
+    return from - unit.from < MIN_REMAINDER_KEYS && this.#isUnrequested(unit.from, from - 1);
+  }
+
+  #keepsTail(unit: Unit, { to }: KeySpan): boolean {
+    return unit.to - to < MIN_REMAINDER_KEYS && this.#isUnrequested(to + 1, unit.to);
   }
 
   #isUnrequested(from: Key, to: Key): boolean {
--- a/test/router/ownership/test-assignment-plan.ts
+++ b/test/router/ownership/test-assignment-plan.ts
@@ -24,7 +24,7 @@
 
 function input(known: EligibleServer[], rates: KeyRate[]): PlanInput {
   const mobility = (unit: Unit): MovePermission => ({ releasing: unit.owner });
-  return { service: 'racks', servers: known, rates, movePermission: mobility };
+  return { service: 'racks', servers: known, rates, isRejoiningDue: true, movePermission: mobility };
 }
 
 /** Plans repeatedly until nothing changes. */
