--- a/src/router/ownership/assignment-plan.ts
+++ b/src/router/ownership/assignment-plan.ts
@@ -5,7 +5,8 @@
  */
 import { addInitialUnits, unitName, type OwnershipTable } from './ownership-table.js';
 import type { EligibleServer, PlanInput } from './plan-input.js';
-import { ServicePlan, preferredTargets } from './service-plan.js';
+import { preferredTargets } from './service-load.js';
+import { ServicePlan } from './service-plan.js';
 
 /** Orders servers so that neighbours in the list are in different zones. */
 function interleaveZones(servers: readonly EligibleServer[]): EligibleServer[] {
--- a/src/router/ownership/key-range.ts
+++ b/src/router/ownership/key-range.ts
@@ -38,6 +38,11 @@
     return sumBefore(this.#lowerBound(to + 1)) - sumBefore(this.#lowerBound(from));
   }
 
+  /** Returns whether no key of a range is requested. */
+  isUnrequested(from: Key, to: Key): boolean {
+    return this.#lowerBound(from) === this.#lowerBound(to + 1);
+  }
+
   /** Returns the requested keys of a range with their rates. */
   ratesWithin(from: Key, to: Key): readonly KeyRate[] {
     return this.#rates.slice(this.#lowerBound(from), this.#lowerBound(to + 1));
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -15,7 +15,7 @@
   PLAN_INTERVAL,
 } from './ownership-timing.js';
 import type { EligibleServer, MovePermission } from './plan-input.js';
-import { mergeAdjacentUnits, unitName, type Unit } from './ownership-table.js';
+import { findUnitByName, mergeAdjacentUnits, unitName, type Unit } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
 import { withoutFinishedReleases, writeTable } from './table-write.js';
 import { isPathOpen } from '../reachability/path-checks.js';
@@ -75,7 +75,8 @@
  * it is certain which server may hold it.
  */
 function movePermissionOf(leadership: Leadership, unit: Unit): MovePermission | null {
-  const written = findContainingUnit(leadership.table.units, unit);
+  const written =
+    findUnitByName(leadership.table, unitName(unit)) ?? findContainingUnit(leadership.table.units, unit);
   const progress = written === undefined ? undefined : leadership.unitProgress.get(unitName(written));
   if (written === undefined || progress === undefined || written.owner !== unit.owner) {
     return null;
--- a/src/router/ownership/move-benefit.ts
+++ b/src/router/ownership/move-benefit.ts
@@ -25,6 +25,9 @@
 /** Rates and capacities are estimates, so a move must save this many times its cost. */
 const REQUIRED_BENEFIT_FACTOR = 1.5;
 
+/** Larger than the rounding errors of sums of losses, in requests. */
+const ROUNDING_MARGIN = 1e-6;
+
 /** Below this share of a rate limit, nearly all requests get a permit although they arrive at random. */
 const USABLE_LIMIT_SHARE = 0.8;
 
@@ -87,7 +90,7 @@
 }
 
 /** Returns the cost of a move in requests. */
-function moveCost({ rate, keys }: CandidateMove): number {
+function moveCost({ rate, keys }: Pick<CandidateMove, 'rate' | 'keys'>): number {
   const unserved = (rate * MOVE_UNAVAILABILITY) / MILLISECONDS_PER_SECOND;
   return MOVE_COORDINATION_COST + unserved + (FULL_KEY_SPACE_MOVE_COST * keys) / (LAST_KEY + 1);
 }
@@ -99,3 +102,26 @@
 export function netBenefitOfMove(move: CandidateMove): number {
   return savedRequests(move) - REQUIRED_BENEFIT_FACTOR * moveCost(move);
 }
+
+/** Evaluates many moves off one server. */
+export class MoveEvaluation {
+  readonly #from: LoadedServer;
+  readonly #fromLoss: number;
+
+  constructor(from: LoadedServer) {
+    this.#from = from;
+    this.#fromLoss = lossRate(from.load, from.throughput);
+  }
+
+  netBenefit(to: LoadedServer, rate: number, keys: number): number {
+    return netBenefitOfMove({ from: this.#from, to, rate, keys });
+  }
+
+  /** Returns a bound of the net benefit for any target: the load that a target takes on never reduces its loss. */
+  maxBenefit(rate: number, keys: number): number {
+    const { load, throughput } = this.#from;
+    const saved = this.#fromLoss - lossRate(load - rate, throughput);
+    const benefit = (saved * EXPECTED_LOAD_DURATION) / MILLISECONDS_PER_SECOND;
+    return benefit - REQUIRED_BENEFIT_FACTOR * moveCost({ rate, keys }) + ROUNDING_MARGIN;
+  }
+}
