--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -7,13 +7,7 @@
 import { randomInt } from 'node:crypto';
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { SettingsError } from '../errors.js';
-import type {
-  CheckPathEffect,
-  ControlEffect,
-  Effect,
-  ReadObjectEffect,
-  WriteObjectEffect,
-} from '../router/effects.js';
+import type { CheckPathEffect, Effect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import type { Milliseconds, ServerId } from '../router/model/identifiers.js';
@@ -22,14 +16,17 @@
 import { maxReadDelay } from '../router/request/request-arrival.js';
 import { isSendAllowed } from '../router/request/send-permission.js';
 import { reduce } from '../router/reducer.js';
-import type { RouterBounds } from '../router/router-bounds.js';
 import type { RouterSettings } from '../router/router-settings.js';
 import { createRouterState, notReadyReason, type RouterState } from '../router/router-state.js';
 import { CallerFrontend } from './caller-frontend.js';
 import { EventLog } from './event-log.js';
 import { listen } from './listen.js';
 import { checkPath } from './path-checker.js';
+import { logLoopDelays } from './loop-log.js';
 import { LoopMonitor } from './loop-monitor.js';
+import { MalformedObjects } from './malformed-objects.js';
+import { PlatformCalls } from './platform-calls.js';
+import { toRouterBounds } from './settings-bounds.js';
 import { PeerLinks } from './peer-links.js';
 import { createRouterAdmin } from './router-admin.js';
 import { PROCESS_POLL_BARRIER } from '../event-loop/poll-barrier.js';
@@ -45,20 +42,11 @@
 /** A planned stop stops waiting for requests in flight this long before its grace period (`stopGrace`) ends. */
 const STOP_MARGIN_MILLISECONDS = 500;
 const STOP_POLL_INTERVAL_MILLISECONDS = 20;
-/** Malformed store objects that one process logs by name; all of them are counted. */
-const MAX_LOGGED_MALFORMED_OBJECTS = 200;
-const MAX_LOGGED_NAME_CHARACTERS = 100;
 /** A call to the store that times out while the loop is further behind than this may have been answered in time. */
 const MAX_TIMELY_LOOP_DELAY_MILLISECONDS = 100;
 const OK = 200;
 const UNAVAILABLE = 503;
 
-function toRouterBounds({ timing, retries, coldStart, processor }: RouterSettings): RouterBounds {
-  const processorPower = processor.share * processor.speed;
-  const { configuration, drain, contact, longestLease, evacuation } = timing;
-  return { retries, configuration, drain, contact, longestLease, evacuation, coldStart, processorPower };
-}
-
 export class RouterDaemon {
   readonly state: RouterState;
   readonly #settings: RouterSettings;
@@ -75,8 +63,8 @@
   readonly #admin: Server;
   readonly #feeds: StoreFeeds;
   readonly #tick: RegularTick;
-  /** `kind/name` of the malformed store objects that have been logged. */
-  readonly #loggedMalformedObjects = new Set<string>();
+  readonly #malformedObjects: MalformedObjects;
+  readonly #calls: PlatformCalls;
   /** The caller limits that the frontend applies; null before the first configuration. */
   #appliedLimits: CallerLimits | null = null;
 
@@ -95,6 +83,8 @@
     };
     this.state = createRouterState(identity, toRouterBounds(settings), identity.life);
     this.#log = new EventLog(daemon, this.state.counters);
+    this.#malformedObjects = new MalformedObjects(this.#log, this.state.counters);
+    this.#calls = new PlatformCalls(platform, (event) => this.dispatch(event));
     this.#frontend = new CallerFrontend({
       protocol: platform.protocol,
       connections: this.#connections,
@@ -123,7 +113,10 @@
       const isReadinessPath = request.url === platform.protocol.readinessPath;
       response.writeHead(isReadinessPath && missingPart === null ? OK : UNAVAILABLE).end();
     });
-    this.#loopMonitor = this.#createLoopMonitor();
+    this.#loopMonitor = new LoopMonitor(
+      TICK_INTERVAL_MILLISECONDS,
+      logLoopDelays(this.#log, (delay) => this.#metrics.observeLoopDelay(delay)),
+    );
     this.#tick = new RegularTick(
       this.#loopMonitor,
       this.#barrier,
@@ -142,19 +135,6 @@
     });
   }
 
-  #createLoopMonitor(): LoopMonitor {
-    return new LoopMonitor(TICK_INTERVAL_MILLISECONDS, {
-      onTick: (delay) => this.#metrics.observeLoopDelay(delay),
-      onFellBehind: (delay) => this.#log.event('warn', 'loop_behind', { delay: Math.round(delay) }),
-      onCaughtUp: ({ longest, lasted, busiest }) =>
-        this.#log.event('warn', 'loop_on_time', {
-          longest: Math.round(longest),
-          lasted: Math.round(lasted),
-          busiest,
-        }),
-    });
-  }
-
   /** Opens every port and starts the regular tick. Rejects when a port is in use. */
   async start(): Promise<void> {
     const { http, readiness, admin, peers, proxy } = this.#settings.listen;
@@ -226,20 +206,9 @@
     );
   }
 
-  /** Records that an object of the store could not be parsed. Counts every occurrence, and logs each object once. */
+  /** Records that an object of the store could not be parsed. */
   recordMalformedObject(kind: string, name: string): void {
-    this.state.counters.malformed_store_objects += 1;
-    const id = `${kind}/${name}`;
-    if (
-      !this.#loggedMalformedObjects.has(id) &&
-      this.#loggedMalformedObjects.size < MAX_LOGGED_MALFORMED_OBJECTS
-    ) {
-      this.#loggedMalformedObjects.add(id);
-      this.#log.event('warn', 'malformed_store_object', {
-        kind,
-        name: name.slice(0, MAX_LOGGED_NAME_CHARACTERS),
-      });
-    }
+    this.#malformedObjects.record(kind, name);
   }
 
   /** Performs a planned stop: accepts no new callers, finishes requests in flight, and ends within the grace period. */
@@ -292,13 +261,13 @@
       case 'log':
         return this.#log.event(effect.level, effect.event, effect.fields);
       case 'control':
-        return void this.#callServer(effect);
+        return this.#calls.callServer(effect);
       case 'checkPath':
         return this.#checkPath(effect);
       case 'readObject':
-        return void this.#readObject(effect);
+        return this.#calls.readObject(effect);
       case 'writeObject':
-        return void this.#writeObject(effect);
+        return this.#calls.writeObject(effect);
       case 'refreshFeed':
         return this.#feeds.refresh(effect.feed);
       case 'confirmFeed':
@@ -325,26 +294,4 @@
       this.dispatch({ kind: 'pathChecked', checkId: effect.checkId, failure, ...conditions });
     });
   }
-
-  async #callServer(effect: ControlEffect): Promise<void> {
-    const sentAt = PROCESS_CLOCK.now();
-    const { server } = effect;
-    const outcome = await this.#platform.control.call(effect, {
-      onNotice: (notice) => this.dispatch({ kind: 'serverNoticed', server, notice }),
-      onLimitRead: (reading) => this.dispatch({ kind: 'serverLimitRead', server, reading, sentAt }),
-    });
-    this.dispatch({ kind: 'controlEnded', callId: effect.callId, outcome });
-  }
-
-  async #readObject({ object }: ReadObjectEffect): Promise<void> {
-    const sentAt = PROCESS_CLOCK.now();
-    const outcome = await this.#platform.store.read(object);
-    this.dispatch({ kind: 'objectRead', object, sentAt, outcome });
-  }
-
-  async #writeObject({ object, value, revision }: WriteObjectEffect): Promise<void> {
-    const sentAt = PROCESS_CLOCK.now();
-    const outcome = await this.#platform.store.write(object, value, revision);
-    this.dispatch({ kind: 'objectWritten', object, sentAt, outcome });
-  }
 }
--- a/src/router-runtime/store-feeds.ts
+++ b/src/router-runtime/store-feeds.ts
@@ -5,7 +5,8 @@
 import type { FeedName } from '../router/model/identifiers.js';
 import type { ServerDescription } from '../router/model/server.js';
 import type { FeedChange, FeedSources } from '../router/ports.js';
-import { type FeedListener, type FeedTiming, ObjectFeed } from './object-feed.js';
+import type { FeedListener, FeedTiming } from './feed-listener.js';
+import { ObjectFeed } from './object-feed.js';
 
 type Dispatch = (event: RouterEvent) => void;
 
--- a/test/router-runtime/test-object-feed.ts
+++ b/test/router-runtime/test-object-feed.ts
@@ -2,7 +2,8 @@
 import { beforeEach, describe, it } from 'node:test';
 import type { FeedSource, ListOutcome, WatchOutcome } from '../../src/router/ports.js';
 import { CONFIRMATION_WATCH, type WatchTiming } from '../../src/router/news/store-watch-timing.js';
-import { type FeedAnswer, type FeedFailure, ObjectFeed } from '../../src/router-runtime/object-feed.js';
+import type { FeedAnswer, FeedFailure } from '../../src/router-runtime/feed-listener.js';
+import { ObjectFeed } from '../../src/router-runtime/object-feed.js';
 import { VirtualClock } from '../router/support/virtual-clock.js';
 
 const WAIT = 500;
