--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -15,7 +15,7 @@
   PLAN_INTERVAL,
 } from './ownership-timing.js';
 import type { EligibleServer, MovePermission } from './plan-input.js';
-import { mergeAdjacentUnits, unitName, type Unit } from './ownership-table.js';
+import { findUnitByName, mergeAdjacentUnits, unitName, type Unit } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
 import { withoutFinishedReleases, writeTable } from './table-write.js';
 import { isPathOpen } from '../reachability/path-checks.js';
@@ -75,7 +75,8 @@
  * it is certain which server may hold it.
  */
 function movePermissionOf(leadership: Leadership, unit: Unit): MovePermission | null {
-  const written = findContainingUnit(leadership.table.units, unit);
+  const written =
+    findUnitByName(leadership.table, unitName(unit)) ?? findContainingUnit(leadership.table.units, unit);
   const progress = written === undefined ? undefined : leadership.unitProgress.get(unitName(written));
   if (written === undefined || progress === undefined || written.owner !== unit.owner) {
     return null;
@@ -122,10 +123,11 @@
   return !isAskedFor && !isQuiet && waited < FIRST_ASSIGNMENT_MAX_WAIT;
 }
 
-/** Returns whether the owner of a unit holds it and answers calls. */
+/** Returns whether the owner of a unit, as the table in the store has it, holds it and answers calls. */
 function isMergeable(leadership: Leadership, unit: Unit): boolean {
-  const held = leadership.unitProgress.get(unitName(unit))?.phase === 'held';
-  return held && leaseOf(leadership, unit.owner).unanswered === 0;
+  const progress = leadership.unitProgress.get(unitName(unit));
+  const isHeld = progress?.phase === 'held' && progress.fence === unit.fence;
+  return isHeld && leaseOf(leadership, unit.owner).unanswered === 0;
 }
 
 /** Plans the assignment of all keyed services, and writes the table if it changed. */
@@ -136,6 +138,7 @@
   if (state.configuration === null || state.serversRevision === null) {
     return;
   }
+  const isMergingDue = now >= leadership.nextMergeAt;
   let table = leadership.table;
   for (const service of state.configuration.services.values()) {
     // What only this daemon can't reach stays where it is.
@@ -145,11 +148,12 @@
         service: service.name,
         servers: eligibleServers(context, leadership, service.name),
         rates: keyLoadOf(leadership, service.name).rates(now),
+        isRejoiningDue: isMergingDue,
         movePermission: (unit) => movePermissionOf(leadership, unit),
       });
     }
   }
-  if (table === leadership.table && now >= leadership.nextMergeAt) {
+  if (table !== leadership.table || isMergingDue) {
     leadership.nextMergeAt = now + UNIT_MERGE_INTERVAL;
     table = mergeAdjacentUnits(table, (unit) => isMergeable(leadership, unit));
     table = withoutFinishedReleases(leadership, table);
