--- a/src/router/request/destination.ts
+++ b/src/router/request/destination.ts
@@ -208,7 +208,7 @@
     route,
     workTime: profile.workTime(route),
     mayUseReserved: profile.reserved.allows(route.priority),
-    maxWaitBehind: profile.maxWaitForMoreUrgent(route.priority, context.now),
+    maxWaitBehind: profile.maxWaitBehind(route.priority, context.now),
     zone: identity.zone,
     random,
     tried: request.triedServers,
--- a/src/router/request/reserved-servers.ts
+++ b/src/router/request/reserved-servers.ts
@@ -134,6 +134,8 @@
   priority: number | null = null;
   /** Number of usable reserved servers. */
   size = 0;
+  /** Whether the reserved servers are enough for the urgent demand; more than half of the servers are never reserved. */
+  isSufficient = true;
   readonly #step = new DemandStep();
   #meanDemand = 0;
   #updatedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -156,6 +158,10 @@
     return this.priority === null ? MIN_URGENT_DEMAND : MIN_KEPT_DEMAND;
   }
 
+  #slots(): number {
+    return this.#order.reduce((sum, { load, server }) => sum + (load.isReserved ? server.slots : 0), 0);
+  }
+
   /** Whether servers have been reserved at any time. */
   get wasUsed(): boolean {
     return this.#orderedRevision !== null;
@@ -192,5 +198,6 @@
     this.priority = demand?.priority ?? null;
     const slots = demand === null ? 0 : this.#step.follow(demand.slots);
     this.size = markReserved(this.#order, slots, isUsable);
+    this.isSufficient = this.#slots() * MAX_RESERVED_USE >= slots;
   }
 }
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -103,6 +103,11 @@
     return longest;
   }
 
+  /** Returns the longest wait behind a request at a shared server: limited while the reserved servers are too few for the urgent demand. */
+  maxWaitBehind(priority: number, now: Milliseconds): Milliseconds {
+    return this.reserved.isSufficient ? Number.POSITIVE_INFINITY : this.maxWaitForMoreUrgent(priority, now);
+  }
+
   #recordOf(route: Route): RouteRecord {
     let record = this.#routes.get(route.name);
     if (record === undefined) {
--- a/test/router/support/balanced-traffic.ts
+++ b/test/router/support/balanced-traffic.ts
@@ -219,7 +219,7 @@
       route,
       workTime: daemon.profile.workTime(route),
       mayUseReserved: daemon.profile.reserved.allows(route.priority),
-      maxWaitBehind: daemon.profile.maxWaitForMoreUrgent(route.priority, now),
+      maxWaitBehind: daemon.profile.maxWaitBehind(route.priority, now),
       random: this.#random,
       tried: request.tried,
       maxInFlight: 100,
