--- a/src/router/request/held-queue.ts
+++ b/src/router/request/held-queue.ts
@@ -77,10 +77,15 @@
   return { now: context.now, responseTimeOf: (request) => responseTimeOf(context, request) };
 }
 
-/** Returns the time after which the caller of a request should return, at least `minimum` if callers honour that. */
+/**
+ * Returns the time after which the caller of a request should return, at least `minimum` if callers honour that.
+ *
+ * @param hasRoom whether the request is refused for another reason than the want of room
+ */
 export function retryTimeOf(
   context: RouterContext,
   request: ActiveRequest,
+  hasRoom: boolean,
   minimum: Milliseconds = OVERLOAD_RETRY_AFTER,
 ): Milliseconds {
   const { state, now } = context;
@@ -90,6 +95,7 @@
     elapsed: now - request.arrivedAt,
     timeLeft: request.deadlineAt - now,
     minimum,
+    hasRoom,
     fraction: state.random.fraction(),
   });
 }
@@ -143,7 +149,7 @@
   const { requests, shedding, refusals } = heldQueueOf(context, request.service);
   requests.remove(request);
   recordShedRequest(context, request, shedding, moreUrgentPriority(context, request));
-  const wait = retryTimeOf(context, request, retryAfter);
+  const wait = retryTimeOf(context, request, false, retryAfter);
   const isEarly = request.turnAt > request.arrivedAt;
   refusals.record(request.fingerprint.head, context.now + wait, isEarly, context.now);
   endWithOwnAnswer(context, request, reason, wait);
--- a/src/router/request/rejected-attempt.ts
+++ b/src/router/request/rejected-attempt.ts
@@ -51,7 +51,7 @@
       context,
       request,
       `the owner ${known.server.id} is full`,
-      retryTimeOf(context, request, Math.max(OVERLOAD_RETRY_AFTER, retryAfter)),
+      retryTimeOf(context, request, false, Math.max(OVERLOAD_RETRY_AFTER, retryAfter)),
     );
     return;
   }
@@ -73,7 +73,7 @@
   }
   if (request.rejectionsWithFreeSlots >= MAX_REJECTIONS_WITH_FREE_SLOTS && !request.mayHaveRun) {
     const reason = 'servers with free slots have rejected it';
-    endWithOwnAnswer(context, request, reason, retryTimeOf(context, request));
+    endWithOwnAnswer(context, request, reason, retryTimeOf(context, request, true));
     return;
   }
   dispatchRequest(context, request);
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -77,7 +77,7 @@
     return true;
   }
   if (request.attempts >= route.maxAttempts || request.attemptNumber >= MAX_ATTEMPTS_INCLUDING_UNSENT) {
-    endWithOwnAnswer(context, request, 'no attempt is left', retryTimeOf(context, request));
+    endWithOwnAnswer(context, request, 'no attempt is left', retryTimeOf(context, request, true));
     return true;
   }
   const destination = findProxy(context, request) ?? findDestination(context, request);
@@ -87,7 +87,7 @@
   }
   if (request.attempts > request.prepaidAttempts && !retryBudgetOf(context, request.service).tryTake()) {
     state.counters.retries_over_budget += 1;
-    endWithOwnAnswer(context, request, 'the retry budget is spent', retryTimeOf(context, request));
+    endWithOwnAnswer(context, request, 'the retry budget is spent', retryTimeOf(context, request, true));
     return true;
   }
   if ('server' in destination) {
--- a/src/router/request/retry-time.ts
+++ b/src/router/request/retry-time.ts
@@ -13,6 +13,12 @@
  */
 const LATE_SPREAD_FRACTION = 0.5;
 
+/**
+ * Callers are spread over this time when a server has room already, as after a spent retry budget. There is nothing to wait for, and whoever
+ * returns later than necessary is answered late.
+ */
+const ROOM_NOW_SPREAD: Milliseconds = 150;
+
 /** Inputs of a retry time. */
 export interface RetryTimeInputs {
   /** Lowest expected response time of the servers that the request may go to. */
@@ -24,6 +30,8 @@
   readonly timeLeft: Milliseconds;
   /** Shortest useful retry time, unless callers don't honour one as long. */
   readonly minimum: Milliseconds;
+  /** Whether the request was refused for another reason than the want of room. */
+  readonly hasRoom: boolean;
   /** Random number in [0, 1). */
   readonly fraction: number;
 }
@@ -46,9 +54,15 @@
   return Math.max(minimum, responseTime - latencyObjective * ROOM_FRACTION);
 }
 
-/** Returns the time over which callers are spread: half of the rest of the objective while they can be in time, else up to the deadline. */
+/**
+ * Returns the time over which callers are spread: a short one if there is room now, half of the rest of the objective while they can be in
+ * time, else up to the deadline.
+ */
 function spreadAfter(inputs: RetryTimeInputs, roomAt: Milliseconds, earliest: Milliseconds): Milliseconds {
-  const { responseTime, latencyObjective, elapsed, timeLeft } = inputs;
+  const { responseTime, latencyObjective, elapsed, timeLeft, hasRoom } = inputs;
+  if (hasRoom) {
+    return ROOM_NOW_SPREAD;
+  }
   const objectiveLeft = latencyObjective - elapsed - roomAt;
   const responseTimeThen = Math.min(responseTime, latencyObjective * ROOM_FRACTION);
   return responseTimeThen <= objectiveLeft ? objectiveLeft * OBJECTIVE_SPREAD_FRACTION : timeLeft - earliest;
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -30,7 +30,7 @@
  * Other daemons' requests at a server vary around their estimate like a Poisson variable. A server counts as at capacity when this many
  * standard deviations more would fill its queue; without them, a tenth to a third of the sends in a surge were rejected.
  */
-const QUEUE_DEVIATIONS = 2;
+const QUEUE_DEVIATIONS = 1;
 /** A request is not sent to a server without a free slot where it is expected to take more than this fraction of its latency objective. */
 export const MAX_EXPECTED_TIME_FRACTION = 0.95;
 /** Typical time until a permit arrives. As an extra cost, it prefers servers that need no permit, or for which this daemon has one. */
--- a/test/router/request/test-retry-time.ts
+++ b/test/router/request/test-retry-time.ts
@@ -9,6 +9,7 @@
   elapsed: 200,
   timeLeft: 2_800,
   minimum: 100,
+  hasRoom: false,
   fraction: 0,
 };
 const LATEST = 2_800 / 3;
@@ -28,6 +29,12 @@
     expect(retryTime({ ...INPUTS, responseTime: 1_800 })).toEqual(375);
   });
 
+  it('is spread over a short time when room is not what lacked, so that callers are not late by their wait', () => {
+    const times = timesOf({ hasRoom: true });
+    expect(Math.max(...times)).toBeGreaterThan(245);
+    expect(Math.max(...times)).toBeLessThanOrEqual(250);
+  });
+
   it('is spread over half of the rest of the objective while that can be kept', () => {
     const times = timesOf({});
     // 1,500 - 200 - 100 are left.
