--- a/src/router/request/server-load.ts
+++ b/src/router/request/server-load.ts
@@ -129,6 +129,7 @@
   }
 
   #updateRejections(isRejected: number, now: Milliseconds): void {
+    this.#profile.recordRejection(isRejected > 0);
     const share = this.rejectedShare(now);
     this.#rejectedShare = share + (isRejected - share) * REJECTION_WEIGHT;
     this.#rejectionsAt = now;
@@ -141,6 +142,11 @@
       : this.#rejectedShare * Math.exp((this.#rejectionsAt - now) / REJECTION_DECAY_TIME);
   }
 
+  /** Returns by how much that share is above the service's: a fault of all servers is no reason to prefer one of them. */
+  excessRejectedShare(now: Milliseconds): number {
+    return Math.max(0, this.rejectedShare(now) - this.#profile.rejectedShare);
+  }
+
   /** Records an answer and its duration; `waited` is whether the request may have waited for a slot of the server. */
   answered(duration: Milliseconds, now: Milliseconds, waited: boolean, route: Route): void {
     this.lastAnswerAt = now;
@@ -198,15 +204,15 @@
   }
 
   #usualTimeOf(route: Route): Milliseconds {
-    const { hasSeveralRoutes } = this.#profile;
-    return hasSeveralRoutes ? this.#relativeTime * this.#profile.workTime(route) : this.serviceTime;
+    const { comparesRoutes } = this.#profile;
+    return comparesRoutes ? this.#relativeTime * this.#profile.workTime(route) : this.serviceTime;
   }
 
   /** Returns the expected time until a new request of a route at a balanced server is answered, without a slowdown. */
   balancedResponseTime(slots: number, route: Route, now: Milliseconds): Milliseconds {
     const profile = this.#profile;
     const rounds = expectedQueuedRounds(slots, this.inFlight.size, this.otherRequests(now));
-    if (!profile.hasSeveralRoutes) {
+    if (!profile.comparesRoutes) {
       return this.#decayedTime(now) * (1 + rounds);
     }
     const queueWork = profile.groups.queueWork(this.isReserved) ?? profile.mean;
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -30,7 +30,7 @@
  * Other daemons' requests at a server vary around their estimate like a Poisson variable. A server counts as at capacity when this many
  * standard deviations more would fill its queue; without them, a tenth to a third of the sends in a surge were rejected.
  */
-const QUEUE_DEVIATIONS = 1;
+const QUEUE_DEVIATIONS = 2;
 /** A request is not sent to a server without a free slot where it is expected to take more than this fraction of its latency objective. */
 export const MAX_EXPECTED_TIME_FRACTION = 0.95;
 /** Typical time until a permit arrives. As an extra cost, it prefers servers that need no permit, or for which this daemon has one. */
@@ -69,7 +69,7 @@
 ): Milliseconds {
   const otherZoneCost = Math.max(2 * OTHER_ZONE_WAY, context.workTime * OTHER_ZONE_WORK_FRACTION);
   const zoneCost = server.zone === context.zone ? 0 : otherZoneCost;
-  const rejectionFactor = 1 + REJECTION_COST_FACTOR * load.rejectedShare(context.now);
+  const rejectionFactor = 1 + REJECTION_COST_FACTOR * load.excessRejectedShare(context.now);
   return time * rejectionFactor * (1 + COST_JITTER * context.random.fraction()) + zoneCost;
 }
 
--- a/src/router/request/service-profile.ts
+++ b/src/router/request/service-profile.ts
@@ -10,6 +10,10 @@
 const MIN_SAMPLE_WEIGHT = 0.02;
 /** Number of samples below which the mean says little about the service. */
 const MIN_SAMPLES = 5;
+/** Weight of one answer or rejection in the share of rejections. */
+const REJECTION_WEIGHT = 0.05;
+/** Share of a service's answers from which on a route counts as frequent. */
+const MIN_ANSWER_SHARE = 0.05;
 /** A route has demand at this daemon for this long after its last request, which bridges the gaps of a route with few requests. */
 const ROUTE_DEMAND_TIME: Milliseconds = 2_000;
 
@@ -49,6 +53,8 @@
   refreshedRevision: number | null = null;
   readonly #service = new MeanTime();
   readonly #routes = new Map<string, RouteRecord>();
+  #frequentRoutes = 0;
+  #rejectedShare = 0;
 
   /** Mean time of a request on an idle slot. */
   get mean(): Milliseconds {
@@ -60,9 +66,22 @@
     return this.#service.sampleCount >= MIN_SAMPLES;
   }
 
-  /** Whether requests of more than one route come to the service. */
-  get hasSeveralRoutes(): boolean {
-    return this.#routes.size > 1;
+  /**
+   * Whether the servers' times have to be compared by route: more than one route has a fair part of the answers. A route with few requests
+   * doesn't count: they are often much shorter, and a server that got one would look quick for some seconds.
+   */
+  get comparesRoutes(): boolean {
+    return this.#frequentRoutes > 1;
+  }
+
+  /** Recent share of the service's requests that servers rejected although they had a free slot. */
+  get rejectedShare(): number {
+    return this.#rejectedShare;
+  }
+
+  /** Records whether a server rejected a request although it had a free slot, or answered one. */
+  recordRejection(isRejected: boolean): void {
+    this.#rejectedShare += (Number(isRejected) - this.#rejectedShare) * REJECTION_WEIGHT;
   }
 
   /** Returns whether loads and reserved servers are to be updated: after some time, and at once when the server list has changed. */
@@ -81,6 +100,11 @@
   addSample(duration: Milliseconds, route: Route): void {
     this.#service.add(duration);
     this.#recordOf(route).work.add(duration);
+    const fewest = this.#service.sampleCount * MIN_ANSWER_SHARE;
+    this.#frequentRoutes = 0;
+    for (const { work } of this.#routes.values()) {
+      this.#frequentRoutes += work.sampleCount >= fewest ? 1 : 0;
+    }
   }
 
   /** Mean time of a route's request on an idle slot; before the first sample, the mean of the service. */
@@ -92,7 +116,7 @@
   /** Returns the longest wait at a server with which every more urgent route that has demand answers within its objective. */
   maxWaitForMoreUrgent(priority: number, now: Milliseconds): Milliseconds {
     let longest = Number.POSITIVE_INFINITY;
-    if (this.hasSeveralRoutes) {
+    if (this.#routes.size > 1) {
       for (const { route, requestedAt } of this.#routes.values()) {
         if (route.priority < priority && now - requestedAt < ROUTE_DEMAND_TIME) {
           // A server without a queue makes no request late, however long the work is.
