--- a/src/router/ownership/move-benefit.ts
+++ b/src/router/ownership/move-benefit.ts
@@ -21,7 +21,7 @@
  * Cost in requests of one more unit, which needs a renewal every 0.85 s. Higher values leave busy owners as they are: 1 gave 1.8 units for
  * each of 83 servers and lost a quarter more requests (test-plan-replay.ts).
  */
-export const UNIT_COST = 0.2;
+const UNIT_COST = 0.2;
 /** Rates and capacities are estimates, so a move must save this many times its cost. */
 const REQUIRED_BENEFIT_FACTOR = 1.5;
 
@@ -103,6 +103,14 @@
   return savedRequests(move) - REQUIRED_BENEFIT_FACTOR * moveCost(move);
 }
 
+/**
+ * Returns the cost in requests of one more unit of a service. It rises from nothing at one unit per server to the full cost at two: with the
+ * full cost at any number, the keys of servers that reject every request moved too late in a small deployment.
+ */
+export function costOfUnit(units: number, servers: number): number {
+  return UNIT_COST * Math.min(1, Math.max(0, units / servers - 1));
+}
+
 /** Evaluates many moves off one server. */
 export class MoveEvaluation {
   readonly #from: LoadedServer;
--- a/src/router/ownership/service-load.ts
+++ b/src/router/ownership/service-load.ts
@@ -3,6 +3,9 @@
 import { usableRate, type LoadedServer } from './move-benefit.js';
 import type { EligibleServer } from './plan-input.js';
 
+/** A server above this utilisation gets no units for owning adjacent ones. Load is moved off servers above it. */
+const MAX_SPARE_UTILISATION = 0.5;
+
 /** Returns the warm servers in reach, or the cold ones if there are no others. */
 export function preferredTargets(servers: readonly EligibleServer[]): readonly EligibleServer[] {
   const inReach = servers.filter((server) => !server.isOutOfReach);
@@ -49,9 +52,14 @@
     return this.#serversById.get(id);
   }
 
-  /** Returns a server that units may move to. */
-  target(id: ServerId): EligibleServer | undefined {
-    return this.#targetsById.get(id);
+  /**
+   * Returns a server that may get units because it owns adjacent ones: it has capacity to spare and has announced no rate limit. A server
+   * whose limit comes and goes would get the same units again and again.
+   */
+  spareTarget(id: ServerId): EligibleServer | undefined {
+    const target = this.#targetsById.get(id);
+    const isFree = target !== undefined && target.throughput.limit === Number.POSITIVE_INFINITY;
+    return isFree && this.utilisation(target) < MAX_SPARE_UTILISATION ? target : undefined;
   }
 
   add(server: ServerId, rate: number): void {
--- a/src/router/ownership/service-plan.ts
+++ b/src/router/ownership/service-plan.ts
@@ -2,7 +2,7 @@
 import type { ServerId } from '../model/identifiers.js';
 import type { KeyRate } from './key-load.js';
 import { KeyRates, rangesUpToRate, type KeyRange } from './key-range.js';
-import { MoveEvaluation, netBenefitOfMove, UNIT_COST } from './move-benefit.js';
+import { costOfUnit, MoveEvaluation, netBenefitOfMove } from './move-benefit.js';
 import type { OwnershipTable, Unit } from './ownership-table.js';
 import type { EligibleServer, MovePermission, PlanInput } from './plan-input.js';
 import { ServiceLoad } from './service-load.js';
@@ -118,6 +118,7 @@
   #bestMove(hot: EligibleServer): PlannedMove | undefined {
     let best: PlannedMove | undefined;
     const targets = this.#load.targetsFor(hot);
+    const unitCost = costOfUnit(this.#units.all.length, this.#input.servers.length);
     const evaluation = new MoveEvaluation(this.#load.of(hot));
     for (const unit of this.#units.ownedBy(hot.id)) {
       const permission = this.#input.movePermission(unit);
@@ -131,12 +132,12 @@
       for (const part of this.#partsToMove(unit, hot, targets)) {
         const keys = part.to - part.from + 1;
         const required = best?.value ?? 0;
-        if (evaluation.maxBenefit(part.rate, keys) + UNIT_COST * MAX_REMOVED_UNITS <= required) {
+        if (evaluation.maxBenefit(part.rate, keys) + unitCost * MAX_REMOVED_UNITS <= required) {
           continue;
         }
         for (const { to, loaded } of unitTargets) {
           const benefit = evaluation.netBenefit(loaded, part.rate, keys);
-          const value = benefit - UNIT_COST * this.#addedUnits(unit, part, to.id, neighbours);
+          const value = benefit - unitCost * this.#addedUnits(unit, part, to.id, neighbours);
           if (value > (best?.value ?? 0)) {
             best = { unit, part, to, permission, value };
           }
@@ -154,7 +155,7 @@
   ): EligibleServer[] {
     const chosen = [...targets];
     for (const unit of [left, right]) {
-      const owner = unit === undefined ? undefined : this.#load.target(unit.owner);
+      const owner = unit === undefined ? undefined : this.#load.spareTarget(unit.owner);
       if (owner !== undefined && owner.id !== hot.id && !chosen.includes(owner)) {
         chosen.push(owner);
       }
--- a/test/router/support/reference-service-plan.ts
+++ b/test/router/support/reference-service-plan.ts
@@ -4,7 +4,7 @@
 import { KeyRates, rangesUpToRate, type KeyRange } from '../../../src/router/ownership/key-range.js';
 import {
   netBenefitOfMove,
-  UNIT_COST,
+  costOfUnit,
   usableRate,
   type LoadedServer,
 } from '../../../src/router/ownership/move-benefit.js';
@@ -173,6 +173,7 @@
   #bestMove(hot: EligibleServer): PlannedMove | undefined {
     let best: PlannedMove | undefined;
     const targets = this.#targets(hot);
+    const unitCost = costOfUnit(this.#units().length, this.#input.servers.length);
     for (const unit of this.#units()) {
       const movePermission = unit.owner === hot.id ? this.#input.movePermission(unit) : null;
       if (movePermission === null) {
@@ -188,7 +189,7 @@
             rate: part.rate,
             keys: part.to - part.from + 1,
           });
-          const value = benefit - UNIT_COST * this.#addedUnits(unit, part, to.id, neighbours);
+          const value = benefit - unitCost * this.#addedUnits(unit, part, to.id, neighbours);
           if (value > (best?.value ?? 0)) {
             best = { unit, part, to, permission: movePermission, value };
           }
@@ -212,7 +213,11 @@
   ): EligibleServer[] {
     const owners = [left, right].map((unit) => this.#targetServers.find(({ id }) => id === unit?.owner));
     const others = owners.filter(
-      (server) => server !== undefined && server.id !== hot.id,
+      (server) =>
+        server !== undefined &&
+        server.id !== hot.id &&
+        server.throughput.limit === Number.POSITIVE_INFINITY &&
+        this.#utilisation(server) < MIN_RELIEF_UTILISATION,
     ) as EligibleServer[];
     return [...new Set([...targets, ...others])];
   }
