--- a/src/router/reachability/check-conditions.ts
+++ b/src/router/reachability/check-conditions.ts
@@ -12,11 +12,21 @@
 /** Half of what a link of 10 Mbit/s carries within the timeout. The system's buffers may hold this much although it has accepted the writes. */
 const MAX_RECENT_OUTPUT_BYTES = 125_000;
 
-/** Returns whether the outcome of a check says nothing about the path. A connection and a refusal are always conclusive. */
-export function isInconclusive(check: PathCheckedEvent): boolean {
+/**
+ * A leader with more unanswered calls to servers may have filled its link with them: with 300 units it makes about this many within the
+ * timeout. Where the path is really lost, the doubt is bounded.
+ */
+const MAX_PENDING_CALLS = 64;
+
+/**
+ * Returns whether the outcome of a check says nothing about the path. A connection and a refusal are always conclusive.
+ *
+ * @param pendingCalls this daemon's calls to servers, as the leader, that are unanswered
+ */
+export function isInconclusive(check: PathCheckedEvent, pendingCalls: number): boolean {
   if (check.failure !== CHECK_TIMED_OUT) {
     return false;
   }
   const isOutputBackedUp = check.unwrittenBytes > 0 || check.recentlyWrittenBytes > MAX_RECENT_OUTPUT_BYTES;
-  return check.loopDelay > MAX_LOOP_DELAY || isOutputBackedUp;
+  return check.loopDelay > MAX_LOOP_DELAY || isOutputBackedUp || pendingCalls > MAX_PENDING_CALLS;
 }
--- a/src/router/reachability/path-checks.ts
+++ b/src/router/reachability/path-checks.ts
@@ -204,7 +204,7 @@
   state.reachability.checks.delete(event.checkId);
   const isReached = event.failure === null;
   const path = pathTo(state.reachability, check.service);
-  const isDoubtful = isInconclusive(event);
+  const isDoubtful = isInconclusive(event, state.leadership?.pendingCalls.size ?? 0);
   state.counters.path_checks_inconclusive += isDoubtful ? 1 : 0;
   const contact = state.servers.get(check.server)?.contact;
   if (contact !== undefined) {
