--- a/src/router-runtime/caller-connection.ts
+++ b/src/router-runtime/caller-connection.ts
@@ -131,13 +131,16 @@
 
   /**
    * Returns whether an answer closes the connection because the daemon wants it closed. Answers behind it that have begun, or whose requests
-   * have been sent to a server, are still delivered; no further requests are read.
+   * have been sent to a server, are still delivered. Requests are read no more if this answer or the last one behind it closes the connection;
+   * an answer that has begun says already that the connection stays open.
    */
   closesWith(slot: RequestSlot, isClosing: boolean): boolean {
-    this.#ignoresRequests ||= isClosing;
     const isAnswerDue = ({ requestId, outgoing }: RequestSlot): boolean =>
       outgoing.headersSent || this.#listener.wasSent(requestId);
-    return this.#ignoresRequests && !this.#behind(slot).some(isAnswerDue);
+    const lastDue = this.#behind(slot).findLast(isAnswerDue);
+    const isWanted = isClosing || this.#ignoresRequests;
+    this.#ignoresRequests ||= isClosing && lastDue?.outgoing.headersSent !== true;
+    return isWanted && lastDue === undefined;
   }
 
   /** Records that an answer closes the connection: the requests behind it count as not read. */
--- a/test/router-runtime/test-pipelined-callers.ts
+++ b/test/router-runtime/test-pipelined-callers.ts
@@ -134,6 +134,22 @@
     expect(fixture.left.map(({ attemptId }) => attemptId)).toEqual(['r2']);
   });
 
+  // Guards against a connection that stays open while its requests are ignored: the last answer had begun before the stop, without a close.
+  it('is answered on a connection that a planned stop leaves open', async () => {
+    const { fixture, received } = await start((name, response) => {
+      setTimeout(() => answerWith(name, response), name === 'r0' ? SLOW_WORK : 0);
+    });
+    const caller = fixture.connect();
+    caller.socket.write(['r0', 'r1'].map(get).join(''));
+    await until(() => received.length === 2, TIMEOUT);
+    await pause(SLOW_WORK / 3);
+    fixture.frontend.setCloseAfterResponse(true);
+    await until(() => caller.answered.length === 2, TIMEOUT);
+    caller.socket.write(get('r2'));
+    await until(() => caller.isClosed, TIMEOUT);
+    expect(caller.answered).toEqual(['r0', 'r1', 'r2']);
+  });
+
   // Guards against a 400 or 408 of the HTTP library that the caller takes for the answer to a request that has run.
   it('gets no answer to malformed bytes before the answers to its requests', async () => {
     const { fixture, received } = await start((name, response) => {
--- a/test/router/load-view/test-surge.ts
+++ b/test/router/load-view/test-surge.ts
@@ -32,16 +32,19 @@
 }
 
 describe('the load view in a surge of one route', () => {
-  for (const daemons of [20, 60]) {
-    // Guards against a surge of which urgent requests suffer before daemons reserve servers for them.
-    for (const priority of [URGENT, BULK]) {
-      it(`is known to each of ${daemons} daemons within half a second, priority ${priority}`, () => {
-        const lowest = SEEDS.map((seed) => lowestDemandSeen(seed, daemons, priority));
-        const late = lowest.filter((factor) => factor < KNOWN_FACTOR);
-        expect(late).toEqual([]);
-      });
-    }
+  // Guards against a surge of which urgent requests suffer before daemons reserve servers for them.
+  const expectKnownInTime = (daemons: number, priority: number): void => {
+    const lowest = SEEDS.map((seed) => lowestDemandSeen(seed, daemons, priority));
+    expect(lowest.filter((factor) => factor < KNOWN_FACTOR)).toEqual([]);
+  };
+  it('of the urgent route is known to 20 daemons within half a second', () => expectKnownInTime(20, URGENT));
+  it('of the less urgent route is known to 20 daemons within half a second', () =>
+    expectKnownInTime(20, BULK));
+  it('of the urgent route is known to 60 daemons within half a second', () => expectKnownInTime(60, URGENT));
+  it('of the less urgent route is known to 60 daemons within half a second', () =>
+    expectKnownInTime(60, BULK));
 
+  for (const daemons of [20, 60]) {
     // Guards against demand that is counted twice, or not at all, on its way through relays.
     it(`shows the true demand without a surge, ${daemons} daemons`, () => {
       const surge = new LoadSurge(11, daemons);
--- a/test/router/request/test-surges.ts
+++ b/test/router/request/test-surges.ts
@@ -90,10 +90,12 @@
 
 // Servers rejected 21 in 100 sends while a server without a recent report was assumed to be idle.
 describe('servers without a fault', () => {
-  for (const kind of ['lessUrgent', 'both', 'urgent'] as const) {
-    it(`reject few requests in a surge: ${kind}`, () => {
-      expect(findViolations(kind, false, 'rejected', isRejectedSeldom)).toEqual([]);
-      expect(findViolations(kind, true, 'rejected', isRejectedSeldom)).toEqual([]);
-    });
-  }
+  const expectFewRejections = (kind: keyof typeof URGENT_DEMAND): void => {
+    expect(findViolations(kind, false, 'rejected', isRejectedSeldom)).toEqual([]);
+    expect(findViolations(kind, true, 'rejected', isRejectedSeldom)).toEqual([]);
+  };
+
+  it('reject few requests in a surge: lessUrgent', () => expectFewRejections('lessUrgent'));
+  it('reject few requests in a surge: both', () => expectFewRejections('both'));
+  it('reject few requests in a surge: urgent', () => expectFewRejections('urgent'));
 });
