Soak: a daemon's heartbeat thread no longer starts further threads

The module that starts the thread is loaded into each thread of the process, so every thread started another one: 314 threads and 2.6 GB in one daemon after 14 s, load averages above 100, and a machine that ran out of memory. Only the main thread starts it now.

--- a/test/soak/start-heartbeat.ts
+++ b/test/soak/start-heartbeat.ts
@@ -1,4 +1,7 @@
 /** Loaded into a daemon's process before its program. Starts the thread that writes heartbeats. */
-import { Worker } from 'node:worker_threads';
+import { isMainThread, Worker } from 'node:worker_threads';
 
-new Worker(new URL('heartbeat-thread.js', import.meta.url)).unref();
+// Threads load this module, too: without the check each thread would start another one.
+if (isMainThread) {
+  new Worker(new URL('heartbeat-thread.js', import.meta.url)).unref();
+}
