Log the first renewals of a leadership and late ones; count refusals of proxies

The incident's hypotheses could not be told apart: that leases had ended showed only in refused requests, and whether proxies refused for want of a path or of room only in their own logs. leases_resumed and renewals_late say when owners accept the grants of a leader, proxies_without_path and refused_by_proxies count refusals at the origin, and path_lost says for how long checks were inconclusive. No decision changes.

--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -48,6 +48,8 @@
   'writes_withheld',
   'requests_to_proxies',
   'requests_for_others',
+  'refused_by_proxies',
+  'proxies_without_path',
   'path_check_rounds',
   'path_checks',
   'path_checks_inconclusive',
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -120,7 +120,7 @@
   path_lost: {
     when: 'this daemon can open connections to none of the servers of a service that it has tried: the servers themselves may be well',
     fields:
-      'service, checks (servers with the outcome of the check), since (ms since the last response of any of its servers, at most 2000)',
+      'service, checks (servers with the outcome of the check), since (ms since the last response of any of its servers, at most 2000), doubtful (ms for which checks were inconclusive because this daemon was busy)',
   },
   path_restored: {
     when: 'this daemon can open connections to servers of the service again',
@@ -160,6 +160,16 @@
     fields:
       'term, units (how many), revision, waits_for (ms until the leases of earlier leaders have expired)',
   },
+  leases_resumed: {
+    when: 'every owner has accepted a grant of a new leader for the units that it held before',
+    fields:
+      'term, units (how many), took (ms from the start of the leadership until the last of these grants)',
+  },
+  renewals_late: {
+    when: 'owners have accepted no grant of the leader for longer than a lease: their keys have no owner; at most once a second',
+    fields:
+      'term, units (whose renewal is late), of (units), oldest (ms since the last accepted grant, or the start of the leadership), calls (in progress)',
+  },
   leadership_lost: {
     when: 'this daemon is no longer the leader',
     fields: 'term, reason, found (the leader according to the store)',
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -10,6 +10,7 @@
 import { sendHeartbeatSoon } from '../tree/heartbeats.js';
 import type { Candidacy } from './election-state.js';
 import { INITIAL_CONFIRMATION_RETRY_DELAY } from './leader-confirmation.js';
+import { createLeaseLogState } from './lease-log.js';
 import { recordServerList } from './server-succession.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import {
@@ -75,6 +76,7 @@
     viewStep: 0,
     viewChanged: true,
     nextBroadcastAt: now,
+    leaseLog: createLeaseLogState(),
   };
   state.leadership = leadership;
   recordServerList(context, leadership);
@@ -119,5 +121,6 @@
     handover: null,
     nextCallAt: now,
     callsInFlight: 0,
+    grantedAt: null,
   };
 }
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -10,6 +10,7 @@
 import { tickReportAggregation } from './report-aggregation.js';
 import { planAssignments } from './leader-plan.js';
 import type { Leadership } from './leadership-state.js';
+import { tickLeaseLog } from './lease-log.js';
 import { LEADERSHIP_VALIDITY } from './ownership-timing.js';
 import { broadcastView } from './ownership-broadcast.js';
 import { retryWrite } from './table-write.js';
@@ -41,6 +42,7 @@
     tickUnit(context, leadership, unit);
   }
   tickSilentServers(context, leadership);
+  tickLeaseLog(context, leadership);
   if (leadership.viewChanged && context.now >= leadership.nextBroadcastAt) {
     leadership.nextBroadcastAt = context.now + VIEW_BROADCAST_INTERVAL;
     broadcastView(context, leadership);
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -3,6 +3,7 @@
  */
 import type { Address, Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { KeyLoad } from './key-load.js';
+import type { LeaseLogState } from './lease-log.js';
 import type { OwnershipTable } from './ownership-table.js';
 import type { RecentPeak } from './recent-peak.js';
 import type { ServiceTimeEstimator } from './service-time-estimator.js';
@@ -25,6 +26,8 @@
   /** Time at which the next call is due. */
   nextCallAt: Milliseconds;
   callsInFlight: number;
+  /** Time at which the owner last accepted a grant of this leader; null: it has accepted none. */
+  grantedAt: Milliseconds | null;
 }
 
 /** Leases that a server may hold, and whether the server answers calls. */
@@ -130,4 +133,5 @@
   viewStep: number;
   viewChanged: boolean;
   nextBroadcastAt: Milliseconds;
+  readonly leaseLog: LeaseLogState;
 }
--- a/src/router/ownership/table-write.ts
+++ b/src/router/ownership/table-write.ts
@@ -142,6 +142,7 @@
       // The owner holds every part under lower fences, so the merged unit is renewed under the new one.
       progress.phase = 'held';
       progress.ownerMayHold = true;
+      progress.grantedAt = context.now;
     }
     progress.nextCallAt = context.now;
     leadership.unitProgress.set(unitName(unit), progress);
@@ -168,5 +169,6 @@
     handover: null,
     nextCallAt: context.now,
     callsInFlight: 0,
+    grantedAt: null,
   };
 }
--- a/src/router/ownership/unit-control.ts
+++ b/src/router/ownership/unit-control.ts
@@ -243,6 +243,7 @@
 ): void {
   switch (outcome.kind) {
     case 'accepted':
+      progress.grantedAt = context.now;
       if (progress.phase !== 'held') {
         progress.phase = 'held';
         leadership.viewChanged = true;
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -77,6 +77,7 @@
   { attempts, isPathLost, reason, retryAfter }: Extract<AttemptResult, { kind: 'refusedByProxy' }>,
 ): void {
   request.attempts = Math.max(request.attempts, attempts);
+  context.state.counters[isPathLost ? 'proxies_without_path' : 'refused_by_proxies'] += 1;
   if (isPathLost) {
     avoidProxy(context, proxy);
     dispatchRequest(context, request);
--- a/src/router/reachability/lost-path.ts
+++ b/src/router/reachability/lost-path.ts
@@ -13,12 +13,13 @@
   const { state, now } = context;
   path.status = 'lost';
   path.lostAt = now;
+  const doubtful = path.doubtfulSince === null ? 0 : Math.round(now - path.doubtfulSince);
   path.doubtfulSince = null;
   path.successfulChecks = 0;
   path.nextCheckAt = now + LOST_CHECK_INTERVAL;
   state.counters.paths_lost += 1;
   const since = Math.round(now - path.failedSince);
-  context.log('path_lost', { service, checks: path.outcomes, since }, 'warn');
+  context.log('path_lost', { service, checks: path.outcomes, since, doubtful }, 'warn');
   const servers = [...(state.serversByService.get(service)?.values() ?? [])];
   discardSilence(servers, path.failedSince);
   withdrawUnsentAttempts(context, service);
