--- a/test/router/reachability/test-lost-paths.ts
+++ b/test/router/reachability/test-lost-paths.ts
@@ -11,6 +11,7 @@
   daemonsInOrder,
   keyedServers,
   leaderOf,
+  longestUnheldTimeUntil,
   SETTLED,
 } from '../support/settled-deployment.js';
 import { CHECKED_KEYS, type PathFault, type SimulatedServer } from '../support/simulated-server.js';
@@ -36,29 +37,6 @@
   ['refused', 'reports no crash when its connections are reset and new ones are refused'],
 ];
 
-/** Returns the longest time in milliseconds for which no server held one of the checked keys, until the given time. */
-function longestUnheldTimeUntil(simulation: RouterSimulation, end: number): number {
-  const unheldSince = new Map<number, number>();
-  // A key that is on its way when the path is lost can't arrive before the leader has handed over.
-  const onTheirWay = new Set(simulation.unservedKeys());
-  let longest = 0;
-  while (simulation.clock.now < end) {
-    simulation.clock.runUntil(simulation.clock.now + 20);
-    const unserved = new Set(simulation.unservedKeys());
-    for (const key of CHECKED_KEYS) {
-      if (unserved.has(key)) {
-        unheldSince.set(key, unheldSince.get(key) ?? simulation.clock.now);
-        const unheld = onTheirWay.has(key) ? 0 : simulation.clock.now - (unheldSince.get(key) ?? 0);
-        longest = Math.max(longest, unheld);
-      } else {
-        unheldSince.delete(key);
-        onTheirWay.delete(key);
-      }
-    }
-  }
-  return longest;
-}
-
 function owningServers(simulation: RouterSimulation): number {
   return keyedServers(simulation).filter((server) => CHECKED_KEYS.some((key) => server.holds(key))).length;
 }
--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -17,13 +17,13 @@
 import { SimulatedFeed } from './simulated-feed.js';
 import { type BootClock, SimulatedMachine, ORDINARY_BOOT_CLOCK } from './simulated-machine.js';
 import { SimulatedStore } from './simulated-store.js';
+import { startTicks } from './simulated-ticks.js';
 import { VirtualClock } from './virtual-clock.js';
 import { BOUNDS } from './bounds.js';
 import { CONFIGURATION, KEYED_SERVICE } from './simulation-configuration.js';
 
 export { CONFIGURATION, KEYED_SERVICE as SERVICE, type RequestEffectHandler, type SimulatedDaemon };
 
-const TICK = 20;
 /** Interval in milliseconds at which a link is checked and, if broken, opened again. */
 const LINK_RETRY = 150;
 /** Number of the link on which a daemon receives its parent's messages. */
@@ -70,7 +70,7 @@
     for (let index = 0; index < daemonCount; index += 1) {
       this.#addDaemon(`d${index}`, `10.0.0.${index}:70`);
     }
-    this.clock.schedule(0, () => this.#tickAll());
+    startTicks(this.clock, this.daemons, (daemon) => this.deliver(daemon, { kind: 'tick' }));
   }
 
   /** Adds a server. `listedAfter` delays its entry, and `warmupLeft` is its warm-up then, both in milliseconds. */
@@ -177,6 +177,7 @@
       peersReachable: true,
       storeReachable: true,
       pausedUntil: 0,
+      isTickWaiting: false,
       machine,
       clock: machine.createClock(this.bootClock),
       parentAddress: null,
@@ -258,15 +259,6 @@
     )[0];
   }
 
-  #tickAll(): void {
-    for (const daemon of this.daemons) {
-      if (daemon.pausedUntil <= this.clock.now) {
-        this.#deliver(daemon, daemon.life, { kind: 'tick' });
-      }
-    }
-    this.clock.schedule(TICK, () => this.#tickAll());
-  }
-
   /** Counts a request for each of the keys at every daemon. */
   countKeyRequests(keys: readonly number[]): void {
     for (const daemon of this.daemons) {
@@ -280,7 +272,11 @@
     if (!daemon.alive || daemon.life !== life) {
       return;
     }
-    const wait = Math.max(daemon.pausedUntil - this.clock.now, daemon.machine.timeUntilTurn());
+    const wait = Math.max(
+      daemon.pausedUntil - this.clock.now,
+      daemon.machine.timeUntilTurn(),
+      daemon.machine.timeUntilIdle(),
+    );
     if (wait > 0) {
       this.clock.schedule(wait, () => this.#deliver(daemon, life, event));
       return;
@@ -294,9 +290,9 @@
   }
 
   #reduce(daemon: SimulatedDaemon, event: RouterEvent): void {
-    for (const effect of reduce(daemon.state, daemon.clock.now(), event)) {
-      this.#perform(daemon, effect);
-    }
+    const effects = reduce(daemon.state, daemon.clock.now(), event);
+    daemon.machine.spendProcessorTime(event, effects);
+    effects.forEach((effect) => this.#perform(daemon, effect));
   }
 
   #perform(daemon: SimulatedDaemon, effect: Effect): void {
--- a/test/router/support/settled-deployment.ts
+++ b/test/router/support/settled-deployment.ts
@@ -1,7 +1,8 @@
 /** A simulated deployment with steady requests that has settled. */
+import { LAST_KEY } from '../../../src/router/model/identifiers.js';
 import { BALANCED_SERVICE, RequestTraffic } from './request-traffic.js';
 import { RouterSimulation, SERVICE as KEYED_SERVICE, type SimulatedDaemon } from './router-simulation.js';
-import type { PathFault, SimulatedServer } from './simulated-server.js';
+import { CHECKED_KEYS, type PathFault, type SimulatedServer } from './simulated-server.js';
 import { startSteadyRequests, type SteadyRequests } from './steady-requests.js';
 
 const KEYED_SERVERS = 14;
@@ -24,11 +25,33 @@
   readonly zones?: readonly string[];
   /** Time between two requests of one route at one daemon, in milliseconds. */
   readonly interval?: number;
+  readonly keyedServers?: number;
+  /** Units that the stored table holds before the first leader, dealt to the servers in turn; 0: there is no table. */
+  readonly units?: number;
+}
+
+/** Stores a table with the given number of units of equal size. */
+function storeTable(simulation: RouterSimulation, count: number): void {
+  const owners = keyedServers(simulation);
+  const start = (index: number): number => Math.floor((index * (LAST_KEY + 1)) / count);
+  const units = Array.from({ length: count }, (_, index) => ({
+    service: KEYED_SERVICE,
+    from: start(index),
+    to: start(index + 1) - 1,
+    owner: owners[index % owners.length]?.id ?? '',
+    fence: 2 * index + 3,
+    releasing: null,
+  }));
+  const table = { term: 0, nextFence: 2 * count + 4, units };
+  simulation.store.put('ownership', { writeId: 'initial', table });
 }
 
 export function createDeployment(seed: number, options: DeploymentOptions = {}): Deployment {
-  const { daemons = DAEMONS, zones = ['z0'], interval } = options;
-  const simulation = new RouterSimulation(seed, daemons, KEYED_SERVERS, zones);
+  const { daemons = DAEMONS, zones = ['z0'], interval, units = 0 } = options;
+  const simulation = new RouterSimulation(seed, daemons, options.keyedServers ?? KEYED_SERVERS, zones);
+  if (units > 0) {
+    storeTable(simulation, units);
+  }
   const traffic = new RequestTraffic(simulation, BALANCED_SERVERS);
   simulation.clock.runUntil(SETTLED / 2);
   const requests = startSteadyRequests(simulation, traffic, [KEYED_SERVICE, BALANCED_SERVICE], interval);
@@ -57,6 +80,29 @@
   return servers.filter(({ address }) => address.startsWith('10.0.1.'));
 }
 
+/** Returns the longest time in milliseconds for which no server held one of the checked keys, until the given time. */
+export function longestUnheldTimeUntil(simulation: RouterSimulation, end: number): number {
+  const unheldSince = new Map<number, number>();
+  // A key that is on its way when the path is lost can't arrive before the leader has handed over.
+  const onTheirWay = new Set(simulation.unservedKeys());
+  let longest = 0;
+  while (simulation.clock.now < end) {
+    simulation.clock.runUntil(simulation.clock.now + 20);
+    const unserved = new Set(simulation.unservedKeys());
+    for (const key of CHECKED_KEYS) {
+      if (unserved.has(key)) {
+        unheldSince.set(key, unheldSince.get(key) ?? simulation.clock.now);
+        const unheld = onTheirWay.has(key) ? 0 : simulation.clock.now - (unheldSince.get(key) ?? 0);
+        longest = Math.max(longest, unheld);
+      } else {
+        unheldSince.delete(key);
+        onTheirWay.delete(key);
+      }
+    }
+  }
+  return longest;
+}
+
 /** Lets daemons lose their paths to servers, one server after the other within `spread` milliseconds. */
 export function breakPathsGradually(
   { simulation, traffic }: Deployment,
--- a/test/router/support/simulated-calls.ts
+++ b/test/router/support/simulated-calls.ts
@@ -38,9 +38,25 @@
     this.#deliver = deliver;
   }
 
+  /** Makes a call once the daemon's process is idle: until then nothing is written to the connection, and a call that times out never is. */
   callServer(daemon: SimulatedDaemon, effect: ControlEffect): void {
-    const { life, name } = daemon;
+    const { life } = daemon;
     const sentAt = daemon.clock.now();
+    const wait = daemon.machine.timeUntilIdle();
+    if (wait > effect.timeout) {
+      const outcome = { kind: 'unanswered', reason: 'the call was never written' } as const;
+      this.#clock.schedule(wait, () =>
+        this.#deliver(daemon, life, { kind: 'controlEnded', callId: effect.callId, outcome }),
+      );
+    } else if (wait > 0) {
+      this.#clock.schedule(wait, () => this.#write(daemon, effect, sentAt));
+    } else {
+      this.#write(daemon, effect, sentAt);
+    }
+  }
+
+  #write(daemon: SimulatedDaemon, effect: ControlEffect, sentAt: number): void {
+    const { life, name } = daemon;
     const receiver = receiverOf(this.#servers, effect.address);
     simulateCall(this.#clock, this.#random, receiver, effect, this.faults, name, (outcome) => {
       if (receiver !== undefined && ANSWERED_OUTCOMES.has(outcome.kind)) {
--- a/test/router/support/simulated-daemon.ts
+++ b/test/router/support/simulated-daemon.ts
@@ -21,6 +21,8 @@
   storeReachable: boolean;
   /** The process is paused until this time; events for it wait. */
   pausedUntil: number;
+  /** A tick is due and waits until the process is idle. */
+  isTickWaiting: boolean;
   readonly machine: SimulatedMachine;
   clock: DaemonClock;
   parentAddress: string | null;
--- a/test/router/support/simulated-machine.ts
+++ b/test/router/support/simulated-machine.ts
@@ -1,5 +1,10 @@
-/** Simulates the clocks and timers of one daemon's machine. Suspensions stop its monotonic clock. */
+/**
+ * Simulates the clocks, timers and processor time of one daemon's machine. Suspensions stop its monotonic clock. Work takes no time unless
+ * its processor time is stated.
+ */
 import { DaemonClock } from '../../../src/clock/daemon-clock.js';
+import type { Effect } from '../../../src/router/effects.js';
+import type { RouterEvent } from '../../../src/router/events.js';
 import type { Timers } from '../../../src/router-runtime/timers.js';
 import type { VirtualClock } from './virtual-clock.js';
 
@@ -13,8 +18,14 @@
 export const ORDINARY_BOOT_CLOCK: BootClock = (now) =>
   Math.floor(now / BOOT_CLOCK_RESOLUTION) * BOOT_CLOCK_RESOLUTION;
 
+/** Returns the processor time in milliseconds of handling an event and performing its effects. */
+export type ProcessorTime = (event: RouterEvent, effects: readonly Effect[]) => number;
+
 export class SimulatedMachine {
+  /** Processor time of the work of the daemon on this machine. */
+  processorTime: ProcessorTime = () => 0;
   readonly #time: VirtualClock;
+  #busyUntil = 0;
   #loopInterval = 0;
   #loopPhase = 0;
   readonly #suspensions: { readonly from: number; readonly until: number }[] = [];
@@ -41,6 +52,16 @@
     return this.isSlow ? turn + this.#loopPhase - now : 0;
   }
 
+  /** Spends the processor time of an event and its effects. The process handles no further event meanwhile. */
+  spendProcessorTime(event: RouterEvent, effects: readonly Effect[]): void {
+    this.#busyUntil = Math.max(this.#busyUntil, this.#time.now) + this.processorTime(event, effects);
+  }
+
+  /** Returns the time in milliseconds until the process has done the work that it has begun. */
+  timeUntilIdle(): number {
+    return Math.max(0, this.#busyUntil - this.#time.now);
+  }
+
   /** Suspends the machine from now until the given virtual time. */
   suspend(until: number): void {
     this.#suspensions.push({ from: this.#time.now, until });
--- a/test/router/support/simulated-store.ts
+++ b/test/router/support/simulated-store.ts
@@ -96,6 +96,11 @@
     });
   }
 
+  /** Stores an object as if a daemon had written it earlier. */
+  put(object: StoredObjectName, value: unknown): void {
+    this.#apply(object, value, this.#objects.get(object)?.revision ?? null);
+  }
+
   #apply(object: StoredObjectName, value: unknown, revision: number | null): WriteOutcome {
     const found = this.#objects.get(object);
     if ((found?.revision ?? null) !== revision) {
