Daemons below relays keep their relays when another daemon becomes the leader

Cause: a daemon took a heartbeat for the leader's own if it was less than a millisecond old, and relays pass heartbeats on at once. So it forgot that it was below a relay, and connected to the next leader as soon as it heard of it; so did daemons that lost a candidacy or read the leader's record. The new leader had 86 new children at once, and until it had dealt with them they knew no proxies.

At eleven daemons, where the tests were, there are no relays.

Why this works: the parent's address says whether it is the leader, whatever the age of a heartbeat, and a relay that still sends heartbeats connects to the next leader itself.

--- a/src/router/ownership/known-leader.ts
+++ b/src/router/ownership/known-leader.ts
@@ -8,9 +8,8 @@
 import { receiveProxies } from '../proxying/proxy-directory.js';
 import type { RouterContext } from '../router-context.js';
 import { sendHeartbeatSoon } from '../tree/heartbeats.js';
-import { connectToParent } from '../tree/parent.js';
+import { followLeader } from '../tree/parent.js';
 import { stepDown } from './leader-confirmation.js';
-import { HEARTBEAT_TIMEOUT } from './ownership-timing.js';
 import type { LeaderRecord } from './stored-objects.js';
 
 function identityOf({ term, daemon, life, address }: LeaderRecord): LeaderIdentity {
@@ -43,7 +42,7 @@
     if (!record.resigned) {
       sendLeaderNotice(context, identityOf(record));
     }
-    connectToParent(context, address);
+    followLeader(context, address);
   }
 }
 
@@ -68,7 +67,7 @@
  */
 export function receiveLeaderNotice(context: RouterContext, notice: LeaderNotice): void {
   const { state } = context;
-  const { election, leadership, tree, identity } = state;
+  const { election, leadership, identity } = state;
   const knownTerm = Math.max(election.leader?.term ?? 0, leadership?.term ?? 0);
   if (notice.term <= knownTerm || notice.leader === identity.daemon || election.candidacy !== null) {
     return;
@@ -78,10 +77,7 @@
   }
   adoptLeader(context, notice, 0);
   sendLeaderNotice(context, notice);
-  const isRelayResponsive = tree.wasRedirected && context.now - tree.lastParentContactAt <= HEARTBEAT_TIMEOUT;
-  if (!isRelayResponsive) {
-    connectToParent(context, notice.leaderAddress);
-  }
+  followLeader(context, notice.leaderAddress);
 }
 
 /** Handles a heartbeat of the parent. */
@@ -96,7 +92,7 @@
   }
   tree.lastParentContactAt = now;
   tree.watchers = heartbeat.watchers;
-  tree.wasRedirected &&= heartbeat.heardAge > 0;
+  tree.wasRedirected &&= tree.parent !== heartbeat.leaderAddress;
   const heardAt = now - heartbeat.heardAge;
   if (heardAt >= election.lastHeartbeatAt) {
     election.lastHeartbeatAt = heardAt;
--- a/src/router/tree/parent.ts
+++ b/src/router/tree/parent.ts
@@ -18,6 +18,15 @@
   context.emit({ kind: 'follow', address });
 }
 
+/** Connects to a new leader, except below a relay that still sends heartbeats: the relay connects to the new leader itself. */
+export function followLeader(context: RouterContext, address: string): void {
+  const { tree } = context.state;
+  const isRelayResponsive = tree.wasRedirected && context.now - tree.lastParentContactAt <= HEARTBEAT_TIMEOUT;
+  if (tree.parent === null || !isRelayResponsive) {
+    connectToParent(context, address);
+  }
+}
+
 /** Connects to the relay to which the leader redirects this daemon. */
 export function receiveRedirect(context: RouterContext, { address }: Redirect): void {
   const { tree, identity } = context.state;
