A daemon that has claimed the leader record redirects new children to relays

Cause: only a leader redirected, and a daemon leads once it has claimed the ownership table as well. Whoever connected between the two claims became its direct child for good. All of them do at a start, and at a change of leader those that hear of the claim at once.

Why this works: a daemon that the leader record names is treated as the leader by those that connect, and redirects them as one.

--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -8,6 +8,7 @@
 import { missedOwnershipMessage } from '../ownership/ownership-broadcast.js';
 import type { Report } from '../peers/messages.js';
 import type { RouterContext } from '../router-context.js';
+import type { RouterState } from '../router-state.js';
 import { sendHeartbeat } from './heartbeats.js';
 import { type ProxyCandidate, type ProxyDescription, toCandidate } from '../proxying/proxy-candidate.js';
 import { chooseRelay } from './relay-choice.js';
@@ -69,9 +70,15 @@
   child.needsProxies = report.needsProxies;
 }
 
+/** Returns whether this daemon leads or has claimed the leader record, so that other daemons connect to it as the leader. */
+function isNamedLeader({ leadership, election }: RouterState): boolean {
+  const phase = election.candidacy?.phase ?? 'claiming';
+  return leadership !== null || phase !== 'claiming';
+}
+
 /** Returns the relay for a new child, or undefined. Only the leader redirects, and only daemons without children of their own. */
 function relayForNewChild({ state, now }: RouterContext, report: Report): Child | undefined {
-  if (state.leadership === null || report.daemons > 1) {
+  if (!isNamedLeader(state) || report.daemons > 1) {
     return undefined;
   }
   const children = [...state.tree.children.values()].filter((child) => isReporting(child, now));
