Candidates prove their path to the servers of keyed services before they claim the leadership

What callers saw: after a cut that reached the leader, keys had no owner for half a second more, because the next leader was cut off as well and had to hand over in turn.

Cause: in a large deployment a daemon has few requests and learns late that it has lost its path. One that no server had answered lately left the leadership to others for 0.1 s only, and then claimed it.

Why this works: as soon as the leader falls silent, a daemon without a recent response opens connections to servers of keyed services. One that comes up proves the path within milliseconds; otherwise the path is lost before the daemon may claim. It holds for every loss of a leader, since a cut may come with any.

--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -9,7 +9,7 @@
 import { hasRelayParent } from '../tree/tree-state.js';
 import { claimTable, startCandidacy, continueWithTable, tickCandidacy } from './candidacy.js';
 import { recordLeader } from './known-leader.js';
-import { pathClaimDelay } from './path-handover.js';
+import { pathClaimDelay, proveKeyedPaths } from './path-handover.js';
 import { viewSequence } from './ownership-broadcast.js';
 import { LEADER_RECORD_READ_INTERVAL, HEARTBEAT_TIMEOUT, TAKEOVER_TIMEOUT } from './ownership-timing.js';
 import { EMPTY_TABLE, type OwnershipTable } from './ownership-table.js';
@@ -148,6 +148,7 @@
   if (!election.leaderReadInFlight && now >= election.nextLeaderReadAt) {
     election.leaderReadInFlight = true;
     election.nextLeaderReadAt = now + readInterval(state);
+    proveKeyedPaths(context);
     context.emit({ kind: 'readObject', object: 'leader' });
   }
   readTableFromStore(context);
--- a/src/router/ownership/path-handover.ts
+++ b/src/router/ownership/path-handover.ts
@@ -5,6 +5,8 @@
 import type { Milliseconds, ServiceName } from '../model/identifiers.js';
 import type { ProxyCandidate } from '../proxying/proxy-candidate.js';
 import { knownDaemons } from '../proxying/proxy-directory.js';
+import { CHECK_TIMEOUT } from '../reachability/check-conditions.js';
+import { requestPathCheck } from '../reachability/path-checks.js';
 import { pathTo } from '../reachability/reachability-state.js';
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
@@ -16,9 +18,10 @@
 const MIN_LEADERSHIP: Milliseconds = 5_000;
 /** A daemon that has lost a path claims the leadership only if no other one has for this long. */
 const LOST_PATH_CLAIM_DELAY: Milliseconds = 2_000;
-/** The same after a resignation, for one that misses single servers, and for one that no server has answered lately. */
+/** The same after a resignation, for one that misses single servers. */
 const MISSING_SERVER_CLAIM_DELAY: Milliseconds = 150;
-const UNPROVEN_PATH_CLAIM_DELAY: Milliseconds = 100;
+/** The same for one whose path is unproven: a check that began when the leader fell silent has ended after this long. */
+const UNPROVEN_PATH_CLAIM_DELAY: Milliseconds = CHECK_TIMEOUT + 100;
 /** A response to another daemon that came this long before the path was declared lost may have come before it failed. */
 const PROOF_MARGIN: Milliseconds = 250;
 /** A path is proven by a response or a connection within this time. */
@@ -74,22 +77,35 @@
   }
 }
 
+/** Returns whether a server of a service has responded or accepted a connection lately, or none is known. */
+function isPathProven({ state, now }: RouterContext, service: ServiceName): boolean {
+  const isServed = (state.serversByService.get(service)?.size ?? 0) > 0;
+  return !isServed || now - pathTo(state.reachability, service).provenAt <= PROOF_VALIDITY;
+}
+
+/** Begins to check the unproven paths to keyed services. A daemon that has few requests does not know whether it has a path. */
+export function proveKeyedPaths(context: RouterContext): void {
+  for (const service of keyedServices(context.state)) {
+    if (!isPathProven(context, service)) {
+      requestPathCheck(context, service);
+    }
+  }
+}
+
 /**
  * Returns how long this daemon leaves a free leadership to daemons that reach more servers.
  *
  * @param hasResigned whether the former leader resigned, which it may have done for its path, rather than being lost
  */
-export function pathClaimDelay({ state, now }: RouterContext, hasResigned: boolean): Milliseconds {
-  const paths = keyedServices(state).map((service) => pathTo(state.reachability, service));
-  if (paths.some(({ status }) => status === 'lost')) {
+export function pathClaimDelay(context: RouterContext, hasResigned: boolean): Milliseconds {
+  const { state } = context;
+  const services = keyedServices(state);
+  if (services.some((service) => pathTo(state.reachability, service).status === 'lost')) {
     return LOST_PATH_CLAIM_DELAY;
   }
-  if (!hasResigned) {
-    return 0;
-  }
-  if ([...state.servers.values()].some(({ contact }) => contact.isOutOfReach)) {
-    return MISSING_SERVER_CLAIM_DELAY;
+  if (!services.every((service) => isPathProven(context, service))) {
+    return UNPROVEN_PATH_CLAIM_DELAY;
   }
-  const isProven = paths.every(({ provenAt }) => now - provenAt <= PROOF_VALIDITY);
-  return isProven ? 0 : UNPROVEN_PATH_CLAIM_DELAY;
+  const missesServers = [...state.servers.values()].some(({ contact }) => contact.isOutOfReach);
+  return hasResigned && missesServers ? MISSING_SERVER_CLAIM_DELAY : 0;
 }
--- a/test/router/reachability/test-lost-path-variants.ts
+++ b/test/router/reachability/test-lost-path-variants.ts
@@ -17,6 +17,9 @@
 /** Daemons that are connected know within this time what the others have observed. */
 const CONTACT = 3_000;
 const MIN_SERVED = 0.95;
+const ZONES = ['z0', 'z1', 'z2', 'z3'];
+/** Time in milliseconds between two requests of one route at all daemons together. */
+const REQUEST_INTERVAL = 6;
 const FAULTS: readonly PathFault[] = ['silent', 'reset', 'refused', 'onlyOpenConnections'];
 /** A path that comes and goes in this interval, in milliseconds. */
 const FLAP_INTERVAL = 900;
@@ -103,6 +106,29 @@
   });
 });
 
+describe('a leader without a path, in a large deployment', () => {
+  for (const [daemons, seed] of [
+    [87, 51],
+    [150, 52],
+    [150, 53],
+  ] as const) {
+    // Daemons with few requests did not know yet that they had lost their paths as well, and two led one after the other.
+    it(`hands over once, to a daemon that reaches the servers, at ${daemons} daemons (seed ${seed})`, () => {
+      const deployment = createDeployment(seed, {
+        daemons,
+        zones: ZONES,
+        interval: REQUEST_INTERVAL * daemons,
+      });
+      const { simulation, traffic } = deployment;
+      const cut = daemonsInOrder(simulation, true).filter((_, index) => index % 2 === 0);
+      traffic.breakPaths(cut, simulation.servers, 'reset');
+      simulation.clock.runUntil(SETTLED + CONTACT);
+      expect(countEvents(simulation, 'leadership_won')).toEqual(1);
+      expect(cut.includes(leaderOf(simulation))).toEqual(false);
+    });
+  }
+});
+
 describe('a path is not lost', () => {
   it('when servers are slow', () => {
     const { simulation, traffic } = createDeployment(15);
