A check of a path counts although many calls of the leader are unanswered, if nothing responds meanwhile

Cause: a check was inconclusive, and its round repeated for 1.2 s, while more than 64 calls were unanswered, since these may have filled the leader's link. A lost path leaves all calls unanswered, so that a leader of 200 units or more always met the condition.

Why this works: over a link that is full of calls, responses to earlier ones go on arriving, and one during the round ends it with an open path. If none arrives, the number of calls explains nothing, and the round counts. A late event loop and output that is backed up are treated as before.

--- a/src/router/reachability/path-checks.ts
+++ b/src/router/reachability/path-checks.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds, ServiceName } from '../model/identifiers.js';
 import type { KnownServer, RouterState } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
-import { CHECK_TIMEOUT, isInconclusive } from './check-conditions.js';
+import { CHECK_TIMEOUT, isBusy, isInconclusive } from './check-conditions.js';
 import { LOST_CHECK_INTERVAL, losePath, restorePath } from './lost-path.js';
 import { isPathSuspect } from './path-suspicion.js';
 import { MIN_CHECK_INTERVAL, pathTo, type PathCheck, type ServicePath } from './reachability-state.js';
@@ -129,6 +129,7 @@
   path.status = 'checking';
   path.roundStartedAt = now;
   path.inconclusiveChecks = 0;
+  path.busyChecks = 0;
   path.checksInProgress = servers.length;
   path.outcomes = [];
   servers.forEach((known) => checkServer(context, known, false));
@@ -216,6 +217,7 @@
   if (!check.isOfServerOnly) {
     path.checksInProgress -= 1;
     path.inconclusiveChecks += isDoubtful ? 1 : 0;
+    path.busyChecks += isDoubtful && isBusy(event) ? 1 : 0;
     path.outcomes.push(`${check.server} ${event.failure ?? 'reached'}${isDoubtful ? ' (inconclusive)' : ''}`);
     applyCheck(context, check, path, isReached);
   }
@@ -239,17 +241,21 @@
   }
 }
 
-/** Ends a round of checks of which none succeeded. An inconclusive round is repeated, unless a server has responded since it began. */
+/**
+ * Ends a round of checks of which none succeeded. An inconclusive round is repeated, unless a server has responded since it began. Where
+ * only the number of unanswered calls makes it inconclusive, it counts: over a link that is full of calls, responses to earlier ones arrive.
+ */
 function endFailedRound(context: RouterContext, service: ServiceName, path: ServicePath): void {
   if (path.inconclusiveChecks === 0) {
     declareLost(context, service, path);
     return;
   }
   path.doubtfulSince ??= path.roundStartedAt;
+  const isRepeated = path.busyChecks > 0 && context.now - path.doubtfulSince < MAX_DOUBT;
   if (path.heardAt > path.roundStartedAt) {
     path.status = 'open';
     path.doubtfulSince = null;
-  } else if (context.now - path.doubtfulSince < MAX_DOUBT) {
+  } else if (isRepeated) {
     sendChecks(context, service, path);
   } else {
     declareLost(context, service, path);
--- a/src/router/reachability/reachability-state.ts
+++ b/src/router/reachability/reachability-state.ts
@@ -24,8 +24,10 @@
   checksInProgress: number;
   /** When the current round of checks began. */
   roundStartedAt: Milliseconds;
-  /** Checks of the current round that were inconclusive because this daemon was busy. */
+  /** Checks of the current round that were inconclusive. */
   inconclusiveChecks: number;
+  /** Those of them that were inconclusive because this daemon's event loop was late or its output was backed up. */
+  busyChecks: number;
   /** When the first of the consecutive rounds began that were inconclusive; null: the last one was not. */
   doubtfulSince: Milliseconds | null;
   /** Outcomes of the current round of checks, for the log. */
@@ -76,6 +78,7 @@
       checksInProgress: 0,
       roundStartedAt: Number.NEGATIVE_INFINITY,
       inconclusiveChecks: 0,
+      busyChecks: 0,
       doubtfulSince: null,
       outcomes: [],
       successfulChecks: 0,
--- a/test/router/reachability/test-busy-leader.ts
+++ b/test/router/reachability/test-busy-leader.ts
@@ -10,6 +10,8 @@
 const CONGESTION = 900;
 /** A leader that is always busy must hand over before the leases of its owners end, in milliseconds. */
 const MAX_HANDOVER = 1_650;
+/** The same for one that is not busy: the next leader needs the rest of the time to renew leases. */
+const PROMPT_HANDOVER = 1_000;
 const BUSY: readonly (readonly [string, CheckConditions])[] = [
   ['its event loop is late', { ...IDLE_CONDITIONS, loopDelay: 51 }],
   ['bytes for other daemons are unwritten', { ...IDLE_CONDITIONS, unwrittenBytes: 1 }],
@@ -76,4 +78,14 @@
     expect(leader.state.leadership).toEqual(null);
     expect(countEvents(deployment, 'leadership_lost')).toEqual(1);
   });
+
+  // The calls that a lost path leaves unanswered made each check inconclusive, and a leader of 200 units handed over after 1.6 s.
+  it('hands over at once when only its many unanswered calls could explain the silence', () => {
+    const deployment = createDeployment(33, { keyedServers: 97, units: 436 });
+    const { simulation, traffic } = deployment;
+    const leader = leaderOf(simulation);
+    traffic.breakPaths([leader], simulation.servers, 'silent');
+    simulation.clock.runUntil(SETTLED + PROMPT_HANDOVER);
+    expect(leader.state.leadership).toEqual(null);
+  });
 });
