Leaders pace grants by ticks rather than by the number in progress

Cause: the bound is a rate of 24 calls for each response time. On a machine with a share of a core a call takes 150 ms, whatever the processor time that it needs, so that 160 of the 250 renewals a second were made: renewals_late for 77 of 208 units, 24 calls in progress.

Why this works: a twentieth of the units is renewed in each tick, which renews all of them twice as fast as they fall due, at any response time. A machine that is behind has late ticks, and so makes fewer calls. The cases of test-takeover-on-small-machines pass as before.

--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -58,7 +58,7 @@
     unitProgress: new Map(table.units.map((unit) => [unitName(unit), resumedProgress(unit, now)])),
     leases: new Map(),
     pendingCalls: new Map(),
-    dueGrants: [],
+    hasGrantBacklog: false,
     addresses: new Map(),
     successors: new Map(),
     rests: new BackOffReports(),
--- a/src/router/ownership/grant-schedule.ts
+++ b/src/router/ownership/grant-schedule.ts
@@ -1,25 +1,34 @@
 /**
- * Sends grants and renewals, the earliest due first, with a bounded number in progress. A leader has to make as many calls as there are
- * units at the start of its term. Made in one go, those that a slow machine has not written within their timeout would never be sent.
+ * Sends grants and renewals, the earliest due first, a bounded number in each tick. A leader has to make as many calls as there are units
+ * at the start of its term. Made in one go, those that a slow machine has not written within their timeout would never be sent. On such a
+ * machine ticks are late, so that a bound for each tick adapts to its speed.
  */
-import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import type { ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import { GRANT_TIMEOUT, LEASE_DURATION, LEASE_RENEWAL_INTERVAL } from './ownership-timing.js';
 import { unitName, type Unit } from './ownership-table.js';
-import { isConfirmed } from './leader-confirmation.js';
 import { leaseOf, recordGrantSent } from './server-lease.js';
 import { addressOf } from './server-succession.js';
 import { callServer, probeServer } from './unit-calls.js';
 import { tickReleasing } from './unit-control.js';
 
-/** A quarter of a core writes this many calls within a third of their timeout, also while its code is not compiled yet. */
-const MAX_GRANTS_IN_PROGRESS = 24;
+/** A unit whose grant or renewal is due. */
+interface DueGrant {
+  readonly unit: Unit;
+  readonly progress: UnitProgress;
+}
+
+/** All units are renewed within this many ticks, which is half of the renewal interval if the ticks are on time. */
+const TICKS_FOR_ALL_UNITS = 20;
+/** Few units need no pacing. */
+const MIN_GRANTS_PER_TICK = 8;
 
 /** Makes the calls that are due for units: releases, probes of owners that left a call unanswered, and grants. */
 export function tickUnits(context: RouterContext, leadership: Leadership): void {
-  const due: Unit[] = [];
-  for (const unit of leadership.table.units) {
+  const { units } = leadership.table;
+  const due: DueGrant[] = [];
+  for (const unit of units) {
     const progress = leadership.unitProgress.get(unitName(unit));
     if (progress?.phase === 'releasing') {
       tickReleasing(context, leadership, unit, progress);
@@ -27,41 +36,14 @@
       if (needsProbe(context, leadership, unit)) {
         probeServer(context, leadership, unit, unit.owner);
       } else if (isGrantDue(context, leadership, unit, progress)) {
-        due.push(unit);
+        due.push({ unit, progress });
       }
     }
   }
-  const dueAt = (unit: Unit): Milliseconds => leadership.unitProgress.get(unitName(unit))?.nextCallAt ?? 0;
-  leadership.dueGrants = due.sort((left, right) => dueAt(left) - dueAt(right));
-  sendDueGrants(context, leadership);
-}
-
-/** Sends grants that are due, as long as the leadership is confirmed and few enough are in progress. */
-export function sendDueGrants(context: RouterContext, leadership: Leadership): void {
-  const { pendingCalls, dueGrants } = leadership;
-  if (!isConfirmed(context, leadership)) {
-    return;
-  }
-  let inProgress = 0;
-  for (const { action } of pendingCalls.values()) {
-    inProgress += action === 'grant' ? 1 : 0;
-  }
-  while (inProgress < MAX_GRANTS_IN_PROGRESS) {
-    const unit = dueGrants.shift();
-    if (unit === undefined) {
-      return;
-    }
-    const progress = leadership.unitProgress.get(unitName(unit));
-    // The table may have changed since the last tick.
-    const isCurrent = progress?.fence === unit.fence && progress.phase !== 'releasing';
-    if (
-      isCurrent &&
-      isGrantWanted(leadership, unit, progress) &&
-      isGrantDue(context, leadership, unit, progress)
-    ) {
-      inProgress += sendGrant(context, leadership, unit, progress) ? 1 : 0;
-    }
-  }
+  due.sort((left, right) => left.progress.nextCallAt - right.progress.nextCallAt);
+  const count = Math.max(MIN_GRANTS_PER_TICK, Math.ceil(units.length / TICKS_FOR_ALL_UNITS));
+  due.splice(0, count).forEach(({ unit, progress }) => sendGrant(context, leadership, unit, progress));
+  leadership.hasGrantBacklog = due.length > 0;
 }
 
 function isGrantWanted(leadership: Leadership, unit: Unit, progress: UnitProgress): boolean {
@@ -78,20 +60,10 @@
   unit: Unit,
   progress: UnitProgress,
 ): boolean {
-  return (
-    context.now >= progress.nextCallAt &&
-    !needsProbe(context, leadership, unit) &&
-    !isWithdrawnByPendingWrite(leadership, unit, progress)
-  );
+  return context.now >= progress.nextCallAt && !isWithdrawnByPendingWrite(leadership, unit, progress);
 }
 
-/** Sends a grant. Returns whether the owner's address is known. */
-function sendGrant(
-  context: RouterContext,
-  leadership: Leadership,
-  unit: Unit,
-  progress: UnitProgress,
-): boolean {
+function sendGrant(context: RouterContext, leadership: Leadership, unit: Unit, progress: UnitProgress): void {
   const leaseDuration = Math.min(LEASE_DURATION, context.state.bounds.longestLease);
   progress.nextCallAt = context.now + LEASE_RENEWAL_INTERVAL;
   const isSent = callServer(context, leadership, unit, {
@@ -107,7 +79,6 @@
     progress.ownerMayHold = true;
     recordGrantSent(leaseOf(leadership, unit.owner), leaseDuration, context.now);
   }
-  return isSent;
 }
 
 /**
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -27,8 +27,8 @@
 const MAX_PLAN_DELAY: Milliseconds = 500;
 
 /** Returns whether to plan now. A plan takes processor time, so that it waits for grants that are due, but not for long. */
-function isPlanDue({ now }: RouterContext, { nextPlanAt, dueGrants }: Leadership): boolean {
-  return now >= nextPlanAt && (dueGrants.length === 0 || now >= nextPlanAt + MAX_PLAN_DELAY);
+function isPlanDue({ now }: RouterContext, { nextPlanAt, hasGrantBacklog }: Leadership): boolean {
+  return now >= nextPlanAt && (!hasGrantBacklog || now >= nextPlanAt + MAX_PLAN_DELAY);
 }
 
 /** Does the leader's periodic work. What keeps leases alive comes first. */
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -4,7 +4,7 @@
 import type { Address, Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { KeyLoad } from './key-load.js';
 import type { LeaseLogState } from './lease-log.js';
-import type { OwnershipTable, Unit } from './ownership-table.js';
+import type { OwnershipTable } from './ownership-table.js';
 import type { RecentPeak } from './recent-peak.js';
 import type { ServiceTimeEstimator } from './service-time-estimator.js';
 import type { BackOffReports } from '../notices/back-off-reports.js';
@@ -103,8 +103,8 @@
   readonly unitProgress: Map<string, UnitProgress>;
   readonly leases: Map<ServerId, ServerLease>;
   readonly pendingCalls: Map<number, PendingCall>;
-  /** Units whose grant or renewal was due at the last tick and has not been sent, the earliest due first. */
-  dueGrants: Unit[];
+  /** More grants and renewals were due at the last tick than were sent. */
+  hasGrantBacklog: boolean;
   /** Addresses of servers, including those that are no longer listed. */
   readonly addresses: Map<ServerId, Address>;
   /**
--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -31,7 +31,6 @@
 import { tickIsolation } from './ownership/isolation.js';
 import { receiveTableWritten } from './ownership/table-write.js';
 import { receiveOwnership } from './ownership/ownership-broadcast.js';
-import { sendDueGrants } from './ownership/grant-schedule.js';
 import { receiveControlEnded } from './ownership/unit-control.js';
 import { receiveFeedAnswered, receiveFeedFailed } from './news/feed-health.js';
 import { tickStoreConfirmation } from './news/store-confirmation.js';
@@ -202,7 +201,6 @@
   const { leadership } = context.state;
   if (!receiveCrashProbe(context, event.callId, event.outcome) && leadership !== null) {
     receiveControlEnded(context, leadership, event);
-    sendDueGrants(context, leadership);
   }
 }
 
