Relays go on sending heartbeats while they connect to a new leader

Cause: a relay that a neighbour had told of the new leader forgot when it had last heard of a leader, and sent no heartbeat until the new leader's first one. With a slow leader that took longer than the 0.7 s that children wait; they connected to the leader as well, which made it slower.

Why this works: the notice counts as contact with the leader, which has just claimed its record, and a relay sends heartbeats for a second after its last contact, within which it has read the record again. A relay that is cut off falls silent as before, 0.3 s later. In virtual time 67 of 74 daemons left their relays when the next leader's messages took 2.5 s, now none (test-tree-at-a-change-of-leader).

--- a/src/router/ownership/known-leader.ts
+++ b/src/router/ownership/known-leader.ts
@@ -76,6 +76,9 @@
     stepDown(context, 'another daemon leads', null);
   }
   adoptLeader(context, notice, 0);
+  // The leader has just claimed its record. Without this, a relay would fall silent until the leader's first heartbeat.
+  election.lastHeartbeatAt = context.now;
+  election.confirmationAge = 0;
   sendLeaderNotice(context, notice);
   followLeader(context, notice.leaderAddress);
 }
--- a/src/router/tree/heartbeats.ts
+++ b/src/router/tree/heartbeats.ts
@@ -1,7 +1,7 @@
 /** Heartbeats to the children: the leader's own, or those that a relay forwards with the age of the leader's last heartbeat. */
 import type { Milliseconds } from '../model/identifiers.js';
 import { buildAnnouncedLoads, recordLoadsAnnounced } from '../load-view/fleet-load.js';
-import { LEADERSHIP_VALIDITY, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT } from '../ownership/ownership-timing.js';
+import { LEADERSHIP_VALIDITY, HEARTBEAT_INTERVAL } from '../ownership/ownership-timing.js';
 import { evacuationsAge, storeDataAge } from '../news/store-data-age.js';
 import type { Heartbeat } from '../peers/messages.js';
 import { proxiesFor } from '../proxying/proxy-directory.js';
@@ -10,8 +10,8 @@
 
 /** Number of the leader's children that watch the store in addition to the leader. */
 const STORE_WATCHERS = 2;
-/** A relay to which the store responded within this time is searching for the next leader and is not disconnected. */
-const RECENT_STORE_ANSWER: Milliseconds = 1_000;
+/** A relay to which the leader or the store responded within this time is not disconnected: without heartbeats it reads the leader record. */
+const RECENT_CONTACT: Milliseconds = 1_000;
 /** Maximum confirmation age that a relay forwards: a leader that resigns sends an unbounded one. */
 const MAX_CONFIRMATION_AGE: Milliseconds = 3_000;
 
@@ -67,7 +67,7 @@
   const { election, isolation } = state;
   const { leader } = election;
   const heardAge = now - election.lastHeartbeatAt;
-  const isConnected = heardAge <= HEARTBEAT_TIMEOUT || now - isolation.storeAnsweredAt <= RECENT_STORE_ANSWER;
+  const isConnected = Math.min(heardAge, now - isolation.storeAnsweredAt) <= RECENT_CONTACT;
   if (leader === null || !Number.isFinite(heardAge) || !isConnected) {
     return null;
   }
