Daemons without a path go on using the proxies that they knew while they have no parent

Cause: descriptions of proxies were used for 2 s, and each heartbeat replaced all of them. What a daemon knew of proxies that answered its requests ended with its parent.

Why this works: where no current proxy is usable, those that were named in the last 15 s are, first those that have answered lately. One that has lost its path says so and is avoided, as before. The leader counts as having 16 requests more than it says: it is the one proxy that every new parent knows, and it has the leases to renew. Two cases of test-proxied-lifecycle fail without the change.

--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -31,7 +31,8 @@
   }
   recordAttemptOutcome(context, request, describeResult(result));
   endProxiedAttempt(context, request);
-  if (ANSWERS.has(result.kind)) {
+  const isPathLost = result.kind === 'refusedByProxy' && result.isPathLost;
+  if (ANSWERS.has(result.kind) && !isPathLost) {
     state.proxying.answeredAt.set(proxy.address, context.now);
   }
   switch (result.kind) {
--- a/src/router/proxying/proxy-choice.ts
+++ b/src/router/proxying/proxy-choice.ts
@@ -5,12 +5,14 @@
 import type { ActiveRequest } from '../request/active-request.js';
 import { createRefusal, type RoutingRefusal } from '../request/refusals.js';
 import type { ProxyCandidate } from './proxy-candidate.js';
-import { knownDaemons } from './proxy-directory.js';
+import { knownDaemons, recalledProxies } from './proxy-directory.js';
 
-/** A proxy that has had a response of the service within this time is preferred. */
+/** A proxy that has had a response of the service, or has answered this daemon, within this time is preferred. */
 const MAX_PROOF_AGE: Milliseconds = 2_000;
 /** Requests in progress that a proxy of this zone may have more than one of another zone, since traffic between zones is expensive. */
 const OTHER_ZONE_COST = 8;
+/** Requests in progress that another proxy may have more than the leader, which has all leases to renew. */
+const LEADER_COST = 16;
 /** The parent names proxies within this time. */
 const PROXY_LIST_TIMEOUT: Milliseconds = 300;
 /** Time after which a caller should retry when no daemon reaches the servers. */
@@ -78,28 +80,31 @@
 ): ProxyCandidate | null {
   const { now, state } = context;
   const { service, triedProxies } = request;
-  const usable = knownDaemons(context).filter(
-    ({ daemon, address, lostServices, lostServers }) =>
-      address !== '' &&
-      now >= (state.proxying.avoidedUntil.get(address) ?? 0) &&
-      !triedProxies.includes(daemon) &&
-      !lostServices.includes(service) &&
-      !(owner !== null && lostServers.includes(owner)),
-  );
-  const isProven = ({ reachedAt }: ProxyCandidate): boolean =>
-    now - (reachedAt.get(service) ?? Number.NEGATIVE_INFINITY) <= MAX_PROOF_AGE;
+  const isUsable = ({ daemon, address, lostServices, lostServers }: ProxyCandidate): boolean =>
+    address !== '' &&
+    now >= (state.proxying.avoidedUntil.get(address) ?? 0) &&
+    !triedProxies.includes(daemon) &&
+    !lostServices.includes(service) &&
+    !(owner !== null && lostServers.includes(owner));
+  const current = knownDaemons(context).filter(isUsable);
+  const usable = current.length > 0 ? current : recalledProxies(context).filter(isUsable);
+  const isProven = ({ address, reachedAt }: ProxyCandidate): boolean => {
+    const answeredAt = state.proxying.answeredAt.get(address) ?? Number.NEGATIVE_INFINITY;
+    return now - Math.max(answeredAt, reachedAt.get(service) ?? Number.NEGATIVE_INFINITY) <= MAX_PROOF_AGE;
+  };
   const proven = usable.filter(isProven);
   return leastLoaded(context, proven.length > 0 ? proven : usable);
 }
 
 function leastLoaded(context: RouterContext, candidates: readonly ProxyCandidate[]): ProxyCandidate | null {
-  const { identity, proxying, random } = context.state;
+  const { identity, proxying, random, election } = context.state;
   let best: ProxyCandidate | null = null;
   let lowestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
     const zoneCost = candidate.zone === identity.zone ? 0 : OTHER_ZONE_COST;
     const own = proxying.requestsAt.get(candidate.address) ?? 0;
-    const cost = candidate.requests + own + zoneCost + random.fraction();
+    const leaderCost = candidate.daemon === election.leader?.daemon ? LEADER_COST : 0;
+    const cost = candidate.requests + own + zoneCost + leaderCost + random.fraction();
     if (cost < lowestCost) {
       best = candidate;
       lowestCost = cost;
--- a/src/router/proxying/proxy-directory.ts
+++ b/src/router/proxying/proxy-directory.ts
@@ -18,6 +18,10 @@
 const PROXIES_IN_REPORT = 4;
 /** Descriptions that are older than this are not used. */
 const MAX_DESCRIPTION_AGE: Milliseconds = 2_000;
+/** While no current ones are known, proxies are used that were named within this time, in which a new leader has reached all daemons. */
+const RECALL_TIME: Milliseconds = 15_000;
+/** Proxies that are kept for this: those of four heartbeats. */
+const MAX_RECALLED = 32;
 
 function isCurrent({ describedAt }: ProxyCandidate, now: Milliseconds): boolean {
   return now - describedAt <= MAX_DESCRIPTION_AGE;
@@ -95,6 +99,18 @@
 
 /** Records the proxies that the parent has named. */
 export function receiveProxies({ state, now }: RouterContext, proxies: readonly ProxyDescription[]): void {
-  state.proxying.fromParent = proxies.map((description) => toCandidate(description, now));
-  state.proxying.receivedAt = now;
+  const { proxying } = state;
+  proxying.fromParent = proxies.map((description) => toCandidate(description, now));
+  proxying.receivedAt = now;
+  for (const candidate of proxying.fromParent) {
+    proxying.recalled.delete(candidate.daemon);
+    proxying.recalled.set(candidate.daemon, candidate);
+  }
+  const surplus = Math.max(0, proxying.recalled.size - MAX_RECALLED);
+  [...proxying.recalled.keys()].slice(0, surplus).forEach((daemon) => proxying.recalled.delete(daemon));
+}
+
+/** Returns the proxies that a parent has named a short time ago. A daemon without a parent hears of no others. */
+export function recalledProxies({ state, now }: RouterContext): ProxyCandidate[] {
+  return [...state.proxying.recalled.values()].filter(({ describedAt }) => now - describedAt <= RECALL_TIME);
 }
--- a/test/router/proxying/test-proxied-lifecycle.ts
+++ b/test/router/proxying/test-proxied-lifecycle.ts
@@ -100,6 +100,23 @@
     expect((answer?.retryAfter ?? 0) > 0).toEqual(true);
   });
 
+  // Knew no proxy 2 s after the last heartbeat, and refused everything until a new leader had named some.
+  it('goes on using the proxies that were named last while it has no parent', () => {
+    hearProxies([describeProxy('d2')]);
+    daemon.tickUntil(daemon.now + 8_000);
+    daemon.receiveRequest(1, '/book/1');
+    expect(proxiesUsed()).toEqual(['10.0.1.2:71']);
+    daemon.tickUntil(daemon.now + 8_000);
+    daemon.receiveRequest(2, '/book/2');
+    expect(proxiesUsed()).toEqual(['10.0.1.2:71']);
+  });
+
+  it('prefers a daemon with some more requests to the leader', () => {
+    hearProxies([describeProxy('d9', { requests: 3 }), describeProxy('d2', { requests: 12 })]);
+    daemon.receiveRequest(1, '/read/1');
+    expect(proxiesUsed()).toEqual(['10.0.1.2:71']);
+  });
+
   it('prefers its own zone, and leaves it for a daemon with far fewer requests', () => {
     hearProxies([describeProxy('d2', { zone: 'other' }), describeProxy('d3', { requests: 4 })]);
     daemon.receiveRequest(1, '/read/1');
