Control calls use the connections code of requests

What callers saw: keyed requests were refused while a new leader's machine worked through the renewals of its first seconds.

Cause: control calls went through a pool of their own for each server, made for calls to the store. At a change of leader none of that code is compiled and no pool exists, at the moment at which every owner has to be called within a second; and each timeout replaced a pool, which made the next call dearer.

Why this works: the code that sends requests is compiled by the time at which a daemon leads. What the calls promise is as before, with its tests: a call that timed out is never written and can't arrive late, and a timeout closes the idle connections to the address.

--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 700;
+const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 700;
 /** Idle timeout for servers that don't state theirs in a `Keep-Alive` header. Servers close idle connections after a timeout of their own. */
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 6_000;
 const IDLE_TIMEOUT_MARGIN_MILLISECONDS = 1_500;
@@ -16,7 +16,10 @@
 export const MAX_CONNECTIONS_PER_SERVER = 24;
 export const MAX_CONNECTIONS_PER_PROXY = 96;
 
-const connector = buildResettingConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+type Connector = ReturnType<typeof buildResettingConnector>;
+
+/** Delays an action until the sockets have been polled. */
+type ConnectBarrier = Pick<PollBarrier, 'whenRecentlyPolled'>;
 
 /** One connection to a server. */
 export class ServerConnection {
@@ -25,7 +28,7 @@
   failed = false;
 
   /** @param barrier delays the first request on a new connection until a recent poll has shown whether its caller has disconnected */
-  constructor(address: string, barrier: PollBarrier) {
+  constructor(address: string, barrier: ConnectBarrier, connector: Connector) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -66,12 +69,19 @@
 }
 
 export class ServerConnections {
-  readonly #barrier: PollBarrier;
+  readonly #barrier: ConnectBarrier;
+  readonly #connector: Connector;
   readonly #maxPerAddress: number;
   readonly #pools = new Map<string, ConnectionPool>();
 
-  constructor(barrier: PollBarrier, maxPerAddress = MAX_CONNECTIONS_PER_SERVER) {
+  /** @param connectTimeout in milliseconds */
+  constructor(
+    barrier: ConnectBarrier,
+    maxPerAddress = MAX_CONNECTIONS_PER_SERVER,
+    connectTimeout = DEFAULT_CONNECT_TIMEOUT_MILLISECONDS,
+  ) {
     this.#barrier = barrier;
+    this.#connector = buildResettingConnector({ timeout: connectTimeout });
     this.#maxPerAddress = maxPerAddress;
   }
 
@@ -90,7 +100,7 @@
       return null;
     }
     pool.openCount += 1;
-    return new ServerConnection(address, this.#barrier);
+    return new ServerConnection(address, this.#barrier, this.#connector);
   }
 
   /** Returns a connection to its pool, or closes it if it must not be reused. */
