A single overdue request begins a check of the path, with one connection at first

Cause: a daemon checked its path once two of its requests were overdue, or one for three times the usual time. The same callers over eight times as many daemons make that eight times as rare.

Why this works: one overdue request, while nothing of its service has responded since it was sent, begins a round with one connection; only if that has not come up within 40 ms do the other two follow. So the evidence does not depend on how many daemons share the callers, and what it costs depends on the requests, not on the daemons.

--- a/src/router/reachability/path-checks.ts
+++ b/src/router/reachability/path-checks.ts
@@ -8,13 +8,15 @@
 import type { RouterContext } from '../router-context.js';
 import { CHECK_TIMEOUT, isBusy, isInconclusive } from './check-conditions.js';
 import { LOST_CHECK_INTERVAL, losePath, restorePath } from './lost-path.js';
-import { isPathSuspect } from './path-suspicion.js';
+import { suspicionOf } from './path-suspicion.js';
 import { MIN_CHECK_INTERVAL, pathTo, type PathCheck, type ServicePath } from './reachability-state.js';
 
 /** Interval at which the calls of this daemon are evaluated. */
 const EVALUATION_INTERVAL: Milliseconds = 40;
 /** Servers of a service that are checked in one round. The path is lost if none of them can be reached. */
 const CHECKS_PER_ROUND = 3;
+/** A round that begins with one check goes on with the others if that one has not ended after this long. */
+const TENTATIVE_TIME: Milliseconds = 40;
 const MAX_CHECK_INTERVAL: Milliseconds = 2_000;
 /**
  * Rounds of checks are repeated for this long while they are inconclusive; then they count. An owner's lease ends 1,650 ms after the leader
@@ -87,6 +89,8 @@
     const path = pathTo(reachability, service);
     if (path.status === 'lost') {
       checkLostPath(context, service, path);
+    } else if (path.status === 'checking') {
+      continueTentativeRound(context, service, path);
     } else {
       evaluatePath(context, service, path);
     }
@@ -94,14 +98,25 @@
   checkFailingServers(context);
 }
 
+/** Sends the other checks of a round whose first one has not come up as soon as one usually does. */
+function continueTentativeRound(context: RouterContext, service: ServiceName, path: ServicePath): void {
+  if (path.isTentative && context.now - path.roundStartedAt >= TENTATIVE_TIME) {
+    path.isTentative = false;
+    const servers = chooseServers(context, service, CHECKS_PER_ROUND - 1);
+    path.checksInProgress += servers.length;
+    servers.forEach((known) => checkServer(context, known, false));
+  }
+}
+
 function evaluatePath(context: RouterContext, service: ServiceName, path: ServicePath): void {
   const { state, now } = context;
   const servers = state.serversByService.get(service);
   if (path.status !== 'open' || now < path.nextCheckAt || servers === undefined) {
     return;
   }
-  if (isPathSuspect(path, servers.values(), now)) {
-    beginRound(context, service, path);
+  const suspicion = suspicionOf(path, servers.values(), now);
+  if (suspicion !== 'none') {
+    beginRound(context, service, path, suspicion === 'strong' ? CHECKS_PER_ROUND : 1);
   }
 }
 
@@ -109,24 +124,25 @@
 export function requestPathCheck(context: RouterContext, service: ServiceName): void {
   const path = pathTo(context.state.reachability, service);
   if (path.status === 'open') {
-    beginRound(context, service, path);
+    beginRound(context, service, path, CHECKS_PER_ROUND);
   }
 }
 
-function beginRound(context: RouterContext, service: ServiceName, path: ServicePath): void {
+function beginRound(context: RouterContext, service: ServiceName, path: ServicePath, count: number): void {
   path.failedSince = Math.max(path.heardAt, context.now - MAX_CHECK_INTERVAL);
-  sendChecks(context, service, path);
+  sendChecks(context, service, path, count);
 }
 
-/** Sends the checks of a round. */
-function sendChecks(context: RouterContext, service: ServiceName, path: ServicePath): void {
+/** Sends the first checks of a round: all of them, or one of which the outcome decides on the others. */
+function sendChecks(context: RouterContext, service: ServiceName, path: ServicePath, count: number): void {
   const { state, now } = context;
-  const servers = chooseServers(context, service, CHECKS_PER_ROUND);
+  const servers = chooseServers(context, service, count);
   if (servers.length === 0) {
     path.status = 'open';
     return;
   }
   path.status = 'checking';
+  path.isTentative = count < CHECKS_PER_ROUND;
   path.roundStartedAt = now;
   path.inconclusiveChecks = 0;
   path.busyChecks = 0;
@@ -246,6 +262,10 @@
  * only the number of unanswered calls makes it inconclusive, it counts: over a link that is full of calls, responses to earlier ones arrive.
  */
 function endFailedRound(context: RouterContext, service: ServiceName, path: ServicePath): void {
+  if (path.isTentative) {
+    sendChecks(context, service, path, CHECKS_PER_ROUND);
+    return;
+  }
   if (path.inconclusiveChecks === 0) {
     declareLost(context, service, path);
     return;
@@ -256,7 +276,7 @@
     path.status = 'open';
     path.doubtfulSince = null;
   } else if (isRepeated) {
-    sendChecks(context, service, path);
+    sendChecks(context, service, path, CHECKS_PER_ROUND);
   } else {
     declareLost(context, service, path);
   }
--- a/src/router/reachability/path-suspicion.ts
+++ b/src/router/reachability/path-suspicion.ts
@@ -11,7 +11,7 @@
 const MIN_OVERDUE_TIME: Milliseconds = 150;
 /** A request that is overdue by this factor counts twice. */
 const LONG_OVERDUE_FACTOR = 2;
-/** Evidence that leads to a check: two servers, or one that is long overdue. */
+/** Evidence that leads to a full round of checks: two servers, or one that is long overdue. */
 const SUFFICIENT_EVIDENCE = 2;
 /** Failed calls count for this long. */
 const FAILURE_MEMORY: Milliseconds = 1_000;
@@ -54,20 +54,26 @@
   return failedConnections.size >= SUFFICIENT_CONNECTION_FAILURES;
 }
 
-/** Returns whether the path to the given servers of one service may be lost. */
-export function isPathSuspect(path: ServicePath, servers: Iterable<KnownServer>, now: Milliseconds): boolean {
+/**
+ * How much the calls to a service suggest that its path is lost. Weak suspicion is a single server that is overdue while none responds: a
+ * daemon with few requests has no other evidence for long.
+ */
+export type Suspicion = 'none' | 'weak' | 'strong';
+
+/** Returns how much the calls to the given servers of one service suggest that their path is lost. */
+export function suspicionOf(path: ServicePath, servers: Iterable<KnownServer>, now: Milliseconds): Suspicion {
   if (haveConnectionsFailed(path, now)) {
-    return true;
+    return 'strong';
   }
   if (now - path.heardAt < MIN_OVERDUE_TIME) {
-    return false;
+    return 'none';
   }
   let evidence = 0;
   for (const server of servers) {
     evidence += evidenceOf(server, path.heardAt, now);
     if (evidence >= SUFFICIENT_EVIDENCE) {
-      return true;
+      return 'strong';
     }
   }
-  return false;
+  return evidence > 0 ? 'weak' : 'none';
 }
--- a/src/router/reachability/reachability-state.ts
+++ b/src/router/reachability/reachability-state.ts
@@ -22,6 +22,8 @@
   /** Servers that connections could not be opened to, with the time of the failure. */
   readonly failedConnections: Map<ServerId, Milliseconds>;
   checksInProgress: number;
+  /** The round has begun with one check on weak suspicion, and the others have not been sent. */
+  isTentative: boolean;
   /** When the current round of checks began. */
   roundStartedAt: Milliseconds;
   /** Checks of the current round that were inconclusive. */
@@ -76,6 +78,7 @@
       lostAt: Number.NEGATIVE_INFINITY,
       failedConnections: new Map(),
       checksInProgress: 0,
+      isTentative: false,
       roundStartedAt: Number.NEGATIVE_INFINITY,
       inconclusiveChecks: 0,
       busyChecks: 0,
--- a/test/router/reachability/test-lost-path-variants.ts
+++ b/test/router/reachability/test-lost-path-variants.ts
@@ -17,6 +17,9 @@
 /** Daemons that are connected know within this time what the others have observed. */
 const CONTACT = 3_000;
 const MIN_SERVED = 0.95;
+const FIRST_REQUESTS = 1_500;
+/** Time in milliseconds within which a path is found lost, shorter than the time for which callers wait (800 ms). */
+const DETECTION = 600;
 const ZONES = ['z0', 'z1', 'z2', 'z3'];
 /** Time in milliseconds between two requests of one route at all daemons together. */
 const REQUEST_INTERVAL = 6;
@@ -112,6 +115,25 @@
   });
 });
 
+describe('the first requests at daemons without a path, in a large deployment', () => {
+  for (const [fault, cutShare] of [
+    ['silent', 0.1],
+    ['silent', 0.6],
+    ['reset', 0.6],
+  ] as const) {
+    // A daemon waited for a second overdue request before it checked its path, which takes long where requests are few.
+    it(`are served from ${DETECTION} ms on (${fault}, ${cutShare} of 87 daemons)`, () => {
+      const options = { daemons: 87, zones: ZONES, interval: REQUEST_INTERVAL * 87 };
+      const { simulation, traffic, requests } = createDeployment(21, options);
+      const cut = daemonsInOrder(simulation, false).slice(0, Math.round(87 * cutShare));
+      traffic.breakPaths(cut, simulation.servers, fault);
+      simulation.clock.runUntil(SETTLED + FIRST_REQUESTS + CONTACT);
+      const share = requests.servedShare(cut, SETTLED, SETTLED + FIRST_REQUESTS);
+      expect(share >= 1 - DETECTION / FIRST_REQUESTS).toEqual(true);
+    });
+  }
+});
+
 describe('a leader without a path, in a large deployment', () => {
   for (const [daemons, seed] of [
     [87, 51],
