Slow machines let fast ones claim first also after the leader's process has ended; claim order in a module of its own

Cause: as after a resignation, nothing held slow machines back once refused connections showed that the leader had ended.

Why this works: the same 0.2 s as after a resignation.

--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -7,9 +7,10 @@
 import type { RouterContext } from '../router-context.js';
 import type { RouterState } from '../router-state.js';
 import { hasRelayParent } from '../tree/tree-state.js';
+import { claimDelayOf, claimDueAt, hasLeaderEnded, isClaimDue, refusalLimit } from './claim-order.js';
 import { claimTable, startCandidacy, continueWithTable, tickCandidacy } from './candidacy.js';
 import { recordLeader } from './known-leader.js';
-import { pathClaimDelay, proveKeyedPaths } from './path-handover.js';
+import { proveKeyedPaths } from './path-handover.js';
 import { viewSequence } from './ownership-broadcast.js';
 import { LEADER_RECORD_READ_INTERVAL, HEARTBEAT_TIMEOUT, TAKEOVER_TIMEOUT } from './ownership-timing.js';
 import { EMPTY_TABLE, type OwnershipTable } from './ownership-table.js';
@@ -24,14 +25,6 @@
  */
 const MAX_CONFIRMATION_AGE_FOR_WATCHERS: Milliseconds = 1_800;
 const MAX_JITTER: Milliseconds = 150;
-/** Consecutive refused connections after which the process of the leader counts as ended. */
-const REFUSAL_LIMIT = 3;
-/**
- * A daemon that has just started most likely did so together with others, so one refused connection is enough
- * in this period.
- */
-const STARTUP_PERIOD: Milliseconds = 2_000;
-const REFUSAL_LIMIT_AT_STARTUP = 1;
 /**
  * A daemon without a leader reads the ownership table from the store only after this long, since the next
  * leader usually sends it earlier.
@@ -62,13 +55,6 @@
  */
 const READ_BACKOFF_FACTOR = 1.5;
 const MAX_READ_INTERVAL: Milliseconds = 1_000;
-/**
- * A machine with at least this processor power (in cores) can carry the leadership; weaker ones delay their
- * claim by up to MAX_CLAIM_DELAY.
- */
-const SUFFICIENT_PROCESSOR_POWER = 0.5;
-const MAX_CLAIM_DELAY: Milliseconds = 200;
-
 /**
  * Returns the age from which the confirmation of the leader is checked in the store. Daemons that poll the
  * store beside the leader check first, so that the others need not ask when one of them takes over.
@@ -107,22 +93,6 @@
   return Math.min(MAX_READ_INTERVAL, interval) * pollingFactor(state);
 }
 
-/**
- * Returns how long this daemon delays its claim, so that more powerful machines can claim the leadership
- * first.
- */
-function claimDelayOf({ bounds }: RouterState): Milliseconds {
-  return MAX_CLAIM_DELAY * Math.max(0, 1 - bounds.processorPower / SUFFICIENT_PROCESSOR_POWER);
-}
-
-/**
- * Returns the number of refused connections after which the process of the leader currently counts as ended.
- */
-function refusalLimit(context: RouterContext): number {
-  const hasJustStarted = context.now - context.state.election.startedAt < STARTUP_PERIOD;
-  return hasJustStarted ? REFUSAL_LIMIT_AT_STARTUP : REFUSAL_LIMIT;
-}
-
 /** Monitors the leader on a daemon that does not lead. */
 export function tickElection(context: RouterContext): void {
   const { state, now } = context;
@@ -200,21 +170,6 @@
   }
 }
 
-/**
- * Returns from when on this daemon may claim a free leadership. Daemons that reach more servers come first. After a resignation, slow
- * machines wait until the others have read the leader record; otherwise they wait longer before the leadership counts as free.
- */
-function claimDueAt(context: RouterContext, { resigned }: LeaderRecord): Milliseconds {
-  const { state } = context;
-  const isSlow = state.bounds.processorPower < SUFFICIENT_PROCESSOR_POWER;
-  const powerDelay = resigned && isSlow ? MAX_CLAIM_DELAY : 0;
-  return state.election.leaderlessSince + Math.max(pathClaimDelay(context, resigned), powerDelay);
-}
-
-function isClaimDue(context: RouterContext, record: LeaderRecord): boolean {
-  return context.now >= claimDueAt(context, record);
-}
-
 /** Handles a read of the leader record by a daemon that does not lead. */
 export function receiveLeaderRecord(context: RouterContext, event: ObjectReadEvent): void {
   const { state, now } = context;
@@ -245,8 +200,7 @@
   const takeoverTimeout = TAKEOVER_TIMEOUT + election.jitter + claimDelayOf(state);
   const unconfirmed = event.sentAt - election.leaderRevisionSeenAt >= takeoverTimeout;
   const wasThisDaemon = record.daemon === state.identity.daemon;
-  const hasEnded = election.leaderRefusals >= refusalLimit(context);
-  const isFree = unconfirmed || wasThisDaemon || hasEnded || record.resigned;
+  const isFree = unconfirmed || wasThisDaemon || hasLeaderEnded(context) || record.resigned;
   if (!isLeaderResponsive(context) && isFree && isClaimDue(context, record)) {
     startCandidacy(context, record, revision);
   } else if (isFree && !isClaimDue(context, record)) {
--- a/test/router/ownership/test-claim-order.ts
+++ b/test/router/ownership/test-claim-order.ts
@@ -10,7 +10,7 @@
 const SEEDS = [71, 72, 73, 74, 75, 76, 77, 78];
 const TAKEOVER = 1_000;
 
-describe('the next leader after a resignation', () => {
+describe('the next leader', () => {
   // The delay by which slow machines let others claim first did not hold after a resignation.
   it('is a fast machine if the leader had some among its children', () => {
     for (const seed of SEEDS) {
@@ -25,6 +25,18 @@
     }
   });
 
+  it('is a fast machine also after the process of the leader has ended', () => {
+    for (const seed of SEEDS) {
+      const { simulation } = createDeployment(seed);
+      daemonsInOrder(simulation, false).forEach(({ state }, index) => {
+        state.bounds = { ...BOUNDS, processorPower: index < FAST_FOLLOWERS ? FAST : SLOW };
+      });
+      leaderOf(simulation).alive = false;
+      simulation.clock.runUntil(SETTLED + 3 * TAKEOVER);
+      expect([seed, leaderOf(simulation).state.bounds.processorPower]).toEqual([seed, FAST]);
+    }
+  });
+
   it('is a slow machine if all are, without much delay', () => {
     for (const seed of SEEDS) {
       const { simulation } = createDeployment(seed);
