--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -80,6 +80,7 @@
   ends = [];
   process = null;
   #isEnding = false;
+  #wasKilled = false;
   #restart;
 
   constructor(name, fields, folder) {
@@ -106,7 +107,10 @@
     child.stderr.pipe(log, { end: false });
     child.once('exit', (code, signal) => {
       if (!this.#isEnding) {
-        this.ends.push({ at: Date.now(), code, signal });
+        if (!this.#wasKilled) {
+          this.ends.push({ at: Date.now(), code, signal });
+        }
+        this.#wasKilled = false;
         // As the platform does: a process that has ended is started again after a short delay.
         this.#restart = setTimeout(() => this.start(false), RESTART_MILLISECONDS);
       }
@@ -115,9 +119,10 @@
     this.process = child;
   }
 
-  signal(name) {
-    this.#isEnding ||= name === 'SIGKILL' || name === 'SIGTERM';
-    this.process.kill(name);
+  /** Kills the process, which the platform starts again. */
+  kill() {
+    this.#wasKilled = true;
+    this.process.kill('SIGKILL');
   }
 
   async stop() {
@@ -150,6 +155,12 @@
   daemons = [];
   folder = mkdtempSync(join(tmpdir(), 'fennelferry-review-'));
   #storeAddress = '';
+  #endings = [];
+
+  /** Adds an action for the end of the case. */
+  atEnd(action) {
+    this.#endings.push(action);
+  }
 
   /** @param configuration the routing configuration; `daemonCount` daemons are spread over three zones */
   async start(configuration, upstreams, daemonCount = 3, memoryMb = 350) {
@@ -213,6 +224,7 @@
   /** Ends every process and removes the folder. */
   async stop() {
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
+    this.#endings.forEach((action) => action());
     this.upstreams.forEach((upstream) => upstream.stop());
     this.store.stop();
     rmSync(this.folder, { recursive: true, force: true });
--- a/review/stand-ins/upstream.mjs
+++ b/review/stand-ins/upstream.mjs
@@ -15,19 +15,24 @@
   runs = [];
   #keyed;
   #work;
+  #onGrant;
   #grants = [];
   #fences = [];
   #server = createServer({ keepAliveTimeout: 10_000 }, (request, response) =>
     this.#receive(request, response),
   );
 
-  /** @param work answers a request that is run: (request, response, body, upstream) */
-  constructor(id, service, zone, { keyed = false, work }) {
+  /**
+   * @param work answers a request that is run: (request, response, body, upstream)
+   * @param onGrant hears of each grant that is taken: (id, { from, to, fence })
+   */
+  constructor(id, service, zone, { keyed = false, work, onGrant = () => undefined }) {
     this.id = id;
     this.service = service;
     this.zone = zone;
     this.#keyed = keyed;
     this.#work = work;
+    this.#onGrant = onGrant;
   }
 
   async start(port) {
@@ -74,6 +79,7 @@
   #grant(response, { from, targetVersion: to, fence, holdS }) {
     const isOld = this.#fences.some((seen) => seen.from <= to && from <= seen.to && seen.fence > fence);
     if (!isOld) {
+      this.#onGrant(this.id, { from, to, fence });
       this.#fences.push({ from, to, fence });
       this.#grants = [...this.#outside(from, to), { from, to, fence, until: Date.now() + holdS * 1_000 }];
     }
