--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,6 +1,7 @@
 /** The leader is killed while owners of keys are cut off: its grants arrive after the cut, and are taken under old fences. */
 import { setTimeout } from 'node:timers';
 import { URL, fileURLToPath } from 'node:url';
+import { TITLE } from '../../target/review/1/title.mjs';
 import { runCase } from '../stand-ins/case.mjs';
 import { freePort, pause } from '../stand-ins/deployment.mjs';
 import { Link } from '../stand-ins/link.mjs';
@@ -25,7 +26,7 @@
   response.writeHead(200, { ...upstream.headersFor(request), 'Content-Length': 2 }).end('ok');
 }
 
-await runCase(RECORD, async (deployment, record, isTroubled) => {
+await runCase(TITLE, RECORD, async (deployment, record, isTroubled) => {
   const links = new Map();
   const held = [];
   const broken = [];
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,6 +3,7 @@
 import { setTimeout } from 'node:timers';
 import { URL, fileURLToPath } from 'node:url';
 import { call } from '../stand-ins/caller.mjs';
+import { TITLE } from '../../target/review/3/title.mjs';
 import { runCase } from '../stand-ins/case.mjs';
 import { pause } from '../stand-ins/deployment.mjs';
 import { CONFIGURATION, requestOn, upstreamsOf } from '../stand-ins/small-site.mjs';
@@ -23,7 +24,7 @@
   return Buffer.alloc(ANSWER_BYTES, `${id} `);
 }
 
-await runCase(RECORD, async (deployment, record, isTroubled) => {
+await runCase(TITLE, RECORD, async (deployment, record, isTroubled) => {
   const answers = new Map(FAULTY.map((id) => [id, 0]));
   const brokenOff = new Set();
 
--- a/review/stand-ins/case.mjs
+++ b/review/stand-ins/case.mjs
@@ -22,10 +22,11 @@
 }
 
 /**
+ * @param title what the case checks
  * @param path of the record
  * @param play plays the case: (deployment, record, isTroubled) => the texts of what broke the rule
  */
-export async function runCase(path, play) {
+export async function runCase(title, path, play) {
   const isTroubled = process.env.TROUBLE !== '0';
   const deployment = new Deployment();
   const record = new Record();
@@ -38,6 +39,7 @@
   process.once('SIGTERM', () => void end());
   process.once('SIGINT', () => void end());
   try {
+    record.add(title);
     record.add(isTroubled ? 'with the disruption' : 'without the disruption');
     const broken = await play(deployment, record, isTroubled);
     deployment.ends.forEach((text) => record.add(text));
