--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -2,10 +2,10 @@
 import { setTimeout } from 'node:timers';
 import { URL, fileURLToPath } from 'node:url';
 import { TITLE } from '../../target/review/1/title.mjs';
-import { runCase } from '../stand-ins/case.mjs';
-import { freePort, pause } from '../stand-ins/deployment.mjs';
-import { Link } from '../stand-ins/link.mjs';
-import { CONFIGURATION, upstreamsOf } from '../stand-ins/small-site.mjs';
+import { runCase } from '../run-case.mjs';
+import { freePort, pause } from '../deployment.mjs';
+import { Link } from '../link.mjs';
+import { CONFIGURATION, upstreamsOf } from '../small-site.mjs';
 
 const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
 const ROUNDS = 3;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,11 +2,11 @@
 import { Buffer } from 'node:buffer';
 import { setTimeout } from 'node:timers';
 import { URL, fileURLToPath } from 'node:url';
-import { call } from '../stand-ins/caller.mjs';
+import { call } from '../caller.mjs';
 import { TITLE } from '../../target/review/3/title.mjs';
-import { runCase } from '../stand-ins/case.mjs';
-import { pause } from '../stand-ins/deployment.mjs';
-import { CONFIGURATION, requestOn, upstreamsOf } from '../stand-ins/small-site.mjs';
+import { runCase } from '../run-case.mjs';
+import { pause } from '../deployment.mjs';
+import { CONFIGURATION, requestOn, upstreamsOf } from '../small-site.mjs';
 
 const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
 const REQUESTS = 320;
