--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -16,6 +16,8 @@
 /** A cut begins so long after a renewal that the next ones, 0.85 s after it, are on their way when the leader is killed. */
 const CUT_AFTER_RENEWAL_MILLISECONDS = 700;
 const KILL_AFTER_MILLISECONDS = 270;
+/** Owners get renewals every 0.85 s. */
+const RENEWAL_LIMIT_MILLISECONDS = 8_000;
 /** An entry goes after three heartbeats of 1.5 s, and is back soon after the cut. */
 const LAPSE_MILLISECONDS = 4_500;
 const SETTLE_MILLISECONDS = 6_000;
@@ -69,8 +71,13 @@
 
   async function playRound(round) {
     const cut = owners.filter((_, index) => (index + round * CUT_OWNERS) % OWNERS < CUT_OWNERS);
-    await new Promise((resolve) => {
-      onRenewal = (owner) => owner === cut[0].id && resolve();
+    await new Promise((resolve, reject) => {
+      onRenewal = (owner) => cut.some(({ id }) => id === owner) && resolve();
+      setTimeout(
+        reject,
+        RENEWAL_LIMIT_MILLISECONDS,
+        new Error('no owner that is to be cut off gets a renewal'),
+      );
     });
     await pause(CUT_AFTER_RENEWAL_MILLISECONDS);
     const leader = deployment.store.get('fennelferry-leader', 'main').spec.daemon;
--- a/review/run-case.mjs
+++ b/review/run-case.mjs
@@ -31,11 +31,19 @@
   const deployment = new Deployment();
   const record = new Record();
   let code = NOT_RUN;
+  let isDecided = false;
   const end = async () => {
     await deployment.stop();
     record.save(path);
     process.exit(code);
   };
+  // An error outside of the play would end this process with 1, which says that the rule was broken.
+  process.on('uncaughtException', (error) => {
+    record.add(`an error outside of the play: ${error.stack}`);
+    if (!isDecided) {
+      void end();
+    }
+  });
   process.once('SIGTERM', () => void end());
   process.once('SIGINT', () => void end());
   try {
@@ -45,6 +53,7 @@
     deployment.ends.forEach((text) => record.add(text));
     broken.forEach((text) => record.add(`broken: ${text}`));
     code = broken.length > 0 ? BROKEN : HELD;
+    isDecided = true;
     record.add(code === BROKEN ? 'the rule was broken' : 'the rule held');
   } catch (error) {
     record.add(`could not run: ${error.stack}`);
