Log what each attempt of a refused request proves, and answers that name a refused one

An on-call could not tell from logs whether a refusal (503: not run, and never will be) was true: the line of a request said 'rejected 503' or 'cancelled', but not whether the answer named the attempt, nor whether bytes had left.

- the line of a request that was not answered has 'execution', one entry an attempt: not written, rejected by id, rejected on a new connection, refused by a proxy, unknown; rejections say what ties them to the attempt;
- refused_request_answered (warn, counter) when a server's answer names a request that this daemon has refused after an attempt.

No decision changes: mayHaveRun still decides, the evidence is recorded beside it.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -138,9 +138,10 @@
     const failure = this.#reader.readHead(
       status,
       raw.map((part) => part.toString('latin1')),
+      this.#connection.isFirstRequest,
     );
     if (failure !== null) {
-      this.#fail(failure);
+      this.#fail(failure.reason, false, failure.foreignAttemptId);
     }
     return true;
   }
@@ -229,16 +230,17 @@
     this.#bufferedBytes = 0;
   }
 
-  #lostResult(reason: string, connectionEnded: boolean): AttemptResult {
-    return { kind: 'lost', reason, isResponseStarted: this.#isStreaming, isClosedByServer: connectionEnded };
+  #lostResult(reason: string, isClosedByServer: boolean, foreignAttemptId?: string): AttemptResult {
+    const foreign = foreignAttemptId === undefined ? {} : { foreignAttemptId };
+    return { kind: 'lost', reason, isResponseStarted: this.#isStreaming, isClosedByServer, ...foreign };
   }
 
-  #fail(reason: string, connectionEnded = false): void {
+  #fail(reason: string, connectionEnded = false, foreignAttemptId?: string): void {
     this.#finish();
     if (this.#isStreaming) {
       this.#sink.abortStream();
     }
     this.#abort?.(new Error(reason));
-    this.#listener.onFinished(this.#lostResult(reason, connectionEnded), false);
+    this.#listener.onFinished(this.#lostResult(reason, connectionEnded, foreignAttemptId), false);
   }
 }
--- a/src/router-runtime/proxy-response-reader.ts
+++ b/src/router-runtime/proxy-response-reader.ts
@@ -1,18 +1,18 @@
 /** Reads the response of a proxy to an attempt: a server's response that it passes on, or what it decided itself. */
 import type { AttemptResult } from '../router/events.js';
 import { type ProxyOutcome, takeOutcome } from './proxy-headers.js';
-import type { ResponseReader } from './response-reader.js';
+import type { ResponseReader, UnusableResponse } from './response-reader.js';
 
 export class ProxyResponseReader implements ResponseReader {
   rawHeaders: string[] = [];
   #status = 0;
   #outcome: ProxyOutcome | null = null;
 
-  readHead(status: number, rawHeaders: string[]): string | null {
+  readHead(status: number, rawHeaders: string[]): UnusableResponse | null {
     this.#status = status;
     this.rawHeaders = rawHeaders;
     this.#outcome = takeOutcome(rawHeaders);
-    return this.#outcome === null ? 'an answer of a proxy without an outcome' : null;
+    return this.#outcome === null ? { reason: 'an answer of a proxy without an outcome' } : null;
   }
 
   readTrailers(): void {
--- a/src/router-runtime/response-reader.ts
+++ b/src/router-runtime/response-reader.ts
@@ -1,11 +1,22 @@
 /** Reads a response to an attempt: whether it belongs to the request, what it says of its sender, and how the attempt ended. */
 import type { AttemptResult } from '../router/events.js';
 
+/** Why a response can't be used. */
+export interface UnusableResponse {
+  readonly reason: string;
+  /** The attempt id that the response names, if it is not that of the request. */
+  readonly foreignAttemptId?: string;
+}
+
 export interface ResponseReader {
   /** The headers to pass on to the caller. */
   readonly rawHeaders: string[];
-  /** Reads the final head of the response. Returns why the response can't be used, or null. */
-  readHead(status: number, rawHeaders: string[]): string | null;
+  /**
+   * Reads the final head of the response. Returns why the response can't be used, or null.
+   *
+   * @param isFirstOnConnection whether the connection has carried no earlier request
+   */
+  readHead(status: number, rawHeaders: string[], isFirstOnConnection: boolean): UnusableResponse | null;
   readTrailers(rawTrailers: readonly string[]): void;
   /** Returns whether only the end of the connection marks the end of the response. */
   isDelimitedByClose(): boolean;
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -26,6 +26,7 @@
   readonly client: Client;
   /** The socket was reset or failed, as opposed to an orderly close. */
   failed = false;
+  #requestCount = 0;
 
   /** @param barrier delays the first request on a new connection until a recent poll has shown whether its caller has disconnected */
   constructor(address: string, barrier: ConnectBarrier, connector: Connector) {
@@ -60,8 +61,14 @@
     });
   }
 
+  /** Whether the connection has carried no request before the current one. */
+  get isFirstRequest(): boolean {
+    return this.#requestCount <= 1;
+  }
+
   /** Sends a request. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.#requestCount += 1;
     this.client.dispatch(options, handler);
   }
 }
--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -1,10 +1,10 @@
 /** Reads a server's response to an attempt. */
-import type { AttemptResult, LoadReading } from '../router/events.js';
+import type { AnswerAttribution, AttemptResult, LoadReading } from '../router/events.js';
 import type { LimitReading } from '../router/model/server-limit.js';
 import type { ServerNotice } from '../router/model/server-notice.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { headerValue } from './headers.js';
-import { endsWithConnection, type ResponseReader } from './response-reader.js';
+import { endsWithConnection, type ResponseReader, type UnusableResponse } from './response-reader.js';
 
 const MISDIRECTED = 421;
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -26,6 +26,7 @@
   readonly #protocol: RequestProtocol;
   readonly #statements: ServerStatements;
   #status = 0;
+  #attribution: AnswerAttribution = 'none';
 
   constructor(method: string, attemptId: string, protocol: RequestProtocol, statements: ServerStatements) {
     this.#method = method;
@@ -34,17 +35,18 @@
     this.#statements = statements;
   }
 
-  readHead(status: number, rawHeaders: string[]): string | null {
+  readHead(status: number, rawHeaders: string[], isFirstOnConnection: boolean): UnusableResponse | null {
     this.#status = status;
     this.rawHeaders = rawHeaders;
     this.#reportNotice(rawHeaders);
     const echoedId = headerValue(rawHeaders, this.#protocol.attemptId);
     if (echoedId !== null && echoedId !== this.#attemptId) {
-      return 'an answer to another request';
+      return { reason: 'an answer to another request', foreignAttemptId: echoedId };
     }
+    this.#attribution = attributionOf(echoedId, isFirstOnConnection);
     this.#reportLimit();
     const needsEchoedId = status < FIRST_NON_SUCCESS_STATUS;
-    return needsEchoedId && echoedId === null ? 'an answer without the id of the request' : null;
+    return needsEchoedId && echoedId === null ? { reason: 'an answer without the id of the request' } : null;
   }
 
   readTrailers(rawTrailers: readonly string[]): void {
@@ -63,7 +65,8 @@
     const status = this.#status;
     const misdirected = status === MISDIRECTED;
     if (misdirected || this.#isNotExecuted()) {
-      return { kind: 'rejected', status, misdirected, load: this.#readLoad() };
+      const load = this.#readLoad();
+      return { kind: 'rejected', status, misdirected, load, attribution: this.#attribution };
     }
     if (headerValue(this.rawHeaders, this.#protocol.serverProof) === null) {
       const reason = `an answer ${status} without a seal`;
@@ -105,3 +108,11 @@
     return value === null ? null : (this.#protocol.parseLoad(value) ?? { unreadable: value });
   }
 }
+
+/** @param echoedId the request's own id, or null if the answer names none */
+function attributionOf(echoedId: string | null, isFirstOnConnection: boolean): AnswerAttribution {
+  if (echoedId !== null) {
+    return 'id';
+  }
+  return isFirstOnConnection ? 'new connection' : 'none';
+}
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -174,6 +174,15 @@
 export interface UnreadableLoad {
   readonly unreadable: string;
 }
+/** What ties an answer to the request that waited for it. */
+export type AnswerAttribution =
+  /** The answer names the request's attempt id. */
+  | 'id'
+  /** It names no id, but its connection had carried no other request that it could belong to. */
+  | 'new connection'
+  /** It names no id, and may belong to an earlier request on its connection. */
+  | 'none';
+
 export type AttemptResult =
   /** A complete response, or the head of a streamed one, was sent to the caller. */
   | { readonly kind: 'answered'; readonly status: number; readonly load: LoadReading }
@@ -183,6 +192,8 @@
       readonly status: number;
       readonly misdirected: boolean;
       readonly load: LoadReading;
+      /** How the answer was attributed to the request. */
+      readonly attribution: AnswerAttribution;
     }
   /** No connection could be opened. `refused` says that it was refused: nothing listens at the address. */
   | { readonly kind: 'notSent'; readonly reason: string; readonly refused: boolean }
@@ -211,6 +222,8 @@
       readonly isResponseStarted: boolean;
       /** Whether the server's side closed the connection, as happens when its process crashes. */
       readonly isClosedByServer: boolean;
+      /** The attempt id that the answer named, if it was the answer to another request. */
+      readonly foreignAttemptId?: string;
     };
 
 /** How a check of a path failed in which neither a connection nor a refusal arrived in time. */
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -7,7 +7,7 @@
 }
 
 const REQUEST_FIELDS =
-  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; data_age (ms, of the data of the store by which the last server was chosen) if one was chosen; read_delay (ms that the request may have waited unread because the event loop was behind); fingerprint (the same for each attempt of one request, at any daemon) if the connection of an attempt closed before its response';
+  'attempt_id, status, reason, route, service, key, versions (configuration, ownership, servers), attempts (server, outcome, ms), milliseconds; execution (what is known of each attempt: not written, rejected by id, rejected on a new connection, refused by a proxy, unknown) if one has ended and the request was not answered; data_age (ms, of the data of the store by which the last server was chosen) if one was chosen; read_delay (ms that the request may have waited unread because the event loop was behind); fingerprint (the same for each attempt of one request, at any daemon) if the connection of an attempt closed before its response';
 
 /** All events, in the order of the page. */
 export const LOG_EVENTS = {
@@ -232,6 +232,10 @@
     when: 'a request is refused: it was not executed and never will be',
     fields: `${REQUEST_FIELDS}; priority of its route; of a balanced service also reserved_mean_load and shared_mean_load (estimated mean number of other daemons' requests at a reserved and at a shared server)`,
   },
+  refused_request_answered: {
+    when: 'an answer of a server names a request that this daemon has refused after an attempt: the refusal may have been wrong',
+    fields: 'attempt_id (of the refused request), server, age (ms since the refusal)',
+  },
   load_shed: {
     when: 'a request is refused for want of room while more urgent ones wait for or demand the capacity, at most once a second for each service',
     fields:
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest, RequestProxy } from '../request/active-request.js';
+import { describeResult } from '../request/attempt-description.js';
 import { DEFAULT_RETRY_AFTER } from '../request/request-timing.js';
 import { dispatchRequest, recordAttemptOutcome } from '../request/request-dispatch.js';
 import { endWithOwnAnswer, recordRequestEnd } from '../request/request-ending.js';
@@ -30,6 +31,7 @@
     return;
   }
   recordAttemptOutcome(context, request, describeResult(result));
+  request.execution.end(result);
   endProxiedAttempt(context, request);
   const isPathLost = result.kind === 'refusedByProxy' && result.isPathLost;
   if (ANSWERS.has(result.kind) && !isPathLost) {
@@ -58,18 +60,6 @@
   }
 }
 
-function describeResult(result: AttemptResult): string {
-  switch (result.kind) {
-    case 'answered':
-      return `answered ${result.status}`;
-    case 'rejected':
-    case 'withheld':
-      return result.kind;
-    default:
-      return `${result.kind}: ${result.reason}`;
-  }
-}
-
 /** Nothing has run: another proxy may reach the servers, unless something else than the path was the reason. */
 function processProxyRefusal(
   context: RouterContext,
--- a/src/router/proxying/proxy-load.ts
+++ b/src/router/proxying/proxy-load.ts
@@ -13,6 +13,7 @@
   state.counters.requests_to_proxies += 1;
   request.attemptNumber += 1;
   request.attemptStartedAt = now;
+  request.execution.begin();
   request.proxy = { daemon, address };
   request.triedProxies.push(daemon);
   state.proxying.requestsAt.set(address, (state.proxying.requestsAt.get(address) ?? 0) + 1);
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -3,6 +3,7 @@
 import type { Route } from '../model/configuration.js';
 import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import type { RequestOrigin } from '../proxying/request-origin.js';
+import type { RequestExecution } from './request-execution.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 
 /** A request that arrived while no configuration could be used. */
@@ -73,6 +74,8 @@
   possibleCrashes: number;
   /** Whether a server may have run the request in some attempt. */
   mayHaveRun: boolean;
+  /** What is known of each attempt. */
+  readonly execution: RequestExecution;
   /** Outcome of each attempt, for the log. */
   readonly attemptOutcomes: string[];
 }
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -8,9 +8,11 @@
 import type { RouterContext } from '../router-context.js';
 import type { KnownServer } from '../router-state.js';
 import { type ActiveRequest, isHeld } from './active-request.js';
+import { describeResult } from './attempt-description.js';
 import { dispatchHeldAfterAttempt } from './held-rounds.js';
 import { recordLoadReport } from './load-reports.js';
 import { processLostAttempt } from './lost-attempt.js';
+import { recordForeignAnswer } from './refused-attempts.js';
 import { processRejection } from './rejected-attempt.js';
 import { avoidAfterFailure, dispatchRequest, endAttempt, recordAttemptOutcome } from './request-dispatch.js';
 import { recordRequestEnd } from './request-ending.js';
@@ -27,6 +29,8 @@
     return;
   }
   recordAttemptOutcome(context, request, describeResult(event.result));
+  request.execution.end(event.result);
+  recordForeignAnswer(context, request.server, event.result);
   recordAttemptResult(context, request.server, request.attemptStartedAt, event.result);
   const known = endAttempt(context, request);
   recordContact(context, request, known, event.result);
@@ -51,19 +55,6 @@
   }
 }
 
-function describeResult(result: AttemptResult): string {
-  switch (result.kind) {
-    case 'answered':
-      return `answered ${result.status}`;
-    case 'rejected':
-      return `rejected ${result.status}`;
-    case 'withheld':
-      return 'withheld';
-    default:
-      return `${result.kind}: ${result.reason}`;
-  }
-}
-
 function processResult(
   context: RouterContext,
   request: ActiveRequest,
@@ -80,6 +71,7 @@
       return;
     case 'rejected':
       state.counters.attempts_rejected += 1;
+      state.counters.rejections_without_id += result.attribution === 'none' ? 1 : 0;
       processRejection(context, request, known, result);
       return;
     case 'notSent':
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -16,6 +16,7 @@
 import { addKeyRequestCounts } from '../tree/reports.js';
 import { turnOf } from './held-queue.js';
 import { retryBudgetOf, dispatchRequest } from './request-dispatch.js';
+import { RequestExecution } from './request-execution.js';
 import { HOLD_FRACTION, OVERLOAD_RETRY_AFTER } from './request-timing.js';
 
 /** Status codes of the daemon's own answers. */
@@ -221,6 +222,7 @@
     lostAttempts: 0,
     possibleCrashes: 0,
     mayHaveRun: false,
+    execution: new RequestExecution(),
     attemptOutcomes: [],
   };
 }
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -135,6 +135,7 @@
   counters.retries += request.attempts > 0 ? 1 : 0;
   request.attempts += 1;
   request.attemptNumber += 1;
+  request.execution.begin();
   request.server = known.server.id;
   request.attemptStartedAt = context.now;
   request.dataAge = storeDataAge(context);
@@ -187,6 +188,7 @@
   }
   recordAttemptOutcome(context, request, reason);
   context.emit({ kind: 'cancel', requestId: request.id, attempt: request.attemptNumber });
+  request.execution.abandon();
   endProxiedAttempt(context, request);
   const known = endAttempt(context, request);
   const { attemptStartedAt, sentToFreeSlot, route } = request;
--- a/src/router/request/request-ending.ts
+++ b/src/router/request/request-ending.ts
@@ -5,6 +5,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
 import { refusalFields } from './balanced-service.js';
+import { recordRefusal } from './refused-attempts.js';
 
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
@@ -32,6 +33,9 @@
   const failureStatus = isPastDeadline ? GATEWAY_TIMEOUT : BAD_GATEWAY;
   const status = failed ? failureStatus : UNAVAILABLE;
   state.counters[failed ? 'failed' : 'refused'] += 1;
+  if (!failed) {
+    recordRefusal(context, request);
+  }
   const answerRetryAfter = failed ? null : retryAfter;
   context.emit({
     kind: 'answer',
@@ -70,6 +74,9 @@
     servers: state.serversRevision,
     ...(request.dataAge !== null ? { data_age: request.dataAge } : {}),
     attempts: request.attemptOutcomes,
+    ...(outcome === 'answered' || request.execution.ended.length === 0
+      ? {}
+      : { execution: request.execution.ended }),
     milliseconds: Math.round(now - request.arrivedAt),
     ...(outcome === 'refused' ? refusalFields(context, request) : {}),
     ...(request.readDelay >= 1 ? { read_delay: Math.round(request.readDelay) } : {}),
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -34,6 +34,7 @@
 import type { ServerContact } from './reachability/server-contact.js';
 import type { SendWindows } from './sharing/send-windows.js';
 import type { HeldQueue } from './request/held-queue.js';
+import { RefusedAttempts } from './request/refused-attempts.js';
 import type { RetryBudget } from './request/retry-budget.js';
 import type { ServerLoad } from './request/server-load.js';
 import type { ServiceProfile } from './request/service-profile.js';
@@ -126,6 +127,7 @@
   /** Non-null while this daemon is the leader. */
   leadership: Leadership | null;
   readonly requests: Map<number, ActiveRequest>;
+  readonly refusedAttempts: RefusedAttempts;
   /** Requests that wait for a usable configuration, by request id. */
   readonly earlyRequests: Map<number, EarlyRequest>;
   /** Requests that wait for a server with room. */
@@ -189,6 +191,7 @@
     isolation: createIsolationState(),
     leadership: null,
     requests: new Map(),
+    refusedAttempts: new RefusedAttempts(),
     earlyRequests: new Map(),
     heldQueues: new Map(),
     retryBudgets: new Map(),
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -10,7 +10,13 @@
 import { fingerprintOf } from '../support/fingerprints.js';
 
 const NO_ANSWER = { waited: 400, reason: 'no answer', isConclusive: true } as const;
-const MISDIRECTED: AttemptResult = { kind: 'rejected', status: 421, misdirected: true, load: null };
+const MISDIRECTED: AttemptResult = {
+  kind: 'rejected',
+  status: 421,
+  misdirected: true,
+  load: null,
+  attribution: 'id',
+};
 
 /** A simulated follower with a view of ownership and a clock of its own. */
 class Follower {
--- a/test/router/request/test-caller-disconnects.ts
+++ b/test/router/request/test-caller-disconnects.ts
@@ -37,7 +37,7 @@
   'for a newer view of ownership after an owner rejected it': (daemon) => {
     daemon.own('s9');
     daemon.receiveRequest(1, '/rack/1', 900, KEY);
-    daemon.ended(1, 1, { kind: 'rejected', status: 421, misdirected: true, load: null });
+    daemon.ended(1, 1, { kind: 'rejected', status: 421, misdirected: true, load: null, attribution: 'id' });
   },
   'for a permit for a server with a rate limit': (daemon) => {
     const changes = ['s2', 's3'].map((id) => ({ id, server: null }));
--- a/test/router/request/test-request-lifecycle.ts
+++ b/test/router/request/test-request-lifecycle.ts
@@ -13,7 +13,13 @@
   isResponseStarted: false,
   isClosedByServer: true,
 };
-const REJECTED: AttemptResult = { kind: 'rejected', status: 503, misdirected: false, load: null };
+const REJECTED: AttemptResult = {
+  kind: 'rejected',
+  status: 503,
+  misdirected: false,
+  load: null,
+  attribution: 'id',
+};
 
 describe('the life cycle of a request', () => {
   beforeEach(() => {
@@ -66,7 +72,7 @@
     daemon.event({ kind: 'serversChanged', changes, revision: 6 });
     daemon.receiveRequest(1, '/rack/1', 900, 5);
     const load = { running: 2, waiting: 12, slots: 2, slowdown: null };
-    daemon.ended(1, 1, { kind: 'rejected', status: 503, misdirected: false, load });
+    daemon.ended(1, 1, { kind: 'rejected', status: 503, misdirected: false, load, attribution: 'id' });
     expect(daemon.effectsOfKind('forward').length).toEqual(1);
     expect(daemon.effectsOfKind('answer').map(({ status, reason }) => [status, reason])).toEqual([
       [503, 'the owner s9 is full'],
@@ -80,7 +86,7 @@
     daemon.own('s9');
     daemon.receiveRequest(1, '/rack/1', 900, 5);
     const load = { running: 1, waiting: 0, slots: 2, slowdown: null };
-    daemon.ended(1, 1, { kind: 'rejected', status: 503, misdirected: false, load });
+    daemon.ended(1, 1, { kind: 'rejected', status: 503, misdirected: false, load, attribution: 'id' });
     expect(daemon.effectsOfKind('forward').length).toEqual(2);
   });
 
@@ -274,7 +280,7 @@
     const unit = { service: 'racks', from: 0, to: 65_535, owner: 's9', fence: 3, releasing: null };
     daemon.state.ownershipView = new OwnershipView(1, 1, [{ ...unit, granted: true }]);
     daemon.receiveRequest(1, '/rack/1', 900, 7);
-    daemon.ended(1, 1, { kind: 'rejected', status: 421, misdirected: true, load: null });
+    daemon.ended(1, 1, { kind: 'rejected', status: 421, misdirected: true, load: null, attribution: 'id' });
     daemon.receiveRequest(2, '/rack/1', 900, 8);
     expect(daemon.effectsOfKind('forward').length).toEqual(1);
     daemon.tickUntil(daemon.now + 260);
--- a/test/router/support/bounded-traffic.ts
+++ b/test/router/support/bounded-traffic.ts
@@ -159,7 +159,7 @@
     const isRun = server?.id === effect.server && (request.key === null || server.holds(request.key));
     this.checks.checkArrival(request, effect.server, isRun);
     if (!isRun) {
-      this.#end(attempt, { kind: 'rejected', status: 421, misdirected: true, load: null });
+      this.#end(attempt, { kind: 'rejected', status: 421, misdirected: true, load: null, attribution: 'id' });
       return;
     }
     request.reachedServerAt ??= this.#simulation.clock.now;
--- a/test/router/support/load-surge.ts
+++ b/test/router/support/load-surge.ts
@@ -176,7 +176,13 @@
     } else if (queue.waiting.length < QUEUE_PLACES) {
       queue.waiting.push(start);
     } else {
-      this.#end(daemon, effect, { kind: 'rejected', status: 503, misdirected: false, load: loadOf(queue) });
+      this.#end(daemon, effect, {
+        kind: 'rejected',
+        status: 503,
+        misdirected: false,
+        load: loadOf(queue),
+        attribution: 'id',
+      });
     }
   }
 
--- a/test/router/support/priority-deployment.ts
+++ b/test/router/support/priority-deployment.ts
@@ -153,7 +153,7 @@
     const load = { running, waiting: length - running, slots: SLOTS, slowdown: null };
     const result: AttemptResult = isAnswered
       ? { kind: 'answered', status: 200, load }
-      : { kind: 'rejected', status: 503, misdirected: false, load };
+      : { kind: 'rejected', status: 503, misdirected: false, load, attribution: 'id' };
     if (isAnswered) {
       this.#recordAnswer(effect.requestId, 200, '', null);
     }
--- a/test/router/support/request-traffic.ts
+++ b/test/router/support/request-traffic.ts
@@ -286,6 +286,7 @@
         status: 421,
         misdirected: true,
         load: null,
+        attribution: 'id',
       });
       return;
     }
@@ -317,7 +318,7 @@
       const notice = { leaving: false, rest: backOff };
       this.#simulation.deliver(daemon, { kind: 'serverNoticed', server: effect.server, notice });
     }
-    this.#end(attempt, { kind: 'rejected', status: 503, misdirected: false, load: null });
+    this.#end(attempt, { kind: 'rejected', status: 503, misdirected: false, load: null, attribution: 'id' });
   }
 
   #finish(server: SimulatedServer, attempt: RunningAttempt): void {
