--- a/test/soak/caller-messages.ts
+++ b/test/soak/caller-messages.ts
@@ -8,6 +8,7 @@
   readonly path: string;
   readonly method: string;
   readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | null;
   /** Name of the pool of kept connections that the request uses; null: it uses a connection of its own. */
   readonly pool: string | null;
   readonly maxConnections: number;
--- a/test/soak/caller-thread.ts
+++ b/test/soak/caller-thread.ts
@@ -44,7 +44,7 @@
     sent.destroy();
   });
   sent.on('error', () => end(0));
-  sent.end();
+  sent.end(call.body ?? undefined);
   scheduleDisconnection(call, sent);
 }
 
--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -1,7 +1,8 @@
 /** Sends requests to one daemon over keep-alive connections, which only the daemon closes. */
 import type { CallerConnections } from './caller-connections.js';
 import type { DaemonProcess } from './daemon-process.js';
-import { HOST } from './deployment.js';
+import { HOST, mayRunOnce } from './deployment.js';
+import { CRASHING_PATH_PART } from './fake-server.js';
 import type { CallerOutcome, PromiseChecker } from './promise-checker.js';
 
 const TIMEOUT_MILLISECONDS = 2_500;
@@ -39,13 +40,15 @@
       host,
       port,
       path,
-      method: path.startsWith('/once/') ? 'POST' : 'GET',
+      method: mayRunOnce(path) ? 'POST' : 'GET',
       headers: {
         host: HOST,
         'fennelferry-attempt-id': attemptId,
         'fennelferry-deadline-ms': String(TIMEOUT_MILLISECONDS),
         'fennelferry-shard-key': String(key % (LAST_KEY + 1)),
       },
+      // A request that crashes servers is the same each time.
+      body: mayRunOnce(path) && !path.includes(CRASHING_PATH_PART) ? attemptId : null,
       pool: daemon,
       maxConnections: MAX_CONNECTIONS,
       localAddress: this.#address,
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -42,6 +42,11 @@
   return { name, host: HOST, pathPrefix: `/${name}/`, routeType, service, ...times };
 }
 
+/** Returns whether a request for a path may run at most once. */
+export function mayRunOnce(path: string): boolean {
+  return path.startsWith('/once/') || path.startsWith('/keyed-once/');
+}
+
 /** Returns the versions whose routes a configuration version contains: its own and that of the version before. */
 export function versionsWithRoutes(version: number): number[] {
   return [version - 1, version];
@@ -54,7 +59,13 @@
   const added = versionsWithRoutes(version).map((number) => route(`added-${number}`, 'plain', 'safe'));
   return {
     version,
-    routes: [route('keyed', 'keyed', 'safe'), route('once', 'plain', 'unsafe'), ...added, ...rushRoutes],
+    routes: [
+      route('keyed', 'keyed', 'safe'),
+      route('keyed-once', 'keyed', 'unsafe'),
+      route('once', 'plain', 'unsafe'),
+      ...added,
+      ...rushRoutes,
+    ],
     services: [
       { name: 'keyed', maxConns: 100, sharded: true },
       { name: 'plain', maxConns: 100 },
--- a/test/soak/disconnecting-callers.ts
+++ b/test/soak/disconnecting-callers.ts
@@ -138,6 +138,7 @@
       path,
       method: isKeyed ? 'GET' : 'POST',
       headers,
+      body: isKeyed ? null : attemptId,
       pool: reusesConnections ? `leaving ${daemon.name}` : null,
       maxConnections: MAX_KEPT_CONNECTIONS,
       localAddress: null,
--- a/test/soak/fake-server.ts
+++ b/test/soak/fake-server.ts
@@ -1,10 +1,12 @@
 /** Fake upstream server with the platform's API: runs requests, holds key ranges by grants, and reports to an observer what reaches it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { AnswerFault, AnswerFaults } from './answer-faults.js';
 import { RUSH_ROUTES, RUSH_SERVICE, RUSH_SLOTS_PER_SERVER } from './deployment.js';
 import type { ServerLink } from './server-link.js';
 import { SlotQueue } from './slot-queue.js';
 import { now } from './soak-clock.js';
+import { SurplusAnswers } from './surplus-answers.js';
 
 interface Grant {
   readonly from: number;
@@ -21,6 +23,8 @@
   onArrival(server: FakeServer, attemptId: string, runs: boolean): void;
   /** Called when the server has answered a request. */
   onAnswer(server: FakeServer, attemptId: string): void;
+  /** Called when the server has run a request and does not answer it. */
+  onAnswerLost(attemptId: string): void;
   /** Called when a request is about to crash the server that runs it. */
   onCrashingRequest(server: FakeServer, attemptId: string): void;
   /** Called when the server has accepted a grant. */
@@ -41,6 +45,9 @@
   return path.includes(SLOW_PATH_PART) ? SLOW_WORK_MILLISECONDS : usual;
 }
 
+/** Faults of requests that the server does not run. */
+const NOT_RUN_FAULTS: ReadonlySet<AnswerFault> = new Set(['resetWhenFull', 'reject', 'rejectTwice']);
+
 export class FakeServer {
   readonly id: string;
   readonly service: string;
@@ -56,6 +63,9 @@
   limit: string | null = null;
   /** The network in front of the server, if it can be cut off. */
   link: ServerLink | null = null;
+  /** Decides which requests meet trouble. Null: none does. */
+  answerFaults: Pick<AnswerFaults, 'draw'> | null = null;
+  readonly #surplusAnswers = new SurplusAnswers();
   /** Attempt ids of the requests that the server works on and whose connection is open. */
   readonly attemptsInProgress = new Set<string>();
   #address = '';
@@ -186,51 +196,101 @@
 
   #run(request: IncomingMessage, response: ServerResponse): void {
     const attemptId = String(request.headers['fennelferry-attempt-id'] ?? '');
+    this.#surplusAnswers.send(request.socket);
     const isForOtherInstance = request.headers['fennelferry-expect-instance'] !== this.id;
     const key = Number(request.headers['fennelferry-shard-key']);
     const ownsKey = !isForOtherInstance && (!this.keyed || this.holdsAnyOf(key, key));
-    const runs = ownsKey && !this.asksForBackOff;
+    const wouldRun = ownsKey && !this.asksForBackOff;
+    const fault = wouldRun ? (this.answerFaults?.draw(this) ?? null) : null;
+    const runs = wouldRun && (fault === null || !NOT_RUN_FAULTS.has(fault));
     this.#observer.onArrival(this, attemptId, runs);
-    if (ownsKey && this.backOffSeconds !== null) {
-      const headers = { 'fennelferry-not-executed': '1', 'retry-after': String(this.backOffSeconds) };
-      response.writeHead(503, { ...headers, ...this.#noticeHeaders() }).end();
+    if (fault === 'resetWhenFull') {
+      request.socket.resetAndDestroy();
+    } else if (fault === 'reject' || fault === 'rejectTwice') {
+      this.#reject(response, 503, attemptId, {}, fault === 'rejectTwice');
+    } else if (ownsKey && this.backOffSeconds !== null) {
+      this.#reject(response, 503, attemptId, { 'retry-after': String(this.backOffSeconds) });
       this.#observer.onAnswer(this, attemptId);
-      return;
+    } else if (!runs) {
+      this.#reject(response, 421, attemptId, { 'fennelferry-instance-id': this.id });
+    } else {
+      this.attemptsInProgress.add(attemptId);
+      response.on('close', () => this.attemptsInProgress.delete(attemptId));
+      this.#queueWork(request.url ?? '', attemptId, response, fault);
     }
-    if (!runs) {
-      const headers = { 'fennelferry-not-executed': '1', 'fennelferry-instance-id': this.id };
-      response.writeHead(421, { ...headers, ...this.#noticeHeaders() }).end();
-      return;
+  }
+
+  #reject(
+    response: ServerResponse,
+    status: number,
+    attemptId: string,
+    addedHeaders: Record<string, string>,
+    isRepeated = false,
+  ): void {
+    const statement = { 'fennelferry-attempt-id': attemptId, 'fennelferry-not-executed': '1' };
+    const headers = { ...statement, ...addedHeaders, ...this.#noticeHeaders() };
+    if (isRepeated) {
+      this.#surplusAnswers.add(response, status, headers);
     }
-    this.attemptsInProgress.add(attemptId);
-    response.on('close', () => this.attemptsInProgress.delete(attemptId));
-    this.#queueWork(request.url ?? '', attemptId, response);
+    response.writeHead(status, headers).end();
   }
 
-  #queueWork(path: string, attemptId: string, response: ServerResponse): void {
+  #queueWork(path: string, attemptId: string, response: ServerResponse, fault: AnswerFault | null): void {
     if (this.#queue === null) {
-      this.#work(path, attemptId, response, () => undefined);
+      this.#work(path, attemptId, response, fault, () => undefined);
       return;
     }
-    const isQueued = this.#queue.add((done) => this.#work(path, attemptId, response, done));
+    const isQueued = this.#queue.add((done) => this.#work(path, attemptId, response, fault, done));
     if (!isQueued) {
-      response.writeHead(503, { 'fennelferry-not-executed': '1', ...this.#noticeHeaders() }).end();
+      this.#reject(response, 503, attemptId, {});
       this.#observer.onAnswer(this, attemptId);
     }
   }
 
-  #work(path: string, attemptId: string, response: ServerResponse, done: () => void): void {
+  #work(
+    path: string,
+    attemptId: string,
+    response: ServerResponse,
+    fault: AnswerFault | null,
+    done: () => void,
+  ): void {
     setTimeout(() => {
       done();
       if (path.includes(CRASHING_PATH_PART)) {
         this.#observer.onCrashingRequest(this, attemptId);
-        return;
+      } else {
+        this.#answer(attemptId, response, fault);
       }
-      const headers = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
-      response.writeHead(200, { ...headers, ...this.#noticeHeaders() }).end(this.id);
-      this.#observer.onAnswer(this, attemptId);
     }, workTime(path));
   }
+
+  #answer(attemptId: string, response: ServerResponse, fault: AnswerFault | null): void {
+    const ownHeaders = { 'fennelferry-attempt-id': attemptId, 'fennelferry-server-seal': this.id };
+    const headers = { ...ownHeaders, ...this.#noticeHeaders() };
+    switch (fault) {
+      case 'loseAnswerByReset':
+        this.#observer.onAnswerLost(attemptId);
+        response.socket?.resetAndDestroy();
+        return;
+      case 'loseAnswerSilently':
+        this.#observer.onAnswerLost(attemptId);
+        return;
+      case 'answerUnavailable':
+        response.writeHead(503, headers).end();
+        break;
+      case 'answerTwice':
+        this.#surplusAnswers.add(response, 200, headers);
+        response.writeHead(200, headers).end(this.id);
+        break;
+      case 'rejectNamelessly':
+        this.#surplusAnswers.add(response, 503, { 'fennelferry-not-executed': '1' });
+        response.writeHead(200, headers).end(this.id);
+        break;
+      default:
+        response.writeHead(200, headers).end(this.id);
+    }
+    this.#observer.onAnswer(this, attemptId);
+  }
 }
 
 interface GrantBody {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,5 @@
 /**
- * Runs the long soak by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving --paths --cuts --rush`.
+ * Runs the long soak by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving --paths --cuts --answers --rush`.
  *
  * `--program FILE` starts all daemons from another build. `--program-of-half FILE` starts every second daemon from that build, so that two builds run
  * beside each other. A daemon keeps its build over restarts, and the report line says how many elections each build won.
@@ -29,6 +29,7 @@
     leaving: { type: 'boolean', default: false },
     paths: { type: 'boolean', default: false },
     cuts: { type: 'boolean', default: false },
+    answers: { type: 'boolean', default: false },
     rush: { type: 'boolean', default: false },
   },
 });
@@ -50,6 +51,7 @@
     logDirectory: folder,
     serverCrashes,
     rush,
+    answerFaults,
   } = report;
   const won = report.leadershipsWon.map(([program, count]) => `${count} by ${program}`).join(', ');
   const builds = values['program-of-half'] === undefined ? '' : `; elections won: ${won}`;
@@ -60,6 +62,9 @@
   if (rush !== '') {
     print(`  ${rush}`);
   }
+  if (answerFaults !== '') {
+    print(`  ${answerFaults}`);
+  }
   if (violations.length > 0) {
     violations.slice(0, 10).forEach((violation) => print(`  ${violation}`));
     faults.forEach((fault) => print(`    at ${fault}`));
@@ -106,6 +111,7 @@
       hasDisconnects: values.leaving,
       hasPathFaults: values.paths,
       hasServerCuts: values.cuts,
+      hasAnswerFaults: values.answers,
       hasRush: values.rush,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
--- a/test/soak/promise-checker.ts
+++ b/test/soak/promise-checker.ts
@@ -1,5 +1,6 @@
 /** Checks what callers and servers see during a soak against the guarantees that the router promises. */
 import { QUARANTINE_REASON } from '../../src/router/quarantine/quarantine.js';
+import { mayRunOnce } from './deployment.js';
 import { CRASHING_PATH_PART, type ServerObserver, type FakeServer } from './fake-server.js';
 
 /** Result of one request as its caller saw it. */
@@ -49,6 +50,8 @@
   readonly #acceptedFences: AcceptedFence[] = [];
   /** Requests for keys that were sent while an owner was cut off, or shortly after. Their answers may be held up. */
   readonly #sentInCut = new Set<string>();
+  /** Requests that a server ran and did not answer. */
+  readonly #unanswered = new Set<string>();
   readonly servers: FakeServer[] = [];
   /** Crashes the server that runs a request. */
   onCrashingRequest: (server: FakeServer, attemptId: string) => void = () => undefined;
@@ -80,6 +83,10 @@
     }
   }
 
+  onAnswerLost(attemptId: string): void {
+    this.#unanswered.add(attemptId);
+  }
+
   onGrant(server: FakeServer, from: number, to: number, fence: number): void {
     const other = this.servers.find((each) => each !== server && each.ownsAnyOf(from, to));
     if (other !== undefined) {
@@ -103,7 +110,7 @@
     this.#outcomes.push(outcome);
     const { attemptId, path, sentAt, endedAt } = outcome;
     const disturbance = CONTACT_MILLISECONDS + endedAt - sentAt;
-    if (path.startsWith('/keyed/') && this.servers.some(({ link }) => link?.wasCutWithin(disturbance))) {
+    if (path.startsWith('/keyed') && this.servers.some(({ link }) => link?.wasCutWithin(disturbance))) {
       this.#sentInCut.add(attemptId);
     }
     this.onOutcome(outcome);
@@ -118,16 +125,17 @@
     for (const { attemptId, path, status, reason, duringPlannedStop, daemon } of this.#outcomes) {
       const runs = this.#runs.get(attemptId)?.count ?? 0;
       const detail = `${attemptId} ${path} at ${daemon}: status ${status}, ${runs} runs`;
-      if (path.startsWith('/once/') && runs > 1) {
+      if (mayRunOnce(path) && runs > 1) {
         this.fail('at most once', detail);
       }
-      if (NOT_RUN_STATUSES.has(status) && path.startsWith('/once/') && runs > 0) {
+      if (NOT_RUN_STATUSES.has(status) && mayRunOnce(path) && runs > 0) {
         this.fail('not run is true', detail);
       }
       if (reason.includes(QUARANTINE_REASON) && !path.includes(CRASHING_PATH_PART)) {
         this.fail('nobody innocent is in quarantine', detail);
       }
-      if (status === 0 && duringPlannedStop && runs > 0 && !this.#sentInCut.has(attemptId)) {
+      const isExcused = this.#sentInCut.has(attemptId) || this.#unanswered.has(attemptId);
+      if (status === 0 && duringPlannedStop && runs > 0 && !isExcused) {
         this.fail('a planned stop loses no answer', detail);
       }
     }
--- a/test/soak/rush.ts
+++ b/test/soak/rush.ts
@@ -120,6 +120,7 @@
         'fennelferry-attempt-id': attemptId,
         'fennelferry-deadline-ms': String(timeoutMilliseconds),
       },
+      body: null,
       pool: `rush ${daemon.name}`,
       maxConnections: MAX_CONNECTIONS,
       localAddress: null,
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -23,6 +23,8 @@
   readonly hasPathFaults: boolean;
   /** Whether owners of keys are cut off while leaders are killed. */
   readonly hasServerCuts: boolean;
+  /** Whether servers reset connections, reject requests, lose answers and answer twice, under callers whose requests may run once. */
+  readonly hasAnswerFaults: boolean;
   /** Whether two routes of different priority share servers, and the less urgent one surges. */
   readonly hasRush: boolean;
 }
@@ -41,6 +43,8 @@
   readonly versions: number;
   /** Counts of the routes that share servers; empty without a rush. */
   readonly rush: string;
+  /** How often servers met each kind of trouble with their answers; empty without such faults. */
+  readonly answerFaults: string;
   /** Number of servers that crashed while running a request. */
   readonly serverCrashes: number;
   /** Elections won by the daemons of each program, counted from their logs. Log lines that a killed process had not written are not counted. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { AnswerFaults } from './answer-faults.js';
 import { ArrivalChecks } from './arrival-checks.js';
 import { Caller } from './caller.js';
 import { CallerConnections } from './caller-connections.js';
@@ -26,9 +27,11 @@
 import { DisconnectingCallers } from './disconnecting-callers.js';
 import { LimitFaults } from './limit-faults.js';
 import { NoticeFaults } from './notice-faults.js';
+import { OnceCallers } from './once-callers.js';
 import { PathFaults } from './path-faults.js';
 import { ServerCuts } from './server-cuts.js';
 import { StoreOutages } from './store-outages.js';
+import { callContinuously } from './regular-calls.js';
 import { Rush } from './rush.js';
 import { PromiseChecker } from './promise-checker.js';
 import { drawFaults, type Fault } from './fault-schedule.js';
@@ -53,7 +56,7 @@
 const FIRST_CALLER_HOST = 2;
 /** Servers of the service that two routes share, for each server of another service: enough for some hundred requests a second. */
 const RUSH_SERVERS_PER_SERVER = 3;
-const CALL_INTERVAL_MILLISECONDS = 60;
+
 export class Soak {
   readonly #options: SoakOptions;
   readonly #store: RemoteStore;
@@ -82,6 +85,7 @@
   readonly #pathFaults: PathFaults | null;
   readonly #serverCuts: ServerCuts | null;
   readonly #rush: Rush | null;
+  readonly #answerFaults: AnswerFaults | null;
   #finished = false;
 
   constructor(options: SoakOptions, store: RemoteStore) {
@@ -89,17 +93,15 @@
     this.#store = store;
     this.#outages = new StoreOutages(store);
     const wasUndisturbed = this.#wasUndisturbed.bind(this);
+    const activeServers = this.#activeServers.bind(this);
     this.#pathFaults = options.hasPathFaults
       ? new PathFaults(options.seed, this.#promises, { daemons: this.#daemons, wasUndisturbed })
       : null;
     this.#serverCuts = options.hasServerCuts
-      ? new ServerCuts(options.seed, this.#promises, {
-          store,
-          daemons: this.#daemons,
-          activeServers: () => this.#activeServers(),
-        })
+      ? new ServerCuts(options.seed, this.#promises, { store, daemons: this.#daemons, activeServers })
       : null;
     this.#rush = options.hasRush ? this.#createRush() : null;
+    this.#answerFaults = options.hasAnswerFaults ? new AnswerFaults(options.seed, { activeServers }) : null;
   }
 
   async run(): Promise<SoakReport> {
@@ -108,10 +110,13 @@
     await this.#start();
     this.#stallHistogram.enable();
     recordTurns();
-    const calls = this.#callers.map((caller) => this.#callContinuously(caller));
+    const calls = this.#callers.map((caller) => callContinuously(caller, this.#probes, () => this.#finished));
     if (this.#options.hasCrashes) {
       calls.push(this.#crashingRequests.send(this.#callers, () => this.#finished));
     }
+    if (this.#answerFaults !== null) {
+      calls.push(this.#createOnceCallers().run(() => this.#finished));
+    }
     await pause(SETTLE_MILLISECONDS);
     const startedAt = now();
     const faults: Promise<void>[] = [];
@@ -120,7 +125,8 @@
     const disconnects = this.#options.hasDisconnects
       ? this.#createDisconnectingCallers().run(length)
       : Promise.resolve();
-    const others = [this.#pathFaults, this.#serverCuts, this.#rush].map((other) => other?.run(length));
+    const more = [this.#pathFaults, this.#serverCuts, this.#answerFaults, this.#rush];
+    const others = more.map((other) => other?.run(length));
     for (const { at, fault } of schedule) {
       await pause(startedAt + at - now());
       faults.push(this.#performFault(fault));
@@ -198,6 +204,7 @@
     const isKeyed = service === 'keyed';
     const server = new FakeServer(`s${this.#serverCount}`, service, zone, isKeyed, this.#promises);
     const [freePort = 0] = port === null ? await allocatePorts(1) : [port];
+    server.answerFaults = this.#answerFaults;
     await server.start(freePort);
     if (isKeyed) {
       await this.#serverCuts?.connect(server);
@@ -236,6 +243,13 @@
     return limitFaults;
   }
 
+  #createOnceCallers(): OnceCallers {
+    return new OnceCallers(this.#options.seed, this.#promises, {
+      connections: this.#connections,
+      daemons: this.#daemons,
+    });
+  }
+
   #createRush(): Rush {
     return new Rush(this.#options.seed, this.#promises, {
       connections: this.#connections,
@@ -263,6 +277,7 @@
     await pause(after);
     const next = new FakeServer(id, service, zone, keyed, this.#promises);
     next.born = Date.now();
+    next.answerFaults = this.#answerFaults;
     await next.start(port);
     this.#servers.push(next);
     this.#promises.servers.push(next);
@@ -348,26 +363,6 @@
     return isFreeOfFaults && isScheduled && !isPaused && !stopping;
   }
 
-  async #callContinuously(caller: Caller): Promise<void> {
-    let turn = 0;
-    while (!this.#finished) {
-      turn += 1;
-      void this.#callOnce(caller, turn);
-      await pause(CALL_INTERVAL_MILLISECONDS);
-    }
-  }
-
-  async #callOnce(caller: Caller, turn: number): Promise<void> {
-    switch (turn % 4) {
-      case 0:
-        return void (await caller.call('/once/'));
-      case 1:
-        return void (await caller.call('/keyed/', turn * 7_919));
-      default:
-        return this.#probes.probe(caller, turn);
-    }
-  }
-
   /** Whether the daemon that sent an attempt is undisturbed now. */
   #isSenderUndisturbed(attemptId: string): boolean {
     const daemon = this.#daemons.find(({ name }) => attemptId.startsWith(`${name}-`));
@@ -397,6 +392,7 @@
       answered: outcomes.filter(({ status }) => status === 200).length,
       versions: this.#newestVersion,
       rush: this.#rush?.summary ?? '',
+      answerFaults: this.#answerFaults?.summary ?? '',
       serverCrashes: this.#crashingRequests.crashCount,
       leadershipsWon: [...leadershipsWonByProgram(this.#daemons)],
       longestStallMilliseconds: Math.round(this.#stallHistogram.max / NANOSECONDS_PER_MILLISECOND),
--- a/test/soak/test-soak.ts
+++ b/test/soak/test-soak.ts
@@ -17,6 +17,8 @@
 const PATHS_SEED = 1;
 /** Seed of the run in which owners of keys are cut off while leaders are killed. */
 const CUTS_SEED = 1;
+/** Seed of the run in which servers reset connections, reject requests, lose answers and answer twice. */
+const ANSWERS_SEED = 2;
 const OPTIONS = { daemons: 5, servers: 4, program: DEFAULT_PROGRAM, length: 20_000 };
 
 // Guards against configuration changes that come into force seconds late (14 s in one fault), which takes real daemons, a store that does not answer, and
@@ -33,6 +35,7 @@
         hasDisconnects: false,
         hasPathFaults: false,
         hasServerCuts: false,
+        hasAnswerFaults: false,
         hasRush: false,
       }),
     );
@@ -52,6 +55,7 @@
       hasDisconnects: false,
       hasPathFaults: false,
       hasServerCuts: false,
+      hasAnswerFaults: false,
       hasRush: false,
     });
     expect(report.violations).toEqual([]);
@@ -69,6 +73,7 @@
       hasDisconnects: false,
       hasPathFaults: false,
       hasServerCuts: false,
+      hasAnswerFaults: false,
       hasRush: false,
     });
     expect(report.violations).toEqual([]);
@@ -85,6 +90,7 @@
       hasDisconnects: true,
       hasPathFaults: false,
       hasServerCuts: false,
+      hasAnswerFaults: false,
       hasRush: false,
     });
     expect(report.violations).toEqual([]);
@@ -101,6 +107,7 @@
       hasDisconnects: false,
       hasPathFaults: false,
       hasServerCuts: false,
+      hasAnswerFaults: false,
       hasRush: false,
     });
     expect(report.violations).toEqual([]);
@@ -117,6 +124,7 @@
       hasDisconnects: false,
       hasPathFaults: true,
       hasServerCuts: false,
+      hasAnswerFaults: false,
       hasRush: false,
     });
     expect(report.violations).toEqual([]);
@@ -134,6 +142,25 @@
       hasDisconnects: false,
       hasPathFaults: false,
       hasServerCuts: true,
+      hasAnswerFaults: false,
+      hasRush: false,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.answered > 0).toEqual(true);
+  });
+
+  // Guards against refusals of requests that run, and against requests that run twice.
+  it('says of no request that ran that it has not, while servers reset, reject, lose answers and answer twice', async () => {
+    const report = await runSoakProcess({
+      ...OPTIONS,
+      seed: ANSWERS_SEED,
+      hasCrashes: false,
+      hasNotices: false,
+      hasLimits: false,
+      hasDisconnects: false,
+      hasPathFaults: false,
+      hasServerCuts: false,
+      hasAnswerFaults: true,
       hasRush: false,
     });
     expect(report.violations).toEqual([]);
--- a/test/support/frontend-fixture.ts
+++ b/test/support/frontend-fixture.ts
@@ -8,6 +8,7 @@
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 
 type ArrivedEvent = Extract<RouterEvent, { kind: 'requestArrived' }>;
+type EndedEvent = Extract<RouterEvent, { kind: 'attemptEnded' }>;
 type LeftEvent = Extract<RouterEvent, { kind: 'callerLeft' }>;
 
 const POLL_INTERVAL_MILLISECONDS = 10;
@@ -81,6 +82,8 @@
   readonly events: RouterEvent[] = [];
   /** What the reducer does with a request that has arrived: by default it sends it to the server. */
   onArrival: (event: ArrivedEvent) => void;
+  /** What the reducer does when an attempt has ended: by default nothing. */
+  onAttemptEnded: (event: EndedEvent) => void = () => undefined;
   readonly #serverAddress: string;
   readonly #connections: ServerConnections;
   readonly #proxyConnections: ServerConnections;
@@ -122,11 +125,11 @@
   }
 
   /** Sends a request to the server. */
-  forward({ requestId }: ArrivedEvent): void {
+  forward({ requestId }: Pick<ArrivedEvent, 'requestId'>, attempt = 1): void {
     this.frontend.attempts.forward({
       kind: 'forward',
       requestId,
-      attempt: 1,
+      attempt,
       server: 'i-1',
       address: this.#serverAddress,
       timeLeft: 30_000,
@@ -136,7 +139,7 @@
   }
 
   /** Answers a request with an answer of the daemon's own. */
-  refuse({ requestId }: ArrivedEvent): void {
+  refuse({ requestId }: Pick<ArrivedEvent, 'requestId'>): void {
     this.frontend.answer({
       kind: 'answer',
       requestId,
@@ -154,6 +157,11 @@
     return this.events.filter((event) => event.kind === 'requestArrived').map(({ attemptId }) => attemptId);
   }
 
+  /** Results of all attempts, in the order in which they ended. */
+  get results(): EndedEvent['result'][] {
+    return this.events.filter((event) => event.kind === 'attemptEnded').map(({ result }) => result);
+  }
+
   /** Events that report that a caller has left. */
   get left(): LeftEvent[] {
     return this.events.filter((event) => event.kind === 'callerLeft');
@@ -172,5 +180,8 @@
     if (event.kind === 'requestArrived') {
       this.onArrival(event);
     }
+    if (event.kind === 'attemptEnded') {
+      this.onAttemptEnded(event);
+    }
   }
 }
