--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -66,12 +66,23 @@
     print(`  ${answerFaults}`);
   }
   if (violations.length > 0) {
+    print(`  ${countByPromise(violations)}`);
     violations.slice(0, 10).forEach((violation) => print(`  ${violation}`));
     faults.forEach((fault) => print(`    at ${fault}`));
     print(`  logs: ${folder}`);
   }
 }
 
+/** Returns how often each promise was broken. A violation begins with its promise. */
+function countByPromise(violations: readonly string[]): string {
+  const counts = new Map<string, number>();
+  for (const violation of violations) {
+    const [promise = ''] = violation.split(':');
+    counts.set(promise, (counts.get(promise) ?? 0) + 1);
+  }
+  return [...counts].map(([promise, count]) => `${promise}: ${count}`).join(', ');
+}
+
 /** Returns the seeds of a range such as `1..50` or of a list such as `3,22,37`. */
 function parseSeeds(text: string): number[] {
   if (!text.includes('..')) {
