A refusal follows only from proof for each attempt

Callers of a daemon without a path to the servers got 503 (not run, and never will be) for a request that was in progress at another daemon when its quarantine began; the server there may have begun it.

Cause: whether a request may have run was a flag that each path which ends an attempt or a request had to set. refuseQuarantined looked at the attempt at a server only, not at the one at a proxy.

An attempt in progress counts as one that may run, one that was cancelled as unknown, and the statement of the daemon's own answer can't say 'not run' without the proofs. The flag and its eight assignments are gone; a path that ends a request needs to remember nothing. A proxy names its proofs beside its refusal, for the log of the daemon that asked; earlier versions leave the field out and ignore it.

Evidence: test-true-refusals. The counter of refusals without proof is gone, since none can be given.

--- a/src/router-runtime/proxy-headers.ts
+++ b/src/router-runtime/proxy-headers.ts
@@ -26,6 +26,8 @@
     retryAfter: z.number().nullable(),
     attempts: z.number(),
     isPathLost: z.boolean(),
+    /** Why each attempt of the proxy has not run, for the log. Daemons of earlier versions don't state it. */
+    proofs: z.array(z.string()).default([]),
   }),
   z.object({ kind: z.literal('failed'), reason: z.string() }),
 ]);
--- a/src/router-runtime/proxy-response-reader.ts
+++ b/src/router-runtime/proxy-response-reader.ts
@@ -31,8 +31,8 @@
   classify(): AttemptResult {
     switch (this.#outcome?.kind) {
       case 'refused': {
-        const { reason, retryAfter, attempts, isPathLost } = this.#outcome;
-        return { kind: 'refusedByProxy', reason, retryAfter, attempts, isPathLost };
+        const { reason, retryAfter, attempts, isPathLost, proofs } = this.#outcome;
+        return { kind: 'refusedByProxy', reason, retryAfter, attempts, isPathLost, proofs };
       }
       case 'failed':
         return { kind: 'failedAtProxy', reason: this.#outcome.reason };
--- a/src/router-runtime/request-body.ts
+++ b/src/router-runtime/request-body.ts
@@ -1,6 +1,7 @@
 /** Reads the bodies of requests, within the limits on one body and on the memory for all of them. */
 import type { IncomingMessage } from 'node:http';
 import type { Milliseconds } from '../router/model/identifiers.js';
+import { NO_ATTEMPT } from '../router/request/request-execution.js';
 import type { RequestSlot } from './caller-connection.js';
 import type { OwnAnswer } from './response-writers.js';
 import type { TransferLimits } from './transfer-limits.js';
@@ -11,7 +12,7 @@
 const MEMORY_RETRY_AFTER: Milliseconds = 1_000;
 
 /** Answers that have run nothing and say nothing of the path to servers. */
-export const NOT_RUN = { retryAfter: null, mayHaveRun: false, attempts: 0, isPathLost: false } as const;
+export const NOT_RUN = { retryAfter: null, execution: NO_ATTEMPT, attempts: 0, isPathLost: false } as const;
 const BODY_TOO_LONG: OwnAnswer = { ...NOT_RUN, status: TOO_LARGE, reason: 'the body is too long' };
 const NO_MEMORY: OwnAnswer = {
   ...NOT_RUN,
--- a/src/router-runtime/response-writers.ts
+++ b/src/router-runtime/response-writers.ts
@@ -12,7 +12,7 @@
 /** An answer of the daemon's own. */
 export type OwnAnswer = Pick<
   AnswerEffect,
-  'status' | 'reason' | 'retryAfter' | 'mayHaveRun' | 'attempts' | 'isPathLost'
+  'status' | 'reason' | 'retryAfter' | 'execution' | 'attempts' | 'isPathLost'
 >;
 
 export interface ResponseWriter {
@@ -115,10 +115,10 @@
     if (outgoing.headersSent || outgoing.destroyed) {
       return;
     }
-    const { reason, retryAfter, attempts, isPathLost, mayHaveRun } = own;
-    const outcome: ProxyOutcome = mayHaveRun
+    const { reason, retryAfter, attempts, isPathLost, execution } = own;
+    const outcome: ProxyOutcome = execution.mayHaveRun
       ? { kind: 'failed', reason }
-      : { kind: 'refused', reason, retryAfter, attempts, isPathLost };
+      : { kind: 'refused', reason, retryAfter, attempts, isPathLost, proofs: [...execution.proofs] };
     const body = ownBody(own);
     outgoing.writeHead(own.status, [...outcomeHeader(outcome), 'Content-Length', String(body.length)]);
     endWith(slot, body);
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -16,7 +16,6 @@
   'rejections_without_id',
   'refused_without_attempt',
   'refused_with_proof',
-  'refused_without_proof',
   'answers_to_other_requests',
   'answers_to_refused_requests',
   'retries',
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -4,6 +4,7 @@
 import type { FeedName, Fence, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { RequestOrigin } from './proxying/request-origin.js';
 import type { PeerMessage } from './peers/messages.js';
+import type { ExecutionStatement } from './request/request-execution.js';
 
 export interface ReadObjectEffect {
   readonly kind: 'readObject';
@@ -105,8 +106,7 @@
   readonly reason: string;
   /** Delay after which the caller should retry; null: not stated. */
   readonly retryAfter: Milliseconds | null;
-  /** Whether a server may have run the request. */
-  readonly mayHaveRun: boolean;
+  readonly execution: ExecutionStatement;
   /** Number of attempts that reached, or may have reached, a server. */
   readonly attempts: number;
   /** Whether this daemon has lost its path to the servers, so that another one may still reach them. */
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -207,6 +207,8 @@
       readonly attempts: number;
       /** Whether the proxy has no path to the servers either. */
       readonly isPathLost: boolean;
+      /** What the proxy names as proof for each of its attempts, for the log. */
+      readonly proofs: readonly string[];
     }
   /** The proxy has given up the request, which a server may have run. */
   | { readonly kind: 'failedAtProxy'; readonly reason: string }
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -45,7 +45,6 @@
     case 'refusedByProxy':
       return processProxyRefusal(context, request, proxy, result);
     case 'failedAtProxy':
-      request.mayHaveRun = true;
       endWithOwnAnswer(context, request, result.reason, null);
       return;
     case 'lost':
@@ -87,7 +86,6 @@
   const { state } = context;
   request.lostAttempts += 1;
   request.attempts += 1;
-  request.mayHaveRun = true;
   avoidProxy(context, proxy);
   if (isResponseStarted) {
     state.counters.failed += 1;
--- a/src/router/quarantine/quarantine.ts
+++ b/src/router/quarantine/quarantine.ts
@@ -225,9 +225,8 @@
   endWithOwnAnswer(context, request, HELD_BACK_REASON, HELD_BACK_RETRY_AFTER);
 }
 
-/** Refuses a quarantined request at once, without a time after which to retry. */
+/** Ends a quarantined request at once, without a time after which to retry: as refused, unless an attempt may have run. */
 export function refuseQuarantined(context: RouterContext, request: ActiveRequest): void {
-  request.mayHaveRun ||= request.server !== null;
   cancelAttempt(context, request, 'cancelled, the request is in quarantine');
   context.state.counters.requests_quarantined += 1;
   endWithOwnAnswer(context, request, QUARANTINE_REASON, null);
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -72,8 +72,6 @@
    * a request does so immediately.
    */
   possibleCrashes: number;
-  /** Whether a server may have run the request in some attempt. */
-  mayHaveRun: boolean;
   /** What is known of each attempt. */
   readonly execution: RequestExecution;
   /** Outcome of each attempt, for the log. */
--- a/src/router/request/attempt-description.ts
+++ b/src/router/request/attempt-description.ts
@@ -10,6 +10,8 @@
       return `rejected ${result.status} (${describeAttribution(result)})`;
     case 'withheld':
       return 'withheld: not written';
+    case 'refusedByProxy':
+      return `refusedByProxy: ${result.reason} (${result.proofs.join(', ') || 'no attempt there'})`;
     case 'lost':
       return `lost: ${result.reason}${result.foreignAttemptId === undefined ? '' : `, ${result.foreignAttemptId}`}`;
     default:
--- a/src/router/request/lost-attempt.ts
+++ b/src/router/request/lost-attempt.ts
@@ -65,7 +65,6 @@
 ): void {
   const { now } = context;
   request.lostAttempts += 1;
-  request.mayHaveRun = true;
   recordLostAttempt(request, known, now);
   if (result.isClosedByServer) {
     recordConnectionClosed(context, request, known);
--- a/src/router/request/refused-attempts.ts
+++ b/src/router/request/refused-attempts.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
+import type { NotRunProof } from './request-execution.js';
 
 /** Maximum number of refused attempts that are remembered; the oldest is forgotten first. */
 const MAX_ATTEMPTS = 1_024;
@@ -24,19 +25,18 @@
   }
 }
 
-/** Records a refusal with the proof that it rests on. */
-export function recordRefusal({ state, now }: RouterContext, request: ActiveRequest): void {
-  const { counters, refusedAttempts } = state;
-  const { ended, mayHaveRun } = request.execution;
-  if (mayHaveRun) {
-    counters.refused_without_proof += 1;
-  } else if (ended.length === 0) {
-    counters.refused_without_attempt += 1;
+/** Counts a refusal, by whether it rests on proofs or on the absence of attempts. */
+export function recordRefusal(
+  { state, now }: RouterContext,
+  request: ActiveRequest,
+  proofs: readonly NotRunProof[],
+): void {
+  state.counters.refused += 1;
+  if (proofs.length === 0) {
+    state.counters.refused_without_attempt += 1;
   } else {
-    counters.refused_with_proof += 1;
-  }
-  if (ended.length > 0 || mayHaveRun) {
-    refusedAttempts.add(request.attemptId, now);
+    state.counters.refused_with_proof += 1;
+    state.refusedAttempts.add(request.attemptId, now);
   }
 }
 
--- a/src/router/request/rejected-attempt.ts
+++ b/src/router/request/rejected-attempt.ts
@@ -71,7 +71,10 @@
     request.retryAt = now + HELD_RETRY_INTERVAL;
     return;
   }
-  if (request.rejectionsWithFreeSlots >= MAX_REJECTIONS_WITH_FREE_SLOTS && !request.mayHaveRun) {
+  if (
+    request.rejectionsWithFreeSlots >= MAX_REJECTIONS_WITH_FREE_SLOTS &&
+    !request.execution.statement.mayHaveRun
+  ) {
     const reason = 'servers with free slots have rejected it';
     endWithOwnAnswer(context, request, reason, retryTimeOf(context, request, true));
     return;
--- a/src/router/request/request-arrival.ts
+++ b/src/router/request/request-arrival.ts
@@ -16,7 +16,7 @@
 import { addKeyRequestCounts } from '../tree/reports.js';
 import { turnOf } from './held-queue.js';
 import { retryBudgetOf, dispatchRequest } from './request-dispatch.js';
-import { RequestExecution } from './request-execution.js';
+import { NO_ATTEMPT, RequestExecution } from './request-execution.js';
 import { HOLD_FRACTION, OVERLOAD_RETRY_AFTER } from './request-timing.js';
 
 /** Status codes of the daemon's own answers. */
@@ -221,7 +221,6 @@
     rejectionsWithFreeSlots: 0,
     lostAttempts: 0,
     possibleCrashes: 0,
-    mayHaveRun: false,
     execution: new RequestExecution(),
     attemptOutcomes: [],
   };
@@ -235,7 +234,7 @@
   retryAfter: Milliseconds | null,
 ): void {
   context.state.counters.refused += 1;
-  const outcome = { mayHaveRun: false, attempts: event.origin?.attempts ?? 0, isPathLost: false };
+  const outcome = { execution: NO_ATTEMPT, attempts: event.origin?.attempts ?? 0, isPathLost: false };
   context.emit({ kind: 'answer', requestId: event.requestId, status, reason, retryAfter, ...outcome });
   const { attemptId, host, target } = event;
   const configuration = context.state.configuration?.version ?? null;
--- a/src/router/request/request-ending.ts
+++ b/src/router/request/request-ending.ts
@@ -29,12 +29,14 @@
 ): void {
   const { state, now } = context;
   const isPastDeadline = now >= request.deadlineAt;
-  const failed = request.mayHaveRun;
+  const execution = request.execution.statement;
+  const failed = execution.mayHaveRun;
   const failureStatus = isPastDeadline ? GATEWAY_TIMEOUT : BAD_GATEWAY;
   const status = failed ? failureStatus : UNAVAILABLE;
-  state.counters[failed ? 'failed' : 'refused'] += 1;
-  if (!failed) {
-    recordRefusal(context, request);
+  if (execution.mayHaveRun) {
+    state.counters.failed += 1;
+  } else {
+    recordRefusal(context, request, execution.proofs);
   }
   const answerRetryAfter = failed ? null : retryAfter;
   context.emit({
@@ -43,7 +45,7 @@
     status,
     reason,
     retryAfter: answerRetryAfter,
-    mayHaveRun: failed,
+    execution,
     attempts: request.attempts,
     isPathLost,
   });
--- a/src/router/request/request-execution.ts
+++ b/src/router/request/request-execution.ts
@@ -12,6 +12,14 @@
   /** Another daemon that took the request has such a proof for each attempt of its own. */
   | 'refused by a proxy';
 
+/** What a daemon says of a request: that it has not run, it says only with a proof for each attempt. Without attempts there are no proofs. */
+export type ExecutionStatement =
+  { readonly mayHaveRun: false; readonly proofs: readonly NotRunProof[] } | { readonly mayHaveRun: true };
+
+/** The statement on a request of which no attempt was made. */
+export const NO_ATTEMPT: ExecutionStatement = { mayHaveRun: false, proofs: [] };
+const MAY_HAVE_RUN: ExecutionStatement = { mayHaveRun: true };
+
 /** What is known of one attempt that has ended. */
 export type AttemptExecution = NotRunProof | 'unknown';
 
@@ -53,9 +61,11 @@
     return this.#ended;
   }
 
-  /** Whether a server may have run the request, or may still run it. */
-  get mayHaveRun(): boolean {
-    return this.#isInProgress || this.#ended.includes('unknown');
+  /** What is certain: an attempt in progress may run, and one that ended without proof may have run. */
+  get statement(): ExecutionStatement {
+    const proofs = this.#ended.filter((execution) => execution !== 'unknown');
+    const isProven = !this.#isInProgress && proofs.length === this.#ended.length;
+    return isProven ? { mayHaveRun: false, proofs } : MAY_HAVE_RUN;
   }
 
   /** Records that an attempt begins. Until it ends it counts as one that may run. */
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -64,7 +64,6 @@
       }
     } else if (now >= request.deadlineAt + DEADLINE_GRACE) {
       cancelAttempt(context, request, 'cancelled at the deadline');
-      request.mayHaveRun = true;
       endWithOwnAnswer(context, request, 'not answered in time', DEFAULT_RETRY_AFTER);
     } else if (request.server === null) {
       retryIfProxyUnresponsive(context, request);
@@ -92,7 +91,6 @@
   const proxy = canRepeat(context, request) ? findProxy(context, request) : null;
   if (proxy !== null && !isRefusal(proxy)) {
     cancelAttempt(context, request, 'cancelled, the path is lost');
-    request.mayHaveRun = true;
     dispatchRequest(context, request);
   }
 }
@@ -109,7 +107,6 @@
       cancelAttempt(context, request, 'cancelled, the proxy is silent');
       avoidProxy(context, proxy);
       request.attempts += 1;
-      request.mayHaveRun = true;
       dispatchRequest(context, request);
     }
   }
@@ -139,7 +136,6 @@
     retryBudgetOf(context, request.service).hasRetry;
   if (isOverdue && canRetry && !isRefusal(findDestination(context, request))) {
     cancelAttempt(context, request, 'cancelled, the server is silent');
-    request.mayHaveRun = true;
     avoidAfterFailure(known, now);
     dispatchRequest(context, request);
   }
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -12,6 +12,7 @@
 import type { RouterEvent } from '../../src/router/events.js';
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
+import { NO_ATTEMPT } from '../../src/router/request/request-execution.js';
 
 let runningFrontend: CallerFrontend | undefined;
 afterEach(() => runningFrontend?.closeAll());
@@ -34,7 +35,7 @@
         status: 503,
         reason: 'a test',
         retryAfter: null,
-        mayHaveRun: false,
+        execution: NO_ATTEMPT,
         attempts: 0,
         isPathLost: false,
       });
--- a/test/router-runtime/test-proxied-requests.ts
+++ b/test/router-runtime/test-proxied-requests.ts
@@ -130,11 +130,13 @@
   it('has not run when the proxy says so, with the reason and the time to retry', async () => {
     const started = await start(() => undefined);
     const refusal = { reason: 'full', retryAfter: 70, attempts: 2, isPathLost: true };
+    const proofs = ['rejected by id', 'not written'] as const;
+    const execution = { mayHaveRun: false, proofs } as const;
     started.onArrivalAtProxy = ({ requestId }) =>
-      started.proxy.answer({ kind: 'answer', requestId, status: 503, mayHaveRun: false, ...refusal });
+      started.proxy.answer({ kind: 'answer', requestId, status: 503, execution, ...refusal });
     void started.exchange(REQUEST);
     await wait(200);
-    expect(started.resultsAtOrigin).toEqual([{ kind: 'refusedByProxy', ...refusal }]);
+    expect(started.resultsAtOrigin).toEqual([{ kind: 'refusedByProxy', ...refusal, proofs: [...proofs] }]);
     expect(server?.heads).toEqual([]);
   });
 
@@ -216,7 +218,12 @@
     const timer = setInterval(() => {
       if (started.proxyEvents.some(({ kind }) => kind === 'attemptEnded')) {
         clearInterval(timer);
-        const failure = { retryAfter: null, attempts: 1, isPathLost: false, mayHaveRun: true };
+        const failure = {
+          retryAfter: null,
+          attempts: 1,
+          isPathLost: false,
+          execution: { mayHaveRun: true },
+        } as const;
         started.proxy.answer({ kind: 'answer', requestId, status: 502, reason: 'reset', ...failure });
       }
     }, 5);
--- a/test/router/proxying/test-proxied-lifecycle.ts
+++ b/test/router/proxying/test-proxied-lifecycle.ts
@@ -31,6 +31,7 @@
   retryAfter: 80,
   attempts: 1,
   isPathLost: false,
+  proofs: ['rejected by id'],
 };
 const LINK_LOST: AttemptResult = {
   kind: 'lost',
@@ -96,7 +97,7 @@
     hearProxies([describeProxy('d2', { lostServices: ['logs'] })]);
     daemon.receiveRequest(1, '/book/1');
     const [answer] = daemon.effectsOfKind('answer');
-    expect([answer?.status, answer?.mayHaveRun]).toEqual([503, false]);
+    expect([answer?.status, answer?.execution.mayHaveRun]).toEqual([503, false]);
     expect((answer?.retryAfter ?? 0) > 0).toEqual(true);
   });
 
@@ -163,7 +164,7 @@
     daemon.ended(1, 1, LINK_LOST);
     expect(proxiesUsed().length).toEqual(1);
     const [answer] = daemon.effectsOfKind('answer');
-    expect([answer?.status, answer?.mayHaveRun, answer?.retryAfter]).toEqual([502, true, null]);
+    expect([answer?.status, answer?.execution.mayHaveRun, answer?.retryAfter]).toEqual([502, true, null]);
   });
 
   it('pays for the retry of a repeatable request after a lost link, and tells the next proxy of the attempt', () => {
@@ -228,7 +229,7 @@
     daemon.ended(1, 1, LINK_LOST);
     expect(daemon.effectsOfKind('forward').length).toEqual(1);
     const [answer] = daemon.effectsOfKind('answer');
-    expect([answer?.reason, answer?.mayHaveRun]).toEqual(['no attempt is left', true]);
+    expect([answer?.reason, answer?.execution.mayHaveRun]).toEqual(['no attempt is left', true]);
   });
 
   it('counts the time that the origin has used', () => {
@@ -244,7 +245,7 @@
     daemon.receiveRequest(1, '/read/1', 500, null, 0, ORIGIN);
     expect(proxiesUsed()).toEqual([]);
     const [answer] = daemon.effectsOfKind('answer');
-    expect([answer?.status, answer?.isPathLost, answer?.mayHaveRun]).toEqual([503, true, false]);
+    expect([answer?.status, answer?.isPathLost, answer?.execution.mayHaveRun]).toEqual([503, true, false]);
   });
 
   it('does not count the keys that its origin counts', () => {
@@ -263,7 +264,7 @@
     expect(daemon.effectsOfKind('forward')).toEqual([]);
     daemon.tickUntil(daemon.now + 300);
     const [answer] = daemon.effectsOfKind('answer');
-    expect([answer?.status, answer?.mayHaveRun]).toEqual([503, false]);
+    expect([answer?.status, answer?.execution.mayHaveRun]).toEqual([503, false]);
   });
 
   it('takes over the share of a server that daemons without a path leave', () => {
--- a/test/router/request/test-refusal-evidence.ts
+++ b/test/router/request/test-refusal-evidence.ts
@@ -41,7 +41,7 @@
       'rejected by id',
     ]);
     expect(daemon.state.counters.refused_with_proof).toEqual(1);
-    expect(daemon.state.counters.refused_without_proof).toEqual(0);
+    expect(daemon.state.counters.refused).toEqual(1);
   });
 
   it('is the absence of attempts when there was none', () => {
--- a/test/router/request/test-true-refusals.ts
+++ b/test/router/request/test-true-refusals.ts
@@ -55,8 +55,8 @@
   { kind: 'answered', status: 200, load: null },
 ];
 const PROXY_RESULTS: readonly AttemptResult[] = [
-  { kind: 'refusedByProxy', reason: 'full', retryAfter: 80, attempts: 1, isPathLost: false },
-  { kind: 'refusedByProxy', reason: 'no path', retryAfter: 80, attempts: 0, isPathLost: true },
+  { kind: 'refusedByProxy', reason: 'full', retryAfter: 80, attempts: 1, isPathLost: false, proofs: [] },
+  { kind: 'refusedByProxy', reason: 'no path', retryAfter: 80, attempts: 0, isPathLost: true, proofs: [] },
   { kind: 'failedAtProxy', reason: 'lost there' },
   { kind: 'notSent', reason: 'connect timeout', refused: false },
   { kind: 'lost', reason: 'the link was reset', isResponseStarted: false, isClosedByServer: true },
--- a/test/router/support/proxied-requests.ts
+++ b/test/router/support/proxied-requests.ts
@@ -91,10 +91,17 @@
 
   /** Passes back what a proxy itself answers. Returns whether the request had come from another daemon. */
   answer(proxy: SimulatedDaemon, effect: AnswerEffect): boolean {
-    const { mayHaveRun, reason, retryAfter, attempts, isPathLost } = effect;
-    const result: AttemptResult = mayHaveRun
+    const { execution, reason, retryAfter, attempts, isPathLost } = effect;
+    const result: AttemptResult = execution.mayHaveRun
       ? { kind: 'failedAtProxy', reason }
-      : { kind: 'refusedByProxy', reason, retryAfter, attempts, isPathLost };
+      : {
+          kind: 'refusedByProxy',
+          reason,
+          retryAfter,
+          attempts,
+          isPathLost,
+          proofs: execution.proofs,
+        };
     return this.#find(proxy, effect.requestId, result);
   }
 
--- a/test/support/frontend-fixture.ts
+++ b/test/support/frontend-fixture.ts
@@ -6,6 +6,7 @@
 import { CallerFrontend } from '../../src/router-runtime/caller-frontend.js';
 import type { CallerFrontendOptions } from '../../src/router-runtime/caller-frontend-options.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
+import { NO_ATTEMPT } from '../../src/router/request/request-execution.js';
 
 type ArrivedEvent = Extract<RouterEvent, { kind: 'requestArrived' }>;
 type EndedEvent = Extract<RouterEvent, { kind: 'attemptEnded' }>;
@@ -146,7 +147,7 @@
       status: 503,
       reason: 'refused by the test',
       retryAfter: null,
-      mayHaveRun: false,
+      execution: NO_ATTEMPT,
       attempts: 0,
       isPathLost: false,
     });
