An answer without an id on a used connection belongs to no request

Callers got 503 for requests that a server was running, and requests that may run once ran twice. A server that answers twice sends the surplus answer late, in the place of the next one that is due on its connection. If that answer was a rejection without an id (or a 421, or a failure), it was taken for the one of the next request there.

Cause: only a success needed the id of the attempt. A rejection and a failure were believed unless they named another id.

Now an answer must name the attempt unless its connection has carried no earlier request, to which it could belong; else the attempt counts as lost, and the connection is closed. That holds for 421 as well: a server of another service at the address answers on its own connection, and a surplus one proves nothing. An answer on a new connection still needs no id (a server or a balancer in front of it that rejects before it has read the id).

Counter answers_without_id shows servers whose answers name no attempt, since their rejections now cost callers their retry on kept connections.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -230,12 +230,12 @@
     this.#bufferedBytes = 0;
   }
 
-  #lostResult(reason: string, isClosedByServer: boolean, foreignAttemptId?: string): AttemptResult {
+  #lostResult(reason: string, isClosedByServer: boolean, foreignAttemptId?: string | null): AttemptResult {
     const foreign = foreignAttemptId === undefined ? {} : { foreignAttemptId };
     return { kind: 'lost', reason, isResponseStarted: this.#isStreaming, isClosedByServer, ...foreign };
   }
 
-  #fail(reason: string, connectionEnded = false, foreignAttemptId?: string): void {
+  #fail(reason: string, connectionEnded = false, foreignAttemptId?: string | null): void {
     this.#finish();
     if (this.#isStreaming) {
       this.#sink.abortStream();
--- a/src/router-runtime/response-reader.ts
+++ b/src/router-runtime/response-reader.ts
@@ -4,8 +4,8 @@
 /** Why a response can't be used. */
 export interface UnusableResponse {
   readonly reason: string;
-  /** The attempt id that the response names, if it is not that of the request. */
-  readonly foreignAttemptId?: string;
+  /** The attempt id that the response names instead of the request's; null: it names none. Absent: the id is not the reason. */
+  readonly foreignAttemptId?: string | null;
 }
 
 export interface ResponseReader {
--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -26,7 +26,7 @@
   readonly #protocol: RequestProtocol;
   readonly #statements: ServerStatements;
   #status = 0;
-  #attribution: AnswerAttribution = 'none';
+  #attribution: AnswerAttribution = 'id';
 
   constructor(method: string, attemptId: string, protocol: RequestProtocol, statements: ServerStatements) {
     this.#method = method;
@@ -43,10 +43,13 @@
     if (echoedId !== null && echoedId !== this.#attemptId) {
       return { reason: 'an answer to another request', foreignAttemptId: echoedId };
     }
-    this.#attribution = attributionOf(echoedId, isFirstOnConnection);
+    this.#attribution = echoedId === null ? 'new connection' : 'id';
     this.#reportLimit();
-    const needsEchoedId = status < FIRST_NON_SUCCESS_STATUS;
-    return needsEchoedId && echoedId === null ? { reason: 'an answer without the id of the request' } : null;
+    // An answer without an id may be the surplus one of an earlier request on the connection.
+    const needsEchoedId = status < FIRST_NON_SUCCESS_STATUS || !isFirstOnConnection;
+    return needsEchoedId && echoedId === null
+      ? { reason: 'an answer without the id of the request', foreignAttemptId: null }
+      : null;
   }
 
   readTrailers(rawTrailers: readonly string[]): void {
@@ -108,11 +111,3 @@
     return value === null ? null : (this.#protocol.parseLoad(value) ?? { unreadable: value });
   }
 }
-
-/** @param echoedId the request's own id, or null if the answer names none */
-function attributionOf(echoedId: string | null, isFirstOnConnection: boolean): AnswerAttribution {
-  if (echoedId !== null) {
-    return 'id';
-  }
-  return isFirstOnConnection ? 'new connection' : 'none';
-}
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -179,9 +179,7 @@
   /** The answer names the request's attempt id. */
   | 'id'
   /** It names no id, but its connection had carried no other request that it could belong to. */
-  | 'new connection'
-  /** It names no id, and may belong to an earlier request on its connection. */
-  | 'none';
+  | 'new connection';
 
 export type AttemptResult =
   /** A complete response, or the head of a streamed one, was sent to the caller. */
@@ -224,8 +222,8 @@
       readonly isResponseStarted: boolean;
       /** Whether the server's side closed the connection, as happens when its process crashes. */
       readonly isClosedByServer: boolean;
-      /** The attempt id that the answer named, if it was the answer to another request. */
-      readonly foreignAttemptId?: string;
+      /** The attempt id that an answer named which is not this request's; null: it named none. Absent: there was no such answer. */
+      readonly foreignAttemptId?: string | null;
     };
 
 /** How a check of a path failed in which neither a connection nor a refusal arrived in time. */
--- a/src/router/request/attempt-description.ts
+++ b/src/router/request/attempt-description.ts
@@ -7,18 +7,18 @@
     case 'answered':
       return `answered ${result.status}`;
     case 'rejected':
-      return `rejected ${result.status} (${describeAttribution(result)})`;
+      return `rejected ${result.status} by ${result.attribution}`;
     case 'withheld':
       return 'withheld: not written';
     case 'refusedByProxy':
       return `refusedByProxy: ${result.reason} (${result.proofs.join(', ') || 'no attempt there'})`;
     case 'lost':
-      return `lost: ${result.reason}${result.foreignAttemptId === undefined ? '' : `, ${result.foreignAttemptId}`}`;
+      return `lost: ${result.reason}${describeForeignId(result)}`;
     default:
       return `${result.kind}: ${result.reason}`;
   }
 }
 
-function describeAttribution({ attribution }: Extract<AttemptResult, { kind: 'rejected' }>): string {
-  return attribution === 'none' ? 'names no attempt' : `by ${attribution}`;
+function describeForeignId({ foreignAttemptId }: Extract<AttemptResult, { kind: 'lost' }>): string {
+  return typeof foreignAttemptId === 'string' ? `, ${foreignAttemptId}` : '';
 }
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -71,7 +71,6 @@
       return;
     case 'rejected':
       state.counters.attempts_rejected += 1;
-      state.counters.rejections_without_id += result.attribution === 'none' ? 1 : 0;
       processRejection(context, request, known, result);
       return;
     case 'notSent':
--- a/src/router/request/refused-attempts.ts
+++ b/src/router/request/refused-attempts.ts
@@ -51,6 +51,10 @@
   }
   const { counters, refusedAttempts } = context.state;
   const { foreignAttemptId } = result;
+  if (foreignAttemptId === null) {
+    counters.answers_without_id += 1;
+    return;
+  }
   counters.answers_to_other_requests += 1;
   const refusedAt = refusedAttempts.refusedAt(foreignAttemptId);
   if (refusedAt !== null) {
--- a/src/router/request/request-execution.ts
+++ b/src/router/request/request-execution.ts
@@ -31,7 +31,7 @@
     case 'withheld':
       return 'not written';
     case 'rejected':
-      return rejectionProof(result);
+      return result.attribution === 'id' ? 'rejected by id' : 'rejected on a new connection';
     case 'refusedByProxy':
       return 'refused by a proxy';
     case 'answered':
@@ -41,17 +41,6 @@
   }
 }
 
-function rejectionProof({ attribution }: Extract<AttemptResult, { kind: 'rejected' }>): AttemptExecution {
-  switch (attribution) {
-    case 'id':
-      return 'rejected by id';
-    case 'new connection':
-      return 'rejected on a new connection';
-    case 'none':
-      return 'unknown';
-  }
-}
-
 export class RequestExecution {
   readonly #ended: AttemptExecution[] = [];
   #isInProgress = false;
