A request is not sent again on a connection that has carried its rejection

Callers got 503 for requests that ran, and such requests ran twice. A request that its server has rejected is often sent to it again (a key has one owner), with the same attempt id and mostly on the same connection, since the most recently used one is taken first. A server that sends its rejection a second time, late, then has the second one taken for the answer to the next attempt, which it runs. The id can't tell the two answers apart.

Now a connection remembers the attempts that were rejected on it and carries none of them again; the request takes another idle connection or a new one. After 256 rejections a connection is replaced, which bounds what it remembers. Weighed: to count a second rejection on the same connection as lost (costs callers their retry wherever an owner rejects twice), and to close a connection after each rejection (a new connection for each request that a full server rejects).

--- a/src/router-runtime/attempt-sender.ts
+++ b/src/router-runtime/attempt-sender.ts
@@ -112,7 +112,7 @@
     reader: ResponseReader,
     isWriteAllowed: () => boolean,
   ): void {
-    const connection = connections.acquire(effect.address);
+    const connection = connections.acquire(effect.address, exchange.attemptId);
     if (connection === null) {
       this.#dispatchAttemptEnd(effect, { kind: 'withdrawn', reason: 'too many connections are open' });
       return;
@@ -121,6 +121,9 @@
     const attempt: Attempt = new Attempt(request, reader, connection, exchange.writer.sink, {
       isWriteAllowed,
       onFinished: (result, reusable) => {
+        if (result.kind === 'rejected') {
+          connection.recordRejection(exchange.attemptId);
+        }
         connections.release(effect.address, connection, reusable);
         exchange.wasSent ||= attempt.isSent;
         if (exchange.attempt === attempt) {
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -16,6 +16,9 @@
 export const MAX_CONNECTIONS_PER_SERVER = 24;
 export const MAX_CONNECTIONS_PER_PROXY = 96;
 
+/** Number of rejections after which a connection is replaced, which bounds what is remembered of them. */
+const MAX_REJECTIONS_PER_CONNECTION = 256;
+
 type Connector = ReturnType<typeof buildResettingConnector>;
 
 /** Delays an action until the sockets have been polled. */
@@ -27,6 +30,7 @@
   /** The socket was reset or failed, as opposed to an orderly close. */
   failed = false;
   #requestCount = 0;
+  readonly #rejectedAttempts = new Set<string>();
 
   /** @param barrier delays the first request on a new connection until a recent poll has shown whether its caller has disconnected */
   constructor(address: string, barrier: ConnectBarrier, connector: Connector) {
@@ -66,6 +70,24 @@
     return this.#requestCount <= 1;
   }
 
+  /** Records that the server has rejected an attempt on this connection. */
+  recordRejection(attemptId: string): void {
+    this.#rejectedAttempts.add(attemptId);
+  }
+
+  /**
+   * Returns whether a request may be sent on this connection. The server may send a rejection again, which would be taken for the answer to a
+   * later attempt with the same id.
+   */
+  mayCarry(attemptId: string | null): boolean {
+    return attemptId === null || !this.#rejectedAttempts.has(attemptId);
+  }
+
+  /** Whether the connection has carried as many rejections as it remembers. */
+  get isExhausted(): boolean {
+    return this.#rejectedAttempts.size >= MAX_REJECTIONS_PER_CONNECTION;
+  }
+
   /** Sends a request. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.#requestCount += 1;
@@ -96,19 +118,27 @@
     this.#maxPerAddress = maxPerAddress;
   }
 
-  /** Returns a connection for one request, or null when too many are open. */
-  acquire(address: string): ServerConnection | null {
+  /**
+   * Returns a connection for one request, or null when too many are open.
+   *
+   * @param attemptId the id by which an answer names the request; null: answers name none
+   */
+  acquire(address: string, attemptId: string | null = null): ServerConnection | null {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
       pool = new ConnectionPool();
       this.#pools.set(address, pool);
     }
-    const idle = pool.idleConnections.pop();
-    if (idle !== undefined) {
-      return idle;
+    const usable = pool.idleConnections.findLastIndex((connection) => connection.mayCarry(attemptId));
+    if (usable >= 0) {
+      return pool.idleConnections.splice(usable, 1)[0] as ServerConnection;
     }
     if (pool.openCount >= this.#maxPerAddress) {
-      return null;
+      const unusable = pool.idleConnections.shift();
+      if (unusable === undefined) {
+        return null;
+      }
+      this.release(address, unusable, false);
     }
     pool.openCount += 1;
     return new ServerConnection(address, this.#barrier, this.#connector);
@@ -117,7 +147,7 @@
   /** Returns a connection to its pool, or closes it if it must not be reused. */
   release(address: string, connection: ServerConnection, reusable: boolean): void {
     const pool = this.#pools.get(address);
-    if (pool !== undefined && reusable) {
+    if (pool !== undefined && reusable && !connection.isExhausted) {
       pool.idleConnections.push(connection);
       return;
     }
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -33,7 +33,7 @@
 });
 
 async function send(address: string): Promise<Outcome> {
-  const connection = connections.acquire(address);
+  const connection = connections.acquire(address, ID);
   if (connection === null) {
     throw new Error('too many connections are open');
   }
