A server's 408, 429 or 503 is passed on only if the server says that it has not run the request

Callers of requests that may run once got a server's own 503 as it was. From the router these statuses promise that the request has not run and never will; from a server only its statement (the not-executed header, or 421) does. A service that fails with 503 in the middle of its work made the router promise something that was false.

Now such an answer to a request that may run once is withheld: the caller gets 502 without Retry-After, the attempt counts as answered (the server is well: it is not avoided, and its load report counts), and the body is discarded. Requests that may run more than once get the server's answer as before, since the promise means nothing to them. The body of an answer that no caller gets is read up to 64 KiB, so that one without an end can't hold the attempt until the deadline.

Cost: a caller whose server says 503 without the statement loses its retry; counter answers_withheld.

--- a/src/router-runtime/attempt-sender.ts
+++ b/src/router-runtime/attempt-sender.ts
@@ -89,7 +89,8 @@
     }
     const sentAt = PROCESS_CLOCK.now();
     const method = exchange.incoming.method ?? 'GET';
-    const reader = new ServerResponseReader(method, exchange.attemptId, this.#protocol, {
+    const request = { method, attemptId: exchange.attemptId, repeatable: effect.repeatable };
+    const reader = new ServerResponseReader(request, this.#protocol, {
       onNotice: (notice) => this.#dispatch({ kind: 'serverNoticed', server, notice }),
       onLimitRead: (reading) => this.#reportLimit(effect, reading, sentAt),
     });
--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -8,6 +8,8 @@
 
 /** Longer responses are streamed to the caller. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
+/** An answer that the caller doesn't get is read up to this length, so that its connection can be kept. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
 const FIRST_FINAL_STATUS = 200;
 /** Error codes that mean that the server has closed or reset the connection. */
 const CONNECTION_CLOSED_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
@@ -58,6 +60,7 @@
   #status = 0;
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
+  #discardedBytes = 0;
   #isStreaming = false;
 
   constructor(
@@ -153,6 +156,10 @@
     if (this.#isStreaming) {
       return this.#sink.more(chunk);
     }
+    if (!this.#reader.isForCaller()) {
+      this.#discard(chunk);
+      return true;
+    }
     this.#chunks.push(Buffer.from(chunk));
     this.#bufferedBytes += chunk.length;
     this.#sink.hold(chunk.length);
@@ -164,6 +171,16 @@
     return this.#sink.beginStream(this.#status, this.#reader.rawHeaders, firstBytes, () => this.#resume());
   }
 
+  /** Discards the body of an answer that the caller doesn't get. One that goes on for long ends the attempt: its head has said all. */
+  #discard(chunk: Buffer): void {
+    this.#discardedBytes += chunk.length;
+    if (this.#discardedBytes > MAX_DISCARDED_BYTES) {
+      this.#finish();
+      this.#abort?.(new Error('the body of an answer that is not passed on is too long'));
+      this.#listener.onFinished(this.#reader.classify(), false);
+    }
+  }
+
   #onComplete(trailers: readonly (Buffer | string)[] | null): void {
     if (this.#isFinished) {
       return;
--- a/src/router-runtime/proxy-response-reader.ts
+++ b/src/router-runtime/proxy-response-reader.ts
@@ -15,6 +15,10 @@
     return this.#outcome === null ? { reason: 'an answer of a proxy without an outcome' } : null;
   }
 
+  isForCaller(): boolean {
+    return this.#outcome?.kind === 'answered';
+  }
+
   readTrailers(): void {
     // The proxy has read what the trailers say of the server.
   }
--- a/src/router-runtime/response-reader.ts
+++ b/src/router-runtime/response-reader.ts
@@ -17,6 +17,8 @@
    * @param isFirstOnConnection whether the connection has carried no earlier request
    */
   readHead(status: number, rawHeaders: string[], isFirstOnConnection: boolean): UnusableResponse | null;
+  /** Whether the response goes to the caller. The body of any other one is discarded. */
+  isForCaller(): boolean;
   readTrailers(rawTrailers: readonly string[]): void;
   /** Returns whether only the end of the connection marks the end of the response. */
   isDelimitedByClose(): boolean;
--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -8,6 +8,8 @@
 
 const MISDIRECTED = 421;
 const FIRST_NON_SUCCESS_STATUS = 300;
+/** Statuses that callers take for the promise that their request has not run and never will. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
 
 /** Receives what responses say of their server, at once and however the attempt ends. */
 export interface ServerStatements {
@@ -19,18 +21,24 @@
   onLimitRead(reading: LimitReading): void;
 }
 
+/** What is needed of a request to read its response. */
+export interface ReadRequest {
+  readonly method: string;
+  readonly attemptId: string;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+}
+
 export class ServerResponseReader implements ResponseReader {
   rawHeaders: string[] = [];
-  readonly #method: string;
-  readonly #attemptId: string;
+  readonly #request: ReadRequest;
   readonly #protocol: RequestProtocol;
   readonly #statements: ServerStatements;
   #status = 0;
   #attribution: AnswerAttribution = 'id';
 
-  constructor(method: string, attemptId: string, protocol: RequestProtocol, statements: ServerStatements) {
-    this.#method = method;
-    this.#attemptId = attemptId;
+  constructor(request: ReadRequest, protocol: RequestProtocol, statements: ServerStatements) {
+    this.#request = request;
     this.#protocol = protocol;
     this.#statements = statements;
   }
@@ -40,7 +48,7 @@
     this.rawHeaders = rawHeaders;
     this.#reportNotice(rawHeaders);
     const echoedId = headerValue(rawHeaders, this.#protocol.attemptId);
-    if (echoedId !== null && echoedId !== this.#attemptId) {
+    if (echoedId !== null && echoedId !== this.#request.attemptId) {
       return { reason: 'an answer to another request', foreignAttemptId: echoedId };
     }
     this.#attribution = echoedId === null ? 'new connection' : 'id';
@@ -52,12 +60,18 @@
       : null;
   }
 
+  isForCaller(): boolean {
+    return !this.#isRejection() && !this.#promisesWithoutStatement();
+  }
+
   readTrailers(rawTrailers: readonly string[]): void {
     this.#reportNotice(rawTrailers);
   }
 
   isDelimitedByClose(): boolean {
-    return endsWithConnection(this.#method, this.#status, (name) => headerValue(this.rawHeaders, name));
+    return endsWithConnection(this.#request.method, this.#status, (name) =>
+      headerValue(this.rawHeaders, name),
+    );
   }
 
   hasLength(): boolean {
@@ -66,15 +80,18 @@
 
   classify(): AttemptResult {
     const status = this.#status;
-    const misdirected = status === MISDIRECTED;
-    if (misdirected || this.#isNotExecuted()) {
-      const load = this.#readLoad();
+    const load = this.#readLoad();
+    if (this.#isRejection()) {
+      const misdirected = status === MISDIRECTED;
       return { kind: 'rejected', status, misdirected, load, attribution: this.#attribution };
     }
     if (headerValue(this.rawHeaders, this.#protocol.serverProof) === null) {
       const reason = `an answer ${status} without a seal`;
       return { kind: 'lost', reason, isResponseStarted: false, isClosedByServer: false };
     }
+    if (this.#promisesWithoutStatement()) {
+      return { kind: 'withheldAnswer', status, load };
+    }
     return this.streamedResult();
   }
 
@@ -102,6 +119,14 @@
     }
   }
 
+  #isRejection(): boolean {
+    return this.#status === MISDIRECTED || this.#isNotExecuted();
+  }
+
+  #promisesWithoutStatement(): boolean {
+    return !this.#request.repeatable && PROMISING_STATUSES.has(this.#status) && !this.#isNotExecuted();
+  }
+
   #isNotExecuted(): boolean {
     return headerValue(this.rawHeaders, this.#protocol.notExecuted) !== null;
   }
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -69,6 +69,8 @@
   readonly buffer: boolean;
   /** Whether the server has a known rate limit: a response without one then means that the limit has ended. */
   readonly isLimited: boolean;
+  /** Whether the request may run more than once. Otherwise its caller takes some statuses for the promise that it has not run. */
+  readonly repeatable: boolean;
 }
 /** Sends a request to another daemon, which sends it to a server. */
 export interface ForwardToProxyEffect {
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -184,6 +184,11 @@
 export type AttemptResult =
   /** A complete response, or the head of a streamed one, was sent to the caller. */
   | { readonly kind: 'answered'; readonly status: number; readonly load: LoadReading }
+  /**
+   * The server answered with a status that its caller would take for the promise that the request has not run, which the server does not
+   * state. The answer was not passed on.
+   */
+  | { readonly kind: 'withheldAnswer'; readonly status: number; readonly load: LoadReading }
   /** The server states that it did not execute the request. */
   | {
       readonly kind: 'rejected';
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -52,6 +52,9 @@
     case 'notSent':
       avoidProxy(context, proxy);
       return dispatchRequest(context, request);
+    case 'withheldAnswer':
+      // A proxy's response is the proxy's own statement.
+      return;
     case 'rejected':
     case 'withdrawn':
     case 'withheld':
--- a/src/router/quarantine/crash-detection.ts
+++ b/src/router/quarantine/crash-detection.ts
@@ -61,7 +61,8 @@
   startedAt: Milliseconds,
   result: AttemptResult,
 ): void {
-  const isAnswer = result.kind === 'answered' || (result.kind === 'rejected' && !result.misdirected);
+  const hasAnswered = result.kind === 'answered' || result.kind === 'withheldAnswer';
+  const isAnswer = hasAnswered || (result.kind === 'rejected' && !result.misdirected);
   const entry = context.state.brokenConnections.broken.get(server);
   if (result.kind === 'notSent' && result.refused && entry !== undefined) {
     recordFailedCalls(context, entry, 'connections are refused');
--- a/src/router/request/attempt-description.ts
+++ b/src/router/request/attempt-description.ts
@@ -6,6 +6,8 @@
   switch (result.kind) {
     case 'answered':
       return `answered ${result.status}`;
+    case 'withheldAnswer':
+      return `answered ${result.status} without saying whether it ran`;
     case 'rejected':
       return `rejected ${result.status} by ${result.attribution}`;
     case 'withheld':
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -15,7 +15,7 @@
 import { recordForeignAnswer } from './refused-attempts.js';
 import { processRejection } from './rejected-attempt.js';
 import { avoidAfterFailure, dispatchRequest, endAttempt, recordAttemptOutcome } from './request-dispatch.js';
-import { recordRequestEnd } from './request-ending.js';
+import { endWithOwnAnswer, recordRequestEnd } from './request-ending.js';
 import type { ReportedLoad } from './server-load.js';
 
 /** Processes the end of an attempt; ignores an attempt that isn't the request's current one. */
@@ -48,7 +48,7 @@
   if (known === undefined) {
     return;
   }
-  if (kind === 'answered' || kind === 'rejected') {
+  if (kind === 'answered' || kind === 'withheldAnswer' || kind === 'rejected') {
     recordServerHeard(context, known);
   } else if (kind === 'notSent') {
     recordConnectionFailure(context, known, request.attemptStartedAt);
@@ -69,6 +69,13 @@
       recordRequestAnswered(context, request, result.status);
       recordRequestEnd(context, request, 'answered', result.status, '');
       return;
+    case 'withheldAnswer': {
+      recordAnswer(context, request, known, recordLoadReport(context, known, result.load));
+      state.counters.answers_withheld += 1;
+      const reason = `the server answered ${result.status} and did not say whether it ran the request`;
+      endWithOwnAnswer(context, request, reason, null);
+      return;
+    }
     case 'rejected':
       state.counters.attempts_rejected += 1;
       processRejection(context, request, known, result);
--- a/src/router/request/request-dispatch.ts
+++ b/src/router/request/request-dispatch.ts
@@ -156,6 +156,7 @@
     timeLeft: request.deadlineAt - context.now,
     buffer: true,
     isLimited: context.state.limits.of(known.server.id) !== null,
+    repeatable: request.route.repeatable,
   });
 }
 
--- a/src/router/request/request-execution.ts
+++ b/src/router/request/request-execution.ts
@@ -35,6 +35,7 @@
     case 'refusedByProxy':
       return 'refused by a proxy';
     case 'answered':
+    case 'withheldAnswer':
     case 'failedAtProxy':
     case 'lost':
       return 'unknown';
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -67,10 +67,14 @@
         resolve({ result, reusable, body, hasLength, notices, limits });
       },
     };
-    const reader = new ServerResponseReader('GET', ID, REQUEST_PROTOCOL, {
-      onNotice: (notice) => notices.push(notice),
-      onLimitRead: (limit) => limits.push(limit),
-    });
+    const reader = new ServerResponseReader(
+      { method: 'GET', attemptId: ID, repeatable: true },
+      REQUEST_PROTOCOL,
+      {
+        onNotice: (notice) => notices.push(notice),
+        onLimitRead: (limit) => limits.push(limit),
+      },
+    );
     new Attempt(request, reader, connection, sink, listener).start();
   });
 }
--- a/test/router-runtime/test-caller-frontend.ts
+++ b/test/router-runtime/test-caller-frontend.ts
@@ -59,6 +59,7 @@
         timeLeft: 500,
         buffer: true,
         isLimited: false,
+        repeatable: true,
       });
     }
   };
--- a/test/router/request/test-true-refusals.ts
+++ b/test/router/request/test-true-refusals.ts
@@ -53,6 +53,7 @@
   { kind: 'lost', reason: 'reset', isResponseStarted: false, isClosedByServer: true },
   { kind: 'lost', reason: 'not HTTP', isResponseStarted: false, isClosedByServer: false },
   { kind: 'answered', status: 200, load: null },
+  { kind: 'withheldAnswer', status: 503, load: null },
 ];
 const PROXY_RESULTS: readonly AttemptResult[] = [
   { kind: 'refusedByProxy', reason: 'full', retryAfter: 80, attempts: 1, isPathLost: false, proofs: [] },
@@ -61,7 +62,12 @@
   { kind: 'notSent', reason: 'connect timeout', refused: false },
   { kind: 'lost', reason: 'the link was reset', isResponseStarted: false, isClosedByServer: true },
 ];
-const MAY_HAVE_RUN: ReadonlySet<AttemptResult['kind']> = new Set(['lost', 'failedAtProxy', 'answered']);
+const MAY_HAVE_RUN: ReadonlySet<AttemptResult['kind']> = new Set([
+  'lost',
+  'failedAtProxy',
+  'answered',
+  'withheldAnswer',
+]);
 
 function quarantine(daemon: SingleDaemon, targets: readonly string[]): void {
   const ended = ['x1', 'x2', 'x3'].map((server, index) => ({ server, age: 3_000 - index * 900 }));
@@ -208,6 +214,15 @@
     expect(daemon.effectsOfKind('answer').map(({ status }) => status)).toEqual([502]);
   });
 
+  it('is not given in place of an answer of the server that says nothing of whether the request ran', () => {
+    const daemon = new SingleDaemon();
+    daemon.receiveRequest(1, '/book/1');
+    daemon.ended(1, 1, { kind: 'withheldAnswer', status: 503, load: null });
+    const [answer] = daemon.effectsOfKind('answer');
+    expect([answer?.status, answer?.retryAfter]).toEqual([502, null]);
+    expect(daemon.effectsOfKind('forward').length).toEqual(1);
+  });
+
   it('is given for a request that waits when its quarantine begins', () => {
     const daemon = new SingleDaemon();
     daemon.hasPath = false;
--- a/test/support/blocked-loop-front.ts
+++ b/test/support/blocked-loop-front.ts
@@ -190,7 +190,7 @@
 
   #forward({ requestId }: RequestArrivedEvent): void {
     const target = { server: 'i-1', address: this.#server.address };
-    const options = { timeLeft: 500, buffer: true, isLimited: false };
+    const options = { timeLeft: 500, buffer: true, isLimited: false, repeatable: true };
     this.#front.attempts.forward({ kind: 'forward', requestId, attempt: 1, ...target, ...options });
   }
 
--- a/test/support/frontend-fixture.ts
+++ b/test/support/frontend-fixture.ts
@@ -136,6 +136,7 @@
       timeLeft: 30_000,
       buffer: true,
       isLimited: false,
+      repeatable: false,
     });
   }
 
--- a/test/support/proxied-frontends.ts
+++ b/test/support/proxied-frontends.ts
@@ -138,6 +138,7 @@
       timeLeft: callerTimeout ?? 0,
       buffer: true,
       isLimited: false,
+      repeatable: true,
     });
   }
 }
