An attempt that has been written stays written when the client writes it again

Now the second onConnect ends the attempt as lost. The new case of test-attempt, with a connection that begins twice, failed before.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -123,6 +123,11 @@
       abort(new Error('cancelled'));
       return;
     }
+    if (this.#isSent) {
+      // The HTTP client begins to write the request again on another connection: the first one may have delivered it.
+      this.#fail('the connection was replaced after the request had been written');
+      return;
+    }
     if (!this.#listener.isWriteAllowed()) {
       this.#isWithheld = true;
       abort(new Error('withheld'));
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -4,7 +4,8 @@
 import { Attempt, type ResponseSink, type AttemptListener } from '../../src/router-runtime/attempt.js';
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { ServerResponseReader } from '../../src/router-runtime/server-response-reader.js';
-import { ServerConnections } from '../../src/router-runtime/server-connections.js';
+import type { Dispatcher } from 'undici';
+import { ServerConnections, type ServerConnection } from '../../src/router-runtime/server-connections.js';
 import type { AttemptResult } from '../../src/router/events.js';
 import type { LimitReading } from '../../src/router/model/server-limit.js';
 import type { ServerNotice } from '../../src/router/model/server-notice.js';
@@ -14,6 +15,16 @@
 const ID = 'a-1';
 const OWN_HEADERS = `Fennelferry-Attempt-Id: ${ID}\r\nFennelferry-Server-Seal: s.1\r\n`;
 
+const IGNORING_SINK: ResponseSink = {
+  hold: () => undefined,
+  release: () => undefined,
+  sendComplete: () => undefined,
+  beginStream: () => true,
+  more: () => true,
+  endStream: () => undefined,
+  abortStream: () => undefined,
+};
+
 interface Outcome {
   readonly result: AttemptResult;
   readonly reusable: boolean;
@@ -40,16 +51,11 @@
   let body: string | null = null;
   let hasLength = true;
   const sink: ResponseSink = {
-    hold: () => undefined,
-    release: () => undefined,
+    ...IGNORING_SINK,
     sendComplete: (_status, _headers, bytes, withLength) => {
       body = bytes.toString();
       hasLength = withLength;
     },
-    beginStream: () => true,
-    more: () => true,
-    endStream: () => undefined,
-    abortStream: () => undefined,
   };
   return new Promise((resolve) => {
     const request = {
@@ -79,6 +85,35 @@
   });
 }
 
+/** Starts an attempt on a connection that begins to write the request, and does so again although a server may not get it any more. */
+async function attemptWrittenTwice(): Promise<{ result: AttemptResult; aborts: number }> {
+  let aborts = 0;
+  let mayWrite = true;
+  const connection = {
+    isFirstRequest: true,
+    failed: false,
+    dispatch: (_options: unknown, { onConnect }: Dispatcher.DispatchHandler) => {
+      const abort = (): void => void (aborts += 1);
+      onConnect?.(abort);
+      mayWrite = false;
+      onConnect?.(abort);
+    },
+  } as unknown as ServerConnection;
+  const result = await new Promise<AttemptResult>((resolve) => {
+    const request = { method: 'POST', path: '/a/1', headers: [], body: null };
+    const reader = new ServerResponseReader(
+      { method: 'POST', attemptId: ID, repeatable: false },
+      REQUEST_PROTOCOL,
+      { onNotice: () => undefined, onLimitRead: () => undefined },
+    );
+    new Attempt(request, reader, connection, IGNORING_SINK, {
+      isWriteAllowed: () => mayWrite,
+      onFinished: resolve,
+    }).start();
+  });
+  return { result, aborts };
+}
+
 async function attemptWith(respond: RawResponder): Promise<Outcome> {
   server = await RawServer.start(respond);
   return send(server.address);
@@ -175,6 +210,13 @@
     expect(outcome.reusable).toEqual(true);
   });
 
+  // The HTTP client may send a request again by itself when its connection ends.
+  it('is written once, and stays written when the client begins to write it again', async () => {
+    const { result, aborts } = await attemptWrittenTwice();
+    expect(result.kind).toEqual('lost');
+    expect(aborts).toEqual(1);
+  });
+
   it('reports the limit that a response names, whatever its status', async () => {
     const notRun = 'Fennelferry-Not-Executed: 1\r\nContent-Length: 0\r\n';
     const heads = [
