A rejection counts although its body breaks off

Callers whose server rejected their request got 502 instead of the retry or the refusal that the rejection allows, if the connection broke before the end of the rejection's body: the attempt counted as lost. The head of such an answer has the statement and names the attempt; the body goes to nobody.

Now an error after the head of an answer that no caller gets ends the attempt with what the head says. The same holds for a proxy's refusal. The new case of test-attempt failed before (lost instead of rejected).

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -234,7 +234,13 @@
     if (this.#isStreaming) {
       this.#sink.abortStream();
     }
-    this.#listener.onFinished(this.#lostResult(error.message, CONNECTION_CLOSED_CODES.has(code)), false);
+    this.#listener.onFinished(this.#resultOfError(error.message, code), false);
+  }
+
+  /** An answer that the caller doesn't get has said all in its head. */
+  #resultOfError(reason: string, code: string): AttemptResult {
+    const hasSaidAll = this.#status !== 0 && !this.#reader.isForCaller();
+    return hasSaidAll ? this.#reader.classify() : this.#lostResult(reason, CONNECTION_CLOSED_CODES.has(code));
   }
 
   /** Returns the buffered bytes, which the attempt no longer holds. */
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -217,6 +217,17 @@
     expect(aborts).toEqual(1);
   });
 
+  // The head of a rejection has all that proves it; the rest of the answer was awaited, and the caller lost its retry.
+  it('is rejected although the body of the rejection breaks off', async () => {
+    const outcome = await attemptWith((socket) => {
+      const head = `Fennelferry-Attempt-Id: ${ID}\r\nFennelferry-Not-Executed: 1\r\nContent-Length: 10\r\n`;
+      socket.write(`HTTP/1.1 503 Busy\r\n${head}\r\npart`);
+      resetSoon(socket);
+    });
+    expect(outcome.result.kind).toEqual('rejected');
+    expect(outcome.reusable).toEqual(false);
+  });
+
   it('reports the limit that a response names, whatever its status', async () => {
     const notRun = 'Fennelferry-Not-Executed: 1\r\nContent-Length: 0\r\n';
     const heads = [
