--- a/test/support/frontend-fixture.ts
+++ b/test/support/frontend-fixture.ts
@@ -6,7 +6,7 @@
 import { CallerFrontend } from '../../src/router-runtime/caller-frontend.js';
 import type { CallerFrontendOptions } from '../../src/router-runtime/caller-frontend-options.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
-import { NO_ATTEMPT } from '../../src/router/request/request-execution.js';
+import { type ExecutionStatement, NO_ATTEMPT } from '../../src/router/request/request-execution.js';
 
 type ArrivedEvent = Extract<RouterEvent, { kind: 'requestArrived' }>;
 type EndedEvent = Extract<RouterEvent, { kind: 'attemptEnded' }>;
@@ -140,15 +140,24 @@
     });
   }
 
-  /** Answers a request with an answer of the daemon's own. */
+  /** Refuses a request. */
   refuse({ requestId }: Pick<ArrivedEvent, 'requestId'>): void {
+    this.#answer(requestId, 503, 'refused by the test', NO_ATTEMPT);
+  }
+
+  /** Ends a request that a server may have run. */
+  fail({ requestId }: Pick<ArrivedEvent, 'requestId'>): void {
+    this.#answer(requestId, 502, 'given up by the test', { mayHaveRun: true });
+  }
+
+  #answer(requestId: number, status: number, reason: string, execution: ExecutionStatement): void {
     this.frontend.answer({
       kind: 'answer',
       requestId,
-      status: 503,
-      reason: 'refused by the test',
+      status,
+      reason,
       retryAfter: null,
-      execution: NO_ATTEMPT,
+      execution,
       attempts: 0,
       isPathLost: false,
     });
