--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -36,6 +36,8 @@
   readonly #statements: ServerStatements;
   #status = 0;
   #attribution: AnswerAttribution = 'id';
+  /** The server states that it has not executed the request. */
+  #isNotExecuted = false;
 
   constructor(request: ReadRequest, protocol: RequestProtocol, statements: ServerStatements) {
     this.#request = request;
@@ -46,6 +48,7 @@
   readHead(status: number, rawHeaders: string[], isFirstOnConnection: boolean): UnusableResponse | null {
     this.#status = status;
     this.rawHeaders = rawHeaders;
+    this.#isNotExecuted = headerValue(rawHeaders, this.#protocol.notExecuted) !== null;
     this.#reportNotice(rawHeaders);
     const echoedId = headerValue(rawHeaders, this.#protocol.attemptId);
     if (echoedId !== null && echoedId !== this.#request.attemptId) {
@@ -80,8 +83,8 @@
 
   classify(): AttemptResult {
     const status = this.#status;
-    const load = this.#readLoad();
     if (this.#isRejection()) {
+      const load = this.#readLoad();
       const misdirected = status === MISDIRECTED;
       return { kind: 'rejected', status, misdirected, load, attribution: this.#attribution };
     }
@@ -90,7 +93,7 @@
       return { kind: 'lost', reason, isResponseStarted: false, isClosedByServer: false };
     }
     if (this.#promisesWithoutStatement()) {
-      return { kind: 'withheldAnswer', status, load };
+      return { kind: 'ambiguousAnswer', status, load: this.#readLoad() };
     }
     return this.streamedResult();
   }
@@ -113,22 +116,18 @@
   #reportLimit(): void {
     const limit = this.#protocol.readLimit(this.rawHeaders);
     const isFromServer =
-      headerValue(this.rawHeaders, this.#protocol.serverProof) !== null || this.#isNotExecuted();
+      headerValue(this.rawHeaders, this.#protocol.serverProof) !== null || this.#isNotExecuted;
     if (limit !== null || (isFromServer && this.#status !== MISDIRECTED)) {
       this.#statements.onLimitRead(limit);
     }
   }
 
   #isRejection(): boolean {
-    return this.#status === MISDIRECTED || this.#isNotExecuted();
+    return this.#status === MISDIRECTED || this.#isNotExecuted;
   }
 
   #promisesWithoutStatement(): boolean {
-    return !this.#request.repeatable && PROMISING_STATUSES.has(this.#status) && !this.#isNotExecuted();
-  }
-
-  #isNotExecuted(): boolean {
-    return headerValue(this.rawHeaders, this.#protocol.notExecuted) !== null;
+    return !this.#request.repeatable && PROMISING_STATUSES.has(this.#status) && !this.#isNotExecuted;
   }
 
   #readLoad(): LoadReading {
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -15,7 +15,7 @@
   'attempts_not_sent',
   'refused_without_attempt',
   'refused_with_proof',
-  'answers_withheld',
+  'ambiguous_answers',
   'answers_without_id',
   'answers_to_other_requests',
   'answers_to_refused_requests',
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -188,7 +188,7 @@
    * The server answered with a status that its caller would take for the promise that the request has not run, which the server does not
    * state. The answer was not passed on.
    */
-  | { readonly kind: 'withheldAnswer'; readonly status: number; readonly load: LoadReading }
+  | { readonly kind: 'ambiguousAnswer'; readonly status: number; readonly load: LoadReading }
   /** The server states that it did not execute the request. */
   | {
       readonly kind: 'rejected';
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -52,7 +52,7 @@
     case 'notSent':
       avoidProxy(context, proxy);
       return dispatchRequest(context, request);
-    case 'withheldAnswer':
+    case 'ambiguousAnswer':
       // A proxy's response is the proxy's own statement.
       return;
     case 'rejected':
--- a/src/router/quarantine/crash-detection.ts
+++ b/src/router/quarantine/crash-detection.ts
@@ -61,7 +61,7 @@
   startedAt: Milliseconds,
   result: AttemptResult,
 ): void {
-  const hasAnswered = result.kind === 'answered' || result.kind === 'withheldAnswer';
+  const hasAnswered = result.kind === 'answered' || result.kind === 'ambiguousAnswer';
   const isAnswer = hasAnswered || (result.kind === 'rejected' && !result.misdirected);
   const entry = context.state.brokenConnections.broken.get(server);
   if (result.kind === 'notSent' && result.refused && entry !== undefined) {
--- a/src/router/request/attempt-description.ts
+++ b/src/router/request/attempt-description.ts
@@ -6,7 +6,7 @@
   switch (result.kind) {
     case 'answered':
       return `answered ${result.status}`;
-    case 'withheldAnswer':
+    case 'ambiguousAnswer':
       return `answered ${result.status} without saying whether it ran`;
     case 'rejected':
       return `rejected ${result.status} by ${result.attribution}`;
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -48,7 +48,7 @@
   if (known === undefined) {
     return;
   }
-  if (kind === 'answered' || kind === 'withheldAnswer' || kind === 'rejected') {
+  if (kind === 'answered' || kind === 'ambiguousAnswer' || kind === 'rejected') {
     recordServerHeard(context, known);
   } else if (kind === 'notSent') {
     recordConnectionFailure(context, known, request.attemptStartedAt);
@@ -69,13 +69,9 @@
       recordRequestAnswered(context, request, result.status);
       recordRequestEnd(context, request, 'answered', result.status, '');
       return;
-    case 'withheldAnswer': {
-      recordAnswer(context, request, known, recordLoadReport(context, known, result.load));
-      state.counters.answers_withheld += 1;
-      const reason = `the server answered ${result.status} and did not say whether it ran the request`;
-      endWithOwnAnswer(context, request, reason, null);
+    case 'ambiguousAnswer':
+      processAmbiguousAnswer(context, request, known, result);
       return;
-    }
     case 'rejected':
       state.counters.attempts_rejected += 1;
       processRejection(context, request, known, result);
@@ -107,6 +103,19 @@
   }
 }
 
+/** Ends a request whose server has answered: the server is well, and the request may have run. */
+function processAmbiguousAnswer(
+  context: RouterContext,
+  request: ActiveRequest,
+  known: KnownServer | undefined,
+  { status, load }: Extract<AttemptResult, { kind: 'ambiguousAnswer' }>,
+): void {
+  recordAnswer(context, request, known, recordLoadReport(context, known, load));
+  context.state.counters.ambiguous_answers += 1;
+  const reason = `the server answered ${status} and did not say whether it ran the request`;
+  endWithOwnAnswer(context, request, reason, null);
+}
+
 /** Dispatches a request again whose attempt was not written. The server is not at fault and may be chosen again. */
 function processWithheldAttempt(
   context: RouterContext,
--- a/src/router/request/request-execution.ts
+++ b/src/router/request/request-execution.ts
@@ -35,7 +35,7 @@
     case 'refusedByProxy':
       return 'refused by a proxy';
     case 'answered':
-    case 'withheldAnswer':
+    case 'ambiguousAnswer':
     case 'failedAtProxy':
     case 'lost':
       return 'unknown';
--- a/test/router-runtime/test-endless-answers.ts
+++ b/test/router-runtime/test-endless-answers.ts
@@ -173,7 +173,7 @@
       start: `HTTP/1.1 503 Down\r\n${OWN}Transfer-Encoding: chunked\r\n\r\n`,
       repeated: `400\r\n${'x'.repeat(0x400)}\r\n`,
     };
-    const { caller } = await expectBounded(answer, 'withheldAnswer');
+    const { caller } = await expectBounded(answer, 'ambiguousAnswer');
     await until(() => caller.statuses.length > 0, TIMEOUT);
     expect(caller.statuses).toEqual([502]);
   });
--- a/test/router-runtime/test-surplus-answers.ts
+++ b/test/router-runtime/test-surplus-answers.ts
@@ -115,7 +115,7 @@
       const caller = started.connect();
       caller.socket.write(post('a-1', 'x'));
       expect(await until(() => started.results.length === 1, TIMEOUT_MILLISECONDS)).toEqual(true);
-      expect(started.results.map(({ kind }) => kind)).toEqual(['withheldAnswer']);
+      expect(started.results.map(({ kind }) => kind)).toEqual(['ambiguousAnswer']);
       expect(caller.statuses).toEqual([]);
     });
   }
@@ -128,7 +128,7 @@
     const caller = started.connect();
     caller.socket.write(post('a-1', 'x'));
     expect(await until(() => started.results.length === 1, TIMEOUT_MILLISECONDS)).toEqual(true);
-    expect(started.results.map(({ kind }) => kind)).toEqual(['withheldAnswer']);
+    expect(started.results.map(({ kind }) => kind)).toEqual(['ambiguousAnswer']);
     expect(caller.statuses).toEqual([]);
   });
 });
--- a/test/router/proxying/test-proxied-lifecycle.ts
+++ b/test/router/proxying/test-proxied-lifecycle.ts
@@ -3,28 +3,9 @@
 import { beforeEach, describe, it } from 'node:test';
 import type { AttemptResult } from '../../../src/router/events.js';
 import type { ProxyDescription } from '../../../src/router/proxying/proxy-candidate.js';
+import { describeProxy, HEARTBEAT } from '../support/heartbeats.js';
 import { SingleDaemon } from '../support/single-daemon.js';
 
-const LEADER = { leader: 'd9', leaderLife: 9, leaderAddress: '10.0.0.8:1' };
-const HEARTBEAT = {
-  kind: 'heartbeat',
-  term: 1,
-  ...LEADER,
-  heardAge: 0,
-  confirmationAge: 0,
-  leaderRevision: 9,
-  newsAge: 0,
-  evacuationsAge: 0,
-  reportSentAt: 0,
-  reportHeld: 0,
-  daemons: 11,
-  watchers: [],
-  configurationVersion: 1,
-  serversRevision: 1,
-  serversPosition: 5,
-  configurationRevision: 1,
-  evacuations: null,
-} as const;
 const REFUSED: AttemptResult = {
   kind: 'refusedByProxy',
   reason: 'every server is full',
@@ -43,19 +24,6 @@
 
 let daemon: SingleDaemon;
 
-function describeProxy(name: string, fields: Partial<ProxyDescription> = {}): ProxyDescription {
-  return {
-    daemon: name,
-    zone: 'z',
-    address: `10.0.1.${name.slice(1)}:71`,
-    requests: 0,
-    reached: [{ service: 'logs', age: 50 }],
-    lostServices: [],
-    lostServers: [],
-    ...fields,
-  };
-}
-
 /** Lets the daemon lose its path to all servers while requests wait for them. */
 function losePath(): void {
   daemon.hasPath = false;
--- a/test/router/request/test-true-refusals.ts
+++ b/test/router/request/test-true-refusals.ts
@@ -4,43 +4,14 @@
 import { SeededRandom } from '../../../src/core/random.js';
 import type { Effect } from '../../../src/router/effects.js';
 import type { AttemptResult } from '../../../src/router/events.js';
-import type { ProxyDescription } from '../../../src/router/proxying/proxy-candidate.js';
 import { CHECK_TIMED_OUT } from '../../../src/router/events.js';
 import { fingerprintOf } from '../support/fingerprints.js';
+import { describeProxy, HEARTBEAT } from '../support/heartbeats.js';
 import { SingleDaemon } from '../support/single-daemon.js';
 
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const ORIGIN = { daemon: 'd1', service: 'logs', attempts: 0, age: 30 };
-const PROXIES: ProxyDescription[] = ['d2', 'd3'].map((daemon, index) => ({
-  daemon,
-  zone: 'z',
-  address: `10.0.1.${index + 2}:71`,
-  requests: 0,
-  reached: [{ service: 'logs', age: 50 }],
-  lostServices: [],
-  lostServers: [],
-}));
-const HEARTBEAT = {
-  kind: 'heartbeat',
-  term: 1,
-  leader: 'd9',
-  leaderLife: 9,
-  leaderAddress: '10.0.0.8:1',
-  heardAge: 0,
-  confirmationAge: 0,
-  leaderRevision: 9,
-  newsAge: 0,
-  evacuationsAge: 0,
-  reportSentAt: 0,
-  reportHeld: 0,
-  daemons: 11,
-  configurationVersion: 1,
-  serversRevision: 1,
-  serversPosition: 5,
-  configurationRevision: 1,
-  evacuations: null,
-  pathlessDaemons: 1,
-} as const;
+const PROXIES = ['d2', 'd3'].map((daemon) => describeProxy(daemon));
 
 /** Results that servers, proxies and connections give in no particular order. */
 const SERVER_RESULTS: readonly AttemptResult[] = [
@@ -53,7 +24,7 @@
   { kind: 'lost', reason: 'reset', isResponseStarted: false, isClosedByServer: true },
   { kind: 'lost', reason: 'not HTTP', isResponseStarted: false, isClosedByServer: false },
   { kind: 'answered', status: 200, load: null },
-  { kind: 'withheldAnswer', status: 503, load: null },
+  { kind: 'ambiguousAnswer', status: 503, load: null },
 ];
 const PROXY_RESULTS: readonly AttemptResult[] = [
   { kind: 'refusedByProxy', reason: 'full', retryAfter: 80, attempts: 1, isPathLost: false, proofs: [] },
@@ -66,7 +37,7 @@
   'lost',
   'failedAtProxy',
   'answered',
-  'withheldAnswer',
+  'ambiguousAnswer',
 ]);
 
 function quarantine(daemon: SingleDaemon, targets: readonly string[]): void {
@@ -77,7 +48,7 @@
 }
 
 function hearProxies(daemon: SingleDaemon): void {
-  const message = { ...HEARTBEAT, watchers: [], proxies: PROXIES, serviceLoads: [] };
+  const message = { ...HEARTBEAT, watchers: [], proxies: PROXIES, pathlessDaemons: 1, serviceLoads: [] };
   daemon.event({ kind: 'peerMessage', link: 0, message });
 }
 
@@ -217,7 +188,7 @@
   it('is not given in place of an answer of the server that says nothing of whether the request ran', () => {
     const daemon = new SingleDaemon();
     daemon.receiveRequest(1, '/book/1');
-    daemon.ended(1, 1, { kind: 'withheldAnswer', status: 503, load: null });
+    daemon.ended(1, 1, { kind: 'ambiguousAnswer', status: 503, load: null });
     const [answer] = daemon.effectsOfKind('answer');
     expect([answer?.status, answer?.retryAfter]).toEqual([502, null]);
     expect(daemon.effectsOfKind('forward').length).toEqual(1);
--- a/test/soak/test-soak.ts
+++ b/test/soak/test-soak.ts
@@ -19,7 +19,20 @@
 const CUTS_SEED = 1;
 /** Seed of the run in which servers reset connections, reject requests, lose answers and answer twice. */
 const ANSWERS_SEED = 2;
-const OPTIONS = { daemons: 5, servers: 4, program: DEFAULT_PROGRAM, length: 20_000 };
+const OPTIONS = {
+  daemons: 5,
+  servers: 4,
+  program: DEFAULT_PROGRAM,
+  length: 20_000,
+  hasCrashes: false,
+  hasNotices: false,
+  hasLimits: false,
+  hasDisconnects: false,
+  hasPathFaults: false,
+  hasServerCuts: false,
+  hasAnswerFaults: false,
+  hasRush: false,
+};
 
 // Guards against configuration changes that come into force seconds late (14 s in one fault), which takes real daemons, a store that does not answer, and
 // continuing changes to show.
@@ -29,14 +42,6 @@
       runSoakProcess({
         ...OPTIONS,
         seed,
-        hasCrashes: false,
-        hasNotices: false,
-        hasLimits: false,
-        hasDisconnects: false,
-        hasPathFaults: false,
-        hasServerCuts: false,
-        hasAnswerFaults: false,
-        hasRush: false,
       }),
     );
     for (const report of await Promise.all(runs)) {
@@ -50,13 +55,6 @@
       ...OPTIONS,
       seed: HARSH_SEED,
       hasCrashes: true,
-      hasNotices: false,
-      hasLimits: false,
-      hasDisconnects: false,
-      hasPathFaults: false,
-      hasServerCuts: false,
-      hasAnswerFaults: false,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -67,14 +65,7 @@
     const report = await runSoakProcess({
       ...OPTIONS,
       seed: NOTICES_SEED,
-      hasCrashes: false,
       hasNotices: true,
-      hasLimits: false,
-      hasDisconnects: false,
-      hasPathFaults: false,
-      hasServerCuts: false,
-      hasAnswerFaults: false,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -84,14 +75,7 @@
     const report = await runSoakProcess({
       ...OPTIONS,
       seed: LEAVING_SEED,
-      hasCrashes: false,
-      hasNotices: false,
-      hasLimits: false,
       hasDisconnects: true,
-      hasPathFaults: false,
-      hasServerCuts: false,
-      hasAnswerFaults: false,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -101,14 +85,7 @@
     const report = await runSoakProcess({
       ...OPTIONS,
       seed: LIMITS_SEED,
-      hasCrashes: false,
-      hasNotices: false,
       hasLimits: true,
-      hasDisconnects: false,
-      hasPathFaults: false,
-      hasServerCuts: false,
-      hasAnswerFaults: false,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -118,14 +95,7 @@
     const report = await runSoakProcess({
       ...OPTIONS,
       seed: PATHS_SEED,
-      hasCrashes: false,
-      hasNotices: false,
-      hasLimits: false,
-      hasDisconnects: false,
       hasPathFaults: true,
-      hasServerCuts: false,
-      hasAnswerFaults: false,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -136,14 +106,7 @@
     const report = await runSoakProcess({
       ...OPTIONS,
       seed: CUTS_SEED,
-      hasCrashes: false,
-      hasNotices: false,
-      hasLimits: false,
-      hasDisconnects: false,
-      hasPathFaults: false,
       hasServerCuts: true,
-      hasAnswerFaults: false,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
@@ -154,14 +117,7 @@
     const report = await runSoakProcess({
       ...OPTIONS,
       seed: ANSWERS_SEED,
-      hasCrashes: false,
-      hasNotices: false,
-      hasLimits: false,
-      hasDisconnects: false,
-      hasPathFaults: false,
-      hasServerCuts: false,
       hasAnswerFaults: true,
-      hasRush: false,
     });
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
