Log the exception that ends a daemon, and what is wrong with a malformed object

In the users' record a daemon that ended left "Invalid URL" or a port, and nothing of its own: neither its last log lines (up to 100 ms are buffered) nor the value or the place. A malformed object was named without a reason, so that the entries of the record can't be told apart.

- uncaught_exception: origin, name, code, input, cause and stack, after all buffered lines.
The process still ends: uncaughtExceptionMonitor only observes.
- malformed_store_object has the path of the first violation and what is wrong there, not the value, which may be of any size and depth.

The parsers of documents return a Result in place of null; the tests of documents check the same values.

--- a/src/router-runtime/event-log.ts
+++ b/src/router-runtime/event-log.ts
@@ -3,7 +3,7 @@
  * buffer and written asynchronously, so that a slow reader never blocks the daemon. Dropped lines are counted, and their number is logged.
  */
 import { createConsola, type ConsolaInstance } from 'consola/core';
-import { write } from 'node:fs';
+import { write, writeSync } from 'node:fs';
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { RouterCounters } from '../router/counters.js';
 import type { LogEventName } from '../router/log-events.js';
@@ -43,7 +43,7 @@
   }
 
   /** Logs one event. Only lines of level `info` may be dropped. */
-  event(level: 'info' | 'warn', event: LogEventName, fields: Record<string, unknown>): void {
+  event(level: 'info' | 'warn' | 'error', event: LogEventName, fields: Record<string, unknown>): void {
     if (level === 'info' && !this.#hasRoom()) {
       this.#droppedLines += 1;
       this.#counters.log_lines_dropped += 1;
@@ -113,6 +113,17 @@
     });
   }
 
+  /** Writes the buffered lines before it returns, for a process that is about to end. Lines that the reader has no room for are lost. */
+  flushSync(): void {
+    clearTimeout(this.#flushTimer);
+    const text = this.#bufferedLines.splice(0).join('');
+    try {
+      writeSync(STANDARD_OUTPUT, text);
+    } catch (cause) {
+      process.stderr.write(`cannot write the last log lines: ${String(cause)}\n`);
+    }
+  }
+
   /** Writes the buffered lines. Returns when they are written, or after one and a half flush intervals. */
   async close(): Promise<void> {
     const maxRounds = 3;
--- a/src/router-runtime/malformed-objects.ts
+++ b/src/router-runtime/malformed-objects.ts
@@ -5,6 +5,7 @@
 /** Malformed store objects that one process logs by name; all of them are counted. */
 const MAX_LOGGED_OBJECTS = 200;
 const MAX_LOGGED_NAME_CHARACTERS = 100;
+const MAX_LOGGED_PROBLEM_CHARACTERS = 300;
 
 export class MalformedObjects {
   readonly #log: EventLog;
@@ -18,7 +19,7 @@
   }
 
   /** Counts every occurrence, and logs each object once. */
-  record(kind: string, name: string): void {
+  record(kind: string, name: string, problem: string): void {
     this.#counters.malformed_store_objects += 1;
     const id = `${kind}/${name}`;
     if (!this.#logged.has(id) && this.#logged.size < MAX_LOGGED_OBJECTS) {
@@ -26,6 +27,7 @@
       this.#log.event('warn', 'malformed_store_object', {
         kind,
         name: name.slice(0, MAX_LOGGED_NAME_CHARACTERS),
+        problem: problem.slice(0, MAX_LOGGED_PROBLEM_CHARACTERS),
       });
     }
   }
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -20,6 +20,7 @@
 import { createRouterState, notReadyReason, type RouterState } from '../router/router-state.js';
 import { CallerFrontend } from './caller-frontend.js';
 import { EventLog } from './event-log.js';
+import { logFatalErrors } from './fatal-errors.js';
 import { listen } from './listen.js';
 import { checkPath } from './path-checker.js';
 import { logLoopDelays } from './loop-log.js';
@@ -140,6 +141,7 @@
 
   /** Opens every port and starts the regular tick. Rejects when a port is in use. */
   async start(): Promise<void> {
+    logFatalErrors(this.#log);
     const { http, readiness, admin, peers, proxy } = this.#settings.listen;
     await this.#frontend.listen(http);
     if (proxy !== null) {
@@ -210,8 +212,8 @@
   }
 
   /** Records that an object of the store could not be parsed. */
-  recordMalformedObject(kind: string, name: string): void {
-    this.#malformedObjects.record(kind, name);
+  recordMalformedObject(kind: string, name: string, problem: string): void {
+    this.#malformedObjects.record(kind, name, problem);
   }
 
   /** Performs a planned stop: accepts no new callers, finishes requests in flight, and ends within the grace period. */
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -20,6 +20,11 @@
     when: 'a planned stop ends',
     fields: 'milliseconds (duration of the stop), unfinished (requests still in progress)',
   },
+  uncaught_exception: {
+    when: 'an exception that nothing handled ends the process; the last line of its log',
+    fields:
+      'origin (uncaughtException or unhandledRejection), name, message, code, input (the value that could not be parsed), cause, stack (up to 12 lines)',
+  },
   settings_reloaded: {
     when: 'the settings were read again after SIGHUP or a change of the file',
     fields: 'the limits and durations now in force',
@@ -257,7 +262,7 @@
   },
   malformed_store_object: {
     when: 'an object of the store cannot be parsed, logged once for each object: it is skipped, and no server is taken from it',
-    fields: 'kind, name',
+    fields: 'kind, name, problem (the first violation: path and what is wrong)',
   },
   malformed_peer_message: { when: 'bytes received from a peer cannot be parsed', fields: 'peer, detail' },
   log_lines_dropped: {
--- a/test/platform/test-documents.ts
+++ b/test/platform/test-documents.ts
@@ -2,7 +2,9 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import { parseConfiguration, parseServer } from '../../platform/documents.js';
+import type { Configuration } from '../../src/router/model/configuration.js';
 import { instanceOf } from '../../src/router/model/server-incarnation.js';
+import type { ServerDescription } from '../../src/router/model/server.js';
 
 const ROUTE = {
   name: 'r',
@@ -28,21 +30,21 @@
   sequence: 7,
 };
 
-function parseWithService(service: object): ReturnType<typeof parseConfiguration> {
+function parseWithService(service: object): Configuration | null {
   const spec = {
     version: 1,
     routes: [ROUTE],
     services: [{ name: 's', maxConns: 9, ...service }],
     limits: LIMITS,
   };
-  return parseConfiguration({ metadata: { name: 'main', revision: 1, made: 1 }, spec });
+  return parseConfiguration({ metadata: { name: 'main', revision: 1, made: 1 }, spec }).unwrapOr(null);
 }
 
-function parseEntry(overrides: object): ReturnType<typeof parseServer> {
+function parseEntry(overrides: object): ServerDescription | null {
   return parseServer({
     metadata: { name: 'i-1', revision: 4, made: 2 },
     spec: { ...SERVER_SPEC, ...overrides },
-  });
+  }).unwrapOr(null);
 }
 
 describe('parsing of platform documents', () => {
@@ -101,7 +103,8 @@
 
   it('rejects a server whose name is not a valid header value', () => {
     for (const name of ['', 'i 1', 'i\n1', '\u00e9']) {
-      expect(parseServer({ metadata: { name, revision: 4, made: 2 }, spec: SERVER_SPEC })).toEqual(null);
+      const server = parseServer({ metadata: { name, revision: 4, made: 2 }, spec: SERVER_SPEC });
+      expect(server.isErr()).toEqual(true);
     }
   });
 
--- a/test/platform/test-object-store-client.ts
+++ b/test/platform/test-object-store-client.ts
@@ -1,4 +1,5 @@
 import { expect } from 'earl';
+import { ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
 import type { WatchOutcome } from '../../src/router/ports.js';
@@ -45,7 +46,7 @@
   it('leaves an overdue watch in flight and makes later calls on new connections', async () => {
     const feed = api.feed(
       'items',
-      () => 'item',
+      () => ok('item'),
       () => undefined,
     );
     server.holdResponsesUntil(2);
