--- a/src/router-runtime/caller-frontend.ts
+++ b/src/router-runtime/caller-frontend.ts
@@ -7,6 +7,7 @@
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { AnswerEffect } from '../router/effects.js';
 import type { RouterEvent } from '../router/events.js';
+import type { Address } from '../router/model/address.js';
 import type { CallerLimits } from '../router/model/configuration.js';
 import { LAST_KEY, type Milliseconds } from '../router/model/identifiers.js';
 import type { RequestProtocol } from '../router/ports.js';
@@ -125,12 +126,12 @@
   }
 
   /** Listens for callers. Rejects when the address is in use. */
-  listen(address: string): Promise<void> {
+  listen(address: Address): Promise<void> {
     return listen(this.server, address);
   }
 
   /** Listens for other daemons. Rejects when the address is in use. */
-  listenForDaemons(address: string): Promise<void> {
+  listenForDaemons(address: Address): Promise<void> {
     return listen(this.proxyServer, address);
   }
 
--- a/src/router-runtime/control-connections.ts
+++ b/src/router-runtime/control-connections.ts
@@ -3,6 +3,7 @@
  * which is compiled by the time at which a daemon becomes the leader and has to call every owner within a second.
  */
 import { PROCESS_POLL_BARRIER } from '../event-loop/poll-barrier.js';
+import type { Address } from '../router/model/address.js';
 import type { Milliseconds } from '../router/model/identifiers.js';
 import { ServerConnections, type ServerConnection } from './server-connections.js';
 
@@ -37,7 +38,7 @@
    * Makes a call. Rejects if no response begins within the timeout. The connection of such a call is reset, so that it can't arrive later,
    * and idle ones to the address are closed: a network failure can make all open connections unresponsive.
    */
-  request(address: string, request: ControlRequest, timeout: Milliseconds): Promise<ControlResponse> {
+  request(address: Address, request: ControlRequest, timeout: Milliseconds): Promise<ControlResponse> {
     const connection = this.#connections.acquire(address);
     if (connection === null) {
       return Promise.reject(
--- a/src/router-runtime/path-checker.ts
+++ b/src/router-runtime/path-checker.ts
@@ -3,7 +3,7 @@
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 import type { CheckPathEffect } from '../router/effects.js';
 import { CHECK_TIMED_OUT } from '../router/events.js';
-import { splitAddress } from '../settings/address.js';
+import { hostAndPort } from '../router/model/address.js';
 
 /**
  * Opens a connection and closes it at once.
@@ -16,7 +16,7 @@
   barrier: PollBarrier,
   done: (failure: string | null) => void,
 ): void {
-  const socket = createConnection(splitAddress(address));
+  const socket = createConnection(hostAndPort(address));
   let isDone = false;
   const finish = (failure: string | null): void => {
     if (!isDone) {
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -4,9 +4,9 @@
  */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { PROCESS_POLL_BARRIER } from '../event-loop/poll-barrier.js';
+import { hostAndPort, type Address } from '../router/model/address.js';
 import type { PeerMessage } from '../router/peers/messages.js';
 import { FrameReader } from '../runtime/peer-transport.js';
-import { splitAddress } from '../settings/address.js';
 import { listen } from './listen.js';
 import { RecentOutput } from './peer-output.js';
 import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
@@ -27,7 +27,7 @@
   /** The connection to the parent was established. */
   onParentOpened(): void;
   /** The connection to the parent was closed or could not be established. */
-  onParentClosed(address: string, isRefused: boolean): void;
+  onParentClosed(address: Address, isRefused: boolean): void;
   onMalformed(peer: string, detail: string): void;
 }
 
@@ -55,7 +55,7 @@
   readonly #children = new Map<number, Socket>();
   readonly #recentOutput = new RecentOutput(() => performance.now());
   #nextLink = 1;
-  #parentAddress: string | null = null;
+  #parentAddress: Address | null = null;
   #parent: Socket | null = null;
   #reconnectTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
@@ -66,12 +66,12 @@
   }
 
   /** Listens for children. Rejects when the address is in use. */
-  listen(address: string): Promise<void> {
+  listen(address: Address): Promise<void> {
     return listen(this.#server, address);
   }
 
   /** Keeps a connection to the parent at an address, or to no parent if it is null. Replaces the former connection. */
-  connectToParent(address: string | null): void {
+  connectToParent(address: Address | null): void {
     this.#parentAddress = address;
     clearTimeout(this.#reconnectTimer);
     const formerParent = this.#parent;
@@ -139,7 +139,7 @@
     if (address === null || this.#isClosed) {
       return;
     }
-    const { host, port } = splitAddress(address);
+    const { host, port } = hostAndPort(address);
     const socket = createConnection({ host, port, noDelay: true });
     this.#parent = socket;
     let isRefused = false;
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -6,6 +6,7 @@
 import { buildResettingConnector, Client } from '../http-client/index.js';
 import type { Socket } from 'node:net';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
+import type { Address } from '../router/model/address.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 700;
 /** Idle timeout for servers that don't state theirs in a `Keep-Alive` header. Servers close idle connections after a timeout of their own. */
@@ -33,7 +34,7 @@
   readonly #rejectedAttempts = new Set<string>();
 
   /** @param barrier delays the first request on a new connection until a recent poll has shown whether its caller has disconnected */
-  constructor(address: string, barrier: ConnectBarrier, connector: Connector) {
+  constructor(address: Address, barrier: ConnectBarrier, connector: Connector) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -105,7 +106,7 @@
   readonly #barrier: ConnectBarrier;
   readonly #connector: Connector;
   readonly #maxPerAddress: number;
-  readonly #pools = new Map<string, ConnectionPool>();
+  readonly #pools = new Map<Address, ConnectionPool>();
 
   /** @param connectTimeout in milliseconds */
   constructor(
@@ -123,7 +124,7 @@
    *
    * @param attemptId the id by which an answer names the request; null: answers name none
    */
-  acquire(address: string, attemptId: string | null = null): ServerConnection | null {
+  acquire(address: Address, attemptId: string | null = null): ServerConnection | null {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
       pool = new ConnectionPool();
@@ -145,7 +146,7 @@
   }
 
   /** Returns a connection to its pool, or closes it if it must not be reused. */
-  release(address: string, connection: ServerConnection, reusable: boolean): void {
+  release(address: Address, connection: ServerConnection, reusable: boolean): void {
     const pool = this.#pools.get(address);
     if (pool !== undefined && reusable && !connection.isExhausted) {
       pool.idleConnections.push(connection);
@@ -158,7 +159,7 @@
   }
 
   /** Closes the idle connections to an address. */
-  closeIdle(address: string): void {
+  closeIdle(address: Address): void {
     const pool = this.#pools.get(address);
     for (const connection of pool?.idleConnections.splice(0) ?? []) {
       this.release(address, connection, false);
--- a/src/router/effects.ts
+++ b/src/router/effects.ts
@@ -1,6 +1,7 @@
 /** The effects of a daemon: the reducer returns them as data, and the runtime performs them. */
 import type { StoredObjectName } from './events.js';
 import type { LogEventName } from './log-events.js';
+import type { Address } from './model/address.js';
 import type { FeedName, Fence, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { RequestOrigin } from './proxying/request-origin.js';
 import type { PeerMessage } from './peers/messages.js';
@@ -35,7 +36,7 @@
   readonly callId: number;
   readonly action: 'grant' | 'release' | 'probe';
   readonly server: ServerId;
-  readonly address: string;
+  readonly address: Address;
   readonly from: Key;
   readonly to: Key;
   readonly fence: Fence;
@@ -52,7 +53,7 @@
 export interface CheckPathEffect {
   readonly kind: 'checkPath';
   readonly checkId: number;
-  readonly address: string;
+  readonly address: Address;
   /** How long to wait for the connection. */
   readonly timeout: Milliseconds;
 }
@@ -62,7 +63,7 @@
   readonly requestId: number;
   readonly attempt: number;
   readonly server: ServerId;
-  readonly address: string;
+  readonly address: Address;
   /** Time until the request's deadline, sent along to the server. */
   readonly timeLeft: Milliseconds;
   /** Whether the response is sent to the caller only once it is complete, as far as it can be buffered. */
@@ -78,7 +79,7 @@
   readonly requestId: number;
   readonly attempt: number;
   /** Where the proxy takes requests of other daemons. */
-  readonly address: string;
+  readonly address: Address;
   /** Time until the request's deadline. */
   readonly timeLeft: Milliseconds;
   readonly origin: RequestOrigin;
@@ -98,7 +99,7 @@
 /** Closes idle connections to an address: the server there is gone, and its successor does not know the connections. */
 export interface CloseIdleConnectionsEffect {
   readonly kind: 'forgetConnections';
-  readonly address: string;
+  readonly address: Address;
 }
 /** Sends the caller a final response of the daemon's own. */
 export interface AnswerEffect {
@@ -133,7 +134,7 @@
 export interface ConnectToParentEffect {
   readonly kind: 'follow';
   /** Null: connects to no parent. */
-  readonly address: string | null;
+  readonly address: Address | null;
 }
 export interface SendToParentEffect {
   readonly kind: 'sendToParent';
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -1,4 +1,5 @@
 /** The events of a daemon: the only inputs of the reducer. */
+import type { Address } from './model/address.js';
 import type { Configuration } from './model/configuration.js';
 import type { FeedName, Key, Milliseconds, ServerId } from './model/identifiers.js';
 import type { RequestFingerprint } from './model/request-fingerprint.js';
@@ -288,7 +289,7 @@
 /** The connection to the parent closed or could not be established. */
 export interface ParentLinkClosedEvent {
   readonly kind: 'parentLinkClosed';
-  readonly address: string;
+  readonly address: Address;
   /** Whether the connection was refused: nothing listens at the address. */
   readonly refused: boolean;
 }
--- a/src/router/model/identifiers.ts
+++ b/src/router/model/identifiers.ts
@@ -4,8 +4,6 @@
 export type ServerId = string;
 /** The name of a service in the configuration. */
 export type ServiceName = string;
-/** The `ip:port` at which a server listens. */
-export type Address = string;
 /** The name of a daemon in its settings. */
 export type DaemonName = string;
 /** A key of a keyed service: a whole number from 0 to `LAST_KEY`. */
--- a/src/router/model/server.ts
+++ b/src/router/model/server.ts
@@ -1,12 +1,12 @@
 /** One incarnation of a server as the platform's list describes it. Immutable. */
+import type { Address } from './address.js';
 import type { Milliseconds, ServerId, ServiceName } from './identifiers.js';
 
 /** A server that accepts requests or is draining. */
 export interface ServerDescription {
   readonly id: ServerId;
   readonly service: ServiceName;
-  /** `ip:port`. */
-  readonly address: string;
+  readonly address: Address;
   readonly zone: string;
   /** Number of requests that the server processes at once. */
   readonly slots: number;
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -5,7 +5,8 @@
 import { RecentLimits } from '../limits/recent-limits.js';
 import { PermitBuckets } from '../limits/permit-buckets.js';
 import { BackOffReports } from '../notices/back-off-reports.js';
-import type { Address, Milliseconds, ServerId } from '../model/identifiers.js';
+import type { Address } from '../model/address.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import { sendHeartbeatSoon } from '../tree/heartbeats.js';
 import type { Candidacy } from './election-state.js';
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -1,7 +1,8 @@
 /**
  * State of the leader beyond what is in the store. It is lost with the leader; a successor does not need it.
  */
-import type { Address, Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { Address } from '../model/address.js';
+import type { Fence, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { KeyLoad } from './key-load.js';
 import type { LeaseLogState } from './lease-log.js';
 import type { OwnershipTable, UnitRange } from './ownership-table.js';
--- a/src/router/ownership/repeated-releases.ts
+++ b/src/router/ownership/repeated-releases.ts
@@ -4,7 +4,8 @@
  * The server must hear of the higher fence before that, by a new connection: TCP repeats the first packet of one only after a second.
  */
 import type { ControlOutcome } from '../events.js';
-import type { Address, Milliseconds, ServerId } from '../model/identifiers.js';
+import type { Address } from '../model/address.js';
+import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import { recordServerHeard } from '../reachability/path-checks.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingRelease } from './leadership-state.js';
--- a/src/router/ownership/server-succession.ts
+++ b/src/router/ownership/server-succession.ts
@@ -2,7 +2,8 @@
  * Which server listens at the address of one that has ended. It may have accepted grants that were meant for the ended server, so the
  * keys are free only once it has released them or the grants have expired, however the leader learned of it.
  */
-import type { Address, ServerId } from '../model/identifiers.js';
+import type { Address } from '../model/address.js';
+import type { ServerId } from '../model/identifiers.js';
 import { buildServerId, instanceOf, type InstanceName } from '../model/server-incarnation.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingCall } from './leadership-state.js';
--- a/src/router/ownership/stored-objects.ts
+++ b/src/router/ownership/stored-objects.ts
@@ -1,5 +1,6 @@
 /** Schemas of the two objects that the daemons keep in the store. */
 import * as z from 'zod';
+import { addressSchema } from '../model/address.js';
 import { LAST_KEY } from '../model/identifiers.js';
 import type { OwnershipTable } from './ownership-table.js';
 
@@ -9,7 +10,7 @@
   term: z.number().int().min(1),
   daemon: z.string(),
   life: z.number(),
-  address: z.string(),
+  address: addressSchema,
   /** Number of confirmations of this leadership. */
   beat: z.number(),
   /** No earlier leader can still call a server. */
@@ -42,7 +43,7 @@
       .array(
         z.object({
           server: z.string(),
-          address: z.string().nullable(),
+          address: addressSchema.nullable(),
           service: z.string(),
           from: KEY,
           to: KEY,
--- a/src/router/ownership/unconfirmed-releases.ts
+++ b/src/router/ownership/unconfirmed-releases.ts
@@ -2,7 +2,8 @@
  * Releases that former owners of keys have not confirmed. A former owner that has not seen a higher fence accepts a grant that a network
  * failure held up, even if other servers own the keys by then. The list is stored with the ownership table: the next leader needs it, too.
  */
-import type { Address, Fence, ServerId } from '../model/identifiers.js';
+import type { Address } from '../model/address.js';
+import type { Fence, ServerId } from '../model/identifiers.js';
 import type { OwnershipTable, Unit, UnitRange } from './ownership-table.js';
 
 /** Limit on the entries of the list, which bounds the stored table. */
--- a/src/router/ownership/unit-calls.ts
+++ b/src/router/ownership/unit-calls.ts
@@ -1,5 +1,6 @@
 /** The leader's calls to servers: grants and releases of units, and probes. */
-import type { Address, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { Address } from '../model/address.js';
+import type { Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingCall } from './leadership-state.js';
 import { PROBE_INTERVAL, PROBE_TIMEOUT } from './ownership-timing.js';
--- a/src/router/peers/messages.ts
+++ b/src/router/peers/messages.ts
@@ -1,4 +1,5 @@
 /** The messages between daemons, discriminated by `kind`. Mirrors proto/router.proto. */
+import type { Address } from '../model/address.js';
 import type { Configuration } from '../model/configuration.js';
 import type { DaemonName, Key, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { InstanceName } from '../model/server-incarnation.js';
@@ -35,8 +36,8 @@
 /** Sent by a child to its parent: that it is alive, the versions that it knows, and what its subtree has observed. */
 export interface Report extends DaemonLife {
   readonly kind: 'report';
-  /** Address for connections from other daemons, as `ip:port`. */
-  readonly address: string;
+  /** Address for connections from other daemons. */
+  readonly address: Address;
   readonly zone: string;
   readonly configurationVersion: number;
   /** Highest revision of a server's entry that the sender knows. */
@@ -55,7 +56,7 @@
   /** The sender or a descendant has found a server that owns keys overloaded since the last report. */
   readonly overloaded: boolean;
   /** Address of a relay that didn't answer, or empty. */
-  readonly failedRelay: string;
+  readonly failedRelay: Address | '';
   /** Null if the sender's software version doesn't send this field. */
   readonly evacuations: EvacuationStatement | null;
   /** When the report was sent, by the sender's clock. Heartbeats return it. */
@@ -84,7 +85,7 @@
   readonly term: number;
   readonly leader: DaemonName;
   readonly leaderLife: number;
-  readonly leaderAddress: string;
+  readonly leaderAddress: Address;
 }
 /**
  * Sent by a daemon that has learned of another leader to its former parent and its children. Daemons whose store requests are rejected
@@ -154,7 +155,7 @@
 /** Sent by the leader to a daemon that should connect to a relay instead. */
 export interface Redirect {
   readonly kind: 'redirect';
-  readonly address: string;
+  readonly address: Address;
 }
 /** Where an update came from; it isn't sent back there. */
 export type UpdateSource = 'store' | 'parent' | 'child';
--- a/src/router/proxying/proxy-candidate.ts
+++ b/src/router/proxying/proxy-candidate.ts
@@ -2,6 +2,7 @@
  * Descriptions of daemons as proxies: a daemon that has lost its path to servers sends its callers' requests to a daemon that has one. Each
  * daemon describes itself in its reports; descriptions go down the tree only to daemons that need them.
  */
+import type { Address } from '../model/address.js';
 import type { DaemonName, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
 import type { RouterState } from '../router-state.js';
 import { lostServices as findLostServices } from '../reachability/path-checks.js';
@@ -22,8 +23,8 @@
 export interface ProxyDescription {
   readonly daemon: DaemonName;
   readonly zone: string;
-  /** Where it takes requests of other daemons, as `ip:port`; empty: it takes none. */
-  readonly address: string;
+  /** Where it takes requests of other daemons; empty: it takes none. */
+  readonly address: Address | '';
   /** Number of requests in progress. */
   readonly requests: number;
   readonly reached: ReachedService[];
@@ -40,6 +41,14 @@
   readonly reachedAt: ReadonlyMap<ServiceName, Milliseconds>;
 }
 
+/** A candidate that takes requests of other daemons. */
+export type UsableProxy = ProxyCandidate & { readonly address: Address };
+
+/** Returns whether a daemon takes requests of other daemons. */
+export function isUsableProxy(candidate: ProxyCandidate): candidate is UsableProxy {
+  return candidate.address !== '';
+}
+
 /** Describes this daemon. */
 export function describeOwnReach(state: RouterState, now: Milliseconds): ProxyDescription {
   const { identity, reachability, requests, stopping } = state;
--- a/src/router/proxying/proxy-choice.ts
+++ b/src/router/proxying/proxy-choice.ts
@@ -4,7 +4,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from '../request/active-request.js';
 import { createRefusal, type RoutingRefusal } from '../request/refusals.js';
-import type { ProxyCandidate } from './proxy-candidate.js';
+import { isUsableProxy, type UsableProxy } from './proxy-candidate.js';
 import { knownDaemons, recalledProxies } from './proxy-directory.js';
 
 /** A proxy that has had a response of the service, or has answered this daemon, within this time is preferred. */
@@ -25,7 +25,7 @@
 export function findProxy(
   context: RouterContext,
   request: ActiveRequest,
-): ProxyCandidate | RoutingRefusal | null {
+): UsableProxy | RoutingRefusal | null {
   const { state } = context;
   const { service, origin } = request;
   const path = state.reachability.paths.get(service);
@@ -77,18 +77,18 @@
   context: RouterContext,
   request: ActiveRequest,
   owner: ServerId | null,
-): ProxyCandidate | null {
+): UsableProxy | null {
   const { now, state } = context;
   const { service, triedProxies } = request;
-  const isUsable = ({ daemon, address, lostServices, lostServers }: ProxyCandidate): boolean =>
-    address !== '' &&
+  const isUsable = ({ daemon, address, lostServices, lostServers }: UsableProxy): boolean =>
     now >= (state.proxying.avoidedUntil.get(address) ?? 0) &&
     !triedProxies.includes(daemon) &&
     !lostServices.includes(service) &&
     !(owner !== null && lostServers.includes(owner));
-  const current = knownDaemons(context).filter(isUsable);
-  const usable = current.length > 0 ? current : recalledProxies(context).filter(isUsable);
-  const isProven = ({ address, reachedAt }: ProxyCandidate): boolean => {
+  const current = knownDaemons(context).filter(isUsableProxy).filter(isUsable);
+  const usable =
+    current.length > 0 ? current : recalledProxies(context).filter(isUsableProxy).filter(isUsable);
+  const isProven = ({ address, reachedAt }: UsableProxy): boolean => {
     const answeredAt = state.proxying.answeredAt.get(address) ?? Number.NEGATIVE_INFINITY;
     return now - Math.max(answeredAt, reachedAt.get(service) ?? Number.NEGATIVE_INFINITY) <= MAX_PROOF_AGE;
   };
@@ -96,9 +96,9 @@
   return leastLoaded(context, proven.length > 0 ? proven : usable);
 }
 
-function leastLoaded(context: RouterContext, candidates: readonly ProxyCandidate[]): ProxyCandidate | null {
+function leastLoaded(context: RouterContext, candidates: readonly UsableProxy[]): UsableProxy | null {
   const { identity, proxying, random, election } = context.state;
-  let best: ProxyCandidate | null = null;
+  let best: UsableProxy | null = null;
   let lowestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
     const zoneCost = candidate.zone === identity.zone ? 0 : OTHER_ZONE_COST;
--- a/src/router/proxying/proxy-directory.ts
+++ b/src/router/proxying/proxy-directory.ts
@@ -6,6 +6,7 @@
 import {
   describeOwnReach,
   isProxyNeeded,
+  isUsableProxy,
   type ProxyCandidate,
   type ProxyDescription,
   toCandidate,
@@ -70,7 +71,7 @@
   const { state, now } = context;
   const own = toCandidate(describeOwnReach(state, now), now);
   const others = [own, ...knownDaemons(context)].filter(
-    (candidate) => candidate.daemon !== child.daemon && candidate.address !== '',
+    (candidate) => candidate.daemon !== child.daemon && isUsableProxy(candidate),
   );
   const ofZone = others.filter(({ zone }) => zone === child.zone);
   const elsewhere = others.filter(({ zone }) => zone !== child.zone);
@@ -83,7 +84,7 @@
 export function proxiesBelow(context: RouterContext): ProxyDescription[] {
   const { state, now } = context;
   const below = candidatesBelow(state, now).filter(
-    (candidate) => candidate.address !== '' && isCurrent(candidate, now),
+    (candidate) => isUsableProxy(candidate) && isCurrent(candidate, now),
   );
   return draw(context, below, PROXIES_IN_REPORT).map((candidate) => toDescription(candidate, now));
 }
--- a/src/router/proxying/proxy-load.ts
+++ b/src/router/proxying/proxy-load.ts
@@ -1,13 +1,13 @@
 /** Counts this daemon's requests in progress at each proxy. */
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from '../request/active-request.js';
-import type { ProxyCandidate } from './proxy-candidate.js';
+import type { UsableProxy } from './proxy-candidate.js';
 
 /** Sends a request to a proxy. */
 export function forwardToProxy(
   context: RouterContext,
   request: ActiveRequest,
-  { daemon, address }: ProxyCandidate,
+  { daemon, address }: UsableProxy,
 ): void {
   const { state, now } = context;
   state.counters.requests_to_proxies += 1;
--- a/src/router/proxying/proxying-state.ts
+++ b/src/router/proxying/proxying-state.ts
@@ -1,4 +1,5 @@
 /** What this daemon knows of proxies, and its requests there. */
+import type { Address } from '../model/address.js';
 import type { DaemonName, Milliseconds } from '../model/identifiers.js';
 import type { ProxyCandidate } from './proxy-candidate.js';
 
@@ -10,11 +11,11 @@
   /** When the parent last sent a heartbeat. */
   receivedAt: Milliseconds;
   /** Requests of this daemon in progress at each proxy, by address. */
-  readonly requestsAt: Map<string, number>;
+  readonly requestsAt: Map<Address, number>;
   /** Times until which proxies are not used after a failure, by address. */
-  readonly avoidedUntil: Map<string, Milliseconds>;
+  readonly avoidedUntil: Map<Address, Milliseconds>;
   /** When each proxy last answered a request of this daemon, by address. */
-  readonly answeredAt: Map<string, Milliseconds>;
+  readonly answeredAt: Map<Address, Milliseconds>;
 }
 
 /** Returns the state of a daemon that knows no proxy. */
--- a/src/router/request/active-request.ts
+++ b/src/router/request/active-request.ts
@@ -1,5 +1,6 @@
 /** A request between its arrival and its final answer. */
 import type { RequestArrivedEvent } from '../events.js';
+import type { Address } from '../model/address.js';
 import type { Route } from '../model/configuration.js';
 import type { RequestFingerprint } from '../model/request-fingerprint.js';
 import type { RequestOrigin } from '../proxying/request-origin.js';
@@ -16,7 +17,7 @@
 export interface RequestProxy {
   readonly daemon: DaemonName;
   /** Where it takes requests of other daemons. */
-  readonly address: string;
+  readonly address: Address;
 }
 
 /** Kept in the router state until the request has its final answer. */
--- a/src/router/request/request-ticks.ts
+++ b/src/router/request/request-ticks.ts
@@ -99,9 +99,12 @@
 function retryIfProxyUnresponsive(context: RouterContext, request: ActiveRequest): void {
   const { state, now } = context;
   const { proxy, attemptStartedAt } = request;
-  const answeredAt = state.proxying.answeredAt.get(proxy?.address ?? '') ?? Number.NEGATIVE_INFINITY;
+  if (proxy === null) {
+    return;
+  }
+  const answeredAt = state.proxying.answeredAt.get(proxy.address) ?? Number.NEGATIVE_INFINITY;
   const isSilent = now - attemptStartedAt > PROXY_TIMEOUT && answeredAt < attemptStartedAt;
-  if (proxy !== null && isSilent && !state.stopping && canRepeat(context, request)) {
+  if (isSilent && !state.stopping && canRepeat(context, request)) {
     const next = findProxy(context, request);
     if (next !== null && !isRefusal(next)) {
       cancelAttempt(context, request, 'cancelled, the proxy is silent');
--- a/src/router/router-settings.ts
+++ b/src/router/router-settings.ts
@@ -5,12 +5,12 @@
 import * as z from 'zod';
 import { describeSchemaErrors } from '../core/configuration/schema-errors.js';
 import { SettingsError } from '../errors.js';
+import { addressSchema } from './model/address.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Long enough for any update to pass through the propagation tree after the loss of the leader. */
 const DEFAULT_CONTACT_MILLISECONDS = 3_000;
 const nameSchema = z.string().min(1);
-const addressSchema = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'allowed: <ip number>:<port>');
 /** A duration that the file gives in seconds, converted to milliseconds. */
 const durationSchema = z
   .number()
--- a/src/router/router-state.ts
+++ b/src/router/router-state.ts
@@ -1,4 +1,5 @@
 /** The complete state of one daemon. Only the reducer changes it, and in place. */
+import type { Address } from './model/address.js';
 import { SeededRandom } from '../core/random.js';
 import { createLoadViewState, type LoadViewState } from './load-view/load-view-state.js';
 import { createRouterCounters, type RouterCounters } from './counters.js';
@@ -48,9 +49,9 @@
   readonly daemon: DaemonName;
   readonly zone: string;
   /** The `ip:port` at which other daemons connect. */
-  readonly peerAddress: string;
+  readonly peerAddress: Address;
   /** The `ip:port` at which other daemons send requests of their callers; null or missing: this daemon takes none. */
-  readonly proxyAddress?: string | null;
+  readonly proxyAddress?: Address | null;
   /** Random incarnation number, drawn when the process starts. */
   readonly life: number;
   /** Whether the whole deployment starts for the first time: no callers are waiting yet. */
--- a/src/router/tree/parent.ts
+++ b/src/router/tree/parent.ts
@@ -1,5 +1,6 @@
 /** A daemon's parent: the leader, or a relay to which the leader redirected it. A daemon that loses its relay reconnects to the leader. */
 import type { ParentLinkClosedEvent } from '../events.js';
+import type { Address } from '../model/address.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import { HEARTBEAT_TIMEOUT } from '../ownership/ownership-timing.js';
 import type { Redirect } from '../peers/messages.js';
@@ -10,7 +11,7 @@
 const LEADER_GRACE_PERIOD: Milliseconds = 400;
 
 /** Connects to another parent, or disconnects if `address` is null. */
-export function connectToParent(context: RouterContext, address: string | null): void {
+export function connectToParent(context: RouterContext, address: Address | null): void {
   const { tree } = context.state;
   tree.parent = address;
   tree.parentSince = context.now;
@@ -19,7 +20,7 @@
 }
 
 /** Connects to a new leader, except below a relay that still sends heartbeats: the relay connects to the new leader itself. */
-export function followLeader(context: RouterContext, address: string): void {
+export function followLeader(context: RouterContext, address: Address): void {
   const { tree } = context.state;
   const isRelayResponsive = tree.wasRedirected && context.now - tree.lastParentContactAt <= HEARTBEAT_TIMEOUT;
   if (tree.parent === null || !isRelayResponsive) {
--- a/src/router/tree/relay-choice.ts
+++ b/src/router/tree/relay-choice.ts
@@ -1,4 +1,5 @@
 /** Chooses the relay to which the leader redirects a daemon that connects to it. Pure. */
+import type { Address } from '../model/address.js';
 import type { Child } from './tree-state.js';
 
 /** The leader redirects only when it has at least this many children: small deployments have no relays. */
@@ -20,7 +21,11 @@
  *
  * @param failed address of a relay that didn't answer the daemon, or empty
  */
-export function chooseRelay(children: readonly Child[], zone: string, failed: string): Child | undefined {
+export function chooseRelay(
+  children: readonly Child[],
+  zone: string,
+  failed: Address | '',
+): Child | undefined {
   const inZone = children.filter((child) => child.zone === zone);
   if (children.length < MIN_CHILDREN_TO_REDIRECT || inZone.length < RELAYS_PER_ZONE) {
     return undefined;
--- a/src/router/tree/tree-state.ts
+++ b/src/router/tree/tree-state.ts
@@ -2,6 +2,7 @@
  * The propagation tree of daemons: the leader is the root, relays are its children, and the other daemons are children of the relays. A
  * child keeps one connection to its parent. Reports are sent up the tree; heartbeats, ownership and updates from the store are sent down.
  */
+import type { Address } from '../model/address.js';
 import type { DaemonName, Milliseconds } from '../model/identifiers.js';
 import type { LoadWindow } from '../load-view/load-window.js';
 import { REPORT_INTERVAL } from '../ownership/ownership-timing.js';
@@ -12,7 +13,7 @@
 
 /** A daemon that is connected to this one and reports to it. */
 export interface Child extends DaemonLife {
-  readonly address: string;
+  readonly address: Address;
   readonly zone: string;
   lastReportAt: Milliseconds;
   /** When the child sent its last report, by its own clock; 0: unknown. */
@@ -53,7 +54,7 @@
 /** A daemon's position in the propagation tree, and the data for its next report. */
 export interface TreeState {
   /** Address of the parent, or null for none. */
-  parent: string | null;
+  parent: Address | null;
   /** When the daemon switched to the current parent. */
   parentSince: Milliseconds;
   /** The leader redirected this daemon to a relay, and no heartbeat has arrived directly from a leader since. */
@@ -69,7 +70,7 @@
   /** Time until which a daemon that has left its relay waits for a heartbeat from the leader. */
   leaderGraceUntil: Milliseconds;
   /** Address of the last relay that didn't answer, or empty. */
-  failedRelay: string;
+  failedRelay: Address | '';
   /** Children of the parent that watch the store in addition to the parent; empty if the parent is a relay. */
   watchers: readonly DaemonName[];
   /** The children, by link number. */
@@ -126,6 +127,6 @@
 }
 
 /** Returns whether the parent is a relay, and not the leader with the given address. */
-export function hasRelayParent({ parent }: TreeState, leaderAddress: string | undefined): boolean {
+export function hasRelayParent({ parent }: TreeState, leaderAddress: Address | undefined): boolean {
   return parent !== null && parent !== leaderAddress;
 }
--- a/test/fuzz/all-properties.ts
+++ b/test/fuzz/all-properties.ts
@@ -1,5 +1,6 @@
 /** All properties of the suite, by boundary. */
+import { ADDRESS_PROPERTIES } from './address-properties.js';
 import type { FuzzProperty } from './fuzz-property.js';
 import { STORE_PROPERTIES } from './store-properties.js';
 
-export const ALL_PROPERTIES: readonly FuzzProperty[] = [...STORE_PROPERTIES];
+export const ALL_PROPERTIES: readonly FuzzProperty[] = [...ADDRESS_PROPERTIES, ...STORE_PROPERTIES];
--- a/test/platform/test-documents.ts
+++ b/test/platform/test-documents.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '../../src/router/model/configuration.js';
 import { instanceOf } from '../../src/router/model/server-incarnation.js';
 import type { ServerDescription } from '../../src/router/model/server.js';
+import { toAddress } from '../support/addresses.js';
 
 const ROUTE = {
   name: 'r',
@@ -101,6 +102,25 @@
     }
   });
 
+  // Opening a connection to such an address throws, which ends the process.
+  it('rejects a server whose address no connection can be opened to', () => {
+    for (const address of [
+      '10.0.0.1:0',
+      '10.0.0.1:65536',
+      '10.0.0.1:70000',
+      '10.0.0.1:99999',
+      '256.0.0.1:80',
+      '999.999.999.999:80',
+      '010.0.0.1:80',
+      '10.0.0.1:080',
+      '10.0.0.1:80:80',
+      '10.0.0.1:80\n',
+    ]) {
+      expect(parseEntry({ address })).toEqual(null);
+    }
+    expect(parseEntry({ address: '255.0.0.255:65535' })?.address).toEqual(toAddress('255.0.0.255:65535'));
+  });
+
   it('rejects a server whose name is not a valid header value', () => {
     for (const name of ['', 'i 1', 'i\n1', '\u00e9']) {
       const server = parseServer({ metadata: { name, revision: 4, made: 2 }, spec: SERVER_SPEC });
--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -7,6 +7,7 @@
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
 import type { ServerDescription } from '../../src/router/model/server.js';
 import type { FeedSource, ListOutcome, WatchOutcome } from '../../src/router/ports.js';
+import { toAddress } from '../support/addresses.js';
 
 const SERVER_SPEC = {
   service: 's',
@@ -50,7 +51,7 @@
     reportedNames = [];
     store = createServer((_, response) => response.end(responseBody));
     await new Promise<void>((resolve) => store.listen(0, '127.0.0.1', resolve));
-    api = new ObjectStoreClient(`127.0.0.1:${(store.address() as AddressInfo).port}`);
+    api = new ObjectStoreClient(toAddress(`127.0.0.1:${(store.address() as AddressInfo).port}`));
     feed = api.feed('servers', parseServer, (_, name) => reportedNames.push(name));
   });
 
--- a/test/platform/test-object-store-client.ts
+++ b/test/platform/test-object-store-client.ts
@@ -4,6 +4,7 @@
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
 import type { WatchOutcome } from '../../src/router/ports.js';
 import { MutingServer } from '../support/muting-server.js';
+import { toAddress } from '../support/addresses.js';
 
 const OBJECT_JSON = JSON.stringify({ metadata: { name: 'main', revision: 5 }, spec: {} });
 const RESPONSE = `HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${OBJECT_JSON.length}\r\n\r\n${OBJECT_JSON}`;
@@ -21,7 +22,7 @@
 describe('store client', () => {
   beforeEach(async () => {
     server = await MutingServer.start((socket) => void socket.write(RESPONSE));
-    api = new ObjectStoreClient(server.address);
+    api = new ObjectStoreClient(toAddress(server.address));
   });
 
   afterEach(async () => {
--- a/test/platform/test-server-control-client.ts
+++ b/test/platform/test-server-control-client.ts
@@ -8,6 +8,7 @@
 import type { LimitReading } from '../../src/router/model/server-limit.js';
 import type { ServerNotice } from '../../src/router/model/server-notice.js';
 import type { ControlListener } from '../../src/router/ports.js';
+import { toAddress } from '../support/addresses.js';
 
 /** Listener for calls whose notices and limits do not matter. */
 const IGNORING_LISTENER: ControlListener = { onNotice: () => undefined, onLimitRead: () => undefined };
@@ -31,7 +32,7 @@
     callId: 1,
     action: 'grant',
     server: 'i-1',
-    address,
+    address: toAddress(address),
     ...keys,
     timeout,
     healthPath: '/h',
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -11,6 +11,7 @@
 import type { ServerNotice } from '../../src/router/model/server-notice.js';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
+import { toAddress } from '../support/addresses.js';
 
 const ID = 'a-1';
 const OWN_HEADERS = `Fennelferry-Attempt-Id: ${ID}\r\nFennelferry-Server-Seal: s.1\r\n`;
@@ -43,7 +44,8 @@
   server = undefined;
 });
 
-async function send(address: string): Promise<Outcome> {
+async function send(text: string): Promise<Outcome> {
+  const address = toAddress(text);
   const connection = connections.acquire(address, ID);
   if (connection === null) {
     throw new Error('too many connections are open');
--- a/test/router-runtime/test-caller-frontend.ts
+++ b/test/router-runtime/test-caller-frontend.ts
@@ -7,6 +7,7 @@
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import type { RouterEvent } from '../../src/router/events.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
+import { listenOnLoopback, toAddress } from '../support/addresses.js';
 
 const ID = 'a-1';
 const OWN_HEADERS = `Fennelferry-Attempt-Id: ${ID}\r\nFennelferry-Server-Seal: s.1\r\n`;
@@ -49,7 +50,7 @@
     events.push(event);
     if (event.kind === 'requestArrived') {
       const { requestId } = event;
-      const address = newServer.address;
+      const address = toAddress(newServer.address);
       frontend.attempts.forward({
         kind: 'forward',
         requestId,
@@ -74,7 +75,7 @@
     isWriteAllowed: () => true,
   });
   runningFrontend = frontend;
-  await frontend.listen('127.0.0.1:0');
+  await listenOnLoopback(frontend.server);
   const { port } = frontend.server.address() as AddressInfo;
   const socket = createConnection({ host: '127.0.0.1', port });
   const chunks: Buffer[] = [];
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -13,6 +13,7 @@
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import { NO_ATTEMPT } from '../../src/router/request/request-execution.js';
+import { listenOnLoopback } from '../support/addresses.js';
 
 let runningFrontend: CallerFrontend | undefined;
 afterEach(() => runningFrontend?.closeAll());
@@ -52,7 +53,7 @@
     isWriteAllowed: () => true,
   });
   runningFrontend = frontend;
-  await frontend.listen('127.0.0.1:0');
+  await listenOnLoopback(frontend.server);
   const { port } = frontend.server.address() as AddressInfo;
   for (const [index, localAddress] of addresses.entries()) {
     await new Promise<void>((resolve, reject) => {
--- a/test/router-runtime/test-late-timeouts.ts
+++ b/test/router-runtime/test-late-timeouts.ts
@@ -4,6 +4,7 @@
 import { encodePeerMessage } from '../../src/router-runtime/peer-codec.js';
 import { PeerLinks } from '../../src/router-runtime/peer-links.js';
 import { AnsweringServer } from '../support/answering-server.js';
+import { toAddress } from '../support/addresses.js';
 
 /** Turns of the event loop after which an exchange has surely finished. */
 const SETTLED_TURNS = 200;
@@ -44,7 +45,7 @@
 
   // A daemon that is behind could disconnect from its parent although messages of the parent wait unread in the socket.
   it('keep a connection to a parent whose messages have arrived', async () => {
-    const message = encodePeerMessage({ kind: 'redirect', address: '127.0.0.1:1' });
+    const message = encodePeerMessage({ kind: 'redirect', address: toAddress('127.0.0.1:1') });
     const frame = Buffer.alloc(LENGTH_BYTES + message.length);
     frame.writeUInt32BE(message.length, 0);
     frame.set(message, LENGTH_BYTES);
@@ -58,7 +59,7 @@
       onMalformed: () => seen.push('malformed'),
     });
     openLinks = peerLinks;
-    peerLinks.connectToParent(server.address);
+    peerLinks.connectToParent(toAddress(server.address));
     await server.blockLoopWhileAnswering(LONGER_THAN_IDLE_TIMEOUT);
     await settle();
     expect(seen).toEqual(['opened', 'redirect']);
--- a/test/router/limits/test-unanswered-permits.ts
+++ b/test/router/limits/test-unanswered-permits.ts
@@ -6,8 +6,9 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 import { SingleDaemon } from '../support/single-daemon.js';
+import { toAddress } from '../../support/addresses.js';
 
-const PARENT = '10.0.0.8:1';
+const PARENT = toAddress('10.0.0.8:1');
 const TICK = 20;
 /** Longer than the few milliseconds that an answer of the leader takes. */
 const ANSWER_TIME = 2 * TICK;
--- a/test/router/load-view/test-load-messages.ts
+++ b/test/router/load-view/test-load-messages.ts
@@ -8,13 +8,14 @@
 import { loadViewOf } from '../../../src/router/load-view/load-view-of.js';
 import type { Heartbeat, Report } from '../../../src/router/peers/messages.js';
 import { SingleDaemon } from '../support/single-daemon.js';
+import { toAddress } from '../../support/addresses.js';
 
 const LINK = 4;
 const REPORT: Report = {
   kind: 'report',
   daemon: 'd2',
   life: 7,
-  address: '10.0.0.2:1',
+  address: toAddress('10.0.0.2:1'),
   zone: 'z',
   configurationVersion: 1,
   serversRevision: 0,
@@ -50,7 +51,7 @@
   term: 3,
   leader: 'd9',
   leaderLife: 9,
-  leaderAddress: '10.0.0.8:1',
+  leaderAddress: toAddress('10.0.0.8:1'),
   heardAge: 0,
   confirmationAge: 0,
   leaderRevision: 9,
--- a/test/router/news/test-feed-health.ts
+++ b/test/router/news/test-feed-health.ts
@@ -6,6 +6,7 @@
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION, PROMPT_RESPONSE } from '../support/single-daemon.js';
 import { BOUNDS } from '../support/bounds.js';
+import { toAddress } from '../../support/addresses.js';
 
 let state: RouterState;
 
@@ -24,7 +25,11 @@
 
 describe('the health of feeds', () => {
   beforeEach(() => {
-    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
+    state = createRouterState(
+      { daemon: 'd', zone: 'z', peerAddress: toAddress('10.0.0.9:1'), life: 1 },
+      BOUNDS,
+      1,
+    );
   });
 
   it('logs a failing feed once, with how long the call waited, and counts each failure', () => {
--- a/test/router/news/test-server-change-history.ts
+++ b/test/router/news/test-server-change-history.ts
@@ -3,9 +3,10 @@
 import { describe, it } from 'node:test';
 import { ServerChangeHistory } from '../../../src/router/news/server-change-history.js';
 import type { ServerChange } from '../../../src/router/peers/messages.js';
+import { toAddress } from '../../support/addresses.js';
 
 function change(id: string, revision: number, removed: boolean): ServerChange {
-  const place = { service: 'racks', address: '10.0.0.1:80', zone: 'z', slots: 2 };
+  const place = { service: 'racks', address: toAddress('10.0.0.1:80'), zone: 'z', slots: 2 };
   const server = { id, ...place, draining: false, warmupLeft: 0, listedAt: 1, revision };
   return { id, server: removed ? null : server };
 }
--- a/test/router/news/test-store-data-age.ts
+++ b/test/router/news/test-store-data-age.ts
@@ -8,6 +8,7 @@
 import { evacuationsConfirmedAt, storeDataConfirmedAt } from '../../../src/router/news/store-data-age.js';
 import { BOUNDS } from '../support/bounds.js';
 import { CONFIGURATION, describeServer, PROMPT_RESPONSE } from '../support/single-daemon.js';
+import { toAddress } from '../../support/addresses.js';
 
 const PARENT_LINK = -1;
 const NEVER = Number.NEGATIVE_INFINITY;
@@ -20,7 +21,13 @@
 }
 
 function heartbeat(change: Partial<Heartbeat>): RouterEvent {
-  const leader = { term: 3, leader: 'l', leaderLife: 7, leaderAddress: '10.0.0.8:70', heardAge: 0 };
+  const leader = {
+    term: 3,
+    leader: 'l',
+    leaderLife: 7,
+    leaderAddress: toAddress('10.0.0.8:70'),
+    heardAge: 0,
+  };
   const versions = {
     configurationVersion: 1,
     serversRevision: 1,
@@ -59,7 +66,11 @@
 
 describe('the time up to which data is confirmed', () => {
   beforeEach(() => {
-    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
+    state = createRouterState(
+      { daemon: 'd', zone: 'z', peerAddress: toAddress('10.0.0.9:1'), life: 1 },
+      BOUNDS,
+      1,
+    );
     now = 10_000;
     handle({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     handle({ kind: 'serversListed', servers: [describeServer('s1')], revision: 5 });
@@ -134,7 +145,7 @@
     kind: 'report',
     daemon,
     life: 2,
-    address: `10.0.0.${daemon.slice(1)}:70`,
+    address: toAddress(`10.0.0.${daemon.slice(1)}:70`),
     zone: 'z',
     configurationVersion: 1,
     serversRevision: 1,
--- a/test/router/news/test-store-updates.ts
+++ b/test/router/news/test-store-updates.ts
@@ -8,18 +8,25 @@
 import { createRouterState, type RouterState } from '../../../src/router/router-state.js';
 import { CONFIGURATION } from '../support/router-simulation.js';
 import { BOUNDS } from '../support/bounds.js';
+import { toAddress } from '../../support/addresses.js';
 
-const RELAY = '10.0.0.7:70';
-const LEADER = '10.0.0.8:70';
+const RELAY = toAddress('10.0.0.7:70');
+const LEADER = toAddress('10.0.0.8:70');
 const PARENT_LINK = -1;
 
-const identity = { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1, isFirstStart: true };
+const identity = {
+  daemon: 'd',
+  zone: 'z',
+  peerAddress: toAddress('10.0.0.9:1'),
+  life: 1,
+  isFirstStart: true,
+};
 
 const CHILD_REPORT: Report = {
   kind: 'report',
   daemon: 'child',
   life: 2,
-  address: '10.0.0.3:70',
+  address: toAddress('10.0.0.3:70'),
   zone: 'z',
   configurationVersion: 0,
   serversRevision: 5,
@@ -72,7 +79,7 @@
 }
 
 function server(id: string, revision: number): ServerDescription {
-  const place = { service: 'racks', address: '10.0.1.1:80', zone: 'z', slots: 2 };
+  const place = { service: 'racks', address: toAddress('10.0.1.1:80'), zone: 'z', slots: 2 };
   return { id, ...place, draining: false, warmupLeft: 0, listedAt: 1, revision };
 }
 
@@ -162,13 +169,13 @@
       revision: 11,
       changes: [{ id: 's3', server: null }],
     });
-    receiveMessage(heartbeat({ term: 2, leaderAddress: '10.9.9.9:1' }));
+    receiveMessage(heartbeat({ term: 2, leaderAddress: toAddress('10.9.9.9:1') }));
     receiveMessage({
       kind: 'leaderNotice',
       term: 3,
       leader: 'x',
       leaderLife: 1,
-      leaderAddress: '10.9.9.9:1',
+      leaderAddress: toAddress('10.9.9.9:1'),
     });
     expect(state.servers.size).toEqual(3);
     expect(state.election.leader?.address).toEqual(LEADER);
@@ -337,7 +344,7 @@
 
   it('never come from the daemon itself: a redirect to its own address is ignored', () => {
     receiveAllData();
-    receiveMessage({ kind: 'redirect', address: '10.0.0.9:1' });
+    receiveMessage({ kind: 'redirect', address: toAddress('10.0.0.9:1') });
     expect(state.tree.parent).toEqual(LEADER);
   });
 
--- a/test/router/ownership/test-election-reads.ts
+++ b/test/router/ownership/test-election-reads.ts
@@ -4,6 +4,7 @@
 import { reduce } from '../../../src/router/reducer.js';
 import { createRouterState } from '../../../src/router/router-state.js';
 import { BOUNDS } from '../support/bounds.js';
+import { toAddress } from '../../support/addresses.js';
 
 const OUTAGE = 5_000;
 const TICK = 20;
@@ -13,7 +14,11 @@
  * once.
  */
 function readsInOutage(): Record<StoredObjectName, number> {
-  const state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
+  const state = createRouterState(
+    { daemon: 'd', zone: 'z', peerAddress: toAddress('10.0.0.9:1'), life: 1 },
+    BOUNDS,
+    1,
+  );
   const reads = { leader: 0, ownership: 0, quarantines: 0 };
   for (let now = 0; now < OUTAGE; now += TICK) {
     for (const effect of reduce(state, now, { kind: 'tick' })) {
--- a/test/router/ownership/test-isolation.ts
+++ b/test/router/ownership/test-isolation.ts
@@ -8,6 +8,7 @@
 import { BOUNDS_WITH_RETRIES } from '../support/bounds.js';
 import { confirmData } from '../support/single-daemon.js';
 import { fingerprintOf } from '../support/fingerprints.js';
+import { toAddress } from '../../support/addresses.js';
 
 const NO_ANSWER = { waited: 400, reason: 'no answer', isConclusive: true } as const;
 const MISDIRECTED: AttemptResult = {
@@ -26,12 +27,18 @@
 
   constructor() {
     this.state = createRouterState(
-      { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 },
+      { daemon: 'd', zone: 'z', peerAddress: toAddress('10.0.0.9:1'), life: 1 },
       BOUNDS_WITH_RETRIES,
       1,
     );
     this.event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
-    const description = { id: 's1', service: SERVICE, address: '10.0.0.1:80', zone: 'z', slots: 4 };
+    const description = {
+      id: 's1',
+      service: SERVICE,
+      address: toAddress('10.0.0.1:80'),
+      zone: 'z',
+      slots: 4,
+    };
     const server = { ...description, draining: false, warmupLeft: 0, listedAt: 1, revision: 1 };
     this.event({ kind: 'serversListed', servers: [server], revision: 5 });
     confirmData(this.state, this.now);
@@ -59,7 +66,7 @@
   }
 
   readLeader(): void {
-    const description = { term: 1, daemon: 'other', life: 7, address: '10.0.0.8:1' };
+    const description = { term: 1, daemon: 'other', life: 7, address: toAddress('10.0.0.8:1') };
     const value = { ...description, beat: 1, settled: true, resigned: false };
     const outcome = { kind: 'found', revision: 3, value } as const;
     this.event({ kind: 'objectRead', object: 'leader', sentAt: this.now, outcome });
--- a/test/router/ownership/test-server-incarnations.ts
+++ b/test/router/ownership/test-server-incarnations.ts
@@ -14,6 +14,7 @@
 import { fingerprintOf } from '../support/fingerprints.js';
 import { RouterSimulation } from '../support/router-simulation.js';
 import { describeServer, SingleDaemon } from '../support/single-daemon.js';
+import { toAddress } from '../../support/addresses.js';
 
 const SETTLED = 6_000;
 /** Time until the server list changes. The renewals of the owner continue meanwhile, one every 850 ms. */
@@ -121,7 +122,7 @@
       const next = replaceUnlisted(simulation, owner);
       next.callsCheckedForName = new Set();
       simulation.clock.runUntil(simulation.clock.now + UNLISTED_TIME);
-      simulation.restartServer(owner, 2, '10.0.1.99:80');
+      simulation.restartServer(owner, 2, toAddress('10.0.1.99:80'));
       expectOneOwnerSoon(simulation, seed);
     }
   });
@@ -161,13 +162,17 @@
   it('is not carried over to the next incarnation under its name', () => {
     const daemon = new SingleDaemon();
     const changes = [
-      { id: 's1', server: { ...describeServer('s1#1'), address: '10.0.0.1:80', revision: 6 } },
+      { id: 's1', server: { ...describeServer('s1#1'), address: toAddress('10.0.0.1:80'), revision: 6 } },
     ];
     daemon.event({ kind: 'serversChanged', changes, revision: 6 });
     daemon.event({ kind: 'serverNoticed', server: 's1#1', notice: { leaving: true, rest: 5_000 } });
-    const next = [{ id: 's1', server: { ...describeServer('s1#2'), address: '10.0.0.1:80', revision: 7 } }];
+    const next = [
+      { id: 's1', server: { ...describeServer('s1#2'), address: toAddress('10.0.0.1:80'), revision: 7 } },
+    ];
     daemon.event({ kind: 'serversChanged', changes: next, revision: 7 });
-    expect(daemon.effectsOfKind('forgetConnections').map(({ address }) => address)).toInclude('10.0.0.1:80');
+    expect(daemon.effectsOfKind('forgetConnections').map(({ address }) => address)).toInclude(
+      toAddress('10.0.0.1:80'),
+    );
     const known = daemon.state.servers.get('s1#2');
     expect([known?.drainingSince, known?.backOff.left(daemon.now)]).toEqual([null, 0]);
     daemon.event({ kind: 'serverNoticed', server: 's1#1', notice: { leaving: true, rest: 5_000 } });
@@ -178,7 +183,7 @@
     const daemon = new SingleDaemon();
     const entry = (born: number, revision: number): ServerChange => ({
       id: 's1',
-      server: { ...describeServer(`s1#${born}`), address: '10.0.0.1:80', revision },
+      server: { ...describeServer(`s1#${born}`), address: toAddress('10.0.0.1:80'), revision },
     });
     daemon.event({ kind: 'serversChanged', changes: [entry(2, 7)], revision: 7 });
     daemon.event({ kind: 'serversChanged', changes: [entry(1, 6)], revision: 8 });
--- a/test/router/ownership/test-unconfirmed-releases.ts
+++ b/test/router/ownership/test-unconfirmed-releases.ts
@@ -17,6 +17,8 @@
 } from '../../../src/router/ownership/unconfirmed-releases.js';
 import { RouterSimulation, type SimulatedDaemon } from '../support/router-simulation.js';
 import type { SimulatedServer } from '../support/simulated-server.js';
+import type { Address } from '../../../src/router/model/address.js';
+import { toAddress } from '../../support/addresses.js';
 
 const SETTLED = 6_000;
 /** Time after which the keys of a server that is cut off have been granted to others. */
@@ -29,13 +31,13 @@
 const table: OwnershipTable = { ...EMPTY_TABLE, term: 1, nextFence: 10, units: [unit] };
 const release: UnconfirmedRelease = {
   server: 'a',
-  address: '10.0.1.1:80',
+  address: toAddress('10.0.1.1:80'),
   service: 'racks',
   from: 0,
   to: 99,
   fence: 10,
 };
-const addressOf = (): string => '10.0.1.1:80';
+const addressOf = (): Address => toAddress('10.0.1.1:80');
 
 function withOwner(owner: string, fence: number, releasing: string | null): OwnershipTable {
   return withUnits(table, [{ ...unit, owner, fence, releasing }]);
--- a/test/router/proxying/test-proxied-lifecycle.ts
+++ b/test/router/proxying/test-proxied-lifecycle.ts
@@ -260,7 +260,7 @@
       ...HEARTBEAT,
       daemon: 'd9',
       life: 9,
-      address: '',
+      address: HEARTBEAT.leaderAddress,
       beat: 0,
       settled: true,
       resigned: false,
--- a/test/router/support/heartbeats.ts
+++ b/test/router/support/heartbeats.ts
@@ -1,7 +1,8 @@
 /** Heartbeats of a leader that names proxies, as a daemon's parent passes them on. */
 import type { ProxyDescription } from '../../../src/router/proxying/proxy-candidate.js';
+import { toAddress } from '../../support/addresses.js';
 
-export const LEADER = { leader: 'd9', leaderLife: 9, leaderAddress: '10.0.0.8:1' };
+export const LEADER = { leader: 'd9', leaderLife: 9, leaderAddress: toAddress('10.0.0.8:1') };
 export const HEARTBEAT = {
   kind: 'heartbeat',
   term: 1,
@@ -26,7 +27,7 @@
   return {
     daemon: name,
     zone: 'z',
-    address: `10.0.1.${name.slice(1)}:71`,
+    address: toAddress(`10.0.1.${name.slice(1)}:71`),
     requests: 0,
     reached: [{ service: 'logs', age: 50 }],
     lostServices: [],
--- a/test/router/support/router-simulation.ts
+++ b/test/router/support/router-simulation.ts
@@ -21,6 +21,8 @@
 import { VirtualClock } from './virtual-clock.js';
 import { BOUNDS } from './bounds.js';
 import { CONFIGURATION, KEYED_SERVICE } from './simulation-configuration.js';
+import type { Address } from '../../../src/router/model/address.js';
+import { toAddress } from '../../support/addresses.js';
 
 export { CONFIGURATION, KEYED_SERVICE as SERVICE, type RequestEffectHandler, type SimulatedDaemon };
 
@@ -68,18 +70,19 @@
       this.addServer(`10.0.1.${index}:80`);
     }
     for (let index = 0; index < daemonCount; index += 1) {
-      this.#addDaemon(`d${index}`, `10.0.0.${index}:70`);
+      this.#addDaemon(`d${index}`, toAddress(`10.0.0.${index}:70`));
     }
     startTicks(this.clock, this.daemons, (daemon) => this.deliver(daemon, { kind: 'tick' }));
   }
 
   /** Adds a server. `listedAfter` delays its entry, and `warmupLeft` is its warm-up then, both in milliseconds. */
   addServer(
-    address: string,
+    text: string,
     service = KEYED_SERVICE,
     { listedAfter = 0, warmupLeft = 0 }: { listedAfter?: number; warmupLeft?: number } = {},
   ): SimulatedServer {
     this.#nextServer += 1;
+    const address = toAddress(text);
     const server = new SimulatedServer(`s${this.#nextServer}`, address, this.clock, this.checker);
     this.servers.push(server);
     const entry = {
@@ -166,7 +169,7 @@
     [this.configurations, this.serverEntries, this.evacuations].forEach((feed) => feed.blockWatches());
   }
 
-  #addDaemon(name: string, address: string): void {
+  #addDaemon(name: string, address: Address): void {
     const machine = new SimulatedMachine(this.clock);
     const daemon: SimulatedDaemon = {
       name,
@@ -187,7 +190,7 @@
     this.startDaemon(daemon);
   }
 
-  #createState(daemon: string, peerAddress: string): RouterState {
+  #createState(daemon: string, peerAddress: Address): RouterState {
     this.#lastIncarnation += 1;
     const isFirstStart = this.clock.now === 0;
     const proxyAddress = proxyAddressOf(peerAddress);
@@ -360,7 +363,7 @@
   }
 
   /** Tells the parent at an address that a daemon's link has closed. */
-  #closeLink(daemon: SimulatedDaemon, address: string | null): void {
+  #closeLink(daemon: SimulatedDaemon, address: Address | null): void {
     const parent = this.daemons.find((other) => other.address === address);
     if (parent !== undefined) {
       const { life } = parent;
@@ -370,7 +373,7 @@
   }
 
   /** Checks a daemon's link to its parent at intervals and notifies the daemon when it opens or closes. */
-  #checkLink(daemon: SimulatedDaemon, life: number, address: string | null, wasOpen: boolean): void {
+  #checkLink(daemon: SimulatedDaemon, life: number, address: Address | null, wasOpen: boolean): void {
     if (address === null || daemon.parentAddress !== address || daemon.life !== life) {
       return;
     }
--- a/test/router/support/simulated-daemon.ts
+++ b/test/router/support/simulated-daemon.ts
@@ -5,11 +5,13 @@
 import type { RouterState } from '../../../src/router/router-state.js';
 import type { StoreFeeds } from '../../../src/router-runtime/store-feeds.js';
 import type { SimulatedMachine } from './simulated-machine.js';
+import type { Address } from '../../../src/router/model/address.js';
+import { toAddress } from '../../support/addresses.js';
 
 /** A daemon with the state of its current incarnation. */
 export interface SimulatedDaemon {
   readonly name: string;
-  readonly address: string;
+  readonly address: Address;
   state: RouterState;
   life: number;
   alive: boolean;
@@ -25,14 +27,14 @@
   isTickWaiting: boolean;
   readonly machine: SimulatedMachine;
   clock: DaemonClock;
-  parentAddress: string | null;
+  parentAddress: Address | null;
   /** The lists and watches of the daemon in the store; null before its first start. */
   feeds: StoreFeeds | null;
 }
 
 /** Returns the address at which a simulated daemon takes requests of other daemons. */
-export function proxyAddressOf(address: string): string {
-  return address.replace(/:\d+$/, ':71');
+export function proxyAddressOf(address: Address): Address {
+  return toAddress(address.replace(/:\d+$/, ':71'));
 }
 
 /** Performs the effects that concern callers' requests. */
--- a/test/router/support/simulated-server.ts
+++ b/test/router/support/simulated-server.ts
@@ -4,6 +4,7 @@
 import { instanceOf } from '../../../src/router/model/server-incarnation.js';
 import type { ControlEffect } from '../../../src/router/effects.js';
 import type { VirtualClock } from './virtual-clock.js';
+import type { Address } from '../../../src/router/model/address.js';
 
 /** The keys that the checker examines: a sample of all keys, since units may begin and end at any key. */
 export const CHECKED_KEYS: readonly number[] = Array.from({ length: 128 }, (_, index) => index * 512 + 7);
@@ -92,7 +93,7 @@
 
   constructor(
     readonly id: string,
-    readonly address: string,
+    readonly address: Address,
     readonly clock: VirtualClock,
     readonly checker: OwnerChecker,
   ) {
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -11,6 +11,7 @@
 import { BOUNDS_WITH_RETRIES } from './bounds.js';
 import { fingerprintOf } from './fingerprints.js';
 import { IDLE_CONDITIONS } from './simulated-server.js';
+import { toAddress } from '../../support/addresses.js';
 
 /** Two routes to a balanced service and one to a keyed service. */
 export const CONFIGURATION: Configuration = {
@@ -79,7 +80,7 @@
 
 /** Describes a server of the balanced service. */
 export function describeServer(id: string): ServerDescription {
-  const address = `10.0.0.${id.slice(1)}:80`;
+  const address = toAddress(`10.0.0.${id.slice(1)}:80`);
   return {
     id,
     service: 'logs',
@@ -118,7 +119,7 @@
   isDataConfirmed = true;
 
   constructor() {
-    const identity = { daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 };
+    const identity = { daemon: 'd', zone: 'z', peerAddress: toAddress('10.0.0.9:1'), life: 1 };
     this.state = createRouterState(identity, BOUNDS_WITH_RETRIES, 1);
     this.event({ kind: 'configuration', configuration: CONFIGURATION, revision: 1 });
     this.event({
--- a/test/router/test-feed-lag.ts
+++ b/test/router/test-feed-lag.ts
@@ -4,6 +4,7 @@
 import { reduce } from '../../src/router/reducer.js';
 import { createRouterState, type RouterState } from '../../src/router/router-state.js';
 import { BOUNDS } from './support/bounds.js';
+import { toAddress } from '../support/addresses.js';
 
 let state: RouterState;
 
@@ -24,7 +25,7 @@
     configurationRevision: 0,
     leader: 'other',
     leaderLife: 7,
-    leaderAddress: '10.0.0.8:1',
+    leaderAddress: toAddress('10.0.0.8:1'),
     heardAge: 0,
     watchers: [],
     proxies: [],
@@ -41,7 +42,11 @@
 
 describe('a daemon whose feeds are behind those of other daemons', () => {
   beforeEach(() => {
-    state = createRouterState({ daemon: 'd', zone: 'z', peerAddress: '10.0.0.9:1', life: 1 }, BOUNDS, 1);
+    state = createRouterState(
+      { daemon: 'd', zone: 'z', peerAddress: toAddress('10.0.0.9:1'), life: 1 },
+      BOUNDS,
+      1,
+    );
   });
 
   // Without the wait, each change of a server makes daemons whose watch is a little later list all servers again.
--- a/test/router/test-ownership-simulation.ts
+++ b/test/router/test-ownership-simulation.ts
@@ -72,7 +72,7 @@
       victim.alive = false;
       simulation.removeEntry(victim.id);
     });
-    simulation.addServer(`10.0.2.${Math.round(simulation.clock.now)}:80`);
+    simulation.addServer(`10.0.2.${simulation.servers.length}:80`);
   }
 }
 
--- a/test/router/test-router-settings.ts
+++ b/test/router/test-router-settings.ts
@@ -37,6 +37,27 @@
     expect(bad.isErr() && bad.error.faults.length).toEqual(2);
   });
 
+  // A daemon with such an address would end with an exception while it starts.
+  it('are rejected if an address has a port that is none, or more than four octets', () => {
+    const listen = {
+      http: '10.0.0.1:65536',
+      readiness: '10.0.0.256:81',
+      admin: '10.0.0.1:0',
+      peers: '10.0.0.1.1:83',
+      proxy: '10.0.0.1:00084',
+    };
+    const bad = { ...GOOD, listen, store: { ...GOOD.store, address: '300.0.0.1:80' } };
+    const settings = checkRouterSettings(bad, 'test');
+    expect(settings.isErr() && settings.error.faults).toEqual([
+      'listen.http: found "10.0.0.1:65536"; allowed: a port from 1 to 65535 without leading zeros',
+      'listen.readiness: found "10.0.0.256:81"; allowed: an ip number of four octets without leading zeros',
+      'listen.admin: found "10.0.0.1:0"; allowed: a port from 1 to 65535 without leading zeros',
+      'listen.peers: found "10.0.0.1.1:83"; allowed: an ip number of four octets without leading zeros',
+      'listen.proxy: found "10.0.0.1:00084"; allowed: a port from 1 to 65535 without leading zeros',
+      'store.address: found "300.0.0.1:80"; allowed: an ip number of four octets without leading zeros',
+    ]);
+  });
+
   it('are rejected with all errors at once, each with its path, the value found and the values allowed', () => {
     const bad = { ...GOOD, zone: 7, listen: { ...GOOD.listen, http: 'nowhere' }, retries: { ratio: 0.2 } };
     const settings = checkRouterSettings(bad, 'test');
--- a/test/router/tree/test-relay-choice.ts
+++ b/test/router/tree/test-relay-choice.ts
@@ -3,12 +3,13 @@
 import { FLEET_WINDOW, LoadWindow } from '../../../src/router/load-view/load-window.js';
 import { chooseRelay } from '../../../src/router/tree/relay-choice.js';
 import type { Child } from '../../../src/router/tree/tree-state.js';
+import { toAddress } from '../../support/addresses.js';
 
 function child(index: number, zone: string, daemons: number): Child {
   return {
     daemon: `d${index}`,
     life: index,
-    address: `10.0.0.${index}:70`,
+    address: toAddress(`10.0.0.${index}:70`),
     zone,
     lastReportAt: 0,
     reportSentAt: 0,
@@ -37,7 +38,7 @@
   });
 
   it('skips a relay that the daemon could not reach', () => {
-    expect(chooseRelay(CHILDREN, 'z1', '10.0.0.5:70')?.daemon).toEqual('d1');
+    expect(chooseRelay(CHILDREN, 'z1', toAddress('10.0.0.5:70'))?.daemon).toEqual('d1');
   });
 
   it('falls back to a relay in another zone, then to the leader, when relays are at capacity', () => {
--- a/test/router/tree/test-watchers.ts
+++ b/test/router/tree/test-watchers.ts
@@ -6,10 +6,12 @@
 import { chooseStoreWatchers } from '../../../src/router/tree/heartbeats.js';
 import type { Child } from '../../../src/router/tree/tree-state.js';
 import { BOUNDS } from '../support/bounds.js';
+import { toAddress } from '../../support/addresses.js';
 
 const NOW = 60_000;
 
 function child(daemon: string, zone: string, lastReportAt: number): Child {
+  const address = toAddress('10.0.0.1:70');
   const sent = {
     reportSentAt: 0,
     serversSentAt: 0,
@@ -21,11 +23,11 @@
     loadDaemons: 1,
     loadWindow: new LoadWindow(FLEET_WINDOW),
   };
-  return { daemon, life: 1, address: `${daemon}:70`, zone, lastReportAt, daemons: 1, ...sent };
+  return { daemon, life: 1, address, zone, lastReportAt, daemons: 1, ...sent };
 }
 
 function leaderWith(children: readonly Child[]): RouterState {
-  const identity = { daemon: 'l', zone: 'z0', peerAddress: '10.0.0.9:1', life: 1 };
+  const identity = { daemon: 'l', zone: 'z0', peerAddress: toAddress('10.0.0.9:1'), life: 1 };
   const state = createRouterState(identity, BOUNDS, 1);
   children.forEach((each, link) => state.tree.children.set(link, each));
   return state;
--- a/test/support/blocked-loop-front.ts
+++ b/test/support/blocked-loop-front.ts
@@ -2,6 +2,7 @@
  * Runs a `CallerFrontend` whose event loop is blocked until callers on another thread have sent their requests and disconnected. Every request that the frontend
  * admits is forwarded to a server.
  */
+import { listenOnLoopback, toAddress } from './addresses.js';
 import type { AddressInfo } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
@@ -114,7 +115,7 @@
       );
     };
     const heldUp = new BlockedLoopFront(await RawServer.start(answer));
-    await heldUp.#front.listen('127.0.0.1:0');
+    await listenOnLoopback(heldUp.#front.server);
     heldUp.#tick.start();
     heldUp.#barrier.setLoopCheck(() => heldUp.#monitor.isOnTime(performance.now()));
     const { port } = heldUp.#front.server.address() as AddressInfo;
@@ -189,7 +190,7 @@
   }
 
   #forward({ requestId }: RequestArrivedEvent): void {
-    const target = { server: 'i-1', address: this.#server.address };
+    const target = { server: 'i-1', address: toAddress(this.#server.address) };
     const options = { timeLeft: 500, buffer: true, isLimited: false, repeatable: true };
     this.#front.attempts.forward({ kind: 'forward', requestId, attempt: 1, ...target, ...options });
   }
--- a/test/support/frontend-fixture.ts
+++ b/test/support/frontend-fixture.ts
@@ -1,4 +1,5 @@
 /** A frontend on loopback with a scripted reducer, and callers that pipeline requests and decide when they read. */
+import { listenOnLoopback, toAddress } from './addresses.js';
 import { createConnection, type AddressInfo, type Socket } from 'node:net';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
@@ -114,7 +115,7 @@
     options: Partial<CallerFrontendOptions> = {},
   ): Promise<FrontendFixture> {
     const fixture = new FrontendFixture(serverAddress, options);
-    await fixture.frontend.listen('127.0.0.1:0');
+    await listenOnLoopback(fixture.frontend.server);
     return fixture;
   }
 
@@ -132,7 +133,7 @@
       requestId,
       attempt,
       server: 'i-1',
-      address: this.#serverAddress,
+      address: toAddress(this.#serverAddress),
       timeLeft: 30_000,
       buffer: true,
       isLimited: false,
--- a/test/support/proxied-frontends.ts
+++ b/test/support/proxied-frontends.ts
@@ -2,6 +2,7 @@
  * Two frontends on loopback: one sends every request of its callers to the other as a proxy, which sends it to a server. What the
  * reducers would decide is scripted.
  */
+import { listenOnLoopback, toAddress } from './addresses.js';
 import { createConnection, type AddressInfo, type Socket } from 'node:net';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
@@ -41,9 +42,9 @@
 
   static async start(serverAddress: string): Promise<ProxiedFrontends> {
     const frontends = new ProxiedFrontends(serverAddress);
-    await frontends.origin.listen('127.0.0.1:0');
-    await frontends.proxy.listen('127.0.0.1:0');
-    await frontends.proxy.listenForDaemons('127.0.0.1:0');
+    await listenOnLoopback(frontends.origin.server);
+    await listenOnLoopback(frontends.proxy.server);
+    await listenOnLoopback(frontends.proxy.proxyServer);
     return frontends;
   }
 
@@ -114,7 +115,7 @@
         kind: 'forwardToProxy',
         requestId: event.requestId,
         attempt: 1,
-        address: `127.0.0.1:${portOf(this.proxy.proxyServer.address())}`,
+        address: toAddress(`127.0.0.1:${portOf(this.proxy.proxyServer.address())}`),
         timeLeft: TIME_LEFT,
         origin: ORIGIN,
       });
@@ -134,7 +135,7 @@
       requestId,
       attempt: 1,
       server: 'i-1',
-      address: this.#serverAddress,
+      address: toAddress(this.#serverAddress),
       timeLeft: callerTimeout ?? 0,
       buffer: true,
       isLimited: false,
--- a/test/wire/test-peer-codec.ts
+++ b/test/wire/test-peer-codec.ts
@@ -5,6 +5,7 @@
 import type { PeerMessage } from '../../src/router/peers/messages.js';
 import { router } from '../../src/wire/generated/router.js';
 import { CONFIGURATION } from '../router/support/router-simulation.js';
+import { toAddress } from '../support/addresses.js';
 
 const LARGE = {
   ...CONFIGURATION,
@@ -13,11 +14,24 @@
     name: `route-${index}`,
   })),
 };
-const SERVER = { id: 's1', service: 'racks', address: '10.0.0.1:80', zone: 'z1', slots: 2, draining: true };
+const SERVER = {
+  id: 's1',
+  service: 'racks',
+  address: toAddress('10.0.0.1:80'),
+  zone: 'z1',
+  slots: 2,
+  draining: true,
+};
 
 const MESSAGES: readonly PeerMessage[] = [
-  { kind: 'redirect', address: '10.0.0.1:70' },
-  { kind: 'leaderNotice', term: 3, leader: 'd1', leaderLife: 2 ** 46, leaderAddress: '10.0.0.1:70' },
+  { kind: 'redirect', address: toAddress('10.0.0.1:70') },
+  {
+    kind: 'leaderNotice',
+    term: 3,
+    leader: 'd1',
+    leaderLife: 2 ** 46,
+    leaderAddress: toAddress('10.0.0.1:70'),
+  },
   {
     kind: 'serverNews',
     base: 5,
@@ -33,7 +47,7 @@
     term: 3,
     leader: 'd1',
     leaderLife: 2 ** 46,
-    leaderAddress: '10.0.0.1:70',
+    leaderAddress: toAddress('10.0.0.1:70'),
     heardAge: 5,
     confirmationAge: 900,
     leaderRevision: 8,
@@ -49,7 +63,7 @@
       {
         daemon: 'd3',
         zone: 'a',
-        address: '10.0.0.3:7',
+        address: toAddress('10.0.0.3:7'),
         requests: 4,
         reached: [{ service: 'racks', age: 12.5 }],
         lostServices: ['logs'],
@@ -108,7 +122,7 @@
   }
 
   it('decodes evacuations as null when the sender does not know them', () => {
-    const heartbeat = { term: 3, leader: 'd1', leaderAddress: '10.0.0.1:70' };
+    const heartbeat = { term: 3, leader: 'd1', leaderAddress: toAddress('10.0.0.1:70') };
     const decoded = decodePeerMessage(router.Frame.encode({ heartbeat }).finish(), 'peer');
     expect(decoded.isOk() && decoded.value.kind === 'heartbeat' && decoded.value.evacuations).toEqual(null);
   });
