Check the addresses in peers' messages before the reducer sees them

Callers of a daemon below a relay of another version lost it to an exception: a redirect, a leader's notice or a server that the relay passed on could name any text as an address, and PeerLinks.connectToParent throws ERR_SOCKET_BAD_PORT for 127.0.0.1:65536, and for `nowhere`, at once.

Cause: the decoder cast what protobuf gave it.

Now an item whose address is none is left out (a proxy of a list, the reach of a report, a failed relay) or describes no server (an entry in serverNews, as a malformed one in the store); a message whose own address is none is malformed. Items are counted in malformed_peer_items and logged; both kinds of lines are limited to one a second, with the number of those left out. A parent whose messages are malformed gets new connections after delays that double from 150 ms to 2.4 s instead of one each 150 ms.

--- a/src/router-runtime/peer-codec.ts
+++ b/src/router-runtime/peer-codec.ts
@@ -6,6 +6,7 @@
 import type { Configuration, Service } from '../router/model/configuration.js';
 import type { PeerMessage } from '../router/peers/messages.js';
 import { router } from '../wire/generated/router.js';
+import { checkAddresses, type ItemListener } from './peer-addresses.js';
 
 // Without the Long type the library decodes 64-bit integers as plain numbers.
 (protobuf.util as { Long: unknown }).Long = undefined;
@@ -67,17 +68,31 @@
     : frame;
 }
 
-/** Decodes a frame. An error names `peer`, the daemon that sent the bytes. */
-export function decodePeerMessage(bytes: Uint8Array, peer: string): Result<PeerMessage, WireError> {
+/**
+ * Decodes a frame and checks its addresses. An error names `peer`, the daemon that sent the bytes.
+ *
+ * @param onMalformedItem receives what is wrong with each item that is left out
+ */
+export function decodePeerMessage(
+  bytes: Uint8Array,
+  peer: string,
+  onMalformedItem: ItemListener = () => undefined,
+): Result<PeerMessage, WireError> {
+  return decode(bytes)
+    .andThen((message) => checkAddresses(message, onMalformedItem))
+    .mapErr((detail) => new WireError('decode peer message', peer, detail));
+}
+
+/** Returns the message in a frame, or why there is none. */
+function decode(bytes: Uint8Array): Result<PeerMessage, string> {
   try {
     const decoded = decodeFrame(bytes);
     const kind = decoded.payload;
     if (kind === undefined || kind === 'deflated') {
-      return err(new WireError('decode peer message', peer, 'no payload'));
+      return err('no payload');
     }
     return ok(fromWire(kind, router.Frame.toObject(decoded, TO_OBJECT_OPTIONS)[kind] as object));
   } catch (cause) {
-    const detail = cause instanceof Error ? cause.message : String(cause);
-    return err(new WireError('decode peer message', peer, detail));
+    return err(cause instanceof Error ? cause.message : String(cause));
   }
 }
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -15,6 +15,8 @@
 /** The connection to a peer that doesn't read is closed when more than this is queued for it. */
 const MAX_BACKLOG_BYTES = 1024 * 1024;
 const RECONNECT_DELAY_MILLISECONDS = 150;
+/** The longest delay after messages that could not be parsed. */
+const MAX_RECONNECT_DELAY_MILLISECONDS = 2_400;
 const CONNECT_TIMEOUT_MILLISECONDS = 600;
 /** A connection to a parent on which nothing arrives for this long is closed and opened again. */
 const IDLE_TIMEOUT_MILLISECONDS = 1_500;
@@ -28,7 +30,10 @@
   onParentOpened(): void;
   /** The connection to the parent was closed or could not be established. */
   onParentClosed(address: Address, isRefused: boolean): void;
+  /** Bytes of a peer were no message. Its connection is closed. */
   onMalformed(peer: string, detail: string): void;
+  /** An item of a message was left out. */
+  onMalformedItem(peer: string, detail: string): void;
 }
 
 function encodeFrame(message: PeerMessage): Buffer {
@@ -58,6 +63,10 @@
   #parentAddress: Address | null = null;
   #parent: Socket | null = null;
   #reconnectTimer: NodeJS.Timeout | undefined;
+  /** A malformed message ends the current connection to the parent. */
+  #isParentMalformed = false;
+  /** Connections to the parent in a row that have ended in this way. */
+  #malformedInARow = 0;
   #isClosed = false;
 
   constructor(listener: PeerLinksListener) {
@@ -73,6 +82,8 @@
   /** Keeps a connection to the parent at an address, or to no parent if it is null. Replaces the former connection. */
   connectToParent(address: Address | null): void {
     this.#parentAddress = address;
+    this.#isParentMalformed = false;
+    this.#malformedInARow = 0;
     clearTimeout(this.#reconnectTimer);
     const formerParent = this.#parent;
     this.#parent = null;
@@ -155,13 +166,23 @@
     socket.on('close', () => {
       if (this.#parent === socket) {
         this.#parent = null;
-        this.#reconnectTimer = setTimeout(() => this.#connectParent(), RECONNECT_DELAY_MILLISECONDS);
+        this.#malformedInARow = this.#isParentMalformed ? this.#malformedInARow + 1 : 0;
+        this.#isParentMalformed = false;
+        this.#reconnectTimer = setTimeout(() => this.#connectParent(), this.#reconnectDelay());
         this.#listener.onParentClosed(address, isRefused);
       }
     });
     this.#readMessages(socket, 0);
   }
 
+  /** A parent whose messages are malformed would most likely send them again at once: the delay doubles with each of them. */
+  #reconnectDelay(): number {
+    return Math.min(
+      MAX_RECONNECT_DELAY_MILLISECONDS,
+      RECONNECT_DELAY_MILLISECONDS * 2 ** this.#malformedInARow,
+    );
+  }
+
   #acceptChild(socket: Socket): void {
     const link = this.#nextLink;
     this.#nextLink += 1;
@@ -180,8 +201,11 @@
     const peer = `${socket.remoteAddress}:${socket.remotePort}`;
     socket.on('data', (bytes: Buffer) => {
       for (const payload of reader.push(bytes) ?? [Buffer.alloc(0)]) {
-        const message = decodePeerMessage(payload, peer);
+        const message = decodePeerMessage(payload, peer, (detail) =>
+          this.#listener.onMalformedItem(peer, detail),
+        );
         if (message.isErr()) {
+          this.#isParentMalformed ||= socket === this.#parent;
           socket.destroy();
           this.#listener.onMalformed(peer, message.error.message);
           return;
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -26,6 +26,7 @@
 import { logLoopDelays } from './loop-log.js';
 import { LoopMonitor } from './loop-monitor.js';
 import { MalformedObjects } from './malformed-objects.js';
+import { PacedEvent } from './paced-event.js';
 import { PlatformCalls } from './platform-calls.js';
 import { toRouterBounds } from './settings-bounds.js';
 import { PeerLinks } from './peer-links.js';
@@ -101,6 +102,8 @@
       longestReadDelay: (host, target) => maxReadDelay(this.state, host, target),
       isWriteAllowed: (server) => this.#isWriteAllowed(server),
     });
+    const malformedMessages = new PacedEvent(this.#log, 'malformed_peer_message');
+    const malformedItems = new PacedEvent(this.#log, 'malformed_peer_item');
     this.#peers = new PeerLinks({
       onMessage: (link, message) => this.dispatch({ kind: 'peerMessage', link, message }),
       onChildClosed: (link) => this.dispatch({ kind: 'peerLeft', link }),
@@ -108,7 +111,11 @@
       onParentClosed: (address, refused) => this.dispatch({ kind: 'parentLinkClosed', address, refused }),
       onMalformed: (peer, detail) => {
         this.state.counters.malformed_peer_messages += 1;
-        this.#log.event('warn', 'malformed_peer_message', { peer, detail });
+        malformedMessages.record({ peer, detail });
+      },
+      onMalformedItem: (peer, detail) => {
+        this.state.counters.malformed_peer_items += 1;
+        malformedItems.record({ peer, detail });
       },
     });
     this.#readiness = createServer((request, response) => {
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -65,6 +65,7 @@
   'malformed_load_reports',
   'malformed_load_views',
   'malformed_peer_messages',
+  'malformed_peer_items',
   'malformed_store_objects',
   'log_lines_dropped',
 ] as const;
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -264,7 +264,14 @@
     when: 'an object of the store cannot be parsed, logged once for each object: it is skipped, and no server is taken from it',
     fields: 'kind, name, problem (the first violation: path and what is wrong)',
   },
-  malformed_peer_message: { when: 'bytes received from a peer cannot be parsed', fields: 'peer, detail' },
+  malformed_peer_message: {
+    when: 'bytes received from a peer cannot be parsed; at most one line a second',
+    fields: 'peer, detail, unlogged',
+  },
+  malformed_peer_item: {
+    when: 'an item of a message from a peer has an address that is none, and is left out; at most one line a second',
+    fields: 'peer, detail, unlogged',
+  },
   log_lines_dropped: {
     when: 'log lines of the previous second were dropped: they exceeded the limits of the log',
     fields: 'lines',
--- a/test/router-runtime/test-late-timeouts.ts
+++ b/test/router-runtime/test-late-timeouts.ts
@@ -57,6 +57,7 @@
       onParentOpened: () => seen.push('opened'),
       onParentClosed: () => seen.push('closed'),
       onMalformed: () => seen.push('malformed'),
+      onMalformedItem: () => seen.push('malformed item'),
     });
     openLinks = peerLinks;
     peerLinks.connectToParent(toAddress(server.address));
--- a/test/wire/test-peer-codec.ts
+++ b/test/wire/test-peer-codec.ts
@@ -113,6 +113,8 @@
   { kind: 'configurationNews', revision: 5, configuration: LARGE },
 ];
 
+const ODD_ADDRESSES = ['', 'nowhere', '127.0.0.1:65536', '999.0.0.1:80', '10.0.0.1:0', '127.0.0.1:x'];
+
 describe('peer message codec', () => {
   for (const message of MESSAGES) {
     it(`decodes a message to the original: ${message.kind}`, () => {
@@ -132,6 +134,64 @@
     expect(bytes.length < 30_000).toEqual(true);
   });
 
+  // A connection to such an address can't even be created: the exception would end the process.
+  it('rejects a message whose own address is none', () => {
+    for (const address of ODD_ADDRESSES) {
+      const frames: router.IFrame[] = [
+        { heartbeat: { term: 3, leader: 'd1', leaderAddress: address } },
+        { leaderNotice: { term: 3, leader: 'd1', leaderAddress: address } },
+        { redirect: { address } },
+        { report: { daemon: 'd1', address } },
+      ];
+      for (const frame of frames) {
+        const decoded = decodePeerMessage(router.Frame.encode(frame as router.Frame).finish(), 'peer');
+        expect(decoded.isErr() && decoded.error.message.includes('ddress: allowed:')).toEqual(true);
+      }
+    }
+  });
+
+  // One odd entry that a relay of another version passes on must not cost the others of its list.
+  it('leaves out the items whose address is none, and names them', () => {
+    const sound = { daemon: 'd2', address: '10.0.0.2:71' };
+    const none = { daemon: 'd4', address: '' };
+    for (const address of ODD_ADDRESSES.filter((text) => text !== '')) {
+      const odd = { daemon: 'd3', address };
+      const report = {
+        daemon: 'd1',
+        address: '10.0.0.1:70',
+        failedRelay: address,
+        reach: odd,
+        proxies: [odd, none],
+      };
+      const heartbeat = { leaderAddress: '10.0.0.1:70', proxies: [odd, sound, none] };
+      const entries = [
+        { id: 's1', server: { id: 's1', address } },
+        { id: 's2', server: { id: 's2', address: '10.0.0.2:80' } },
+      ];
+      const problems: string[] = [];
+      const decode = (frame: router.IFrame): PeerMessage =>
+        decodePeerMessage(router.Frame.encode(frame as router.Frame).finish(), 'peer', (problem) =>
+          problems.push(problem),
+        )._unsafeUnwrap();
+      expect(decode({ report })).toLooseEqual(
+        expect.subset({ kind: 'report', failedRelay: '', reach: null, proxies: [expect.subset(none)] }),
+      );
+      expect(decode({ heartbeat })).toLooseEqual(
+        expect.subset({ proxies: [expect.subset(sound), expect.subset(none)] }),
+      );
+      expect(decode({ serverNews: { changes: entries } })).toLooseEqual(
+        expect.subset({ changes: [{ id: 's1', server: null }, expect.subset({ id: 's2' })] }),
+      );
+      expect(problems.map((problem) => problem.split(':')[0])).toEqual([
+        'failedRelay',
+        'proxy d3',
+        'proxy d3',
+        'proxy d3',
+        'server s1',
+      ]);
+    }
+  });
+
   it('rejects garbage, compressed garbage and messages that are too large when decompressed', () => {
     const oversized = deflateRawSync(Buffer.alloc(17 * 1024 * 1024));
     const malformed = [
