--- a/test/router/request/test-load-estimate.ts
+++ b/test/router/request/test-load-estimate.ts
@@ -58,6 +58,17 @@
   return selection.kind === 'selected' ? selection.server.server.id : selection.kind;
 }
 
+/** Returns the same estimate from the probability of each number of requests, computed by its logarithm. */
+function summedRounds(slots: number, others: number): number {
+  let rounds = 0;
+  let logarithm = -others;
+  for (let count = 1; count < 3 * others + slots + 100; count += 1) {
+    logarithm += Math.log(others / count);
+    rounds += (Math.max(0, count + 1 - slots) / slots) * Math.exp(logarithm);
+  }
+  return rounds;
+}
+
 describe('the estimate of the wait at a server', () => {
   it('is zero at an idle server and exact for requests of this daemon', () => {
     expect(expectedQueuedRounds(2, 0, 0)).toEqual(0);
@@ -70,6 +81,25 @@
     const expected = (1 - 1 + Math.exp(-1)) / 2;
     expect(Math.abs(expectedQueuedRounds(2, 0, 1) - expected) < 1e-12).toEqual(true);
   });
+
+  it('is as precise for many slots as the sum of all terms', () => {
+    for (const slots of [1, 2, 3, 8, 30, 65, 66, 100, 400, 1_000]) {
+      const tolerance = slots <= 65 ? 1e-9 : 0.001;
+      for (const use of [0.1, 0.5, 0.8, 0.95, 1, 1.1, 2, 5]) {
+        const difference = expectedQueuedRounds(slots, 0, use * slots) - summedRounds(slots, use * slots);
+        expect(Math.abs(difference) < tolerance).toEqual(true);
+      }
+    }
+  });
+
+  it('is a number for any finite number of slots and requests', () => {
+    const values = [0, 5e-324, 1, 3, 1e6, Number.MAX_SAFE_INTEGER, 1e308];
+    for (const slots of values.slice(2)) {
+      for (const others of values) {
+        expect(expectedQueuedRounds(slots, 0, others) >= 0).toEqual(true);
+      }
+    }
+  });
 });
 
 // A server without a recent report was assumed to be idle, so that all daemons sent to it at once.
