Take interim answers that a server sends unasked, within a bound

What callers saw: a server that sends `100 Continue` before its answers lost all of them; its callers got 502 and it was backed off from. A server that sent only other interim answers held a request until its deadline, however many they were.

Cause: undici's client takes 102, 103 and other interim answers, but closes the connection upon a 100 that it has not asked for. RFC 9110, section 15.2, wants a client to take any. It has no bound on their number.

The fix changes the status of such an answer to that of another interim one before the client's parser reads it, and counts the bytes. It follows the bytes only from a written request to the status of its final answer, so that no body is touched, adds or removes no byte, and leaves all judgement on framing to the parser: what the parser refused it still refuses. 101 is still a failure. An interim answer on an idle connection still closes it.

An interim head, or a head behind one, that is cut at any byte (closed, reset, half-closed, held and closed) is a lost attempt, before and after.

--- a/src/http-client/resetting-connector.ts
+++ b/src/http-client/resetting-connector.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import type { buildConnector as BuildConnector } from 'undici';
 import buildConnector from 'undici/lib/core/connect.js';
+import { takeInterimAnswers } from './interim-answers.js';
 
 /** Whether an error comes from the connection itself, which has then failed and needs no reset. */
 function isSystemError(error: Error | undefined): boolean {
@@ -30,7 +31,7 @@
 }
 
 /**
- * Returns a connector for an undici client that resets destroyed connections. Takes the options of undici's `buildConnector`.
+ * Returns a connector for an undici client that resets destroyed connections and takes interim answers. Takes the options of undici's `buildConnector`.
  *
  * @example
  * new Pool(origin, { connect: buildResettingConnector({ timeout: 500 }) });
@@ -42,6 +43,7 @@
       const [error, socket] = result;
       if (error === null) {
         resetOnDestroy(socket);
+        takeInterimAnswers(socket);
       }
       callback(...result);
     });
