Hold the reads of a socket in place of pausing the HTTP client

What callers saw: a daemon ended by itself, and all its requests in progress got no answer, when a server's connection was reset while its long answer waited for a caller that read slowly.

Cause: the response handler returned false, which pauses undici's parser. If the connection of an answer without a length, or with "Connection: close", is reset then, or ends right behind the last bytes, the parser asserts that it is not paused, in a handler of the socket: an uncaught AssertionError.

Now the client is never paused. What arrives on the socket is held in front of it and passed on once there is room, in a callback of its own.

--- a/src/http-client/index.ts
+++ b/src/http-client/index.ts
@@ -12,5 +12,6 @@
 Object.assign(Dispatcher.prototype, { request });
 
 export { Agent, Client, Dispatcher, Pool };
+export { HeldReads } from './held-reads.js';
 export { buildResettingConnector } from './resetting-connector.js';
 export { type DueTime, RecyclingPool, SlowTransferError } from './recycling-pool.js';
--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -56,7 +56,6 @@
   #isSent = false;
   #isWithheld = false;
   #abort: ((reason?: Error) => void) | undefined;
-  #resume: () => void = () => undefined;
   #status = 0;
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
@@ -89,8 +88,11 @@
       { method: method as 'GET', path, headers, body },
       {
         onConnect: (abort) => this.#onConnect(abort),
-        onHeaders: (status, raw, resume) => this.#onHeaders(status, raw, resume),
-        onData: (chunk) => this.#onData(chunk),
+        onHeaders: (status, raw) => this.#onHeaders(status, raw),
+        onData: (chunk) => {
+          this.#onData(chunk);
+          return true;
+        },
         onComplete: (trailers) => this.#onComplete(trailers),
         onError: (error) => this.#onError(error),
       },
@@ -137,12 +139,11 @@
     this.#isSent = true;
   }
 
-  #onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+  #onHeaders(status: number, raw: Buffer[]): boolean {
     if (status < FIRST_FINAL_STATUS || this.#isFinished) {
       return true;
     }
     this.#status = status;
-    this.#resume = resume;
     const failure = this.#reader.readHead(
       status,
       raw.map((part) => part.toString('latin1')),
@@ -154,26 +155,37 @@
     return true;
   }
 
-  #onData(chunk: Buffer): boolean {
+  #onData(chunk: Buffer): void {
     if (this.#isFinished) {
-      return true;
+      return;
     }
     if (this.#isStreaming) {
-      return this.#sink.more(chunk);
+      this.#pauseUnless(this.#sink.more(chunk));
+      return;
     }
     if (!this.#reader.isForCaller()) {
       this.#discard(chunk);
-      return true;
+      return;
     }
     this.#chunks.push(Buffer.from(chunk));
     this.#bufferedBytes += chunk.length;
     this.#sink.hold(chunk.length);
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) {
-      return true;
+    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+      this.#beginStream();
     }
+  }
+
+  #beginStream(): void {
     this.#isStreaming = true;
     const firstBytes = this.#takeBuffered();
-    return this.#sink.beginStream(this.#status, this.#reader.rawHeaders, firstBytes, () => this.#resume());
+    const resume = (): void => this.#connection.resumeReading();
+    this.#pauseUnless(this.#sink.beginStream(this.#status, this.#reader.rawHeaders, firstBytes, resume));
+  }
+
+  #pauseUnless(hasRoom: boolean): void {
+    if (!hasRoom) {
+      this.#connection.pauseReading();
+    }
   }
 
   /** Discards the body of an answer that the caller doesn't get. One that goes on for long ends the attempt: its head has said all. */
@@ -253,6 +265,7 @@
 
   #finish(): void {
     this.#isFinished = true;
+    this.#connection.resumeReading();
     this.#chunks = [];
     this.#sink.release(this.#bufferedBytes);
     this.#bufferedBytes = 0;
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -3,7 +3,7 @@
  * few stay open. A connection on which anything went wrong is never reused.
  */
 import type { Dispatcher } from 'undici';
-import { buildResettingConnector, Client } from '../http-client/index.js';
+import { buildResettingConnector, Client, HeldReads } from '../http-client/index.js';
 import type { Socket } from 'node:net';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 import type { Address } from '../router/model/address.js';
@@ -31,6 +31,7 @@
   /** The socket was reset or failed, as opposed to an orderly close. */
   failed = false;
   #requestCount = 0;
+  #reads: HeldReads | null = null;
   readonly #rejectedAttempts = new Set<string>();
 
   /** @param barrier delays the first request on a new connection until a recent poll has shown whether its caller has disconnected */
@@ -46,6 +47,7 @@
         connector(options, (...result) => {
           const [error, socket] = result;
           if (error === null) {
+            this.#reads = new HeldReads(socket);
             this.#detectFailure(socket);
           }
           barrier.whenRecentlyPolled(() => callback(...result));
@@ -66,6 +68,15 @@
     });
   }
 
+  /** Reads no more of the current answer until `resumeReading`. */
+  pauseReading(): void {
+    this.#reads?.hold();
+  }
+
+  resumeReading(): void {
+    this.#reads?.release();
+  }
+
   /** Whether the connection has carried no request before the current one. */
   get isFirstRequest(): boolean {
     return this.#requestCount <= 1;
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -94,6 +94,7 @@
   const connection = {
     isFirstRequest: true,
     failed: false,
+    resumeReading: () => undefined,
     dispatch: (_options: unknown, { onConnect }: Dispatcher.DispatchHandler) => {
       const abort = (): void => void (aborts += 1);
       onConnect?.(abort);
