Lose answers with a transfer coding other than chunked

A whole one came without the header, as bytes that its caller can't decode.

Cause: such a body ends with its connection, but the reader took any Transfer-Encoding for one that marks the end, so that the check for a reset was passed over and a length was added.

The reader now loses such an answer at its head. Its client asked for none (no TE header), and the HTTP client decodes chunked alone. The same for the answers of a proxy, which never has another coding.

--- a/src/router-runtime/headers.ts
+++ b/src/router-runtime/headers.ts
@@ -41,3 +41,15 @@
   }
   return null;
 }
+
+/** Returns the trimmed values of all headers called `name`, which must be in lower case. */
+export function headerValues(raw: readonly string[], name: string): string[] {
+  const values: string[] = [];
+  for (let index = 0; index < raw.length; index += 2) {
+    const headerName = raw[index] as string;
+    if (headerName.length === name.length && headerName.toLowerCase() === name) {
+      values.push((raw[index + 1] as string).trim());
+    }
+  }
+  return values;
+}
--- a/src/router-runtime/proxy-response-reader.ts
+++ b/src/router-runtime/proxy-response-reader.ts
@@ -1,7 +1,7 @@
 /** Reads the response of a proxy to an attempt: a server's response that it passes on, or what it decided itself. */
 import type { AttemptResult } from '../router/events.js';
 import { type ProxyOutcome, takeOutcome } from './proxy-headers.js';
-import type { ResponseReader, UnusableResponse } from './response-reader.js';
+import { framingProblem, type ResponseReader, type UnusableResponse } from './response-reader.js';
 
 export class ProxyResponseReader implements ResponseReader {
   rawHeaders: string[] = [];
@@ -12,7 +12,9 @@
     this.#status = status;
     this.rawHeaders = rawHeaders;
     this.#outcome = takeOutcome(rawHeaders);
-    return this.#outcome === null ? { reason: 'an answer of a proxy without an outcome' } : null;
+    return this.#outcome === null
+      ? { reason: 'an answer of a proxy without an outcome' }
+      : framingProblem(rawHeaders);
   }
 
   isForCaller(): boolean {
--- a/src/router-runtime/response-reader.ts
+++ b/src/router-runtime/response-reader.ts
@@ -1,5 +1,6 @@
 /** Reads a response to an attempt: whether it belongs to the request, what it says of its sender, and how the attempt ended. */
 import type { AttemptResult } from '../router/events.js';
+import { headerValues } from './headers.js';
 
 /** Why a response can't be used. */
 export interface UnusableResponse {
@@ -31,6 +32,13 @@
 }
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** The only transfer coding whose end is marked, and the only one that the HTTP client decodes. */
+const CHUNKED = 'chunked';
+
+/** Returns whether a response has a body, whatever its headers say of one. */
+export function hasBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+}
 
 /** Returns whether a response has a body whose end only the end of its connection marks. */
 export function endsWithConnection(
@@ -38,10 +46,12 @@
   status: number,
   header: (name: string) => string | null,
 ): boolean {
-  return (
-    method !== 'HEAD' &&
-    !BODILESS_STATUSES.has(status) &&
-    header('content-length') === null &&
-    header('transfer-encoding') === null
-  );
+  return hasBody(method, status) && header('content-length') === null && header('transfer-encoding') === null;
+}
+
+/** Returns why the body of a response can't be told apart from its framing, or null. */
+export function framingProblem(rawHeaders: readonly string[]): UnusableResponse | null {
+  const codings = headerValues(rawHeaders, 'transfer-encoding');
+  const isKnown = codings.length === 0 || codings.join().toLowerCase() === CHUNKED;
+  return isKnown ? null : { reason: `an answer with the transfer coding "${codings.join(', ')}"` };
 }
--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -4,7 +4,13 @@
 import type { ServerNotice } from '../router/model/server-notice.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { headerValue } from './headers.js';
-import { endsWithConnection, type ResponseReader, type UnusableResponse } from './response-reader.js';
+import {
+  endsWithConnection,
+  framingProblem,
+  hasBody,
+  type ResponseReader,
+  type UnusableResponse,
+} from './response-reader.js';
 
 const MISDIRECTED = 421;
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -58,9 +64,10 @@
     this.#reportLimit();
     // An answer without an id may be the surplus one of an earlier request on the connection.
     const needsEchoedId = status < FIRST_NON_SUCCESS_STATUS || !isFirstOnConnection;
-    return needsEchoedId && echoedId === null
-      ? { reason: 'an answer without the id of the request', foreignAttemptId: null }
-      : null;
+    if (needsEchoedId && echoedId === null) {
+      return { reason: 'an answer without the id of the request', foreignAttemptId: null };
+    }
+    return hasBody(this.#request.method, status) ? framingProblem(rawHeaders) : null;
   }
 
   isForCaller(): boolean {
