Take a 304 or 204 that states the length of a body

What callers saw: a conditional request whose server answered `304` with the Content-Length of the body that it did not send (RFC 9110, section 15.4.5 allows it) got 502, each time; a 204 with one the same.

Cause: undici's client reports an error after such a head, since no body follows. The attempt took it for an answer that had broken off. An answer without a body is whole with its head (RFC 9112, section 6.3), so that no error behind it matters; the connection, which the client has closed, is not used again. The same for the answers of a proxy.

Evidence, test/router-runtime/test-answer-framing.ts, "an answer without a body", 12 tests, 2 of which failed before: is passed on, whatever it says of one: status 304 with a length: actual ["stays open: lost, 502 with 47 bytes", ... is passed on, whatever it says of one: status 204 with a length: actual ["stays open: lost, 502 with 47 bytes", ... Heads of such answers that are cut at any byte are lost, before and after.

--- a/src/router-runtime/attempt-sender.ts
+++ b/src/router-runtime/attempt-sender.ts
@@ -101,7 +101,7 @@
   /** The proxy compares its data with the bounds when it writes to a server. */
   #startProxyAttempt(effect: ForwardToProxyEffect, exchange: Exchange): void {
     const headers = originHeader(effect.origin);
-    const reader = new ProxyResponseReader();
+    const reader = new ProxyResponseReader(exchange.incoming.method ?? 'GET');
     this.#startAttempt(effect, exchange, this.#proxyConnections, headers, reader, () => true);
   }
 
--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -198,9 +198,12 @@
       this.#fail('the answer was reset', true);
       return;
     }
+    this.#complete(!isDelimitedByClose);
+  }
+
+  #complete(reusable: boolean): void {
     const body = this.#takeBuffered();
     this.#finish();
-    const reusable = !isDelimitedByClose;
     if (this.#isStreaming) {
       this.#sink.endStream();
       this.#listener.onFinished(this.#reader.streamedResult(), reusable);
@@ -218,6 +221,11 @@
     if (this.#isFinished) {
       return;
     }
+    if (this.#status !== 0 && this.#reader.endsWithHead()) {
+      // The HTTP client reports an error if the head states the length of a body that it does not have.
+      this.#complete(false);
+      return;
+    }
     const code = error.code ?? '';
     this.#finish();
     if (this.#isWithheld) {
--- a/src/router-runtime/proxy-response-reader.ts
+++ b/src/router-runtime/proxy-response-reader.ts
@@ -1,13 +1,19 @@
 /** Reads the response of a proxy to an attempt: a server's response that it passes on, or what it decided itself. */
 import type { AttemptResult } from '../router/events.js';
 import { type ProxyOutcome, takeOutcome } from './proxy-headers.js';
-import { framingProblem, type ResponseReader, type UnusableResponse } from './response-reader.js';
+import { framingProblem, hasBody, type ResponseReader, type UnusableResponse } from './response-reader.js';
 
 export class ProxyResponseReader implements ResponseReader {
   rawHeaders: string[] = [];
+  readonly #method: string;
   #status = 0;
   #outcome: ProxyOutcome | null = null;
 
+  /** @param method the method of the request */
+  constructor(method: string) {
+    this.#method = method;
+  }
+
   readHead(status: number, rawHeaders: string[]): UnusableResponse | null {
     this.#status = status;
     this.rawHeaders = rawHeaders;
@@ -25,6 +31,10 @@
     // The proxy has read what the trailers say of the server.
   }
 
+  endsWithHead(): boolean {
+    return !hasBody(this.#method, this.#status);
+  }
+
   /** A proxy marks the end of every response. */
   isDelimitedByClose(): boolean {
     return false;
--- a/src/router-runtime/response-reader.ts
+++ b/src/router-runtime/response-reader.ts
@@ -21,6 +21,8 @@
   /** Whether the response goes to the caller. The body of any other one is discarded. */
   isForCaller(): boolean;
   readTrailers(rawTrailers: readonly string[]): void;
+  /** Returns whether the response has no body, so that its head is all of it. */
+  endsWithHead(): boolean;
   /** Returns whether only the end of the connection marks the end of the response. */
   isDelimitedByClose(): boolean;
   /** Returns whether the response, if it is a server's, stated its length or marked its end. */
--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -67,7 +67,7 @@
     if (needsEchoedId && echoedId === null) {
       return { reason: 'an answer without the id of the request', foreignAttemptId: null };
     }
-    return hasBody(this.#request.method, status) ? framingProblem(rawHeaders) : null;
+    return this.endsWithHead() ? null : framingProblem(rawHeaders);
   }
 
   isForCaller(): boolean {
@@ -78,6 +78,10 @@
     this.#reportNotice(rawTrailers);
   }
 
+  endsWithHead(): boolean {
+    return !hasBody(this.#request.method, this.#status);
+  }
+
   isDelimitedByClose(): boolean {
     return endsWithConnection(this.#request.method, this.#status, (name) =>
       headerValue(this.rawHeaders, name),
--- a/test/router-runtime/test-answer-framing.ts
+++ b/test/router-runtime/test-answer-framing.ts
@@ -182,6 +182,45 @@
   }
 });
 
+/** Answers without a body, with the method and the status. */
+const BODILESS: Readonly<Record<string, readonly [string, string, number]>> = {
+  'HEAD with a length': ['HEAD', `${HEAD}Content-Length: 30\r\n\r\n`, 200],
+  'HEAD with chunks': ['HEAD', `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, 200],
+  'HEAD without a length': ['HEAD', `${HEAD}\r\n`, 200],
+  'HEAD and a close': ['HEAD', `${HEAD}Connection: close\r\nContent-Length: 30\r\n\r\n`, 200],
+  'HEAD, and a body all the same': ['HEAD', `${HEAD}Content-Length: 30\r\n\r\n${BODY}`, 200],
+  'status 304': ['GET', `HTTP/1.1 304 None\r\n${OWN}\r\n`, 304],
+  'status 304 with a length': ['GET', `HTTP/1.1 304 None\r\n${OWN}Content-Length: 30\r\n\r\n`, 304],
+  'status 204': ['GET', `HTTP/1.1 204 None\r\n${OWN}\r\n`, 204],
+  'status 204 with length 0': ['GET', `HTTP/1.1 204 None\r\n${OWN}Content-Length: 0\r\n\r\n`, 204],
+  'status 204 with a length': ['GET', `HTTP/1.1 204 None\r\n${OWN}Content-Length: 30\r\n\r\n`, 204],
+  'status 204 with chunks': ['GET', `HTTP/1.1 204 None\r\n${OWN}Transfer-Encoding: chunked\r\n\r\n`, 204],
+};
+
+describe('an answer without a body', () => {
+  for (const [name, [method, answer, status]] of Object.entries(BODILESS)) {
+    // Guards against an answer that is lost for a length that it states.
+    it(`is passed on, whatever it says of one: ${name}`, async () => {
+      const plays = (['stays open', 'half-closed', 'held, then closed'] as const).map(
+        (ending): PlayedAnswer => ({ name: ending, method, parts: [answer], ending }),
+      );
+      const isWhole = ({ answer: read }: PlayedOutcome): boolean =>
+        read?.status === status && read.body === '';
+      expect(unexpected(await playAll(plays), isWhole)).toEqual([]);
+    });
+  }
+
+  it('is lost wherever its head breaks off', async () => {
+    const plays = Object.entries(BODILESS).flatMap(([name, [method, answer]]) =>
+      cutAt(name, answer, range(0, headLength(answer)), ['closed', 'reset']).map((played) => ({
+        ...played,
+        method,
+      })),
+    );
+    await expectLost(plays);
+  });
+});
+
 describe('an answer of more than 256 KiB that breaks off', () => {
   const FIRST = 'x'.repeat(300_000);
   const SECOND = 'y'.repeat(2_000);
