Pass on what an answer without a body says of its length

What callers saw: `Content-Length: 0` in each answer to a HEAD request and in each 304, whatever the server had said of the length: a caller that asks how long a document is was told that it is empty. 204 had one too, where none is allowed.

Cause: the length of the buffered body was put in place of the server's header. It is now passed on where there is no body, and none is added; none goes out with 204 (RFC 9110, section 8.6). The same on the link between two daemons.

--- a/src/router-runtime/response-writers.ts
+++ b/src/router-runtime/response-writers.ts
@@ -4,9 +4,11 @@
 import { outcomeHeader, type ProxyOutcome } from './proxy-headers.js';
 import type { ResponseSink } from './attempt.js';
 import type { RequestSlot } from './caller-connection.js';
+import { hasBody } from './response-reader.js';
 import { StreamedAnswer } from './streamed-answer.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
+const NO_CONTENT = 204;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 /** An answer of the daemon's own. */
@@ -28,21 +30,55 @@
   outgoing.end(body, () => buffer.release(body.length));
 }
 
+/** What an answer says of its length. */
+interface StatedLength {
+  /** The end of the answer is stated or marked; otherwise only the end of its connection shows it. */
+  readonly isKnown: boolean;
+  readonly headers: readonly string[];
+}
+
+const UNKNOWN_LENGTH: StatedLength = { isKnown: false, headers: [] };
+
+function lengthOf(bytes: number | string): StatedLength {
+  return { isKnown: true, headers: ['Content-Length', String(bytes)] };
+}
+
+/**
+ * What a complete answer says of its length. Without a body, the server's header describes the body of another answer; with status 204
+ * there is no such answer (RFC 9110, section 8.6).
+ */
+function completeLength(
+  { outgoing }: RequestSlot,
+  status: number,
+  raw: string[],
+  body: Buffer,
+): StatedLength {
+  if (hasBody(outgoing.req.method ?? '', status)) {
+    return lengthOf(body.length);
+  }
+  const stated = status === NO_CONTENT ? null : headerValue(raw, 'content-length');
+  return stated === null ? { isKnown: true, headers: [] } : lengthOf(stated);
+}
+
 function createSink(
   slot: RequestSlot,
-  writeHead: (status: number, rawHeaders: string[], length: number | null) => void,
+  writeHead: (status: number, rawHeaders: string[], length: StatedLength) => void,
 ): ResponseSink {
   let streamed: StreamedAnswer | null = null;
   return {
     hold: (bytes) => slot.buffer.hold(bytes),
     release: (bytes) => slot.buffer.release(bytes),
     sendComplete: (status, rawHeaders, body, hasLength) => {
-      writeHead(status, rawHeaders, hasLength ? body.length : null);
+      writeHead(
+        status,
+        rawHeaders,
+        hasLength ? completeLength(slot, status, rawHeaders, body) : UNKNOWN_LENGTH,
+      );
       endWith(slot, body);
     },
     beginStream: (status, rawHeaders, body, onDrain) => {
       const length = headerValue(rawHeaders, 'content-length');
-      writeHead(status, rawHeaders, length === null ? null : Number(length));
+      writeHead(status, rawHeaders, length === null ? UNKNOWN_LENGTH : lengthOf(Number(length)));
       streamed = new StreamedAnswer(slot, onDrain);
       return streamed.write(body);
     },
@@ -69,15 +105,13 @@
       connection.closeAfter(slot);
     }
   };
-  const writeHead = (status: number, rawHeaders: string[], length: number | null): void => {
-    const headers = forwardedHeaders(rawHeaders, NO_HEADERS);
-    if (length === null) {
+  const writeHead = (status: number, rawHeaders: string[], length: StatedLength): void => {
+    const headers = [...forwardedHeaders(rawHeaders, NO_HEADERS), ...length.headers];
+    if (!length.isKnown) {
       // A response without a length may have been cut off. A length or chunked framing added here would mark it as complete.
       outgoing.useChunkedEncodingByDefault = false;
       outgoing.shouldKeepAlive = false;
       slot.endsWithConnection = true;
-    } else {
-      headers.push('Content-Length', String(length));
     }
     settleClosing();
     outgoing.writeHead(status, headers);
@@ -103,13 +137,10 @@
   const { outgoing } = slot;
   // The header is the server's business.
   outgoing.sendDate = false;
-  const writeHead = (status: number, rawHeaders: string[], length: number | null): void => {
-    const outcome: ProxyOutcome = { kind: 'answered', hasLength: length !== null };
-    const headers = [...outcomeHeader(outcome), ...forwardedHeaders(rawHeaders, NO_HEADERS)];
-    if (length !== null) {
-      headers.push('Content-Length', String(length));
-    }
-    outgoing.writeHead(status, headers);
+  const writeHead = (status: number, rawHeaders: string[], length: StatedLength): void => {
+    const outcome: ProxyOutcome = { kind: 'answered', hasLength: length.isKnown };
+    const passedOn = forwardedHeaders(rawHeaders, NO_HEADERS);
+    outgoing.writeHead(status, [...outcomeHeader(outcome), ...passedOn, ...length.headers]);
   };
   const answer = (own: OwnAnswer): void => {
     if (outgoing.headersSent || outgoing.destroyed) {
--- a/test/router-runtime/test-answer-framing.ts
+++ b/test/router-runtime/test-answer-framing.ts
@@ -182,30 +182,37 @@
   }
 });
 
-/** Answers without a body, with the method and the status. */
-const BODILESS: Readonly<Record<string, readonly [string, string, number]>> = {
-  'HEAD with a length': ['HEAD', `${HEAD}Content-Length: 30\r\n\r\n`, 200],
-  'HEAD with chunks': ['HEAD', `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, 200],
-  'HEAD without a length': ['HEAD', `${HEAD}\r\n`, 200],
-  'HEAD and a close': ['HEAD', `${HEAD}Connection: close\r\nContent-Length: 30\r\n\r\n`, 200],
-  'HEAD, and a body all the same': ['HEAD', `${HEAD}Content-Length: 30\r\n\r\n${BODY}`, 200],
-  'status 304': ['GET', `HTTP/1.1 304 None\r\n${OWN}\r\n`, 304],
-  'status 304 with a length': ['GET', `HTTP/1.1 304 None\r\n${OWN}Content-Length: 30\r\n\r\n`, 304],
-  'status 204': ['GET', `HTTP/1.1 204 None\r\n${OWN}\r\n`, 204],
-  'status 204 with length 0': ['GET', `HTTP/1.1 204 None\r\n${OWN}Content-Length: 0\r\n\r\n`, 204],
-  'status 204 with a length': ['GET', `HTTP/1.1 204 None\r\n${OWN}Content-Length: 30\r\n\r\n`, 204],
-  'status 204 with chunks': ['GET', `HTTP/1.1 204 None\r\n${OWN}Transfer-Encoding: chunked\r\n\r\n`, 204],
+/** Answers without a body, with the method, the status, and the length that the caller is told. */
+const BODILESS: Readonly<Record<string, readonly [string, string, number, string | null]>> = {
+  'HEAD with a length': ['HEAD', `${HEAD}Content-Length: 30\r\n\r\n`, 200, '30'],
+  'HEAD with chunks': ['HEAD', `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, 200, null],
+  'HEAD without a length': ['HEAD', `${HEAD}\r\n`, 200, null],
+  'HEAD and a close': ['HEAD', `${HEAD}Connection: close\r\nContent-Length: 30\r\n\r\n`, 200, '30'],
+  'HEAD, and a body all the same': ['HEAD', `${HEAD}Content-Length: 30\r\n\r\n${BODY}`, 200, '30'],
+  'status 304': ['GET', `HTTP/1.1 304 None\r\n${OWN}\r\n`, 304, null],
+  'status 304 with a length': ['GET', `HTTP/1.1 304 None\r\n${OWN}Content-Length: 30\r\n\r\n`, 304, '30'],
+  'status 204': ['GET', `HTTP/1.1 204 None\r\n${OWN}\r\n`, 204, null],
+  'status 204 with length 0': ['GET', `HTTP/1.1 204 None\r\n${OWN}Content-Length: 0\r\n\r\n`, 204, null],
+  'status 204 with a length': ['GET', `HTTP/1.1 204 None\r\n${OWN}Content-Length: 30\r\n\r\n`, 204, null],
+  'status 204 with chunks': [
+    'GET',
+    `HTTP/1.1 204 None\r\n${OWN}Transfer-Encoding: chunked\r\n\r\n`,
+    204,
+    null,
+  ],
 };
 
 describe('an answer without a body', () => {
-  for (const [name, [method, answer, status]] of Object.entries(BODILESS)) {
-    // Guards against an answer that is lost for a length that it states.
-    it(`is passed on, whatever it says of one: ${name}`, async () => {
+  for (const [name, [method, answer, status, length]] of Object.entries(BODILESS)) {
+    // Guards against a length of another body than the server's, and against an answer that is lost for a length that it states.
+    it(`is passed on with the length that its server states: ${name}`, async () => {
       const plays = (['stays open', 'half-closed', 'held, then closed'] as const).map(
         (ending): PlayedAnswer => ({ name: ending, method, parts: [answer], ending }),
       );
       const isWhole = ({ answer: read }: PlayedOutcome): boolean =>
-        read?.status === status && read.body === '';
+        read?.status === status &&
+        read.body === '' &&
+        (/\r\ncontent-length: (\d+)\r\n/i.exec(read.head)?.[1] ?? null) === length;
       expect(unexpected(await playAll(plays), isWhole)).toEqual([]);
     });
   }
