No keys are planned for a server that nobody has reached

Cause: the plan of the leader took the capacity in an entry for throughput. Such a server looked idle and fast, so that the keys of busy owners were released and given to it; its grants failed, and the keys had no owner until the server counted as silent and its leases were waited out.

Why it works: it is a rule for every server and looks at no number. A server may get keys once it has answered a call of this leader or a request of any daemon, or if it owned keys when the leadership began. The leader probes the others.

A new leader goes on with all owners at once; servers without keys cost it one probe.

--- a/src/router/ownership/assignment-plan.ts
+++ b/src/router/ownership/assignment-plan.ts
@@ -34,7 +34,7 @@
   }
   if (!table.units.some((unit) => unit.service === input.service)) {
     const owners = interleaveZones(preferredTargets(input.servers)).map((server) => server.id);
-    return addInitialUnits(table, input.service, owners);
+    return owners.length === 0 ? table : addInitialUnits(table, input.service, owners);
   }
   const plan = new ServicePlan(table, input);
   plan.reassignFromIneligibleServers();
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -11,6 +11,7 @@
 import type { Candidacy } from './election-state.js';
 import { INITIAL_CONFIRMATION_RETRY_DELAY } from './leader-confirmation.js';
 import { createLeaseLogState } from './lease-log.js';
+import { leaseOf } from './server-lease.js';
 import { recordServerList } from './server-succession.js';
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import {
@@ -61,6 +62,7 @@
     former: candidacy.former?.settled === true ? candidacy.former : null,
     unitProgress: new Map(table.units.map((unit) => [unitName(unit), resumedProgress(unit, now)])),
     leases: new Map(),
+    unreachedServers: new Set(),
     pendingCalls: new Map(),
     unconfirmedReleases,
     repeatedReleases: new Map(),
@@ -86,6 +88,7 @@
     leaseLog: createLeaseLogState(),
   };
   state.leadership = leadership;
+  table.units.forEach(({ owner }) => (leaseOf(leadership, owner).wasReached = true));
   recordServerList(context, leadership);
   sendHeartbeatSoon(context);
   const { term } = leadership;
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -6,6 +6,7 @@
 import type { KnownServer } from '../router-state.js';
 import { planService } from './assignment-plan.js';
 import { keyLoadOf } from './key-load.js';
+import { delaysFirstAssignment, findUnreachedServers, wasReached } from './first-contact.js';
 import type { Leadership } from './leadership-state.js';
 import {
   FIRST_ASSIGNMENT_MAX_WAIT,
@@ -63,7 +64,8 @@
     // Keys whose requests exceed the rate limit are better served by another owner.
     throughput: { capacity: (slots * MILLISECONDS_PER_SECOND) / workTime, limit },
     isCold: known.coldUntil > context.now,
-    keepsOnlyItsUnits: known.contact.isOutOfReach || hasUnconfirmedRelease(leadership, id),
+    keepsOnlyItsUnits:
+      known.contact.isOutOfReach || hasUnconfirmedRelease(leadership, id) || !wasReached(leadership, id),
   };
 }
 
@@ -104,9 +106,24 @@
 }
 
 /**
- * Returns whether the first assignment of a service should be delayed. Servers become known one after the
- * other when a deployment starts: the first ones would own every key, and moving keys later has a cost.
+ * Returns when the first assignment of a service is due. Servers become known one after the other when a deployment starts: the first ones
+ * would own every key, and moving keys later has a cost.
  */
+function firstAssignmentDueAt(
+  context: RouterContext,
+  leadership: Leadership,
+  service: ServiceName,
+): Milliseconds {
+  const { startedAt } = leadership;
+  const earliest = startedAt + FIRST_ASSIGNMENT_MIN_WAIT;
+  if (keyLoadOf(leadership, service).hasRecentRequests(context.now)) {
+    return earliest;
+  }
+  const quietAt = newestServerAt(context, leadership, service) + FIRST_ASSIGNMENT_QUIET_PERIOD;
+  return Math.max(earliest, Math.min(quietAt, startedAt + FIRST_ASSIGNMENT_MAX_WAIT));
+}
+
+/** Returns whether the first assignment of a service is to be delayed, and has it planned as soon as it is due. */
 function isFirstAssignmentPremature(
   context: RouterContext,
   leadership: Leadership,
@@ -115,13 +132,12 @@
   if (leadership.table.units.some((unit) => unit.service === service)) {
     return false;
   }
-  const waited = context.now - leadership.startedAt;
-  if (waited < FIRST_ASSIGNMENT_MIN_WAIT) {
+  const dueAt = firstAssignmentDueAt(context, leadership, service);
+  if (context.now < dueAt) {
+    leadership.nextPlanAt = Math.min(leadership.nextPlanAt, dueAt);
     return true;
   }
-  const isAskedFor = keyLoadOf(leadership, service).hasRecentRequests(context.now);
-  const isQuiet = context.now - newestServerAt(context, leadership, service) >= FIRST_ASSIGNMENT_QUIET_PERIOD;
-  return !isAskedFor && !isQuiet && waited < FIRST_ASSIGNMENT_MAX_WAIT;
+  return delaysFirstAssignment(context, leadership);
 }
 
 /** Returns whether the owner of a unit, as the table in the store has it, holds it and answers calls. */
@@ -139,6 +155,7 @@
   if (state.configuration === null || state.serversRevision === null) {
     return;
   }
+  findUnreachedServers(context, leadership);
   const isMergingDue = now >= leadership.nextMergeAt;
   let table = leadership.table;
   for (const service of state.configuration.services.values()) {
--- a/src/router/ownership/leader.ts
+++ b/src/router/ownership/leader.ts
@@ -6,6 +6,7 @@
  */
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
+import { delaysPlan, tickFirstContacts } from './first-contact.js';
 import { tickUnits } from './grant-schedule.js';
 import { confirmLeadership, isConfirmed } from './leader-confirmation.js';
 import { tickReportAggregation } from './report-aggregation.js';
@@ -27,9 +28,14 @@
 /** Longest time for which grants that are due delay a plan. */
 const MAX_PLAN_DELAY: Milliseconds = 500;
 
-/** Returns whether to plan now. A plan takes processor time, so that it waits for grants that are due, but not for long. */
-function isPlanDue({ now }: RouterContext, { nextPlanAt, hasGrantBacklog }: Leadership): boolean {
-  return now >= nextPlanAt && (!hasGrantBacklog || now >= nextPlanAt + MAX_PLAN_DELAY);
+/**
+ * Returns whether to plan now. A plan takes processor time, so that it waits for grants that are due, but not for long. Nor does it leave
+ * out servers that are about to answer for the first time.
+ */
+function isPlanDue(context: RouterContext, leadership: Leadership): boolean {
+  const { nextPlanAt, hasGrantBacklog } = leadership;
+  const isDelayedByGrants = hasGrantBacklog && context.now < nextPlanAt + MAX_PLAN_DELAY;
+  return context.now >= nextPlanAt && !isDelayedByGrants && !delaysPlan(context, leadership);
 }
 
 /** Does the leader's periodic work. What keeps leases alive comes first. */
@@ -40,6 +46,7 @@
     return;
   }
   tickUnits(context, leadership);
+  tickFirstContacts(context, leadership);
   retryWrite(context, leadership);
   if (leadership.pendingWrite === null) {
     raiseRefusedFences(context, leadership);
--- a/src/router/ownership/leadership-state.ts
+++ b/src/router/ownership/leadership-state.ts
@@ -58,6 +58,8 @@
   unresponsiveSince: Milliseconds;
   /** The process of the server has certainly ended, so it is not called any more. */
   ended: boolean;
+  /** The server has answered a call of this leader, or owned keys when the leadership began. */
+  wasReached: boolean;
 }
 
 /** A call to a server that is in progress. */
@@ -117,6 +119,8 @@
   readonly former: LeaderRecord | null;
   readonly unitProgress: Map<string, UnitProgress>;
   readonly leases: Map<ServerId, ServerLease>;
+  /** Listed servers of keyed services that nobody has reached; they get no keys. */
+  readonly unreachedServers: Set<ServerId>;
   readonly pendingCalls: Map<number, PendingCall>;
   /** Releases that former owners have not confirmed. The table in the store may still have some that they have. */
   unconfirmedReleases: UnconfirmedReleases;
--- a/src/router/ownership/plan-input.ts
+++ b/src/router/ownership/plan-input.ts
@@ -12,8 +12,8 @@
   /** The server is warming up: it keeps its units, and gets no more while another server can take them. */
   readonly isCold: boolean;
   /**
-   * The server keeps its units, and gets no more: it is out of the leader's reach, but answers other daemons, or has not confirmed the
-   * release of units that it lost.
+   * The server keeps its units, and gets no more: it is out of the leader's reach, but answers other daemons, has not confirmed the
+   * release of units that it lost, or has never answered anybody.
    */
   readonly keepsOnlyItsUnits: boolean;
 }
--- a/src/router/ownership/server-lease.ts
+++ b/src/router/ownership/server-lease.ts
@@ -29,6 +29,7 @@
       unresponsive: false,
       unresponsiveSince: Number.NEGATIVE_INFINITY,
       ended: false,
+      wasReached: false,
     };
     leadership.leases.set(server, lease);
   }
@@ -89,6 +90,7 @@
     // The server answers a later call but left an earlier one unanswered, which may still be executed.
     leadership.lateCallSeenAt = now;
   }
+  lease.wasReached = true;
   lease.unanswered = 0;
   // The answer of a server that has ended came from the next one at its address.
   lease.unresponsive = lease.ended;
--- a/src/router/ownership/server-succession.ts
+++ b/src/router/ownership/server-succession.ts
@@ -5,6 +5,7 @@
 import type { Address, ServerId } from '../model/identifiers.js';
 import { buildServerId, instanceOf, type InstanceName } from '../model/server-incarnation.js';
 import type { RouterContext } from '../router-context.js';
+import { findUnreachedServers } from './first-contact.js';
 import type { Leadership, PendingCall } from './leadership-state.js';
 import { leaseOf, recordEnded } from './server-lease.js';
 
@@ -59,6 +60,7 @@
       recordListedSuccessor(context, leadership, owner, listedAt);
     }
   }
+  findUnreachedServers(context, leadership);
   leadership.nextPlanAt = Math.min(leadership.nextPlanAt, context.now);
 }
 
--- a/src/router/ownership/silent-servers.ts
+++ b/src/router/ownership/silent-servers.ts
@@ -5,16 +5,19 @@
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import type { KnownServer } from '../router-state.js';
 import type { RouterContext } from '../router-context.js';
-import { probeServer } from '../probe-server.js';
 import { isPathOpen, requestPathCheck, requestServerCheck } from '../reachability/path-checks.js';
 import { pathTo } from '../reachability/reachability-state.js';
+import { wasReached } from './first-contact.js';
 import type { Leadership, ServerLease } from './leadership-state.js';
-import { PROBE_TIMEOUT } from './ownership-timing.js';
 import { isSilent } from './server-lease.js';
+import { probeKnownServer } from './unit-calls.js';
 
 /** Interval of probes to a silent server. Servers without units get no other calls that would show that they are back. */
 const SILENT_PROBE_INTERVAL: Milliseconds = 500;
 
+/** The same at most for a server that nobody has reached yet; the interval doubles with each probe. */
+const MAX_UNREACHED_PROBE_INTERVAL: Milliseconds = 4_000;
+
 /** Finds the servers at fault among those that leave calls unanswered, and probes silent ones. */
 export function tickSilentServers(context: RouterContext, leadership: Leadership): void {
   for (const [server, lease] of leadership.leases) {
@@ -102,6 +105,16 @@
   return (answeredAt.get(server) ?? Number.NEGATIVE_INFINITY) > since;
 }
 
+function probeIntervalOf(
+  leadership: Leadership,
+  server: ServerId,
+  { unanswered }: ServerLease,
+): Milliseconds {
+  return wasReached(leadership, server)
+    ? SILENT_PROBE_INTERVAL
+    : Math.min(MAX_UNREACHED_PROBE_INTERVAL, SILENT_PROBE_INTERVAL * 2 ** (unanswered - 1));
+}
+
 function probeSilentServer(
   context: RouterContext,
   leadership: Leadership,
@@ -112,16 +125,6 @@
   if (known === undefined || !isDue || known.backOff.left(context.now) > 0) {
     return;
   }
-  lease.nextProbeAt = context.now + SILENT_PROBE_INTERVAL;
-  lease.probeInFlight = true;
-  const { id, address, service } = known.server;
-  leadership.pendingCalls.set(probeServer(context, known.server, PROBE_TIMEOUT), {
-    action: 'probe',
-    server: id,
-    address,
-    range: { service, from: 0, to: 0 },
-    fence: 0,
-    leaseDuration: 0,
-    sentAt: context.now,
-  });
+  lease.nextProbeAt = context.now + probeIntervalOf(leadership, known.server.id, lease);
+  probeKnownServer(context, leadership, known.server);
 }
--- a/src/router/ownership/unit-calls.ts
+++ b/src/router/ownership/unit-calls.ts
@@ -1,5 +1,7 @@
 /** The leader's calls to servers: grants and releases of units, and probes. */
 import type { Address, Milliseconds, ServerId, ServiceName } from '../model/identifiers.js';
+import type { ServerDescription } from '../model/server.js';
+import { probeServer as sendProbe } from '../probe-server.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingCall } from './leadership-state.js';
 import { PROBE_INTERVAL, PROBE_TIMEOUT } from './ownership-timing.js';
@@ -82,3 +84,21 @@
     timeout: PROBE_TIMEOUT,
   });
 }
+
+/** Probes a listed server for itself, whether or not it has units. */
+export function probeKnownServer(
+  context: RouterContext,
+  leadership: Leadership,
+  server: ServerDescription,
+): void {
+  leaseOf(leadership, server.id).probeInFlight = true;
+  leadership.pendingCalls.set(sendProbe(context, server, PROBE_TIMEOUT), {
+    action: 'probe',
+    server: server.id,
+    address: server.address,
+    range: { service: server.service, from: 0, to: 0 },
+    fence: 0,
+    leaseDuration: 0,
+    sentAt: context.now,
+  });
+}
