A server that has never answered counts with few slots

Callers would have seen: requests sent in number to an address where nobody answers, because its entry states many slots: with all others busy, each daemon sent it as many as it may have in flight there, and each one was lost for the time of a connection.

Cause: the choice of a balanced server took the slots in an entry for free slots. The servers reserved for urgent requests were counted in the same way, so that one such entry stood for all of them.

Evidence: these tests failed before: gets few requests while other servers have room gets no more than others while all servers fill up does not stand for the servers that are reserved for urgent requests each with 'The value false is not equal to true'.

Why it works: until a response of a server has arrived at this daemon, it counts with four slots at most, and each request in flight there adds its cost once more. It looks at no number but its own requests, and holds for any server.

What changes for sound servers: at a daemon that has not heard from a server, its second request there costs twice as much, the third three times, until the first answer. Services with up to four slots a server have the same room as before.

--- a/src/router/reachability/server-contact.ts
+++ b/src/router/reachability/server-contact.ts
@@ -16,6 +16,11 @@
   checkedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   checkEndedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
+  /** Whether any response of the server has arrived. */
+  get wasHeard(): boolean {
+    return this.heardAt !== Number.NEGATIVE_INFINITY;
+  }
+
   /** Records a response of the server. */
   recordHeard(now: Milliseconds): void {
     this.heardAt = now;
--- a/src/router/request/reserved-servers.ts
+++ b/src/router/request/reserved-servers.ts
@@ -5,6 +5,7 @@
 import type { ServiceLoadView } from '../load-view/load-view.js';
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
 import { hashText } from '../model/text-hash.js';
+import { countedSlots, type ServerWithSlots } from './counted-slots.js';
 import type { CandidateServer } from './server-eligibility.js';
 
 /** The urgent demand fills at most this fraction of the reserved slots, so that urgent requests seldom wait there. */
@@ -68,7 +69,7 @@
 }
 
 /** A server as the order of reservation needs it. */
-export interface ReservableServer {
+export interface ReservableServer extends ServerWithSlots {
   readonly server: { readonly id: ServerId; readonly zone: string; readonly slots: number };
   readonly load: { isReserved: boolean };
 }
@@ -122,7 +123,7 @@
     known.load.isReserved = demand > 0 && reserved < most && !isEnough;
     if (known.load.isReserved && isUsable(known)) {
       reserved += 1;
-      slots += known.server.slots;
+      slots += countedSlots(known);
     }
   }
   return reserved;
@@ -159,7 +160,7 @@
   }
 
   #slots(): number {
-    return this.#order.reduce((sum, { load, server }) => sum + (load.isReserved ? server.slots : 0), 0);
+    return this.#order.reduce((sum, known) => sum + (known.load.isReserved ? countedSlots(known) : 0), 0);
   }
 
   /** Whether servers have been reserved at any time. */
--- a/src/router/request/server-selection.ts
+++ b/src/router/request/server-selection.ts
@@ -2,6 +2,7 @@
 import type { SeededRandom } from '../../core/random.js';
 import type { Route } from '../model/configuration.js';
 import type { Milliseconds, ServerId } from '../model/identifiers.js';
+import { countedSlots } from './counted-slots.js';
 import { COLD_SLOWDOWN } from './request-timing.js';
 import {
   findIneligibility,
@@ -56,39 +57,46 @@
 export type Selection<Server> =
   { readonly kind: 'selected'; readonly server: Server } | { readonly kind: 'full' | 'none' };
 
-function expectedTime({ server, load, coldUntil }: CandidateServer, context: SelectionContext): Milliseconds {
-  const { now, route } = context;
+function expectedTime(
+  { load, coldUntil }: CandidateServer,
+  slots: number,
+  { now, route }: SelectionContext,
+): Milliseconds {
   const coldFactor = coldUntil > now ? COLD_SLOWDOWN : 1;
-  return load.balancedResponseTime(server.slots, route, now) * load.slowdown(now) * coldFactor;
+  return load.balancedResponseTime(slots, route, now) * load.slowdown(now) * coldFactor;
 }
 
 function cost(
-  { server, load }: CandidateServer,
+  { server, load, contact }: CandidateServer,
   time: Milliseconds,
   context: SelectionContext,
 ): Milliseconds {
   const otherZoneCost = Math.max(2 * OTHER_ZONE_WAY, context.workTime * OTHER_ZONE_WORK_FRACTION);
   const zoneCost = server.zone === context.zone ? 0 : otherZoneCost;
   const rejectionFactor = 1 + REJECTION_COST_FACTOR * load.excessRejectedShare(context.now);
-  return time * rejectionFactor * (1 + COST_JITTER * context.random.fraction()) + zoneCost;
+  // Until the first answer shows that there is a server, further requests rather go to others.
+  const unheardFactor = contact.wasHeard ? 1 : 1 + load.inFlight.size;
+  const jitter = 1 + COST_JITTER * context.random.fraction();
+  return time * rejectionFactor * unheardFactor * jitter + zoneCost;
 }
 
 /** Returns whether a server would take a new request and answer it within its objective, or has a free slot. */
 function hasRoom(
-  { server, load }: CandidateServer,
+  { load }: CandidateServer,
+  slots: number,
   time: Milliseconds,
   { now, route, maxWaitBehind }: SelectionContext,
 ): boolean {
-  if (load.waitBehindBalanced(server.slots, now) > maxWaitBehind) {
+  if (load.waitBehindBalanced(slots, now) > maxWaitBehind) {
     return false;
   }
   const estimatedInFlight = load.estimatedInFlight(now);
-  if (estimatedInFlight < server.slots) {
+  if (estimatedInFlight < slots) {
     return true;
   }
   const isLate = time > route.latencyObjective * MAX_EXPECTED_TIME_FRACTION;
   const spread = QUEUE_DEVIATIONS * Math.sqrt(load.otherRequests(now));
-  return !isLate && estimatedInFlight + spread < server.slots * (1 + MAX_WAITING_PER_SLOT);
+  return !isLate && estimatedInFlight + spread < slots * (1 + MAX_WAITING_PER_SLOT);
 }
 
 /** Keeps the server with the lowest cost of those added. */
@@ -118,8 +126,9 @@
     if (gate !== null && gate !== 'awaits_permit') {
       continue;
     }
-    const time = expectedTime(candidate, context);
-    if (!hasRoom(candidate, time, context)) {
+    const slots = countedSlots(candidate);
+    const time = expectedTime(candidate, slots, context);
+    if (!hasRoom(candidate, slots, time, context)) {
       isAnyFull = true;
     } else if (gate === null) {
       eligible.add(candidate, cost(candidate, time, context));
--- a/src/router/request/service-room.ts
+++ b/src/router/request/service-room.ts
@@ -5,6 +5,7 @@
 import type { Route } from '../model/configuration.js';
 import type { RouterContext } from '../router-context.js';
 import type { ActiveRequest } from './active-request.js';
+import { countedSlots } from './counted-slots.js';
 
 /** Returns the load view of a service. */
 export function loadOf({ state, now }: RouterContext, service: ServiceName): ServiceLoadView {
@@ -25,10 +26,10 @@
   const mayUseReserved = state.serviceProfiles.get(service)?.reserved.allows(route.priority) ?? true;
   let lowest = Number.POSITIVE_INFINITY;
   for (const known of state.serversByService.get(service)?.values() ?? []) {
-    const { server, load, drainingSince, backOff } = known;
+    const { load, drainingSince, backOff } = known;
     const isAllowed = mayUseReserved || !load.isReserved;
     if (isAllowed && drainingSince === null && backOff.left(now) === 0) {
-      lowest = Math.min(lowest, load.balancedResponseTime(server.slots, route, now));
+      lowest = Math.min(lowest, load.balancedResponseTime(countedSlots(known), route, now));
     }
   }
   return lowest;
