Delays from outside are bounded to what a timer can have

Callers would have seen: with a configured idle timeout beyond what a socket takes (1.8e305 s becomes infinite in milliseconds) the daemon ends at the first answer, with ERR_OUT_OF_RANGE from the socket's timeout. A timer of the runtime with a delay over 2^31 - 1 ms ran at once.

Why it works: the timeouts of callers' connections and the delays of the runtime's timers go through one function, which bounds them to 23 days.

--- a/src/router-runtime/caller-frontend.ts
+++ b/src/router-runtime/caller-frontend.ts
@@ -24,6 +24,7 @@
 import { ArrivalQueue } from './arrival-queue.js';
 import { NOT_RUN, RequestBody } from './request-body.js';
 import { TransferLimits, type TransferStatistics } from './transfer-limits.js';
+import { boundedDelay } from './timers.js';
 
 /** The largest request body accepted before the first configuration sets a limit. */
 const INITIAL_MAX_BODY_BYTES = 1024 * 1024;
@@ -137,8 +138,8 @@
   /** Applies new limits. Limits on connections take effect with a connection's next request. */
   applyLimits(limits: CallerLimits): void {
     this.#maxBodyBytes = limits.bodyBytes;
-    this.server.headersTimeout = limits.headerTimeout;
-    this.server.keepAliveTimeout = limits.idleTimeout;
+    this.server.headersTimeout = boundedDelay(limits.headerTimeout);
+    this.server.keepAliveTimeout = boundedDelay(limits.idleTimeout);
     (this.server as Server & { maxHeaderSize: number }).maxHeaderSize = limits.headerBytes;
     (this.proxyServer as Server & { maxHeaderSize: number }).maxHeaderSize =
       limits.headerBytes + PROXY_HEADER_BYTES;
--- a/src/router-runtime/timers.ts
+++ b/src/router-runtime/timers.ts
@@ -2,6 +2,17 @@
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { Milliseconds } from '../router/model/identifiers.js';
 
+/**
+ * The longest delay of a timer of the process. Node.js runs timers with a delay over 2^31 - 1 ms at once, and adds up to a second to some
+ * timeouts that it is given.
+ */
+export const MAX_DELAY: Milliseconds = 2_000_000_000;
+
+/** Returns a delay that a timer of the process can have. */
+export function boundedDelay(delay: Milliseconds): Milliseconds {
+  return Math.min(delay, MAX_DELAY);
+}
+
 /** Cancels a timer that has not fired. */
 export type CancelTimer = () => void;
 
@@ -16,7 +27,7 @@
 export const PROCESS_TIMERS: Timers = {
   now: () => PROCESS_CLOCK.now(),
   after(delay, action) {
-    const timer = setTimeout(action, delay);
+    const timer = setTimeout(action, boundedDelay(delay));
     return () => clearTimeout(timer);
   },
 };
