--- a/src/router/ownership/server-succession.ts
+++ b/src/router/ownership/server-succession.ts
@@ -6,6 +6,7 @@
 import type { ServerId } from '../model/identifiers.js';
 import { buildServerId, instanceOf, type InstanceName } from '../model/server-incarnation.js';
 import type { RouterContext } from '../router-context.js';
+import { findUnreachedServers } from './first-contact.js';
 import type { Leadership, PendingCall } from './leadership-state.js';
 import { leaseOf, recordEnded } from './server-lease.js';
 
@@ -60,6 +61,7 @@
       recordListedSuccessor(context, leadership, owner, listedAt);
     }
   }
+  findUnreachedServers(context, leadership);
   leadership.nextPlanAt = Math.min(leadership.nextPlanAt, context.now);
 }
 
