Read the leader record and the ownership table of another writer item by item

Keyed callers got 503 for ever once another writer had put anything that is no leader record while no daemon led, if the lead had ever changed before. And a table with one odd item was taken for none: the next leader began with no units, so nothing waited for the leases of the servers that held keys.

Cause 1: a daemon that could not read the record claimed it for term 1. The table's term was higher, so the candidacy was dropped; the record now named this daemon, which resumed the same term, and so on. A record of another writer with a low term did the same. A claim is now above every term that the daemon knows, from heartbeats, its view, the record or a table that it could not claim. The time from which old leases are waited out counts from when the record was first seen. The leader itself takes a record that still names it for its own, as before, whatever the other fields say.

Cause 2: the schema of the table failed as a whole. stored-table.ts reads it item by item and says in its doc comment what a malformed item costs: keys without a readable owner get an owner that is no server, so that they are granted like those of an owner that has gone, after all leases of former leaders; a table that says nothing about whole services is marked incomplete, also in the store, until then. Overlapping units and ranges that end before they begin are such items, too: the keys had two owners.

The test "is empty in a table of a version that had none" used a table that left most keys without a unit, which reads differently now; its unit covers all keys. describeServer of the tests gives incarnations an address that is one.

--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -264,6 +264,14 @@
     when: 'an object of the store cannot be parsed, logged once for each object: it is skipped, and no server is taken from it',
     fields: 'kind, name, problem (the first violation: path and what is wrong)',
   },
+  malformed_leader_record: {
+    when: 'the leader record in the store cannot be read, since another one than a daemon has written it',
+    fields: 'revision',
+  },
+  malformed_ownership_table: {
+    when: 'parts of the ownership table in the store cannot be read: keys without a readable owner are granted once all earlier leases have ended',
+    fields: 'term, parts, units, incomplete',
+  },
   malformed_peer_message: {
     when: 'bytes received from a peer cannot be parsed; at most one line a second',
     fields: 'peer, detail, unlogged',
--- a/src/router/ownership/begin-leadership.ts
+++ b/src/router/ownership/begin-leadership.ts
@@ -22,7 +22,7 @@
   UNIT_MERGE_INTERVAL,
 } from './ownership-timing.js';
 import { RecentPeak } from './recent-peak.js';
-import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
+import { isUnassigned, unitName, type OwnershipTable, type Unit } from './ownership-table.js';
 import { formerCallsArriveUntil, resumedReleases } from './repeated-releases.js';
 import type { UnconfirmedReleases } from './unconfirmed-releases.js';
 
@@ -58,7 +58,7 @@
     startedAt: now,
     formerLeaderCallsEndAt: formerCallsEndAt,
     formerCallsArriveUntil: formerCallsArriveUntil(table, now),
-    formerLeaderLeasesEndAt: table.units.length === 0 ? now : formerCallsEndAt + maxHoldTime(LEASE_DURATION),
+    formerLeaderLeasesEndAt: isUnassigned(table) ? now : formerCallsEndAt + maxHoldTime(LEASE_DURATION),
     former: candidacy.former?.settled === true ? candidacy.former : null,
     unitProgress: new Map(table.units.map((unit) => [unitName(unit), resumedProgress(unit, now)])),
     leases: new Map(),
@@ -116,7 +116,7 @@
   candidacy: Candidacy,
   table: OwnershipTable,
 ): Milliseconds {
-  if (table.units.length === 0) {
+  if (isUnassigned(table)) {
     return context.now;
   }
   if (candidacy.hasPredecessorEnded) {
--- a/src/router/ownership/candidacy.ts
+++ b/src/router/ownership/candidacy.ts
@@ -5,18 +5,15 @@
 import type { ObjectReadEvent, ObjectWrittenEvent } from '../events.js';
 import type { Milliseconds } from '../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
+import type { RouterState } from '../router-state.js';
 import { connectToParent } from '../tree/parent.js';
 import { beginLeadership } from './begin-leadership.js';
 import type { Candidacy } from './election-state.js';
 import { recordLeader } from './known-leader.js';
 import { EMPTY_TABLE, type OwnershipTable } from './ownership-table.js';
 import { LEADERSHIP_VALIDITY } from './ownership-timing.js';
-import {
-  parseLeaderRecord,
-  parseOwnershipRecord,
-  type LeaderRecord,
-  type OwnershipRecord,
-} from './stored-objects.js';
+import { parseLeaderRecord, type LeaderRecord } from './stored-objects.js';
+import { readOwnershipRecord, type OwnershipRecord } from './stored-table.js';
 
 /** Delay before the retry of a candidacy step without an answer. */
 const CLAIM_RETRY_DELAY: Milliseconds = 250;
@@ -27,6 +24,11 @@
   nextAttemptAt: Number.POSITIVE_INFINITY,
 } as const;
 
+/** Returns the highest term of which this daemon has learned. The leader record may name a lower one if it was written by others. */
+function highestKnownTerm({ election, ownershipView }: RouterState): number {
+  return Math.max(election.highestStoredTerm, election.leader?.term ?? 0, ownershipView.term);
+}
+
 /** Claims the leader record, unless this daemon is stopping or has a candidacy already. */
 export function startCandidacy(context: RouterContext, former: LeaderRecord | null, revision: number): void {
   const { state, now } = context;
@@ -34,7 +36,7 @@
     return;
   }
   const { daemon, life, peerAddress } = state.identity;
-  const term = (former?.term ?? 0) + 1;
+  const term = Math.max(former?.term ?? 0, highestKnownTerm(state)) + 1;
   const claim = { term, daemon, life, address: peerAddress, beat: 0, settled: false, resigned: false };
   // This daemon's earlier incarnation has ended, and no leader before that one can still act.
   const predecessorEnded = former?.daemon === daemon && former.life !== life && former.settled;
@@ -155,6 +157,7 @@
     return;
   }
   if (found.term > candidacy.claim.term) {
+    context.state.election.highestStoredTerm = found.term;
     dropCandidacy(context, `the table is of term ${found.term}`);
     return;
   }
@@ -191,8 +194,8 @@
     candidacy.nextAttemptAt = context.now + CLAIM_RETRY_DELAY;
     return;
   }
-  const record = parseOwnershipRecord(outcome.value);
-  if (record?.writeId === tableClaimId(context, candidacy)) {
+  const record = readOwnershipRecord(outcome.value);
+  if (record.writeId === tableClaimId(context, candidacy)) {
     beginLeadership(context, candidacy, record.table, outcome.revision);
     return;
   }
--- a/src/router/ownership/election-state.ts
+++ b/src/router/ownership/election-state.ts
@@ -33,6 +33,8 @@
   /** The leader as last read from the store or announced by another daemon. */
   leader: LeaderRecord | null;
   leaderRevision: number;
+  /** Highest term in the store that the leader record may not have, since it was malformed or written by others. */
+  highestStoredTerm: number;
   /** Time at which this daemon first learned of this revision of the leader record. */
   leaderRevisionSeenAt: Milliseconds;
   lastHeartbeatAt: Milliseconds;
@@ -67,6 +69,7 @@
   return {
     leader: null,
     leaderRevision: 0,
+    highestStoredTerm: 0,
     leaderRevisionSeenAt: 0,
     lastHeartbeatAt: Number.NEGATIVE_INFINITY,
     confirmationAge: 0,
--- a/src/router/ownership/election.ts
+++ b/src/router/ownership/election.ts
@@ -15,7 +15,8 @@
 import { LEADER_RECORD_READ_INTERVAL, HEARTBEAT_TIMEOUT, TAKEOVER_TIMEOUT } from './ownership-timing.js';
 import { EMPTY_TABLE, type OwnershipTable } from './ownership-table.js';
 import { OwnershipView } from './ownership-view.js';
-import { type LeaderRecord, parseLeaderRecord, parseOwnershipRecord } from './stored-objects.js';
+import { type LeaderRecord, parseLeaderRecord, parseTerm } from './stored-objects.js';
+import { readOwnershipRecord, type ReadOwnershipRecord } from './stored-table.js';
 
 /** The leader record is read from the store when heartbeats report a confirmation older than this. */
 const MAX_CONFIRMATION_AGE: Milliseconds = 3_000;
@@ -160,7 +161,9 @@
 ): void {
   const { election } = context.state;
   const hasResigned = record.resigned || election.resignedTerm === record.term;
-  if (!hasResigned) {
+  if (!hasResigned && record.term < election.highestStoredTerm) {
+    startCandidacy(context, record, revision);
+  } else if (!hasResigned) {
     continueWithTable(context, record, revision, readAt, false);
   } else if (isClaimDue(context, record)) {
     startCandidacy(context, record, revision);
@@ -170,6 +173,25 @@
   }
 }
 
+/**
+ * Handles a record that can't be read: another one than a daemon must have written it. A leader that it has replaced has confirmed its
+ * leadership no later than now.
+ */
+function receiveMalformedLeaderRecord(context: RouterContext, value: unknown, revision: number): void {
+  const { state, now } = context;
+  const { election } = state;
+  state.counters.malformed_store_objects += 1;
+  if (revision !== election.leaderRevision) {
+    election.leaderRevision = revision;
+    election.leaderRevisionSeenAt = now;
+    context.log('malformed_leader_record', { revision }, 'warn');
+  }
+  election.highestStoredTerm = Math.max(election.highestStoredTerm, parseTerm(value));
+  if (!isLeaderResponsive(context)) {
+    startCandidacy(context, null, revision);
+  }
+}
+
 /** Handles a read of the leader record by a daemon that does not lead. */
 export function receiveLeaderRecord(context: RouterContext, event: ObjectReadEvent): void {
   const { state, now } = context;
@@ -188,8 +210,7 @@
   const record = parseLeaderRecord(event.outcome.value);
   const { revision } = event.outcome;
   if (record === null) {
-    state.counters.malformed_store_objects += 1;
-    startCandidacy(context, null, revision);
+    receiveMalformedLeaderRecord(context, event.outcome.value, revision);
     return;
   }
   if (record.life === state.identity.life) {
@@ -216,17 +237,38 @@
   const { election } = state;
   election.tableReadInFlight = false;
   const { outcome } = event;
-  const record = outcome.kind === 'found' ? parseOwnershipRecord(outcome.value) : null;
-  if (outcome.kind === 'found' && record === null) {
+  const record = outcome.kind === 'found' ? readOwnershipRecord(outcome.value) : null;
+  if (record !== null && record.malformedParts > 0) {
     state.counters.malformed_store_objects += 1;
+    const { term, units, isIncomplete } = record.table;
+    const fields = {
+      term,
+      parts: record.malformedParts,
+      units: units.length,
+      incomplete: isIncomplete === true,
+    };
+    context.log('malformed_ownership_table', fields, 'warn');
   }
   if (election.candidacy?.phase === 'readingTable') {
-    claimTable(context, election.candidacy, event, record?.table ?? EMPTY_TABLE);
+    const table = record === null ? EMPTY_TABLE : withFencesAboveView(state, record);
+    claimTable(context, election.candidacy, event, table);
   } else if (outcome.kind === 'found' && record !== null) {
     adoptStoredView(context, record.table, outcome.revision);
   }
 }
 
+/** Returns a table whose next fences are above those that this daemon knows, in case the highest ones could not be read. */
+function withFencesAboveView(
+  { ownershipView }: RouterState,
+  { table, malformedParts }: ReadOwnershipRecord,
+): OwnershipTable {
+  if (malformedParts === 0) {
+    return table;
+  }
+  const known = ownershipView.units.reduce((highest, { fence }) => Math.max(highest, fence), 0);
+  return { ...table, nextFence: Math.max(table.nextFence, known + 1) };
+}
+
 function adoptStoredView(context: RouterContext, table: OwnershipTable, revision: number): void {
   const { state } = context;
   const units = table.units.map((unit) => ({ ...unit, granted: true }));
--- a/src/router/ownership/leader-confirmation.ts
+++ b/src/router/ownership/leader-confirmation.ts
@@ -6,7 +6,7 @@
 import type { RouterContext } from '../router-context.js';
 import type { Leadership } from './leadership-state.js';
 import { LEADERSHIP_CONFIRMATION_INTERVAL, LEADERSHIP_VALIDITY } from './ownership-timing.js';
-import { parseLeaderRecord, type LeaderRecord } from './stored-objects.js';
+import { parseLeaderIdentity, parseLeaderRecord, type LeaderRecord } from './stored-objects.js';
 
 /**
  * Delay before the first retry of a refused write. The delay grows with each retry, since refused requests
@@ -43,7 +43,7 @@
 }
 
 function isOwn(context: RouterContext, leadership: Leadership, value: unknown): boolean {
-  const record = parseLeaderRecord(value);
+  const record = parseLeaderIdentity(value);
   return record?.term === leadership.term && record.life === context.state.identity.life;
 }
 
--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -115,6 +115,9 @@
   if (leadership.table.units.some((unit) => unit.service === service)) {
     return false;
   }
+  if (leadership.table.isIncomplete === true && context.now <= leadership.formerLeaderLeasesEndAt) {
+    return true;
+  }
   const waited = context.now - leadership.startedAt;
   if (waited < FIRST_ASSIGNMENT_MIN_WAIT) {
     return true;
--- a/src/router/ownership/ownership-table.ts
+++ b/src/router/ownership/ownership-table.ts
@@ -38,6 +38,13 @@
   readonly units: readonly Unit[];
   /** Releases that must be repeated until the former owners confirm them. */
   readonly unconfirmedReleases: UnconfirmedReleases;
+  /** An earlier table could not be read as a whole: servers may hold keys that have no unit here, until the leases of former leaders end. */
+  readonly isIncomplete?: boolean;
+}
+
+/** Returns whether no server can hold any key under an earlier leader. */
+export function isUnassigned({ units, isIncomplete }: OwnershipTable): boolean {
+  return units.length === 0 && isIncomplete !== true;
 }
 
 export const EMPTY_TABLE: OwnershipTable = { term: 0, nextFence: 2, units: [], unconfirmedReleases: [] };
--- a/src/router/ownership/repeated-releases.ts
+++ b/src/router/ownership/repeated-releases.ts
@@ -9,7 +9,7 @@
 import { recordServerHeard } from '../reachability/path-checks.js';
 import type { RouterContext } from '../router-context.js';
 import type { Leadership, PendingRelease } from './leadership-state.js';
-import { unitName, type OwnershipTable } from './ownership-table.js';
+import { isUnassigned, unitName, type OwnershipTable } from './ownership-table.js';
 import { leaseOf } from './server-lease.js';
 import { addressOf, recordOtherInstance, successorOf } from './server-succession.js';
 import {
@@ -33,7 +33,7 @@
 
 /** Returns until when calls of former leaders may arrive at servers. */
 export function formerCallsArriveUntil(table: OwnershipTable, now: Milliseconds): Milliseconds {
-  return table.units.length === 0 ? now : now + HELD_UP_CALL_LIFETIME;
+  return isUnassigned(table) ? now : now + HELD_UP_CALL_LIFETIME;
 }
 
 /** Returns the releases that a new leader must repeat: those that are stored, and those that the table has begun. */
--- a/src/router/ownership/table-write.ts
+++ b/src/router/ownership/table-write.ts
@@ -7,7 +7,7 @@
 import type { Leadership, UnitProgress } from './leadership-state.js';
 import { unitName, type OwnershipTable, type Unit } from './ownership-table.js';
 import { beginReleases } from './repeated-releases.js';
-import { parseOwnershipRecord, type OwnershipRecord } from './stored-objects.js';
+import { readOwnershipRecord, type OwnershipRecord } from './stored-table.js';
 
 /** Delay before the retry of a write that failed or got no answer. */
 const WRITE_RETRY_DELAY: Milliseconds = 200;
@@ -37,7 +37,9 @@
 /** Writes a new table, which is carried out only once the store has accepted it. */
 export function writeTable(context: RouterContext, leadership: Leadership, planned: OwnershipTable): void {
   const finished = withoutFinishedReleases(leadership, planned);
-  const table = beginReleases(context, leadership, finished);
+  const { isIncomplete, ...completed } = beginReleases(context, leadership, finished);
+  const mayBeHeld = isIncomplete === true && context.now <= leadership.formerLeaderLeasesEndAt;
+  const table: OwnershipTable = mayBeHeld ? { ...completed, isIncomplete } : completed;
   const writeId = `${context.state.identity.life}-${context.state.nextCallId}`;
   context.state.nextCallId += 1;
   leadership.pendingWrite = { table, writeId, retryAt: null };
@@ -80,8 +82,8 @@
     return;
   }
   if (outcome.kind === 'conflict') {
-    const record = parseOwnershipRecord(outcome.value);
-    if (record?.writeId === pendingWrite.writeId) {
+    const record = readOwnershipRecord(outcome.value);
+    if (record.writeId === pendingWrite.writeId) {
       adoptTable(context, leadership, pendingWrite.table, outcome.revision);
     } else {
       stepDown(context, 'another daemon wrote the table', null);
--- a/test/router/ownership/test-unconfirmed-releases.ts
+++ b/test/router/ownership/test-unconfirmed-releases.ts
@@ -8,7 +8,7 @@
   type OwnershipTable,
   type Unit,
 } from '../../../src/router/ownership/ownership-table.js';
-import { parseOwnershipRecord } from '../../../src/router/ownership/stored-objects.js';
+import { readOwnershipRecord } from '../../../src/router/ownership/stored-table.js';
 import {
   withinLimit,
   withNewReleases,
@@ -18,6 +18,7 @@
 import { RouterSimulation, type SimulatedDaemon } from '../support/router-simulation.js';
 import type { SimulatedServer } from '../support/simulated-server.js';
 import type { Address } from '../../../src/router/model/address.js';
+import { LAST_KEY } from '../../../src/router/model/identifiers.js';
 import { toAddress } from '../../support/addresses.js';
 
 const SETTLED = 6_000;
@@ -73,9 +74,10 @@
   });
 
   it('is empty in a table of a version that had none', () => {
-    const { unconfirmedReleases, ...former } = table;
+    const whole = { ...table, units: [{ ...unit, to: LAST_KEY }] };
+    const { unconfirmedReleases, ...former } = whole;
     expect(unconfirmedReleases).toEqual([]);
-    expect(parseOwnershipRecord({ writeId: 'w', table: former })?.table).toEqual(table);
+    expect(readOwnershipRecord({ writeId: 'w', table: former }).table).toEqual(whole);
   });
 });
 
@@ -91,7 +93,7 @@
 }
 
 function storedReleases(simulation: RouterSimulation): readonly UnconfirmedRelease[] | undefined {
-  return parseOwnershipRecord(simulation.store.get('ownership'))?.table.unconfirmedReleases;
+  return readOwnershipRecord(simulation.store.get('ownership')).table.unconfirmedReleases;
 }
 
 function repeatedReleases({ daemons }: RouterSimulation): number {
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -3,6 +3,7 @@
 import type { AttemptResult, RouterEvent } from '../../../src/router/events.js';
 import type { Configuration } from '../../../src/router/model/configuration.js';
 import type { RequestOrigin } from '../../../src/router/proxying/request-origin.js';
+import { instanceOf } from '../../../src/router/model/server-incarnation.js';
 import type { ServerDescription } from '../../../src/router/model/server.js';
 import { LAST_KEY } from '../../../src/router/model/identifiers.js';
 import { OwnershipView } from '../../../src/router/ownership/ownership-view.js';
@@ -80,7 +81,7 @@
 
 /** Describes a server of the balanced service. */
 export function describeServer(id: string): ServerDescription {
-  const address = toAddress(`10.0.0.${id.slice(1)}:80`);
+  const address = toAddress(`10.0.0.${instanceOf(id).slice(1)}:80`);
   return {
     id,
     service: 'logs',
