--- a/src/router/ownership/leader-plan.ts
+++ b/src/router/ownership/leader-plan.ts
@@ -132,6 +132,9 @@
   if (leadership.table.units.some((unit) => unit.service === service)) {
     return false;
   }
+  if (leadership.table.isIncomplete === true && context.now <= leadership.formerLeaderLeasesEndAt) {
+    return true;
+  }
   const dueAt = firstAssignmentDueAt(context, leadership, service);
   if (context.now < dueAt) {
     leadership.nextPlanAt = Math.min(leadership.nextPlanAt, dueAt);
