Soak: check that no process ends by itself and no request is left without an answer

A daemon that ended by itself was neither reported nor started again: the run said at most "service comes back" at its end. Requests that it had read, and those at a daemon that hung, counted as "not answered" and broke no promise.

- "no process ends by itself": an exit that no SIGKILL, or a SIGTERM with another status than 0, explains.
Reported with status and the last uncaught_exception line; the process is started again after 300 ms.
- "no request without an answer": the daemon closed the connection after it had read the request, cut the answer short or stayed silent past the deadline, and no planted fault, nor time without a processor, lies within 3 s before.
An end that nobody ordered explains nothing.
A reset counts if a server ran the request: the kernel resets connections with unread bytes.
- The report has ends by daemon, requests lost per end, and what callers got in the 2 s after.
- Callers that may run once wait 0.5 s longer than they say, so that an answer at the deadline arrives.
- The servers' life cycle moves out of soak.ts into server-fleet.ts.

Both promises are checked in every run.

--- a/test/soak/caller-messages.ts
+++ b/test/soak/caller-messages.ts
@@ -19,6 +19,12 @@
   readonly disconnect: { readonly afterMilliseconds: number; readonly byReset: boolean } | null;
 }
 
+/**
+ * How a request ended: with a whole answer, without a connection, by a reset (its daemon may not have read it), by a close after the request had been
+ * read, within the answer, or unanswered.
+ */
+export type RequestEnding = 'answered' | 'refused' | 'reset' | 'closed' | 'cutShort' | 'unanswered';
+
 /** How a request ended for its caller. */
 export interface CallerResult {
   readonly kind: 'ended';
@@ -28,6 +34,7 @@
   /** HTTP status; 0 when the connection ended without a response, `TIMED_OUT_STATUS` when the caller gave up. */
   readonly status: number;
   readonly body: string;
+  readonly ending: RequestEnding;
 }
 
 /** A caller disconnected before its request ended. */
--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -35,7 +35,7 @@
     const attemptId = `${daemon}-${this.#nextAttempt}`;
     this.#nextAttempt += 1;
     const [host = '', port = ''] = this.daemon.ports.http.split(':');
-    const { sentAt, endedAt, status, body } = await this.#connections.send({
+    const { sentAt, endedAt, status, body, ending } = await this.#connections.send({
       attemptId,
       host,
       port,
@@ -56,7 +56,8 @@
       disconnect: null,
     });
     const duringPlannedStop = this.daemon.wasStopping(endedAt);
-    const outcome = { attemptId, path, daemon, sentAt, endedAt, status, reason: body, duringPlannedStop };
+    const times = { sentAt, endedAt, duringPlannedStop };
+    const outcome = { attemptId, path, daemon, status, reason: body, ending, ...times };
     this.#promises.recordOutcome(outcome);
     return outcome;
   }
--- a/test/soak/daemon-process.ts
+++ b/test/soak/daemon-process.ts
@@ -5,12 +5,16 @@
 import { fileURLToPath } from 'node:url';
 import type { Readable } from 'node:stream';
 import type { PathFault } from './path-fault.js';
+import { ProcessOutput } from './process-output.js';
 import { HEARTBEAT_DESCRIPTOR, Heartbeats } from './heartbeats.js';
 import { now } from './soak-clock.js';
 
 /** Path of this build's daemon program. */
 export const DEFAULT_PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
 
+/** Time after which the platform starts a process again that has ended by itself. */
+const RESTART_MILLISECONDS = 300;
+
 /** Part of the log line that a daemon writes when it wins an election. */
 const LEADERSHIP_WON = '"event":"leadership_won"';
 
@@ -32,6 +36,17 @@
   readonly proxy: string;
 }
 
+/** End of a process. */
+export interface ProcessEnd {
+  readonly daemon: string;
+  /** Time of the end, in milliseconds. */
+  readonly at: number;
+  /** Exit code, or the signal that ended the process. */
+  readonly status: number | string;
+  /** The log line of the exception that ended the process, or the last line that it wrote. */
+  readonly lastLine: string;
+}
+
 /** How the processes of a daemon run. */
 export interface ProcessOptions {
   readonly folder: string;
@@ -49,6 +64,10 @@
   readonly ports: DaemonPorts;
   /** Time of the last fault of this daemon (a start, an exit or a signal), in milliseconds. */
   lastFaultAt = 0;
+  /** The same without the ends that no signal caused, and the starts after them. */
+  lastPlantedFaultAt = 0;
+  /** Called when a process has ended without a signal of the soak that explains it, once its output has been read. */
+  onOwnEnd: (end: ProcessEnd) => void = () => undefined;
   /** Whether a planned stop of the current process is under way. */
   stopping = false;
   isPaused = false;
@@ -66,6 +85,9 @@
   /** Since when a planned stop has been under way or not, oldest first. A paused daemon is not stopping. */
   readonly #stops: { readonly since: number; readonly isStopping: boolean }[] = [];
   #startCount = 0;
+  /** Whether the soak killed the current process. */
+  #isKilled = false;
+  #isRetired = false;
 
   constructor(
     name: string,
@@ -96,6 +118,10 @@
 
   /** Starts a process unless one runs. Two overlapping faults may each call this, and a second process would leave the first one without a handle to end it. */
   start(): void {
+    this.#start(true);
+  }
+
+  #start(isPlanted: boolean): void {
     if (this.#currentProcess !== null) {
       return;
     }
@@ -122,19 +148,54 @@
     child.stderr?.pipe(log, { end: false });
     this.#currentProcess = child;
     this.stopping = false;
+    this.#isKilled = false;
     this.#recordStop();
-    this.lastFaultAt = now();
-    child.once('exit', () => {
+    this.#recordFault(isPlanted);
+    const output = new ProcessOutput(child);
+    child.once('exit', (code, signal) => {
       if (this.#currentProcess === child) {
-        this.#currentProcess = null;
-        this.isPaused = false;
-        this.lastFaultAt = now();
-        this.#recordStop();
+        this.#receiveExit(code, signal, output);
       }
       log.end();
     });
   }
 
+  #receiveExit(code: number | null, signal: string | null, output: ProcessOutput): void {
+    const isOrdered = this.#isKilled || (this.stopping && (code === 0 || signal === 'SIGTERM'));
+    const wasStopping = this.stopping;
+    this.#currentProcess = null;
+    this.isPaused = false;
+    this.#recordFault(isOrdered);
+    this.#recordStop();
+    if (isOrdered) {
+      return;
+    }
+    const end = { daemon: this.name, at: now(), status: code ?? signal ?? 'unknown' };
+    void output.ended().then(() => this.onOwnEnd({ ...end, lastLine: output.fatalLine }));
+    // Whoever ordered a planned stop starts the next process.
+    if (!wasStopping) {
+      setTimeout(() => this.#startAgain(), RESTART_MILLISECONDS);
+    }
+  }
+
+  /** Starts the next process after an end that nobody ordered, as the platform does. */
+  #startAgain(): void {
+    if (!this.#isRetired) {
+      this.#start(false);
+    }
+  }
+
+  #recordFault(isPlanted: boolean): void {
+    this.lastFaultAt = now();
+    this.lastPlantedFaultAt = isPlanted ? this.lastFaultAt : this.lastPlantedFaultAt;
+  }
+
+  /** Kills the current process. No other is started. */
+  retire(): void {
+    this.#isRetired = true;
+    this.signal('SIGKILL');
+  }
+
   /** Lets the daemon lose its path to all servers; null: restores it. */
   setPathFault(fault: PathFault | null): void {
     writeFileSync(this.#pathFile, fault ?? '');
@@ -153,8 +214,9 @@
 
   /** Sends a signal to the current process. */
   signal(name: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT'): void {
-    this.lastFaultAt = now();
+    this.#recordFault(true);
     this.stopping ||= name === 'SIGTERM';
+    this.#isKilled ||= name === 'SIGKILL';
     if (name === 'SIGSTOP' || name === 'SIGCONT') {
       this.isPaused = name === 'SIGSTOP';
       this.lastPauseChangeAt = now();
--- a/test/soak/heartbeats.ts
+++ b/test/soak/heartbeats.ts
@@ -8,6 +8,7 @@
 export class Heartbeats {
   #lastAt = Number.NEGATIVE_INFINITY;
   #runsSince = Number.NEGATIVE_INFINITY;
+  #lastGapEndedAt = Number.NEGATIVE_INFINITY;
   #longestGap = 0;
   #unparsed = '';
 
@@ -16,6 +17,11 @@
     return this.#runsSince;
   }
 
+  /** When a process last ran again after the machine had not run it. */
+  get lastGapEndedAt(): number {
+    return this.#lastGapEndedAt;
+  }
+
   /** Longest time in milliseconds between two heartbeats of one process. */
   get longestGap(): number {
     return this.#longestGap;
@@ -45,6 +51,7 @@
       this.#runsSince = time;
     }
     if (Number.isFinite(gap)) {
+      this.#lastGapEndedAt = gap > MAX_GAP_MILLISECONDS ? time : this.#lastGapEndedAt;
       this.#longestGap = Math.max(this.#longestGap, gap);
     }
     this.#lastAt = time;
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -52,6 +52,7 @@
     serverCrashes,
     rush,
     answerFaults,
+    processEnds,
   } = report;
   const won = report.leadershipsWon.map(([program, count]) => `${count} by ${program}`).join(', ');
   const builds = values['program-of-half'] === undefined ? '' : `; elections won: ${won}`;
@@ -59,12 +60,8 @@
   print(
     `seed ${seed}: ${verdict}; ${requests} requests, ${answered} answered; ${versions} versions; ${serverCrashes} servers crashed; ${faults.length} faults; longest stall ${longestStallMilliseconds} ms, longest gap of a daemon ${longestGapMilliseconds} ms${builds}`,
   );
-  if (rush !== '') {
-    print(`  ${rush}`);
-  }
-  if (answerFaults !== '') {
-    print(`  ${answerFaults}`);
-  }
+  const details = [rush, answerFaults, processEnds];
+  details.filter((detail) => detail !== '').forEach((detail) => print(`  ${detail}`));
   if (violations.length > 0) {
     print(`  ${countByPromise(violations)}`);
     violations.slice(0, 10).forEach((violation) => print(`  ${violation}`));
--- a/test/soak/once-callers.ts
+++ b/test/soak/once-callers.ts
@@ -7,7 +7,9 @@
 import { pause } from './soak-clock.js';
 
 const CALLERS_PER_DAEMON = 3;
-const TIMEOUT_MILLISECONDS = 1_500;
+const DEADLINE_MILLISECONDS = 1_500;
+/** A caller waits for longer than it says, so that an answer at the deadline still reaches it. */
+const TIMEOUT_MILLISECONDS = 2_000;
 const LONGEST_PAUSE_MILLISECONDS = 60;
 const LONGEST_BODY_BYTES = 6_000;
 const KEYS = 65_536;
@@ -63,7 +65,7 @@
       headers: {
         host: HOST,
         'fennelferry-attempt-id': attemptId,
-        'fennelferry-deadline-ms': String(TIMEOUT_MILLISECONDS),
+        'fennelferry-deadline-ms': String(DEADLINE_MILLISECONDS),
         'fennelferry-shard-key': String(Math.floor(this.#random.fraction() * KEYS)),
       },
       body: attemptId.padEnd(Math.floor(this.#random.fraction() * LONGEST_BODY_BYTES), '.'),
@@ -73,7 +75,7 @@
       timeoutMilliseconds: TIMEOUT_MILLISECONDS,
       disconnect: null,
     });
-    const { sentAt, endedAt, status, body: reason } = result;
+    const { sentAt, endedAt, status, body: reason, ending } = result;
     const duringPlannedStop = daemon.wasStopping(endedAt);
     const outcome = {
       attemptId,
@@ -83,6 +85,7 @@
       endedAt,
       status,
       reason,
+      ending,
       duringPlannedStop,
     };
     this.#promises.recordOutcome(outcome);
--- a/test/soak/path-faults.ts
+++ b/test/soak/path-faults.ts
@@ -56,7 +56,7 @@
     this.#promises = promises;
     this.#environment = environment;
     this.#random = new SeededRandom(seed + 613_000);
-    promises.onOutcome = (outcome) => this.#count(outcome);
+    promises.outcomeChecks.push((outcome) => this.#count(outcome));
   }
 
   /** Breaks paths for `length` milliseconds, and resolves when the last one is restored. */
--- a/test/soak/promise-checker.ts
+++ b/test/soak/promise-checker.ts
@@ -1,5 +1,6 @@
 /** Checks what callers and servers see during a soak against the guarantees that the router promises. */
 import { QUARANTINE_REASON } from '../../src/router/quarantine/quarantine.js';
+import type { RequestEnding } from './caller-messages.js';
 import { mayRunOnce } from './deployment.js';
 import { CRASHING_PATH_PART, type ServerObserver, type FakeServer } from './fake-server.js';
 
@@ -14,6 +15,7 @@
   readonly status: number;
   /** Body of the response. */
   readonly reason: string;
+  readonly ending: RequestEnding;
   /** Whether the daemon was in a planned stop and not paused when the request ended. */
   readonly duringPlannedStop: boolean;
 }
@@ -56,7 +58,7 @@
   /** Crashes the server that runs a request. */
   onCrashingRequest: (server: FakeServer, attemptId: string) => void = () => undefined;
   /** Called for each request that has ended. */
-  onOutcome: (outcome: CallerOutcome) => void = () => undefined;
+  readonly outcomeChecks: ((outcome: CallerOutcome) => void)[] = [];
   /** Called for each request that a server runs. */
   onRun: (server: FakeServer, attemptId: string) => void = () => undefined;
 
@@ -113,7 +115,12 @@
     if (path.startsWith('/keyed') && this.servers.some(({ link }) => link?.wasCutWithin(disturbance))) {
       this.#sentInCut.add(attemptId);
     }
-    this.onOutcome(outcome);
+    this.outcomeChecks.forEach((check) => check(outcome));
+  }
+
+  /** Returns how often servers ran an attempt. */
+  runsOf(attemptId: string): number {
+    return this.#runs.get(attemptId)?.count ?? 0;
   }
 
   get outcomes(): readonly CallerOutcome[] {
@@ -123,7 +130,7 @@
   /** Checks at the end of a run the promises that can only be judged when no request is in flight. */
   finish(): void {
     for (const { attemptId, path, status, reason, duringPlannedStop, daemon } of this.#outcomes) {
-      const runs = this.#runs.get(attemptId)?.count ?? 0;
+      const runs = this.runsOf(attemptId);
       const detail = `${attemptId} ${path} at ${daemon}: status ${status}, ${runs} runs`;
       if (mayRunOnce(path) && runs > 1) {
         this.fail('at most once', detail);
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -45,6 +45,8 @@
   readonly rush: string;
   /** How often servers met each kind of trouble with their answers; empty without such faults. */
   readonly answerFaults: string;
+  /** What callers saw of ends of processes that nobody ordered; empty without such ends. */
+  readonly processEnds: string;
   /** Number of servers that crashed while running a request. */
   readonly serverCrashes: number;
   /** Elections won by the daemons of each program, counted from their logs. Log lines that a killed process had not written are not counted. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { AnswerChecks } from './answer-checks.js';
 import { AnswerFaults } from './answer-faults.js';
 import { ArrivalChecks } from './arrival-checks.js';
 import { Caller } from './caller.js';
@@ -17,39 +18,32 @@
 import {
   createConfiguration,
   createDaemonSettings,
-  createServerEntry,
   RUSH_SERVICE,
   RUSH_SLOTS_PER_SERVER,
-  TIMING,
   ZONES,
 } from './deployment.js';
-import { allocateDaemonPorts, allocatePorts, portOf } from './ports.js';
+import { allocateDaemonPorts, portOf } from './ports.js';
 import { DisconnectingCallers } from './disconnecting-callers.js';
 import { LimitFaults } from './limit-faults.js';
 import { NoticeFaults } from './notice-faults.js';
 import { OnceCallers } from './once-callers.js';
 import { PathFaults } from './path-faults.js';
 import { ServerCuts } from './server-cuts.js';
+import { ServerFleet } from './server-fleet.js';
 import { StoreOutages } from './store-outages.js';
 import { callContinuously } from './regular-calls.js';
 import { Rush } from './rush.js';
 import { PromiseChecker } from './promise-checker.js';
 import { drawFaults, type Fault } from './fault-schedule.js';
 import { programOf, type SoakOptions, type SoakReport } from './soak-report.js';
-import { FakeServer } from './fake-server.js';
 import { checkServedAgain } from './service-check.js';
 import { RemoteStore } from './remote-store.js';
 import { now, pause, recordTurns } from './soak-clock.js';
 
-const MILLISECONDS_PER_SECOND = 1_000;
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 /** A daemon is undisturbed, and held to its promises, when neither it nor the store had a fault for this long. */
 const UNDISTURBED_MILLISECONDS = 3_000;
 const SETTLE_MILLISECONDS = 5_000;
-/** Time after which a crashed server is replaced by a new one at the same address. */
-const SERVER_RESTART_MILLISECONDS = 2_000;
-/** Time after which the entry of the crashed incarnation is removed from the store: three missed heartbeats. */
-const ENTRY_LAPSE_MILLISECONDS = 4_000;
 /** Time without faults before the final check. After the loss of all daemons, a new leader waits 7.7 s for leases of lost servers, from 1.4 s after the store is back. */
 const FAULT_FREE_MILLISECONDS = 12_000;
 /** Last number of the first caller's loopback address. */
@@ -65,27 +59,25 @@
   readonly #stallHistogram = monitorEventLoopDelay({ resolution: 10 });
   readonly #daemons: DaemonProcess[] = [];
   readonly #callers: Caller[] = [];
-  readonly #servers: FakeServer[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), 'fennelferry-soak-'));
   readonly #probes = new ConfigurationProbes(this.#promises, (daemon, from) =>
     this.#wasUndisturbed(daemon, from),
   );
-  /** Servers that announce in responses only that they drain. */
-  readonly #drainingByNotice = new Set<FakeServer>();
   readonly #arrivalChecks = new ArrivalChecks(this.#promises, (attemptId) =>
     this.#isSenderUndisturbed(attemptId),
   );
   readonly #crashingRequests = new CrashingRequests(this.#promises, {
     isSenderUndisturbed: (attemptId) => this.#isSenderUndisturbed(attemptId),
-    replace: (server) => this.#replaceCrashed(server),
+    replace: (server) => this.#fleet.replaceCrashed(server),
   });
   #newestVersion = 0;
-  #serverCount = 0;
+  readonly #fleet: ServerFleet;
   readonly #outages: StoreOutages;
   readonly #pathFaults: PathFaults | null;
   readonly #serverCuts: ServerCuts | null;
   readonly #rush: Rush | null;
   readonly #answerFaults: AnswerFaults | null;
+  readonly #answerChecks = new AnswerChecks(this.#promises, this.#daemons);
   #finished = false;
 
   constructor(options: SoakOptions, store: RemoteStore) {
@@ -93,7 +85,8 @@
     this.#store = store;
     this.#outages = new StoreOutages(store);
     const wasUndisturbed = this.#wasUndisturbed.bind(this);
-    const activeServers = this.#activeServers.bind(this);
+    this.#fleet = new ServerFleet({ store, promises: this.#promises, arrivalChecks: this.#arrivalChecks });
+    const activeServers = this.#fleet.activeServers.bind(this.#fleet);
     this.#pathFaults = options.hasPathFaults
       ? new PathFaults(options.seed, this.#promises, { daemons: this.#daemons, wasUndisturbed })
       : null;
@@ -102,6 +95,8 @@
       : null;
     this.#rush = options.hasRush ? this.#createRush() : null;
     this.#answerFaults = options.hasAnswerFaults ? new AnswerFaults(options.seed, { activeServers }) : null;
+    this.#fleet.cuts = this.#serverCuts;
+    this.#fleet.answerFaults = this.#answerFaults;
   }
 
   async run(): Promise<SoakReport> {
@@ -137,6 +132,7 @@
     this.#finished = true;
     await Promise.all(calls);
     this.#promises.finish();
+    this.#answerChecks.finish();
     return this.#report(schedule.map(({ at, fault }) => `${at} ${JSON.stringify(fault)}`));
   }
 
@@ -145,9 +141,9 @@
     this.#finished = true;
     this.#stallHistogram.disable();
     const ended = this.#daemons.map((daemon) => daemon.ended());
-    this.#daemons.forEach((daemon) => daemon.signal('SIGKILL'));
+    this.#daemons.forEach((daemon) => daemon.retire());
     await Promise.all(ended);
-    this.#servers.forEach((server) => server.stop());
+    this.#fleet.stop();
     this.#serverCuts?.stop();
     await Promise.all([this.#store.stop(), this.#connections.close()]);
     if (this.#promises.violations.length === 0) {
@@ -167,11 +163,11 @@
       void this.#crashingRequests.crash(server, server.service, attemptId);
     await this.#writeConfiguration();
     for (let index = 0; index < servers; index += 1) {
-      await this.#addServer('keyed');
-      await this.#addServer('plain');
+      await this.#fleet.add('keyed');
+      await this.#fleet.add('plain');
     }
     for (let index = 0; this.#rush !== null && index < servers * RUSH_SERVERS_PER_SERVER; index += 1) {
-      await this.#addServer(RUSH_SERVICE);
+      await this.#fleet.add(RUSH_SERVICE);
     }
     const ports = await allocateDaemonPorts(daemons);
     const { hasCrashes, hasPathFaults } = this.#options;
@@ -182,6 +178,7 @@
       const program = programOf(this.#options, index);
       const process = { folder: this.#folder, program, suspends: hasCrashes, portsInReach };
       const daemon = new DaemonProcess(`d${index}`, daemonPorts, settings, process);
+      daemon.onOwnEnd = (end) => this.#answerChecks.recordEnd(end);
       this.#daemons.push(daemon);
       const address = `127.0.0.${index + FIRST_CALLER_HOST}`;
       this.#callers.push(new Caller(daemon, this.#promises, this.#connections, address));
@@ -189,46 +186,25 @@
     }
   }
 
-  async #writeConfiguration(): Promise<void> {
+  /** Resolves with the version that was written. */
+  async #writeConfiguration(): Promise<number> {
     this.#newestVersion += 1;
     const version = this.#newestVersion;
     this.#probes.recordWriting(version);
     const at = await this.#store.put('config', 'main', createConfiguration(version, this.#options.hasRush));
     this.#probes.recordWritten(version, at);
-  }
-
-  /** Adds a server on a port; null: any free one outside of the ephemeral range, so that it is free again when the server restarts. */
-  async #addServer(service: string, port: number | null = null): Promise<void> {
-    this.#serverCount += 1;
-    const zone = ZONES[this.#serverCount % ZONES.length] as string;
-    const isKeyed = service === 'keyed';
-    const server = new FakeServer(`s${this.#serverCount}`, service, zone, isKeyed, this.#promises);
-    const [freePort = 0] = port === null ? await allocatePorts(1) : [port];
-    server.answerFaults = this.#answerFaults;
-    await server.start(freePort);
-    if (isKeyed) {
-      await this.#serverCuts?.connect(server);
-    }
-    this.#servers.push(server);
-    this.#promises.servers.push(server);
-    await this.#putEntry(server, 'ready');
-  }
-
-  #activeServers(): FakeServer[] {
-    return this.#servers.filter(
-      (server) => !this.#arrivalChecks.isDraining(server) && !this.#drainingByNotice.has(server),
-    );
+    return version;
   }
 
   #createNoticeFaults(): NoticeFaults {
     const noticeFaults = new NoticeFaults(this.#options.seed, this.#promises, {
       store: this.#store,
       daemons: this.#daemons,
-      activeServers: () => this.#activeServers(),
-      addSimilarServer: (server) => this.#addServer(server.service),
-      restart: (server, after) => this.#restartServer(server, after),
-      excludeFromFaults: (server) => void this.#drainingByNotice.add(server),
-      putEntry: (server) => void this.#putEntry(server, 'ready'),
+      activeServers: () => this.#fleet.activeServers(),
+      addSimilarServer: async (server) => void (await this.#fleet.add(server.service)),
+      restart: (server, after) => this.#fleet.restart(server, after),
+      excludeFromFaults: (server) => void this.#fleet.exclude(server),
+      putEntry: (server) => void this.#fleet.putEntry(server, 'ready'),
     });
     this.#promises.trafficChecks.push(noticeFaults);
     return noticeFaults;
@@ -237,7 +213,7 @@
   #createLimitFaults(): LimitFaults {
     const limitFaults = new LimitFaults(this.#options.seed, this.#promises, {
       daemons: this.#daemons,
-      activeServers: () => this.#activeServers(),
+      activeServers: () => this.#fleet.activeServers(),
     });
     this.#promises.trafficChecks.push(limitFaults);
     return limitFaults;
@@ -262,33 +238,12 @@
     const disconnectingCallers = new DisconnectingCallers(this.#options.seed, this.#promises, {
       connections: this.#connections,
       daemons: this.#daemons,
-      servers: () => this.#servers,
+      servers: () => this.#fleet.servers,
     });
     this.#promises.trafficChecks.push(disconnectingCallers);
     return disconnectingCallers;
   }
 
-  /** Crashes a server and restarts it under its id and at its address. */
-  async #restartServer(server: FakeServer, after: number): Promise<void> {
-    const { id, service, zone, keyed, port } = server;
-    this.#servers.splice(this.#servers.indexOf(server), 1);
-    this.#promises.servers.splice(this.#promises.servers.indexOf(server), 1);
-    server.crash();
-    await pause(after);
-    const next = new FakeServer(id, service, zone, keyed, this.#promises);
-    next.born = Date.now();
-    next.answerFaults = this.#answerFaults;
-    await next.start(port);
-    this.#servers.push(next);
-    this.#promises.servers.push(next);
-    await this.#putEntry(next, 'ready');
-  }
-
-  /** Resolves with the time at which the store accepted the entry. */
-  #putEntry(server: FakeServer, state: 'ready' | 'draining'): Promise<number> {
-    return this.#store.put('servers', server.id, createServerEntry(server, state));
-  }
-
   async #performFault(fault: Fault): Promise<void> {
     switch (fault.kind) {
       case 'change':
@@ -309,11 +264,11 @@
         await Promise.all(fault.daemons.map((index) => pauseDaemon(this.#daemonAt(index), fault.lasts)));
         return;
       case 'drain':
-        return this.#drain(fault.server, false);
+        return this.#fleet.drain(fault.server, false);
       case 'replace':
-        return this.#drain(fault.server, true);
+        return this.#fleet.drain(fault.server, true);
       case 'evacuate':
-        return this.#evacuate(ZONES[fault.zone] as string, fault.lasts);
+        return this.#fleet.evacuate(ZONES[fault.zone] as string, fault.lasts);
     }
   }
 
@@ -326,35 +281,6 @@
     return this.#daemons[index] as DaemonProcess;
   }
 
-  /** Adds a server and removes another one, which is first marked as draining unless `isUnresponsive`. */
-  async #drain(index: number, isUnresponsive: boolean): Promise<void> {
-    const server = this.#activeServers()[index];
-    if (server === undefined) {
-      return;
-    }
-    await this.#addServer(server.service);
-    this.#arrivalChecks.recordDraining(server, Number.POSITIVE_INFINITY);
-    if (!isUnresponsive) {
-      this.#arrivalChecks.recordDraining(server, await this.#putEntry(server, 'draining'));
-      await pause(TIMING.drain * MILLISECONDS_PER_SECOND);
-    }
-    const removedAt = await this.#store.remove('servers', server.id);
-    if (isUnresponsive) {
-      this.#arrivalChecks.recordDraining(server, removedAt);
-    }
-  }
-
-  async #evacuate(zone: string, lasts: number): Promise<void> {
-    if (this.#arrivalChecks.hasEvacuatedZone) {
-      return;
-    }
-    this.#arrivalChecks.recordEvacuated(zone, Number.POSITIVE_INFINITY);
-    this.#arrivalChecks.recordEvacuated(zone, await this.#store.put('evacuations', zone, {}));
-    await pause(lasts);
-    this.#arrivalChecks.recordRestored(zone);
-    await this.#store.remove('evacuations', zone);
-  }
-
   /** Whether neither a daemon nor the store had a fault for `UNDISTURBED_MILLISECONDS` before a time, and the machine ran the daemon throughout. */
   #wasUndisturbed(daemon: DaemonProcess, from: number): boolean {
     const { isScheduled, isPaused, stopping, lastFaultAt, heartbeats } = daemon;
@@ -371,18 +297,6 @@
     return senders.every((sender) => sender !== undefined && this.#wasUndisturbed(sender, now()));
   }
 
-  /** Starts a new server at the address of a crashed one, and removes the entry of the crashed one later, as its missed heartbeats would. */
-  async #replaceCrashed(server: FakeServer): Promise<void> {
-    this.#servers.splice(this.#servers.indexOf(server), 1);
-    this.#promises.servers.splice(this.#promises.servers.indexOf(server), 1);
-    await pause(SERVER_RESTART_MILLISECONDS);
-    if (!this.#finished) {
-      await this.#addServer(server.service, server.port);
-    }
-    await pause(ENTRY_LAPSE_MILLISECONDS - SERVER_RESTART_MILLISECONDS);
-    await this.#store.remove('servers', server.id);
-  }
-
   #report(faults: string[]): SoakReport {
     const { outcomes, violations } = this.#promises;
     return {
@@ -393,6 +307,7 @@
       versions: this.#newestVersion,
       rush: this.#rush?.summary ?? '',
       answerFaults: this.#answerFaults?.summary ?? '',
+      processEnds: this.#answerChecks.summary,
       serverCrashes: this.#crashingRequests.crashCount,
       leadershipsWon: [...leadershipsWonByProgram(this.#daemons)],
       longestStallMilliseconds: Math.round(this.#stallHistogram.max / NANOSECONDS_PER_MILLISECOND),
