--- a/test/soak/fake-store.ts
+++ b/test/soak/fake-store.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { encodeEvents, encodePage, pageAfter } from './store-pages.js';
 
 /** How the store handles requests: answers them, never answers, or answers with status 503. */
 export type StoreMode = 'available' | 'unresponsive' | 'busy';
@@ -11,6 +12,8 @@
 interface StoredObject {
   readonly metadata: { readonly name: string; readonly revision: number; readonly made: number };
   readonly spec: unknown;
+  /** What readers get: the object as JSON, or the bytes that another writer left in its place. */
+  readonly encoded: Buffer;
 }
 interface StoreEvent {
   readonly object: StoredObject;
@@ -22,6 +25,10 @@
   readonly response: ServerResponse;
 }
 
+/** Stands for the object's revision in the bytes of `putBytes`. */
+export const REVISION_MARK = 'REVISION';
+const EMPTY = Buffer.from('{}');
+const MAX_HEADER_BYTES = 1_000_000;
 const OBJECT_PATH = /^\/api\/objects\/([^/?]+)(?:\/([^/?]+))?/;
 
 export class FakeStore {
@@ -35,7 +42,11 @@
   readonly #server: Server;
 
   constructor() {
-    this.#server = createServer((request, response) => void this.#receive(request, response));
+    // A list continues behind a name, which may be long.
+    this.#server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES },
+      (request, response) => void this.#receive(request, response),
+    );
     this.#server.on('connection', (socket: Socket) => {
       this.#sockets.add(socket);
       socket.on('error', () => undefined);
@@ -60,10 +71,26 @@
 
   /** Stores an object as operators and servers write it, in any mode and without a revision check. */
   put(kind: string, name: string, spec: unknown): void {
+    const metadata = this.#nextMetadata(kind, name);
+    const encoded = Buffer.from(JSON.stringify({ metadata, spec }));
+    this.#store(kind, { metadata, spec, encoded });
+  }
+
+  /** Stores bytes in the place of an object. Readers get them as they are, `REVISION_MARK` aside. */
+  putBytes(kind: string, name: string, bytes: Uint8Array): void {
+    const metadata = this.#nextMetadata(kind, name);
+    const text = Buffer.from(bytes).toString('latin1').replaceAll(REVISION_MARK, String(metadata.revision));
+    this.#store(kind, { metadata, spec: null, encoded: Buffer.from(text, 'latin1') });
+  }
+
+  #nextMetadata(kind: string, name: string): StoredObject['metadata'] {
     this.#revision += 1;
     const made = this.#objectsOf(kind).get(name)?.metadata.made ?? this.#revision;
-    const object = { metadata: { name, revision: this.#revision, made }, spec };
-    this.#objectsOf(kind).set(name, object);
+    return { name, revision: this.#revision, made };
+  }
+
+  #store(kind: string, object: StoredObject): void {
+    this.#objectsOf(kind).set(object.metadata.name, object);
     this.#publish(kind, { object, gone: false });
   }
 
@@ -78,7 +105,8 @@
       this.#revision += 1;
       this.#objectsOf(kind).delete(name);
       const metadata = { ...found.metadata, revision: this.#revision };
-      this.#publish(kind, { object: { ...found, metadata }, gone: true });
+      const encoded = Buffer.from(JSON.stringify({ metadata, spec: found.spec }));
+      this.#publish(kind, { object: { ...found, metadata, encoded }, gone: true });
     }
   }
 
@@ -99,15 +127,15 @@
     const events = (this.#events.get(watcher.kind) ?? []).filter(
       ({ object }) => object.metadata.revision > watcher.revision,
     );
-    this.#answer(watcher.response, 200, { events, at: this.#revision });
+    this.#answer(watcher.response, 200, encodeEvents(events, this.#revision));
   }
 
-  #answer(response: ServerResponse, status: number, body: unknown): void {
+  #answer(response: ServerResponse, status: number, body: Buffer): void {
     const { socket } = response;
     if (socket === null || this.#mutedSockets.has(socket)) {
       return;
     }
-    response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    response.writeHead(status, { 'content-type': 'application/json' }).end(body);
   }
 
   async #receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -119,7 +147,7 @@
       return;
     }
     if (this.mode === 'busy') {
-      return this.#answer(response, 503, {});
+      return this.#answer(response, 503, EMPTY);
     }
     const [, kind = '', name] = OBJECT_PATH.exec(request.url ?? '') ?? [];
     if (request.method === 'GET') {
@@ -134,11 +162,11 @@
     const watch = query.get('watch');
     if (name !== undefined) {
       const found = this.#objectsOf(kind).get(name);
-      return this.#answer(response, found === undefined ? 404 : 200, found ?? {});
+      return this.#answer(response, found === undefined ? 404 : 200, found?.encoded ?? EMPTY);
     }
     if (watch === null) {
-      const items = [...this.#objectsOf(kind).values()];
-      return this.#answer(response, 200, { items, more: false, at: this.#revision });
+      const page = pageAfter([...this.#objectsOf(kind).values()], query.get('after'));
+      return this.#answer(response, 200, encodePage(page, this.#revision));
     }
     const watcher = { kind, revision: Number(watch), response };
     const isBehind = (this.#events.get(kind) ?? []).some(
@@ -162,9 +190,9 @@
     const found = this.#objectsOf(kind).get(name);
     const expected = body.metadata?.revision;
     if (expected !== found?.metadata.revision) {
-      return this.#answer(response, 409, found ?? {});
+      return this.#answer(response, 409, found?.encoded ?? EMPTY);
     }
     this.put(kind, name, body.spec);
-    this.#answer(response, 200, this.#objectsOf(kind).get(name));
+    this.#answer(response, 200, this.#objectsOf(kind).get(name)?.encoded ?? EMPTY);
   }
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,5 @@
 /**
- * Runs the long soak by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving --paths --cuts --answers --rush`.
+ * Runs the long soak by hand: `npm run soak -- --seeds 1..50 --daemons 5 --seconds 25 --at-once 3 --harsh --notices --limits --leaving --paths --cuts --answers --rush --entries`.
  *
  * `--program FILE` starts all daemons from another build. `--program-of-half FILE` starts every second daemon from that build, so that two builds run
  * beside each other. A daemon keeps its build over restarts, and the report line says how many elections each build won.
@@ -31,6 +31,7 @@
     cuts: { type: 'boolean', default: false },
     answers: { type: 'boolean', default: false },
     rush: { type: 'boolean', default: false },
+    entries: { type: 'boolean', default: false },
   },
 });
 
@@ -52,6 +53,7 @@
     serverCrashes,
     rush,
     answerFaults,
+    entryFaults,
     processEnds,
   } = report;
   const won = report.leadershipsWon.map(([program, count]) => `${count} by ${program}`).join(', ');
@@ -60,7 +62,7 @@
   print(
     `seed ${seed}: ${verdict}; ${requests} requests, ${answered} answered; ${versions} versions; ${serverCrashes} servers crashed; ${faults.length} faults; longest stall ${longestStallMilliseconds} ms, longest gap of a daemon ${longestGapMilliseconds} ms${builds}`,
   );
-  const details = [rush, answerFaults, processEnds];
+  const details = [rush, answerFaults, entryFaults, processEnds];
   details.filter((detail) => detail !== '').forEach((detail) => print(`  ${detail}`));
   if (violations.length > 0) {
     print(`  ${countByPromise(violations)}`);
@@ -121,6 +123,7 @@
       hasServerCuts: values.cuts,
       hasAnswerFaults: values.answers,
       hasRush: values.rush,
+      hasEntryFaults: values.entries,
       length: Number(values.seconds) * MILLISECONDS_PER_SECOND,
     });
     brokenRuns += report === null || report.violations.length > 0 ? 1 : 0;
--- a/test/soak/remote-store.ts
+++ b/test/soak/remote-store.ts
@@ -31,6 +31,11 @@
     return this.#perform({ kind: 'put', object, name, spec });
   }
 
+  /** Stores bytes in the place of an object. Resolves with the time at which the store accepted them. */
+  putBytes(object: string, name: string, bytes: Uint8Array): Promise<number> {
+    return this.#perform({ kind: 'putBytes', object, name, bytes });
+  }
+
   /** Removes an object. Resolves with the time at which it was removed. */
   remove(object: string, name: string): Promise<number> {
     return this.#perform({ kind: 'remove', object, name });
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -27,6 +27,8 @@
   readonly hasAnswerFaults: boolean;
   /** Whether two routes of different priority share servers, and the less urgent one surges. */
   readonly hasRush: boolean;
+  /** Whether a second writer leaves odd entries among those of the servers. */
+  readonly hasEntryFaults: boolean;
 }
 
 /** Returns the program that a daemon runs in all its processes, by the daemon's index. */
@@ -45,6 +47,8 @@
   readonly rush: string;
   /** How often servers met each kind of trouble with their answers; empty without such faults. */
   readonly answerFaults: string;
+  /** How many odd entries stood; empty without such faults. */
+  readonly entryFaults: string;
   /** What callers saw of ends of processes that nobody ordered; empty without such ends. */
   readonly processEnds: string;
   /** Number of servers that crashed while running a request. */
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -24,6 +24,8 @@
 } from './deployment.js';
 import { allocateDaemonPorts, portOf } from './ports.js';
 import { DisconnectingCallers } from './disconnecting-callers.js';
+import { EntryFaults } from './entry-faults.js';
+import { EntryServiceCheck } from './entry-service-check.js';
 import { LimitFaults } from './limit-faults.js';
 import { NoticeFaults } from './notice-faults.js';
 import { OnceCallers } from './once-callers.js';
@@ -77,6 +79,7 @@
   readonly #serverCuts: ServerCuts | null;
   readonly #rush: Rush | null;
   readonly #answerFaults: AnswerFaults | null;
+  readonly #entryFaults: EntryFaults | null;
   readonly #answerChecks = new AnswerChecks(this.#promises, this.#daemons);
   #finished = false;
 
@@ -97,6 +100,7 @@
     this.#answerFaults = options.hasAnswerFaults ? new AnswerFaults(options.seed, { activeServers }) : null;
     this.#fleet.cuts = this.#serverCuts;
     this.#fleet.answerFaults = this.#answerFaults;
+    this.#entryFaults = options.hasEntryFaults ? this.#createEntryFaults() : null;
   }
 
   async run(): Promise<SoakReport> {
@@ -120,7 +124,7 @@
     const disconnects = this.#options.hasDisconnects
       ? this.#createDisconnectingCallers().run(length)
       : Promise.resolve();
-    const more = [this.#pathFaults, this.#serverCuts, this.#answerFaults, this.#rush];
+    const more = [this.#pathFaults, this.#serverCuts, this.#answerFaults, this.#rush, this.#entryFaults];
     const others = more.map((other) => other?.run(length));
     for (const { at, fault } of schedule) {
       await pause(startedAt + at - now());
@@ -128,7 +132,10 @@
     }
     await Promise.all([...faults, notices, limits, disconnects, ...others]);
     await pause(FAULT_FREE_MILLISECONDS);
+    const serviceCheck = this.#entryFaults === null ? null : this.#createServiceCheck(this.#entryFaults);
+    await serviceCheck?.run();
     await checkServedAgain(this.#callers, this.#newestVersion, this.#crashingRequests, this.#promises);
+    await serviceCheck?.end();
     this.#finished = true;
     await Promise.all(calls);
     this.#promises.finish();
@@ -219,6 +226,25 @@
     return limitFaults;
   }
 
+  #createEntryFaults(): EntryFaults {
+    return new EntryFaults(this.#options.seed, {
+      store: this.#store,
+      activeServers: () => this.#fleet.activeServers(),
+      putEntry: (server) => this.#fleet.putEntry(server, 'ready'),
+      onLeaderChanged: () => this.#outages.recordChange(),
+    });
+  }
+
+  #createServiceCheck(entries: EntryFaults): EntryServiceCheck {
+    return new EntryServiceCheck(this.#promises, {
+      entries,
+      callers: this.#callers,
+      writeConfiguration: () => this.#writeConfiguration(),
+      addServer: () => this.#fleet.add('plain'),
+      crashCount: () => this.#crashingRequests.crashCount,
+    });
+  }
+
   #createOnceCallers(): OnceCallers {
     return new OnceCallers(this.#options.seed, this.#promises, {
       connections: this.#connections,
@@ -307,6 +333,7 @@
       versions: this.#newestVersion,
       rush: this.#rush?.summary ?? '',
       answerFaults: this.#answerFaults?.summary ?? '',
+      entryFaults: this.#entryFaults?.summary ?? '',
       processEnds: this.#answerChecks.summary,
       serverCrashes: this.#crashingRequests.crashCount,
       leadershipsWon: [...leadershipsWonByProgram(this.#daemons)],
--- a/test/soak/store-outages.ts
+++ b/test/soak/store-outages.ts
@@ -38,6 +38,11 @@
     this.#recordFault(this.#store.setMode(this.#activeOutages.at(-1)?.mode ?? 'available'));
   }
 
+  /** Records a change of the store's content that disturbs the daemons. */
+  recordChange(): void {
+    this.lastFaultAt = now();
+  }
+
   #recordFault(doneAt: Promise<number>): void {
     this.lastFaultAt = now();
     void doneAt.then((at) => {
--- a/test/soak/store-thread.ts
+++ b/test/soak/store-thread.ts
@@ -14,6 +14,8 @@
   switch (command.kind) {
     case 'put':
       return store.put(command.object, command.name, command.spec);
+    case 'putBytes':
+      return store.putBytes(command.object, command.name, command.bytes);
     case 'remove':
       return store.remove(command.object, command.name);
     case 'read':
--- a/test/soak/test-soak.ts
+++ b/test/soak/test-soak.ts
@@ -19,6 +19,9 @@
 const CUTS_SEED = 1;
 /** Seed of the run in which servers reset connections, reject requests, lose answers and answer twice. */
 const ANSWERS_SEED = 2;
+/** Seed of the run in which another writer leaves odd entries among those of the servers. */
+const ENTRIES_SEED = 2;
+const ENTRIES_MILLISECONDS = 12_000;
 const OPTIONS = {
   daemons: 5,
   servers: 4,
@@ -32,6 +35,7 @@
   hasServerCuts: false,
   hasAnswerFaults: false,
   hasRush: false,
+  hasEntryFaults: false,
 };
 
 // Guards against configuration changes that come into force seconds late (14 s in one fault), which takes real daemons, a store that does not answer, and
@@ -122,4 +126,16 @@
     expect(report.violations).toEqual([]);
     expect(report.answered > 0).toEqual(true);
   });
+
+  // Guards against daemons that end, hang or stop following the store because of an entry that another writer left.
+  it('ends no process and answers every request beside odd entries of another writer', async () => {
+    const report = await runSoakProcess({
+      ...OPTIONS,
+      seed: ENTRIES_SEED,
+      length: ENTRIES_MILLISECONDS,
+      hasEntryFaults: true,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.answered > 0).toEqual(true);
+  });
 });
