--- a/test/platform/test-documents.ts
+++ b/test/platform/test-documents.ts
@@ -30,16 +30,30 @@
   sequence: 7,
 };
 
-function parseWithService(service: object): Configuration | null {
+function parseWith(changes: object): Configuration | null {
   const spec = {
     version: 1,
     routes: [ROUTE],
-    services: [{ name: 's', maxConns: 9, ...service }],
+    services: [{ name: 's', maxConns: 9 }],
     limits: LIMITS,
+    ...changes,
   };
   return parseConfiguration({ metadata: { name: 'main', revision: 1, made: 1 }, spec }).unwrapOr(null);
 }
 
+function parseWithService(service: object): Configuration | null {
+  return parseWith({ services: [{ name: 's', maxConns: 9, ...service }] });
+}
+
+/** Parses a configuration whose times are all the same number of seconds. */
+function parseWithTimes(seconds: number): Configuration | null {
+  return parseWith({
+    routes: [{ ...ROUTE, timeoutS: seconds, targetLatencyS: seconds }],
+    services: [{ name: 's', maxConns: 9, warmupS: seconds }],
+    limits: { ...LIMITS, headerTimeoutS: seconds, idleTimeoutS: seconds },
+  });
+}
+
 function parseEntry(overrides: object): ServerDescription | null {
   return parseServer({
     metadata: { name: 'i-1', revision: 4, made: 2 },
@@ -108,6 +122,26 @@
     }
   });
 
+  // An infinite idle time-out throws at the end of each answer, and a timer of more than 2 ** 31 milliseconds fires at once.
+  it('cuts the times of a configuration to what a timer can wait', () => {
+    for (const seconds of [2 ** 31, 1e306, 1e308]) {
+      const configuration = parseWithTimes(seconds);
+      const { headerTimeout = 0, idleTimeout = 0 } = configuration?.limits ?? {};
+      const { timeout = 0, latencyObjective = 0 } = configuration?.routes[0] ?? {};
+      const { coldTime = 0 } = configuration?.services.get('s') ?? {};
+      for (const time of [headerTimeout, idleTimeout, timeout, latencyObjective, coldTime]) {
+        expect(time).toEqual(86_400_000);
+      }
+    }
+  });
+
+  // Sums of infinite weights left a route with one target for good.
+  it('keeps the weights of a route finite', () => {
+    const weights = [1e308, 1e308, 0.5].map((weight) => ({ service: 's', weight }));
+    const [route] = parseWith({ routes: [{ ...ROUTE, targets: weights }] })?.routes ?? [];
+    expect(route?.targets.map(({ weight }) => weight)).toEqual([1e9, 1e9, 0.5]);
+  });
+
   it('never throws, whatever an object contains', () => {
     fc.assert(
       fc.property(fc.anything(), fc.string(), (spec, name) => {
