--- a/test/platform/test-documents.ts
+++ b/test/platform/test-documents.ts
@@ -122,6 +122,23 @@
     }
   });
 
+  // A capacity of two billion made loops of the router so long that it answered nothing.
+  it('rejects a server entry whose capacity is implausible', () => {
+    expect(parseEntry({ capacity: 100_000 })?.slots).toEqual(100_000);
+    for (const capacity of [100_001, 2e9, Number.MAX_SAFE_INTEGER, 1e308, Number.POSITIVE_INFINITY]) {
+      expect(parseEntry({ capacity })).toEqual(null);
+    }
+  });
+
+  // Each daemon sends zones and services on to others.
+  it('rejects a server entry whose zone or service is too long or has no UTF-8 encoding', () => {
+    for (const name of ['z'.repeat(1_000_000), '\ud800x']) {
+      expect(parseEntry({ zone: name })).toEqual(null);
+      expect(parseEntry({ service: name })).toEqual(null);
+    }
+    expect(parseEntry({ zone: 'z'.repeat(500) })?.zone.length).toEqual(500);
+  });
+
   // An infinite idle time-out throws at the end of each answer, and a timer of more than 2 ** 31 milliseconds fires at once.
   it('cuts the times of a configuration to what a timer can wait', () => {
     for (const seconds of [2 ** 31, 1e306, 1e308]) {
