Log each problem of store objects that have no readable name

What operators would have seen: one log line for all objects without a readable name, so a second, different problem was never logged, only counted.

Cause: the lines are limited to one for each kind and name, and such objects share the empty name.

Fix: an object without a name is told by its problem instead. Problems are texts of the schemas, so their number is small, and the limit of 200 lines for one process holds as before.

--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -261,7 +261,7 @@
     fields: 'service, peer (the daemon that reported, or the leader that announced the load), found',
   },
   malformed_store_object: {
-    when: 'an object of the store cannot be parsed, logged once for each object: it is skipped, and no server is taken from it',
+    when: 'an object of the store cannot be parsed, logged once for each object (once for each problem if it has no readable name): it is skipped, and no server is taken from it',
     fields: 'kind, name, problem (the first violation: path and what is wrong)',
   },
   malformed_peer_message: { when: 'bytes received from a peer cannot be parsed', fields: 'peer, detail' },
