Read the sound objects of a store page that as a whole is not JSON

What callers saw: with one entry whose bytes are no JSON among those of the servers, daemons followed nothing any more.

Cause: a page was parsed as a whole, so that one item made the list or the watch a failed call, again and again.

Without a revision of the store the call fails as before, and that is now reported; without the fields at the end the list goes on behind the last name.

An object that can't be read but still shows its name removes the item of that name in a watch, as it is missing in a list.

--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -25,7 +25,7 @@
 
 let store: Server;
 let api: ObjectStoreClient;
-let responseBody: string;
+let responseBody: string | Buffer;
 let reportedNames: string[];
 let feed: FeedSource<ServerDescription>;
 
@@ -39,6 +39,56 @@
   );
 }
 
+/** Lists a page and returns the names of its items. */
+async function listedNames(page: string | Buffer): Promise<string[]> {
+  responseBody = page;
+  const outcome = await list();
+  return 'items' in outcome ? outcome.items.map(({ id }) => id) : [outcome.kind];
+}
+
+/** Watches and returns the names of the changes. */
+async function watchedNames(page: string | Buffer): Promise<string[]> {
+  responseBody = page;
+  const outcome = await watch();
+  return outcome.kind === 'changes' ? outcome.changes.map(({ id }) => id) : [outcome.kind];
+}
+
+/** A sound entry as text, as an item of a list. */
+function itemText(name: string): string {
+  return JSON.stringify(entry(name));
+}
+
+/** A sound entry as text, as an event of a watch. */
+function eventText(name: string): string {
+  return JSON.stringify({ gone: false, object: entry(name) });
+}
+
+function listPage(items: readonly string[], at = 9): string {
+  return `{"items":[${items.join(',')}],"more":false,"at":${at}}`;
+}
+
+function watchPage(events: readonly string[], at = 9): string {
+  return `{"events":[${events.join(',')}],"at":${at}}`;
+}
+
+/** Objects of other writers that are not JSON. */
+const UNREADABLE_TEXTS: readonly string[] = [
+  'not json at all',
+  'not "json',
+  '"no end',
+  '',
+  ']',
+  '}',
+  '{"metadata":{"name":"odd","revision":5},"spec":{',
+  '{"metadata":{"name":"odd","revision":5,"finalizers":["a"',
+  '{"metadata":{"name":"odd","revision":5},"spec":{"zone":"z',
+  '{"metadata":{"name":"odd","revision":5},"spec":{"zone":"z\\',
+  '{"metadata":{"name":"odd","revision":5},"spec":{"zone":"\u0001"}}',
+  '{"metadata":{"name":"odd","revision":5},"spec":[1',
+  '{"metadata":{"name":"odd","revision":0x5},"spec":{}}',
+  '\u0000\ufffd{[',
+];
+
 async function listNames(items: readonly unknown[]): Promise<string[]> {
   responseBody = JSON.stringify({ items, more: false, at: 9 });
   const outcome = await list();
@@ -112,4 +162,51 @@
       { seed: 42, numRuns: 50 },
     );
   });
+
+  // One entry whose bytes are not JSON kept a daemon from following the store at all.
+  it('do not affect the other objects of a list or a watch when their bytes are not JSON', async () => {
+    for (const text of UNREADABLE_TEXTS) {
+      const items = [itemText('a'), text, itemText('b'), text, text, itemText('c'), text];
+      expect(await listedNames(listPage(items))).toEqual(['a', 'b', 'c']);
+      const object = (item: string): string => `{"gone":false,"object":${item}}`;
+      const truncated = (item: string): string => `{"gone":false,"object":${item}`;
+      for (const event of [text, object(text), truncated(text)]) {
+        const events = [eventText('a'), event, eventText('b'), event, event, eventText('c'), event];
+        const names = await watchedNames(watchPage(events));
+        expect(names.filter((name) => name !== 'odd')).toEqual(['a', 'b', 'c']);
+      }
+    }
+  });
+
+  // Invalid UTF-8 in one entry must not make the others unreadable.
+  it('do not affect the other objects of a list when their bytes are not UTF-8', async () => {
+    const invalid = Buffer.from([0xff, 0xc3, 0x28, 0xe2, 0x82]);
+    const [before = '', behind = ''] = listPage([itemText('a'), '@', itemText('b')]).split('@');
+    for (const bytes of [invalid, Buffer.concat([Buffer.from('"'), invalid, Buffer.from('"')])]) {
+      const page = Buffer.concat([Buffer.from(before), bytes, Buffer.from(behind)]);
+      expect(await listedNames(page)).toEqual(['a', 'b']);
+    }
+  });
+
+  // A removal that a daemon heard of and one that it only missed in a list must not differ.
+  it('are reported as removed under a name that is still readable in a truncated object', async () => {
+    const truncated = '{"gone":false,"object":{"metadata":{"name":"odd","revision":5},"spec":{';
+    responseBody = watchPage([truncated, eventText('a')]);
+    const outcome = await watch();
+    const changes = outcome.kind === 'changes' ? outcome.changes : [];
+    expect(changes.map(({ id, item }) => [id, item?.id ?? null])).toEqual([
+      ['odd', null],
+      ['a', 'a'],
+    ]);
+    expect(reportedNames).toEqual(['odd']);
+  });
+
+  // Without the position of the page, later changes would be missed.
+  it('fail a call whose page has no readable revision, and are reported', async () => {
+    for (const page of [`{"items":[${itemText('a')},{`, '{"items":[]}', '{"items":[],"at":1e400}']) {
+      expect(await listedNames(page)).toEqual(['failed']);
+      expect(await watchedNames(page.replace('items', 'events'))).toEqual(['failed']);
+    }
+    expect(reportedNames.length).toEqual(6);
+  });
 });
