Don't take a list for complete that can't be continued behind an odd object

What callers would have seen: a page whose last name is a lone surrogate ended the daemon (URIError from encodeURIComponent in a promise that nobody awaits). A last name of 100,000 characters failed each list. Behind a page without any name the list ended, and all servers behind it were taken as gone. A store that always has more kept a list going without an end.

Cause: any text passed for a name to go on from, and the end of the pages that could be read for the end of the list.

A list that can't be continued is `listedPartly`: its items are applied as changes, which remove nothing, and the watch starts from its revision.

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -192,7 +192,12 @@
       return;
     }
     this.#revision = outcome.revision;
-    this.#listener.onList(outcome.items, outcome.revision);
+    if (outcome.kind === 'listed') {
+      this.#listener.onList(outcome.items, outcome.revision);
+    } else {
+      // Items that a part of the list doesn't contain may still exist.
+      this.#listener.onChanges(outcome.items, outcome.revision);
+    }
     this.#recordResponse(call, call.startedAt);
   }
 
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -46,7 +46,12 @@
 }
 /** Result of a list call. */
 export type ListOutcome<Item> =
-  | { readonly kind: 'listed'; readonly items: readonly FeedChange<Item>[]; readonly revision: number }
+  | {
+      /** `listedPartly`: the list could not be continued, so that other items may exist. */
+      readonly kind: 'listed' | 'listedPartly';
+      readonly items: readonly FeedChange<Item>[];
+      readonly revision: number;
+    }
   | FailedCall;
 
 /** Cancels a call: its outcome is not reported. */
