Let a watch pass a change whose object has no readable name

What callers would have seen: nothing; the store gets a watch every 150 to 400 ms from each daemon for as long as such a change is the only one, at the expense of its rate limit.

Cause: a change that names no item was dropped from the response, and a response without changes doesn't advance the revision of the feed.

Evidence: the test failed before: The value [5, 5] is not equal to [5, 9] (revisions of two watches)

Fix: the response says that it had such changes, and the feed goes on behind them.

--- a/src/router-runtime/object-feed.ts
+++ b/src/router-runtime/object-feed.ts
@@ -42,6 +42,10 @@
   cancel: CancelCall;
 }
 
+function hasChanges({ changes, hasUnnamed }: WatchedChanges<unknown>): boolean {
+  return changes.length > 0 || hasUnnamed === true;
+}
+
 export class ObjectFeed<Item> {
   readonly #source: FeedSource<Item>;
   readonly #listener: FeedListener<Item>;
@@ -208,7 +212,7 @@
     }
     this.#call = null;
     if (outcome.kind === 'changes') {
-      this.#hasChanged = outcome.changes.length > 0;
+      this.#hasChanged = hasChanges(outcome);
       this.#recordResponse(call, this.#applyChanges(call, outcome));
       return;
     }
@@ -231,13 +235,13 @@
   }
 
   /** Reports the changes of a watch. Returns the time up to which they confirm the feed. */
-  #applyChanges(call: ActiveCall, { changes, revision }: WatchedChanges<Item>): Milliseconds {
+  #applyChanges(call: ActiveCall, outcome: WatchedChanges<Item>): Milliseconds {
     // A watch without changes doesn't advance the revision: a store that is about to discard its history may have withheld changes.
-    if (changes.length > 0) {
-      this.#revision = Math.max(this.#revision ?? 0, revision);
-      this.#listener.onChanges(changes, revision);
+    if (hasChanges(outcome)) {
+      this.#revision = Math.max(this.#revision ?? 0, outcome.revision);
+      this.#listener.onChanges(outcome.changes, outcome.revision);
     }
-    return this.#confirmedBy(call, changes.length === 0);
+    return this.#confirmedBy(call, !hasChanges(outcome));
   }
 
   /**
--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -29,6 +29,8 @@
 export interface WatchedChanges<Item> {
   readonly kind: 'changes';
   readonly changes: readonly FeedChange<Item>[];
+  /** Whether there were also changes of objects whose names can't be read. */
+  readonly hasUnnamed?: boolean;
   readonly revision: number;
 }
 /** Result of a watch call. */
--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -245,4 +245,12 @@
     expect((await list()).kind).toEqual('listedPartly');
     expect(pages).toEqual(1_000);
   });
+
+  // An event without a name left the watch at its former position, so that the same event was returned again at once, forever.
+  it('are passed by a watch although they have no name', async () => {
+    responseBody = watchPage(['not json', '7']);
+    expect(await watch()).toEqual({ kind: 'changes', changes: [], hasUnnamed: true, revision: 9 });
+    responseBody = watchPage([]);
+    expect(await watch()).toEqual({ kind: 'changes', changes: [], hasUnnamed: false, revision: 9 });
+  });
 });
--- a/test/router-runtime/test-object-feed.ts
+++ b/test/router-runtime/test-object-feed.ts
@@ -132,6 +132,15 @@
     feed = createFeed();
   });
 
+  // The same change was returned again at once, at each call, for as long as there was no other.
+  it('are passed by a watch whose only change has no readable name', () => {
+    feed.start(5);
+    calls[0]?.watch({ kind: 'changes', changes: [], hasUnnamed: true, revision: 9 });
+    clock.runUntil(1_000);
+    expect(calls.map(({ revision }) => revision)).toEqual([5, 9]);
+    expect(reports).toEqual([['changes', [], 9]]);
+  });
+
   // Items behind an object that the list could not be continued behind were taken as removed.
   it('do not remove items that a part of the list does not contain', () => {
     feed.start(null);
