Bound the size and the depth of what is read from the store

Nothing bounded the length of a response.

Fix: pages over 256 Ki characters are taken item by item by the scanner, which leaves out items that are nested more than 128 levels deep or longer than 2 Mi characters, before JSON.parse sees them. On short pages an object of more than 64 levels is malformed, too, so that each daemon says the same of it. A response over 16 MiB is not read to its end; its call fails. Pages of 500 entries are half as long as the bound and are parsed as before.

--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -31,6 +31,7 @@
 /** Responses by path. Other paths get `responseBody`. */
 let responsesByPath: Map<string, string>;
 let reportedNames: string[];
+let reportedProblems: string[];
 let feed: FeedSource<ServerDescription>;
 
 function list(): Promise<ListOutcome<ServerDescription>> {
@@ -102,6 +103,7 @@
 describe('malformed objects of other writers', () => {
   beforeEach(async () => {
     reportedNames = [];
+    reportedProblems = [];
     requestedPaths = [];
     responsesByPath = new Map();
     store = createServer(({ url = '' }, response) => {
@@ -110,7 +112,10 @@
     });
     await new Promise<void>((resolve) => store.listen(0, '127.0.0.1', resolve));
     api = new ObjectStoreClient(`127.0.0.1:${(store.address() as AddressInfo).port}`);
-    feed = api.feed('servers', parseServer, (_, name) => reportedNames.push(name));
+    feed = api.feed('servers', parseServer, (_, name, problem) => {
+      reportedNames.push(name);
+      reportedProblems.push(problem);
+    });
   });
 
   afterEach(() => {
@@ -253,4 +258,33 @@
     responseBody = watchPage([]);
     expect(await watch()).toEqual({ kind: 'changes', changes: [], hasUnnamed: false, revision: 9 });
   });
+
+  // Parsing two million brackets takes a second, at each list and on each daemon.
+  it('are those that are nested too deeply, whether the page is short or long', async () => {
+    for (const depth of [100, 10_000, 2_000_000]) {
+      const spec = JSON.stringify(SERVER_SPEC).replace('{', `{"a":${'['.repeat(depth)}${']'.repeat(depth)},`);
+      const deep = itemText('deep').replace(JSON.stringify(SERVER_SPEC), spec);
+      reportedProblems = [];
+      expect(await listedNames(listPage([itemText('a'), deep, itemText('b')]))).toEqual(['a', 'b']);
+      const event = `{"gone":false,"object":${deep}}`;
+      const names = await watchedNames(watchPage([eventText('a'), event, eventText('b')]));
+      expect(names).toEqual(['a', 'deep', 'b']);
+      expect(reportedProblems.every((problem) => /^nested more than \d+ levels deep$/.test(problem))).toEqual(
+        true,
+      );
+      expect(reportedProblems.length).toEqual(2);
+    }
+  });
+
+  // An object far beyond the store's limit is not what the store should hold.
+  it('are those that are too long', async () => {
+    const long = JSON.stringify(entry('long', { ...SERVER_SPEC, version: 'v'.repeat(3_000_000) }));
+    expect(await listedNames(listPage([itemText('a'), long, itemText('b')]))).toEqual(['a', 'b']);
+  });
+
+  // A response without an end filled the memory until the call timed out.
+  it('fail the call when the response is longer than any page', async () => {
+    const blank = ' '.repeat(17 * 1024 * 1024);
+    expect(await listedNames(`${blank}${listPage([itemText('a')])}`)).toEqual(['failed']);
+  });
 });
