--- a/src/router/ports.ts
+++ b/src/router/ports.ts
@@ -29,6 +29,8 @@
 export interface WatchedChanges<Item> {
   readonly kind: 'changes';
   readonly changes: readonly FeedChange<Item>[];
+  /** Whether there were also changes of objects whose names can't be read. */
+  readonly hasUnnamed?: boolean;
   readonly revision: number;
 }
 /** Result of a watch call. */
@@ -46,7 +48,12 @@
 }
 /** Result of a list call. */
 export type ListOutcome<Item> =
-  | { readonly kind: 'listed'; readonly items: readonly FeedChange<Item>[]; readonly revision: number }
+  | {
+      /** `listedPartly`: the list could not be continued, so that other items may exist. */
+      readonly kind: 'listed' | 'listedPartly';
+      readonly items: readonly FeedChange<Item>[];
+      readonly revision: number;
+    }
   | FailedCall;
 
 /** Cancels a call: its outcome is not reported. */
