Lose answers of a proxy whose end is not marked

What a caller could see: `200` with an empty body and `Content-Length: 0`, where the process at a proxy's address sent a head with an outcome, but neither a length nor chunks, and then closed or reset. No daemon sends such a head (Node's server marks the end of each answer to HTTP/1.1); the reader relied on that without a check.

The reader now loses such an answer at its head.

--- a/src/router-runtime/proxy-response-reader.ts
+++ b/src/router-runtime/proxy-response-reader.ts
@@ -1,7 +1,14 @@
 /** Reads the response of a proxy to an attempt: a server's response that it passes on, or what it decided itself. */
 import type { AttemptResult } from '../router/events.js';
 import { type ProxyOutcome, takeOutcome } from './proxy-headers.js';
-import { framingProblem, hasBody, type ResponseReader, type UnusableResponse } from './response-reader.js';
+import { headerValue } from './headers.js';
+import {
+  endsWithConnection,
+  framingProblem,
+  hasBody,
+  type ResponseReader,
+  type UnusableResponse,
+} from './response-reader.js';
 
 export class ProxyResponseReader implements ResponseReader {
   rawHeaders: string[] = [];
@@ -18,8 +25,12 @@
     this.#status = status;
     this.rawHeaders = rawHeaders;
     this.#outcome = takeOutcome(rawHeaders);
-    return this.#outcome === null
-      ? { reason: 'an answer of a proxy without an outcome' }
+    if (this.#outcome === null) {
+      return { reason: 'an answer of a proxy without an outcome' };
+    }
+    const isEndUnmarked = endsWithConnection(this.#method, status, (name) => headerValue(rawHeaders, name));
+    return isEndUnmarked
+      ? { reason: 'an answer of a proxy whose end is not marked' }
       : framingProblem(rawHeaders);
   }
 
--- a/test/support/cut-answers.ts
+++ b/test/support/cut-answers.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import type { AttemptResult } from '../../src/router/events.js';
 import { FrontendFixture, until } from './frontend-fixture.js';
+import { ORIGIN } from './proxied-frontends.js';
 import { RawServer } from './raw-server.js';
 
 /** How a server ends its connection after its last bytes; `stays open`: not at all. */
@@ -185,14 +186,23 @@
   /** Results of the attempts, by attempt id. */
   readonly #results = new Map<string, AttemptResult>();
 
-  private constructor(server: RawServer, fixture: FrontendFixture, plays: ReadonlyMap<string, PlayedAnswer>) {
+  private constructor(
+    server: RawServer,
+    fixture: FrontendFixture,
+    plays: ReadonlyMap<string, PlayedAnswer>,
+    isProxy: boolean,
+  ) {
     this.server = server;
     this.fixture = fixture;
     this.#plays = plays;
     const ids = new Map<number, string>();
     fixture.onArrival = (event) => {
       ids.set(event.requestId, event.attemptId);
-      fixture.forward(event);
+      if (isProxy) {
+        this.#forwardToProxy(event.requestId);
+      } else {
+        fixture.forward(event);
+      }
     };
     fixture.onAttemptEnded = ({ requestId, result }) => {
       this.#results.set(ids.get(requestId) ?? '', result);
@@ -202,8 +212,12 @@
     };
   }
 
-  /** Starts a server that plays these answers, and a daemon's frontend that answers 502 where an attempt brings no answer. */
-  static async start(answers: readonly PlayedAnswer[]): Promise<AnswerPlayer> {
+  /**
+   * Starts a server that plays these answers, and a daemon's frontend that answers 502 where an attempt brings no answer.
+   *
+   * @param isProxy whether the server stands for another daemon
+   */
+  static async start(answers: readonly PlayedAnswer[], isProxy = false): Promise<AnswerPlayer> {
     const plays = new Map(answers.map((answer, index) => [idOf(index), answer]));
     const server = await RawServer.start((socket, head) => {
       const id = /^\S+ \/(\S+) /.exec(head)?.[1] ?? '';
@@ -212,7 +226,7 @@
         void play(socket, answer, id);
       }
     });
-    return new AnswerPlayer(server, await FrontendFixture.start(server.address), plays);
+    return new AnswerPlayer(server, await FrontendFixture.start(server.address), plays, isProxy);
   }
 
   /** Sends a request for each answer, several at a time, each on a connection of its own. */
@@ -228,6 +242,17 @@
     return outcomes;
   }
 
+  #forwardToProxy(requestId: number): void {
+    this.fixture.frontend.attempts.forwardToProxy({
+      kind: 'forwardToProxy',
+      requestId,
+      attempt: 1,
+      address: this.server.address,
+      timeLeft: TIMEOUT_MILLISECONDS,
+      origin: ORIGIN,
+    });
+  }
+
   async #request(id: string, played: PlayedAnswer): Promise<PlayedOutcome> {
     const method = played.method ?? 'GET';
     const caller = this.fixture.connect();
