--- a/test/platform/test-cut-calls.ts
+++ b/test/platform/test-cut-calls.ts
@@ -7,6 +7,8 @@
 import type { ControlEffect } from '../../src/router/effects.js';
 import type { ControlOutcome } from '../../src/router/events.js';
 import type { ControlListener, FeedSource } from '../../src/router/ports.js';
+import type { Address } from '../../src/router/model/address.js';
+import { toAddress } from '../support/addresses.js';
 import { CUT_ENDINGS, cutAt, headLength, play, type PlayedAnswer, range } from '../support/cut-answers.js';
 import { RawServer } from '../support/raw-server.js';
 
@@ -46,7 +48,7 @@
 });
 
 /** Starts a server that plays the answers one after the other, whatever it is asked. */
-async function startServer(answers: readonly PlayedAnswer[]): Promise<string> {
+async function startServer(answers: readonly PlayedAnswer[]): Promise<Address> {
   const waiting = [...answers];
   server = await RawServer.start((socket, head) => {
     const next = /^(?:GET|PUT|POST) /.test(head) ? waiting.shift() : undefined;
@@ -54,7 +56,7 @@
       void play(socket, next, '');
     }
   });
-  return server.address;
+  return toAddress(server.address);
 }
 
 /** Makes a call for each answer, several at a time, and returns the kinds of outcomes other than the expected one. */
@@ -175,7 +177,7 @@
   });
 });
 
-function effect(action: ControlEffect['action'], address: string): ControlEffect {
+function effect(action: ControlEffect['action'], address: Address): ControlEffect {
   const keys = { from: 0, to: 9, fence: 3, hold: 2_500, handover: null };
   const target = { server: 'i-1', address, healthPath: '/health', timeout: TIMEOUT };
   return { kind: 'control', callId: 1, action, ...target, ...keys };
--- a/test/support/cut-answers.ts
+++ b/test/support/cut-answers.ts
@@ -1,6 +1,8 @@
 /** Servers that send the bytes that a test names for each request, also a part of an answer, and what a caller of a daemon gets of them. */
 import type { Socket } from 'node:net';
 import type { AttemptResult } from '../../src/router/events.js';
+import type { CallerFrontendOptions } from '../../src/router-runtime/caller-frontend-options.js';
+import { toAddress } from './addresses.js';
 import { FrontendFixture, until } from './frontend-fixture.js';
 import { ORIGIN } from './proxied-frontends.js';
 import { RawServer } from './raw-server.js';
@@ -31,6 +33,7 @@
 
 /** What became of one request. */
 export interface PlayedOutcome {
+  readonly id: string;
   readonly played: PlayedAnswer;
   readonly result: AttemptResult | undefined;
   readonly answer: ReadAnswer | null;
@@ -130,7 +133,8 @@
   return `p-${String(index).padStart(ID_DIGITS, '0')}`;
 }
 
-function readChunks(text: string): string | null {
+/** Returns the body in chunks at the beginning of a text, or null if the text has no end of it. */
+export function readChunks(text: string): string | null {
   let body = '';
   let rest = text;
   for (;;) {
@@ -141,12 +145,12 @@
     const length = Number.parseInt(line[1] as string, 16);
     rest = rest.slice(line[0].length);
     if (length === 0) {
-      return rest === '\r\n' || rest.endsWith('\r\n\r\n') ? body : null;
+      return rest.startsWith('\r\n') || rest.includes('\r\n\r\n') ? body : null;
     }
-    body += rest.slice(0, length);
-    if (rest.length < length + 2) {
+    if (rest.slice(length, length + 2) !== '\r\n') {
       return null;
     }
+    body += rest.slice(0, length);
     rest = rest.slice(length + 2);
   }
 }
@@ -216,8 +220,13 @@
    * Starts a server that plays these answers, and a daemon's frontend that answers 502 where an attempt brings no answer.
    *
    * @param isProxy whether the server stands for another daemon
+   * @param options of the frontend
    */
-  static async start(answers: readonly PlayedAnswer[], isProxy = false): Promise<AnswerPlayer> {
+  static async start(
+    answers: readonly PlayedAnswer[],
+    isProxy = false,
+    options: Partial<CallerFrontendOptions> = {},
+  ): Promise<AnswerPlayer> {
     const plays = new Map(answers.map((answer, index) => [idOf(index), answer]));
     const server = await RawServer.start((socket, head) => {
       const id = /^\S+ \/(\S+) /.exec(head)?.[1] ?? '';
@@ -226,7 +235,7 @@
         void play(socket, answer, id);
       }
     });
-    return new AnswerPlayer(server, await FrontendFixture.start(server.address), plays, isProxy);
+    return new AnswerPlayer(server, await FrontendFixture.start(server.address, options), plays, isProxy);
   }
 
   /** Sends a request for each answer, several at a time, each on a connection of its own. */
@@ -247,7 +256,7 @@
       kind: 'forwardToProxy',
       requestId,
       attempt: 1,
-      address: this.server.address,
+      address: toAddress(this.server.address),
       timeLeft: TIMEOUT_MILLISECONDS,
       origin: ORIGIN,
     });
@@ -261,7 +270,7 @@
     await until(() => caller.isClosed, TIMEOUT_MILLISECONDS);
     caller.socket.destroy();
     const answer = readAnswer(caller.text, method, caller.ending === 'in order');
-    return { played, result: this.#results.get(id), answer };
+    return { id, played, result: this.#results.get(id), answer };
   }
 
   async close(): Promise<void> {
