Lose long answers without a seal, as short ones are

What callers saw: an answer of more than 256 KiB without Fennelferry-Server-Seal, of any status, came as the server's; a short one was lost (502), since nothing shows that it is the server's.

Cause: the seal was looked for when a buffered answer was complete. A long one is streamed before.

--- a/src/router-runtime/server-response-reader.ts
+++ b/src/router-runtime/server-response-reader.ts
@@ -71,7 +71,7 @@
   }
 
   isForCaller(): boolean {
-    return !this.#isRejection() && !this.#promisesWithoutStatement();
+    return !this.#isRejection() && this.#hasSeal() && !this.#promisesWithoutStatement();
   }
 
   readTrailers(rawTrailers: readonly string[]): void {
@@ -99,7 +99,7 @@
       const misdirected = status === MISDIRECTED;
       return { kind: 'rejected', status, misdirected, load, attribution: this.#attribution };
     }
-    if (headerValue(this.rawHeaders, this.#protocol.serverProof) === null) {
+    if (!this.#hasSeal()) {
       const reason = `an answer ${status} without a seal`;
       return { kind: 'lost', reason, isResponseStarted: false, isClosedByServer: false };
     }
@@ -126,13 +126,16 @@
    */
   #reportLimit(): void {
     const limit = this.#protocol.readLimit(this.rawHeaders);
-    const isFromServer =
-      headerValue(this.rawHeaders, this.#protocol.serverProof) !== null || this.#isNotExecuted;
+    const isFromServer = this.#hasSeal() || this.#isNotExecuted;
     if (limit !== null || (isFromServer && this.#status !== MISDIRECTED)) {
       this.#statements.onLimitRead(limit);
     }
   }
 
+  #hasSeal(): boolean {
+    return headerValue(this.rawHeaders, this.#protocol.serverProof) !== null;
+  }
+
   #isRejection(): boolean {
     return this.#status === MISDIRECTED || this.#isNotExecuted;
   }
--- a/test/router-runtime/test-answer-framing.ts
+++ b/test/router-runtime/test-answer-framing.ts
@@ -257,6 +257,20 @@
     });
   }
 
+  // A long answer that nothing shows to be the server's was passed on, while a short one was not.
+  it('is lost without a seal', async () => {
+    const seal = 'Fennelferry-Server-Seal: s.1\r\n';
+    const long = `${HEAD}Content-Length: 300000\r\n\r\n${FIRST}`;
+    const answers = [long, CHUNKED, long.replace('200 OK', '404 None'), `${HEAD}\r\n${FIRST}`];
+    await expectLost(
+      answers.map((answer) => ({
+        name: answer.slice(0, 40),
+        parts: [answer.replace(seal, '')],
+        ending: 'half-closed',
+      })),
+    );
+  });
+
   it('is lost with two lengths, or with a length and chunks', async () => {
     const answers = [
       `${HEAD}Content-Length: 300000\r\nContent-Length: 302000\r\n\r\n${FIRST}${SECOND}`,
