--- a/test/support/cut-answers.ts
+++ b/test/support/cut-answers.ts
@@ -1,7 +1,10 @@
 /** Servers that send the bytes that a test names for each request, also a part of an answer, and what a caller of a daemon gets of them. */
 import type { Socket } from 'node:net';
 import type { AttemptResult } from '../../src/router/events.js';
+import type { CallerFrontendOptions } from '../../src/router-runtime/caller-frontend-options.js';
+import { toAddress } from './addresses.js';
 import { FrontendFixture, until } from './frontend-fixture.js';
+import { ORIGIN } from './proxied-frontends.js';
 import { RawServer } from './raw-server.js';
 
 /** How a server ends its connection after its last bytes; `stays open`: not at all. */
@@ -30,6 +33,7 @@
 
 /** What became of one request. */
 export interface PlayedOutcome {
+  readonly id: string;
   readonly played: PlayedAnswer;
   readonly result: AttemptResult | undefined;
   readonly answer: ReadAnswer | null;
@@ -129,7 +133,8 @@
   return `p-${String(index).padStart(ID_DIGITS, '0')}`;
 }
 
-function readChunks(text: string): string | null {
+/** Returns the body in chunks at the beginning of a text, or null if the text has no end of it. */
+export function readChunks(text: string): string | null {
   let body = '';
   let rest = text;
   for (;;) {
@@ -140,12 +145,12 @@
     const length = Number.parseInt(line[1] as string, 16);
     rest = rest.slice(line[0].length);
     if (length === 0) {
-      return rest === '\r\n' || rest.endsWith('\r\n\r\n') ? body : null;
+      return rest.startsWith('\r\n') || rest.includes('\r\n\r\n') ? body : null;
     }
-    body += rest.slice(0, length);
-    if (rest.length < length + 2) {
+    if (rest.slice(length, length + 2) !== '\r\n') {
       return null;
     }
+    body += rest.slice(0, length);
     rest = rest.slice(length + 2);
   }
 }
@@ -185,14 +190,23 @@
   /** Results of the attempts, by attempt id. */
   readonly #results = new Map<string, AttemptResult>();
 
-  private constructor(server: RawServer, fixture: FrontendFixture, plays: ReadonlyMap<string, PlayedAnswer>) {
+  private constructor(
+    server: RawServer,
+    fixture: FrontendFixture,
+    plays: ReadonlyMap<string, PlayedAnswer>,
+    isProxy: boolean,
+  ) {
     this.server = server;
     this.fixture = fixture;
     this.#plays = plays;
     const ids = new Map<number, string>();
     fixture.onArrival = (event) => {
       ids.set(event.requestId, event.attemptId);
-      fixture.forward(event);
+      if (isProxy) {
+        this.#forwardToProxy(event.requestId);
+      } else {
+        fixture.forward(event);
+      }
     };
     fixture.onAttemptEnded = ({ requestId, result }) => {
       this.#results.set(ids.get(requestId) ?? '', result);
@@ -202,8 +216,17 @@
     };
   }
 
-  /** Starts a server that plays these answers, and a daemon's frontend that answers 502 where an attempt brings no answer. */
-  static async start(answers: readonly PlayedAnswer[]): Promise<AnswerPlayer> {
+  /**
+   * Starts a server that plays these answers, and a daemon's frontend that answers 502 where an attempt brings no answer.
+   *
+   * @param isProxy whether the server stands for another daemon
+   * @param options of the frontend
+   */
+  static async start(
+    answers: readonly PlayedAnswer[],
+    isProxy = false,
+    options: Partial<CallerFrontendOptions> = {},
+  ): Promise<AnswerPlayer> {
     const plays = new Map(answers.map((answer, index) => [idOf(index), answer]));
     const server = await RawServer.start((socket, head) => {
       const id = /^\S+ \/(\S+) /.exec(head)?.[1] ?? '';
@@ -212,7 +235,7 @@
         void play(socket, answer, id);
       }
     });
-    return new AnswerPlayer(server, await FrontendFixture.start(server.address), plays);
+    return new AnswerPlayer(server, await FrontendFixture.start(server.address, options), plays, isProxy);
   }
 
   /** Sends a request for each answer, several at a time, each on a connection of its own. */
@@ -228,6 +251,17 @@
     return outcomes;
   }
 
+  #forwardToProxy(requestId: number): void {
+    this.fixture.frontend.attempts.forwardToProxy({
+      kind: 'forwardToProxy',
+      requestId,
+      attempt: 1,
+      address: toAddress(this.server.address),
+      timeLeft: TIMEOUT_MILLISECONDS,
+      origin: ORIGIN,
+    });
+  }
+
   async #request(id: string, played: PlayedAnswer): Promise<PlayedOutcome> {
     const method = played.method ?? 'GET';
     const caller = this.fixture.connect();
@@ -236,7 +270,7 @@
     await until(() => caller.isClosed, TIMEOUT_MILLISECONDS);
     caller.socket.destroy();
     const answer = readAnswer(caller.text, method, caller.ending === 'in order');
-    return { played, result: this.#results.get(id), answer };
+    return { id, played, result: this.#results.get(id), answer };
   }
 
   async close(): Promise<void> {
