End what can't be created or sent like what was not sent

An exception while an effect was performed ended the daemon, whatever its cause: `new Client` for an attempt, `createConnection` for the check of a path and for the link to a parent. The typed addresses leave no known cause; this is the second line of defence. And a caller's request that the HTTP client does not send (two Host headers) went to one server after the other, each of which then counted as out of reach.

- openConnection returns a socket that emits `error` and `close` when none can be created; path checks and links use it.
- ServerConnections.acquire returns a Result.
- Every effect, and the delayed start of an attempt, is performed by performGuarded: an exception becomes the outcome that the reducer waits for (attempts and control calls: not sent; path checks: the text; links: closed), is counted (effects_failed) and logged once a second at most.
An exception of the reducer is passed on and ends the process.
- Errors by which the HTTP client refuses a request end the attempt as `unsendable`: the caller gets 503 at once, with the proof that nothing was written, and no server is blamed.
Control calls end as not sent.
- A request with two Host headers gets 400 (RFC 9112, 3.2).

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -21,6 +21,8 @@
 export class WireError extends FennelferryError {}
 /** The platform's store rejected a call, failed or did not respond. */
 export class StoreError extends FennelferryError {}
+/** A call that the HTTP client can't send, whatever the other party does. */
+export class NotSentError extends FennelferryError {}
 /** A settings file or a routing configuration that violates its schema. */
 export class SettingsError extends FennelferryError {
   /** One line for each violation: path, value found, allowed values. */
--- a/src/router-runtime/attempt-sender.ts
+++ b/src/router-runtime/attempt-sender.ts
@@ -1,13 +1,20 @@
 /** Sends the attempts of requests to servers, directly or by way of other daemons. */
 import { PROCESS_CLOCK } from '../clock/process-clock.js';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
-import type { CancelEffect, ForwardEffect, ForwardToProxyEffect, WithdrawEffect } from '../router/effects.js';
+import type {
+  CancelEffect,
+  Effect,
+  ForwardEffect,
+  ForwardToProxyEffect,
+  WithdrawEffect,
+} from '../router/effects.js';
 import type { AttemptResult, RouterEvent } from '../router/events.js';
 import type { Milliseconds, ServerId } from '../router/model/identifiers.js';
 import { instanceOf } from '../router/model/server-incarnation.js';
 import type { LimitReading } from '../router/model/server-limit.js';
 import type { RequestProtocol } from '../router/ports.js';
 import { Attempt, type OutgoingRequest } from './attempt.js';
+import { performGuarded } from './effect-guard.js';
 import type { Exchange } from './exchange.js';
 import { forwardedHeaders } from './headers.js';
 import { originHeader } from './proxy-headers.js';
@@ -29,6 +36,8 @@
   readonly dispatch: (event: RouterEvent) => void;
   /** Returns whether a request may be written to a server now. */
   readonly isWriteAllowed: (server: ServerId) => boolean;
+  /** Reports an attempt that an exception has stopped before anything was written. */
+  readonly onFailure: (effect: Effect, reason: string) => void;
 }
 
 export class AttemptSender {
@@ -38,6 +47,7 @@
   readonly #barrier: PollBarrier;
   readonly #dispatch: (event: RouterEvent) => void;
   readonly #isWriteAllowed: (server: ServerId) => boolean;
+  readonly #onFailure: AttemptSenderOptions['onFailure'];
   readonly #exchanges: ReadonlyMap<number, Exchange>;
   readonly #removedHeaders: ReadonlySet<string>;
 
@@ -49,6 +59,7 @@
     this.#barrier = options.barrier;
     this.#dispatch = options.dispatch;
     this.#isWriteAllowed = options.isWriteAllowed;
+    this.#onFailure = options.onFailure;
     this.#exchanges = exchanges;
     this.#removedHeaders = new Set([options.protocol.remainingTime, options.protocol.expectedServer]);
   }
@@ -75,11 +86,23 @@
       const isCurrent = exchange.isAttemptWaiting && exchange.attemptNumber === effect.attempt;
       if (isCurrent && this.#exchanges.has(effect.requestId)) {
         exchange.isAttemptWaiting = false;
-        start(exchange);
+        performGuarded(
+          () => start(exchange),
+          (reason) => this.#endUnstarted(effect, exchange, reason),
+        );
       }
     });
   }
 
+  /** Ends an attempt that an exception has stopped. */
+  #endUnstarted(effect: AttemptEffect, exchange: Exchange, reason: string): void {
+    if (exchange.attempt === null) {
+      this.#onFailure(effect, reason);
+    } else {
+      exchange.attempt.cancel();
+    }
+  }
+
   #startServerAttempt(effect: ForwardEffect, exchange: Exchange): void {
     const { server } = effect;
     const isWriteAllowed = (): boolean => this.#isWriteAllowed(server);
@@ -113,12 +136,17 @@
     reader: ResponseReader,
     isWriteAllowed: () => boolean,
   ): void {
-    const connection = connections.acquire(effect.address, exchange.attemptId);
-    if (connection === null) {
-      this.#dispatchAttemptEnd(effect, { kind: 'withdrawn', reason: 'too many connections are open' });
+    const request = this.#outgoingRequest(exchange, effect.timeLeft, addedHeaders);
+    const acquired = connections.acquire(effect.address, exchange.attemptId);
+    if (acquired.isErr()) {
+      const { isFull, reason } = acquired.error;
+      this.#dispatchAttemptEnd(
+        effect,
+        isFull ? { kind: 'withdrawn', reason } : { kind: 'notSent', reason, refused: false },
+      );
       return;
     }
-    const request = this.#outgoingRequest(exchange, effect.timeLeft, addedHeaders);
+    const connection = acquired.value;
     const attempt: Attempt = new Attempt(request, reader, connection, exchange.writer.sink, {
       isWriteAllowed,
       onFinished: (result, reusable) => {
--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -3,6 +3,7 @@
  * as a complete response to this request, a rejection, or a lost attempt, whose outcome is unknown. Short responses are buffered until they are complete.
  */
 import type { AttemptResult } from '../router/events.js';
+import { isRefusedByClient } from './client-errors.js';
 import type { ResponseReader } from './response-reader.js';
 import type { ServerConnection } from './server-connections.js';
 
@@ -225,10 +226,9 @@
       return;
     }
     if (!this.#isSent) {
-      this.#listener.onFinished(
-        { kind: 'notSent', reason: error.message, refused: code === 'ECONNREFUSED' },
-        false,
-      );
+      const reason = error.message;
+      const notSent: AttemptResult = { kind: 'notSent', reason, refused: code === 'ECONNREFUSED' };
+      this.#listener.onFinished(isRefusedByClient(error) ? { kind: 'unsendable', reason } : notSent, false);
       return;
     }
     if (this.#isStreaming) {
--- a/src/router-runtime/caller-frontend.ts
+++ b/src/router-runtime/caller-frontend.ts
@@ -12,7 +12,7 @@
 import { LAST_KEY, type Milliseconds } from '../router/model/identifiers.js';
 import type { RequestProtocol } from '../router/ports.js';
 import type { RequestOrigin } from '../router/proxying/request-origin.js';
-import { headerValue } from './headers.js';
+import { hasRepeatedHost, headerValue } from './headers.js';
 import { takeOrigin } from './proxy-headers.js';
 import { createCallerWriter, createProxyWriter, type ResponseWriter } from './response-writers.js';
 import { AttemptSender } from './attempt-sender.js';
@@ -31,6 +31,7 @@
 const BAD_REQUEST = 400;
 /** Used when no memory limit is given: the smallest one in use. */
 const DEFAULT_MEMORY_MEGABYTES = 210;
+const MALFORMED_KEY = `the key must be a whole number from 0 to ${LAST_KEY}`;
 const CALLER_NOT_READING = 'the caller does not read its answers';
 const ANSWER_OUT_OF_TURN = 'its long answer waited for too long behind an earlier one';
 const BEHIND_CLOSING_ANSWER = 'an earlier answer closes the connection';
@@ -202,8 +203,9 @@
     const { rawHeaders } = incoming;
     const attemptId = headerValue(rawHeaders, this.#protocol.attemptId) ?? '';
     const key = this.#readKey(rawHeaders);
-    if (key !== null && !(key >= 0 && key <= LAST_KEY)) {
-      const reason = `the key must be a whole number from 0 to ${LAST_KEY}`;
+    const isKeyMalformed = key !== null && !(key >= 0 && key <= LAST_KEY);
+    if (isKeyMalformed || hasRepeatedHost(rawHeaders)) {
+      const reason = isKeyMalformed ? MALFORMED_KEY : 'the request names more than one host';
       writer.answer({ ...NOT_RUN, status: BAD_REQUEST, reason });
       return;
     }
--- a/src/router-runtime/control-connections.ts
+++ b/src/router-runtime/control-connections.ts
@@ -5,6 +5,8 @@
 import { PROCESS_POLL_BARRIER } from '../event-loop/poll-barrier.js';
 import type { Address } from '../router/model/address.js';
 import type { Milliseconds } from '../router/model/identifiers.js';
+import { NotSentError } from '../errors.js';
+import { isRefusedByClient } from './client-errors.js';
 import { ServerConnections, type ServerConnection } from './server-connections.js';
 
 /** Shorter than the timeout of a grant, so that a server that accepts no connection is told from one that does not respond. */
@@ -39,12 +41,11 @@
    * and idle ones to the address are closed: a network failure can make all open connections unresponsive.
    */
   request(address: Address, request: ControlRequest, timeout: Milliseconds): Promise<ControlResponse> {
-    const connection = this.#connections.acquire(address);
-    if (connection === null) {
-      return Promise.reject(
-        new Error(`more than ${CONNECTIONS_PER_SERVER} calls to ${address} are unanswered`),
-      );
+    const acquired = this.#connections.acquire(address);
+    if (acquired.isErr()) {
+      return Promise.reject(new NotSentError('call a server', address, acquired.error.reason));
     }
+    const connection = acquired.value;
     return new Promise((resolve, reject) => {
       new ControlCall(connection, {
         onResponse: (response) => {
@@ -56,7 +57,8 @@
           if (hasTimedOut) {
             this.#connections.closeIdle(address);
           }
-          reject(error);
+          const isRefused = isRefusedByClient(error);
+          reject(isRefused ? new NotSentError('call a server', address, error.message) : error);
         },
       }).start(request, timeout);
     });
--- a/src/router-runtime/headers.ts
+++ b/src/router-runtime/headers.ts
@@ -41,3 +41,9 @@
   }
   return null;
 }
+
+/** Returns whether there is more than one `Host` header: RFC 9112, section 3.2, calls for 400 then. */
+export function hasRepeatedHost(raw: readonly string[]): boolean {
+  const names = raw.filter((_, index) => index % 2 === 0);
+  return names.filter((name) => name.toLowerCase() === 'host').length > 1;
+}
--- a/src/router-runtime/path-checker.ts
+++ b/src/router-runtime/path-checker.ts
@@ -1,9 +1,8 @@
 /** Checks whether connections to servers can be opened. Nothing is sent on them. */
-import { createConnection } from 'node:net';
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 import type { CheckPathEffect } from '../router/effects.js';
 import { CHECK_TIMED_OUT } from '../router/events.js';
-import { hostAndPort } from '../router/model/address.js';
+import { openConnection } from './open-connection.js';
 
 /**
  * Opens a connection and closes it at once.
@@ -16,7 +15,7 @@
   barrier: PollBarrier,
   done: (failure: string | null) => void,
 ): void {
-  const socket = createConnection(hostAndPort(address));
+  const socket = openConnection(address);
   let isDone = false;
   const finish = (failure: string | null): void => {
     if (!isDone) {
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -2,12 +2,13 @@
  * Connections between daemons in the propagation tree. Each child keeps one connection to its parent; messages travel both ways on it
  * as length-prefixed protobuf frames. Delivery is best effort.
  */
-import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import { PROCESS_POLL_BARRIER } from '../event-loop/poll-barrier.js';
-import { hostAndPort, type Address } from '../router/model/address.js';
+import type { Address } from '../router/model/address.js';
 import type { PeerMessage } from '../router/peers/messages.js';
 import { FrameReader } from '../runtime/peer-transport.js';
 import { listen } from './listen.js';
+import { openConnection } from './open-connection.js';
 import { RecentOutput } from './peer-output.js';
 import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
 
@@ -150,8 +151,7 @@
     if (address === null || this.#isClosed) {
       return;
     }
-    const { host, port } = hostAndPort(address);
-    const socket = createConnection({ host, port, noDelay: true });
+    const socket = openConnection(address, true);
     this.#parent = socket;
     let isRefused = false;
     socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS);
--- a/src/router-runtime/router-daemon.ts
+++ b/src/router-runtime/router-daemon.ts
@@ -19,6 +19,7 @@
 import type { RouterSettings } from '../router/router-settings.js';
 import { createRouterState, notReadyReason, type RouterState } from '../router/router-state.js';
 import { CallerFrontend } from './caller-frontend.js';
+import { failureEvent, performGuarded, runReducer } from './effect-guard.js';
 import { EventLog } from './event-log.js';
 import { logFatalErrors } from './fatal-errors.js';
 import { listen } from './listen.js';
@@ -68,6 +69,7 @@
   readonly #tick: RegularTick;
   readonly #malformedObjects: MalformedObjects;
   readonly #calls: PlatformCalls;
+  readonly #failedEffects: PacedEvent;
   /** The caller limits that the frontend applies; null before the first configuration. */
   #appliedLimits: CallerLimits | null = null;
 
@@ -86,6 +88,7 @@
     };
     this.state = createRouterState(identity, toRouterBounds(settings), identity.life);
     this.#log = new EventLog(daemon, this.state.counters);
+    this.#failedEffects = new PacedEvent(this.#log, 'effect_failed');
     this.#malformedObjects = new MalformedObjects(this.#log, this.state.counters);
     this.#calls = new PlatformCalls(platform, (event) => this.dispatch(event));
     this.#frontend = new CallerFrontend({
@@ -101,6 +104,7 @@
       },
       longestReadDelay: (host, target) => maxReadDelay(this.state, host, target),
       isWriteAllowed: (server) => this.#isWriteAllowed(server),
+      onFailure: (effect, reason) => this.#recordFailure(effect, reason),
     });
     const malformedMessages = new PacedEvent(this.#log, 'malformed_peer_message');
     const malformedItems = new PacedEvent(this.#log, 'malformed_peer_item');
@@ -204,8 +208,11 @@
   }
 
   #reduce(now: number, event: RouterEvent): void {
-    for (const effect of reduce(this.state, now, event)) {
-      this.#perform(effect);
+    for (const effect of runReducer(() => reduce(this.state, now, event))) {
+      performGuarded(
+        () => this.#perform(effect),
+        (reason) => this.#recordFailure(effect, reason),
+      );
     }
   }
 
@@ -254,6 +261,16 @@
     await this.#log.close();
   }
 
+  /** Reports an effect that could not be performed, after the other effects of its event. */
+  #recordFailure(effect: Effect, reason: string): void {
+    this.state.counters.effects_failed += 1;
+    this.#failedEffects.record({ effect: effect.kind, reason });
+    const outcome = failureEvent(effect, reason);
+    if (outcome !== null) {
+      setImmediate(() => this.dispatch(outcome));
+    }
+  }
+
   #perform(effect: Effect): void {
     switch (effect.kind) {
       case 'forward':
--- a/src/router-runtime/server-connections.ts
+++ b/src/router-runtime/server-connections.ts
@@ -2,6 +2,7 @@
  * Connection pools to servers, with one request at a time on each connection. The most recently used connection is reused first, so that
  * few stay open. A connection on which anything went wrong is never reused.
  */
+import { err, ok, type Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import { buildResettingConnector, Client } from '../http-client/index.js';
 import type { Socket } from 'node:net';
@@ -22,6 +23,13 @@
 
 type Connector = ReturnType<typeof buildResettingConnector>;
 
+/** Why there is no connection for a request. */
+export interface NoConnection {
+  /** Whether too many are open. Otherwise none can be created. */
+  readonly isFull: boolean;
+  readonly reason: string;
+}
+
 /** Delays an action until the sockets have been polled. */
 type ConnectBarrier = Pick<PollBarrier, 'whenRecentlyPolled'>;
 
@@ -120,11 +128,11 @@
   }
 
   /**
-   * Returns a connection for one request, or null when too many are open.
+   * Returns a connection for one request, or why there is none.
    *
    * @param attemptId the id by which an answer names the request; null: answers name none
    */
-  acquire(address: Address, attemptId: string | null = null): ServerConnection | null {
+  acquire(address: Address, attemptId: string | null = null): Result<ServerConnection, NoConnection> {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
       pool = new ConnectionPool();
@@ -132,17 +140,27 @@
     }
     const usable = pool.idleConnections.findLastIndex((connection) => connection.mayCarry(attemptId));
     if (usable >= 0) {
-      return pool.idleConnections.splice(usable, 1)[0] as ServerConnection;
+      return ok(pool.idleConnections.splice(usable, 1)[0] as ServerConnection);
     }
     if (pool.openCount >= this.#maxPerAddress) {
       const unusable = pool.idleConnections.shift();
       if (unusable === undefined) {
-        return null;
+        return err({ isFull: true, reason: 'too many connections are open' });
       }
       this.release(address, unusable, false);
     }
-    pool.openCount += 1;
-    return new ServerConnection(address, this.#barrier, this.#connector);
+    return this.#create(address).map((connection) => {
+      pool.openCount += 1;
+      return connection;
+    });
+  }
+
+  #create(address: Address): Result<ServerConnection, NoConnection> {
+    try {
+      return ok(new ServerConnection(address, this.#barrier, this.#connector));
+    } catch (cause) {
+      return err({ isFull: false, reason: cause instanceof Error ? cause.message : String(cause) });
+    }
   }
 
   /** Returns a connection to its pool, or closes it if it must not be reused. */
--- a/src/router/counters.ts
+++ b/src/router/counters.ts
@@ -53,6 +53,7 @@
   'confirmations_asked',
   'requests_unconfirmed',
   'writes_withheld',
+  'requests_unsendable',
   'requests_to_proxies',
   'requests_for_others',
   'refused_by_proxies',
@@ -67,6 +68,7 @@
   'malformed_peer_messages',
   'malformed_peer_items',
   'malformed_store_objects',
+  'effects_failed',
   'log_lines_dropped',
 ] as const;
 
--- a/src/router/events.ts
+++ b/src/router/events.ts
@@ -201,6 +201,8 @@
     }
   /** No connection could be opened. `refused` says that it was refused: nothing listens at the address. */
   | { readonly kind: 'notSent'; readonly reason: string; readonly refused: boolean }
+  /** The request can't be sent to any server as it is, and nothing of it was written. Says nothing about the server. */
+  | { readonly kind: 'unsendable'; readonly reason: string }
   /** Another daemon, to which the request was sent as a proxy, states that no server has run it or will. */
   | {
       readonly kind: 'refusedByProxy';
--- a/src/router/log-events.ts
+++ b/src/router/log-events.ts
@@ -264,6 +264,10 @@
     when: 'an object of the store cannot be parsed, logged once for each object: it is skipped, and no server is taken from it',
     fields: 'kind, name, problem (the first violation: path and what is wrong)',
   },
+  effect_failed: {
+    when: 'an exception has stopped a call, an attempt, a check or a connection, which counts as not sent; at most one line a second',
+    fields: 'effect, reason, unlogged',
+  },
   malformed_leader_record: {
     when: 'the leader record in the store cannot be read, since another one than a daemon has written it',
     fields: 'revision',
--- a/src/router/proxying/proxied-attempts.ts
+++ b/src/router/proxying/proxied-attempts.ts
@@ -52,6 +52,10 @@
     case 'notSent':
       avoidProxy(context, proxy);
       return dispatchRequest(context, request);
+    case 'unsendable':
+      state.counters.requests_unsendable += 1;
+      endWithOwnAnswer(context, request, `the request can't be sent: ${result.reason}`, null);
+      return;
     case 'ambiguousAnswer':
       // A proxy's response is the proxy's own statement.
       return;
--- a/src/router/request/attempt-outcome.ts
+++ b/src/router/request/attempt-outcome.ts
@@ -88,6 +88,9 @@
       }
       dispatchRequest(context, request);
       return;
+    case 'unsendable':
+      processUnsendableRequest(context, request, known, result.reason);
+      return;
     case 'withheld':
       state.counters.writes_withheld += 1;
       processWithheldAttempt(context, request, known);
@@ -116,6 +119,21 @@
   endWithOwnAnswer(context, request, reason, null);
 }
 
+/** Refuses a request that no server would be sent: the server is not at fault. */
+function processUnsendableRequest(
+  context: RouterContext,
+  request: ActiveRequest,
+  known: KnownServer | undefined,
+  reason: string,
+): void {
+  context.state.counters.requests_unsendable += 1;
+  request.attempts -= 1;
+  if (request.usedPermit) {
+    known?.permits.returnUnused(context.now);
+  }
+  endWithOwnAnswer(context, request, `the request can't be sent: ${reason}`, null);
+}
+
 /** Dispatches a request again whose attempt was not written. The server is not at fault and may be chosen again. */
 function processWithheldAttempt(
   context: RouterContext,
--- a/src/router/request/request-execution.ts
+++ b/src/router/request/request-execution.ts
@@ -27,6 +27,7 @@
 function executionOf(result: AttemptResult): AttemptExecution {
   switch (result.kind) {
     case 'notSent':
+    case 'unsendable':
     case 'withdrawn':
     case 'withheld':
       return 'not written';
--- a/test/router-runtime/test-attempt.ts
+++ b/test/router-runtime/test-attempt.ts
@@ -46,10 +46,7 @@
 
 async function send(text: string): Promise<Outcome> {
   const address = toAddress(text);
-  const connection = connections.acquire(address, ID);
-  if (connection === null) {
-    throw new Error('too many connections are open');
-  }
+  const connection = connections.acquire(address, ID)._unsafeUnwrap();
   let body: string | null = null;
   let hasLength = true;
   const sink: ResponseSink = {
--- a/test/router-runtime/test-caller-frontend.ts
+++ b/test/router-runtime/test-caller-frontend.ts
@@ -8,6 +8,7 @@
 import type { RouterEvent } from '../../src/router/events.js';
 import { RawServer, type RawResponder } from '../support/raw-server.js';
 import { listenOnLoopback, toAddress } from '../support/addresses.js';
+import { throwFailure } from '../support/throw-failure.js';
 
 const ID = 'a-1';
 const OWN_HEADERS = `Fennelferry-Attempt-Id: ${ID}\r\nFennelferry-Server-Seal: s.1\r\n`;
@@ -73,6 +74,7 @@
     loop: { readDelay: () => 0, isOnTime: () => true },
     longestReadDelay: () => null,
     isWriteAllowed: () => true,
+    onFailure: throwFailure,
   });
   runningFrontend = frontend;
   await listenOnLoopback(frontend.server);
--- a/test/router-runtime/test-caller-identity.ts
+++ b/test/router-runtime/test-caller-identity.ts
@@ -14,6 +14,7 @@
 import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import { NO_ATTEMPT } from '../../src/router/request/request-execution.js';
 import { listenOnLoopback } from '../support/addresses.js';
+import { throwFailure } from '../support/throw-failure.js';
 
 let runningFrontend: CallerFrontend | undefined;
 afterEach(() => runningFrontend?.closeAll());
@@ -51,6 +52,7 @@
     loop: { readDelay: () => 0, isOnTime: () => true },
     longestReadDelay: () => null,
     isWriteAllowed: () => true,
+    onFailure: throwFailure,
   });
   runningFrontend = frontend;
   await listenOnLoopback(frontend.server);
--- a/test/support/blocked-loop-front.ts
+++ b/test/support/blocked-loop-front.ts
@@ -3,6 +3,7 @@
  * admits is forwarded to a server.
  */
 import { listenOnLoopback, toAddress } from './addresses.js';
+import { throwFailure } from './throw-failure.js';
 import type { AddressInfo } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
@@ -104,6 +105,7 @@
       },
       longestReadDelay: () => null,
       isWriteAllowed: () => true,
+      onFailure: throwFailure,
     });
   }
 
--- a/test/support/frontend-fixture.ts
+++ b/test/support/frontend-fixture.ts
@@ -1,5 +1,6 @@
 /** A frontend on loopback with a scripted reducer, and callers that pipeline requests and decide when they read. */
 import { listenOnLoopback, toAddress } from './addresses.js';
+import { throwFailure } from './throw-failure.js';
 import { createConnection, type AddressInfo, type Socket } from 'node:net';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
@@ -106,6 +107,7 @@
       loop: { readDelay: () => 0, isOnTime: () => true },
       longestReadDelay: () => null,
       isWriteAllowed: () => true,
+      onFailure: throwFailure,
       ...options,
     });
   }
--- a/test/support/proxied-frontends.ts
+++ b/test/support/proxied-frontends.ts
@@ -3,6 +3,7 @@
  * reducers would decide is scripted.
  */
 import { listenOnLoopback, toAddress } from './addresses.js';
+import { throwFailure } from './throw-failure.js';
 import { createConnection, type AddressInfo, type Socket } from 'node:net';
 import { REQUEST_PROTOCOL } from '../../platform/protocol.js';
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
@@ -105,6 +106,7 @@
       loop: { readDelay: () => 0, isOnTime: () => true },
       longestReadDelay: () => null,
       isWriteAllowed: () => true,
+      onFailure: throwFailure,
     });
   }
 
