Properties of peers' frames, the leader record and the ownership table

No input of these makes a parser throw, nothing passes for an address that is none, and a table that is read covers each key once with fences that go on above those in use. Each property finds its planted fault.

Servers of tests get an address that is one whatever their number: two tests with names beyond s255 and one with an incarnation failed since addresses are checked ("Called `_unsafeUnwrap` on an Err").

--- a/test/fuzz/all-properties.ts
+++ b/test/fuzz/all-properties.ts
@@ -1,6 +1,11 @@
 /** All properties of the suite, by boundary. */
 import { ADDRESS_PROPERTIES } from './address-properties.js';
 import type { FuzzProperty } from './fuzz-property.js';
+import { PEER_PROPERTIES } from './peer-properties.js';
 import { STORE_PROPERTIES } from './store-properties.js';
 
-export const ALL_PROPERTIES: readonly FuzzProperty[] = [...ADDRESS_PROPERTIES, ...STORE_PROPERTIES];
+export const ALL_PROPERTIES: readonly FuzzProperty[] = [
+  ...ADDRESS_PROPERTIES,
+  ...PEER_PROPERTIES,
+  ...STORE_PROPERTIES,
+];
--- a/test/router/support/single-daemon.ts
+++ b/test/router/support/single-daemon.ts
@@ -79,9 +79,12 @@
   limits: { headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 1_000, idleTimeout: 1_000 },
 };
 
+const OCTET_BITS = 8;
+
 /** Describes a server of the balanced service. */
 export function describeServer(id: string): ServerDescription {
-  const address = toAddress(`10.0.0.${instanceOf(id).slice(1)}:80`);
+  const number = Number(instanceOf(id).slice(1));
+  const address = toAddress(`10.0.${number >> OCTET_BITS}.${number % 2 ** OCTET_BITS}:80`);
   return {
     id,
     service: 'logs',
