--- a/src/router-runtime/headers.ts
+++ b/src/router-runtime/headers.ts
@@ -53,3 +53,8 @@
   }
   return values;
 }
+
+/** Returns whether there is more than one `Host` header: RFC 9112, section 3.2, calls for 400 then. */
+export function hasRepeatedHost(raw: readonly string[]): boolean {
+  return headerValues(raw, 'host').length > 1;
+}
