Numbers that no daemon sends are taken out of peers' messages

Callers would have seen: after one heartbeat with 0, a negative, an infinite or a huge number of daemons, shares of limits, connections and retries that were infinite, nothing, or no numbers, until the next sound one; after an item with a revision or a fence that is no safe integer, one that no later change exceeds.

Why it works: the reducer checks each message before it applies it. A list's item with such a number is dropped by itself, a part that may be missing is missing, and a message that says nothing without the number is dropped and counted in malformed_peer_messages_total. A view of ownership counts as a whole: without one of its units its keys would have no owner here. Load counts keep their own check, which is per service.

--- a/src/router/reducer.ts
+++ b/src/router/reducer.ts
@@ -61,6 +61,7 @@
 import { invalidateEarlierRead, invalidateEarlierWrite, handleResumed } from './suspension.js';
 import { RouterContext } from './router-context.js';
 import type { RouterState } from './router-state.js';
+import { withSoundNumbers } from './peers/message-numbers.js';
 import { removeChild, receiveReport } from './tree/children.js';
 import { tickHeartbeats } from './tree/heartbeats.js';
 import { receiveParentClosed, receiveRedirect, tickParent } from './tree/parent.js';
@@ -244,7 +245,14 @@
   }
 }
 
-function receivePeerMessage(context: RouterContext, { message, link }: PeerMessageEvent): void {
+function receivePeerMessage(context: RouterContext, { message: received, link }: PeerMessageEvent): void {
+  const message = withSoundNumbers(received);
+  if (message !== received) {
+    context.state.counters.malformed_peer_messages += 1;
+  }
+  if (message === null) {
+    return;
+  }
   const leads = context.state.leadership !== null;
   const source = context.state.tree.children.has(link) ? 'child' : 'parent';
   switch (message.kind) {
