--- a/test/platform/test-cut-calls.ts
+++ b/test/platform/test-cut-calls.ts
@@ -8,8 +8,6 @@
 import type { ControlEffect } from '../../src/router/effects.js';
 import type { ControlOutcome } from '../../src/router/events.js';
 import type { ControlListener, FeedSource } from '../../src/router/ports.js';
-import type { Address } from '../../src/router/model/address.js';
-import { toAddress } from '../support/addresses.js';
 import { CUT_ENDINGS, cutAt, headLength, play, type PlayedAnswer, range } from '../support/cut-answers.js';
 import { RawServer } from '../support/raw-server.js';
 import { toAddress } from '../support/addresses.js';
--- a/test/router/support/peer-messages.ts
+++ b/test/router/support/peer-messages.ts
@@ -1,12 +1,13 @@
 /** Messages between daemons for tests that care about a few of their fields. */
 import type { Heartbeat } from '../../../src/router/peers/messages.js';
+import { toAddress } from '../../support/addresses.js';
 
 const HEARTBEAT: Heartbeat = {
   kind: 'heartbeat',
   term: 3,
   leader: 'd1',
   leaderLife: 8,
-  leaderAddress: '10.0.0.1:70',
+  leaderAddress: toAddress('10.0.0.1:70'),
   heardAge: 0,
   confirmationAge: 0,
   leaderRevision: 0,
