First core: an address that is none ends no daemon

A member's address in a peer's message could be any text, and settings and the configuration let 999.1.1.1:80 or [::g]:80 pass, the configuration port 70000, too. PeerTransport.send throws ERR_SOCKET_BAD_PORT for such a port, in an effect (a call on the code before: "send throws ERR_SOCKET_BAD_PORT").

isAddress (node:net's isIPv4 and isIPv6, a port up to 65535) checks settings and configurations in place of two patterns. The transport opens its connections with openSocket, which the router's links and path checks share; open-connection.ts goes. Requests to servers were caught before; request() now rejects instead of throwing at once.

--- a/src/core/configuration/routing-configuration.ts
+++ b/src/core/configuration/routing-configuration.ts
@@ -6,10 +6,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
 import { SettingsError } from '../../errors.js';
+import { isAddress } from '../../settings/address.js';
 import { describeSchemaErrors } from './schema-errors.js';
 
 const nameSchema = z.string().regex(/^[a-z][a-z0-9-]*$/, 'allowed: lower-case letters, digits and dashes');
-const addressSchema = z.string().regex(/^[0-9a-f.:[\]]+:\d{1,5}$/, 'allowed: <ip number>:<port>');
+const addressSchema = z.string().refine(isAddress, 'allowed: <ip number>:<port>');
 const MAXIMUM_SLOTS = 65_536;
 
 function isPowerOfTwo(value: number): boolean {
--- a/src/router-runtime/path-checker.ts
+++ b/src/router-runtime/path-checker.ts
@@ -2,7 +2,8 @@
 import type { PollBarrier } from '../event-loop/poll-barrier.js';
 import type { CheckPathEffect } from '../router/effects.js';
 import { CHECK_TIMED_OUT } from '../router/events.js';
-import { openConnection } from './open-connection.js';
+import { hostAndPort } from '../router/model/address.js';
+import { openSocket } from '../runtime/open-socket.js';
 
 /**
  * Opens a connection and closes it at once.
@@ -15,7 +16,7 @@
   barrier: PollBarrier,
   done: (failure: string | null) => void,
 ): void {
-  const socket = openConnection(address);
+  const socket = openSocket(hostAndPort(address), false);
   let isDone = false;
   const finish = (failure: string | null): void => {
     if (!isDone) {
--- a/src/router-runtime/peer-links.ts
+++ b/src/router-runtime/peer-links.ts
@@ -4,11 +4,11 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import { PROCESS_POLL_BARRIER } from '../event-loop/poll-barrier.js';
-import type { Address } from '../router/model/address.js';
+import { hostAndPort, type Address } from '../router/model/address.js';
 import type { PeerMessage } from '../router/peers/messages.js';
+import { openSocket } from '../runtime/open-socket.js';
 import { FrameReader } from '../runtime/peer-transport.js';
 import { listen } from './listen.js';
-import { openConnection } from './open-connection.js';
 import { RecentOutput } from './peer-output.js';
 import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
 
@@ -151,7 +151,7 @@
     if (address === null || this.#isClosed) {
       return;
     }
-    const socket = openConnection(address, true);
+    const socket = openSocket(hostAndPort(address), true);
     this.#parent = socket;
     let isRefused = false;
     socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS);
--- a/src/router-runtime/open-connection.ts
+++ b/src/runtime/open-socket.ts
@@ -1,14 +1,14 @@
 /** Opens connections without exceptions. */
 import { createConnection, Socket } from 'node:net';
-import { hostAndPort, type Address } from '../router/model/address.js';
+import type { HostAndPort } from '../settings/address.js';
 
 /**
  * Opens a connection. One that can't even be created ends like one that can't be established: with the events `error` and `close`, after the
  * caller has had the time to listen for them.
  */
-export function openConnection(address: Address, noDelay = false): Socket {
+export function openSocket(target: HostAndPort, noDelay: boolean): Socket {
   try {
-    return createConnection({ ...hostAndPort(address), noDelay });
+    return createConnection({ ...target, noDelay });
   } catch (cause) {
     const socket = new Socket();
     setImmediate(() => socket.destroy(cause instanceof Error ? cause : new Error(String(cause))));
--- a/src/runtime/peer-transport.ts
+++ b/src/runtime/peer-transport.ts
@@ -2,11 +2,12 @@
  * Transports envelopes between daemons: length-prefixed protobuf frames over one TCP connection for each
  * direction of a pair. Delivery is best effort; the reducer tolerates lost messages.
  */
-import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import type { Counters } from '../core/counters.js';
 import type { Envelope } from '../core/messages.js';
 import { splitAddress } from '../settings/address.js';
 import { decodeEnvelope, encodeEnvelope } from '../wire/codec.js';
+import { openSocket } from './open-socket.js';
 
 const LENGTH_BYTES = 4;
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
@@ -110,8 +111,7 @@
     if (known !== undefined && Date.now() < known.retryAt) {
       return null;
     }
-    const { host, port } = splitAddress(address);
-    const socket = createConnection({ host, port, noDelay: true });
+    const socket = openSocket(splitAddress(address), true);
     const outgoing: OutgoingConnection = { socket, retryAt: 0 };
     this.#outgoing.set(address, outgoing);
     socket.on('error', () => undefined);
--- a/src/runtime/server-client.ts
+++ b/src/runtime/server-client.ts
@@ -33,8 +33,8 @@
     }
   }
 
-  /** Sends a request over the server's connection pool. */
-  request(
+  /** Sends a request over the server's connection pool. Rejects if none can be created. */
+  async request(
     address: string,
     connections: number,
     options: Omit<Dispatcher.RequestOptions, 'origin'>,
--- a/src/settings/daemon-settings.ts
+++ b/src/settings/daemon-settings.ts
@@ -7,15 +7,10 @@
 import * as z from 'zod';
 import { describeSchemaErrors } from '../core/configuration/schema-errors.js';
 import { SettingsError } from '../errors.js';
+import { isAddress } from './address.js';
 
 const NAME_SCHEMA = z.string().regex(/^[a-z][a-z0-9-]*$/, 'allowed: lower-case letters, digits and dashes');
-const ADDRESS_SCHEMA = z
-  .string()
-  .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/, 'allowed: <ip number>:<port>')
-  .refine(
-    (address) => Number(address.slice(address.lastIndexOf(':') + 1)) <= 65_535,
-    'allowed: a port up to 65535',
-  );
+const ADDRESS_SCHEMA = z.string().refine(isAddress, 'allowed: <ip number>:<port>, with a port up to 65535');
 
 const limitsSchema = z.strictObject({
   /** Requests with a larger head are rejected with status 431. */
