--- a/test/fuzz/all-properties.ts
+++ b/test/fuzz/all-properties.ts
@@ -2,10 +2,12 @@
 import { ADDRESS_PROPERTIES } from './address-properties.js';
 import type { FuzzProperty } from './fuzz-property.js';
 import { PEER_PROPERTIES } from './peer-properties.js';
+import { REDUCER_PROPERTIES } from './reducer-properties.js';
 import { STORE_PROPERTIES } from './store-properties.js';
 
 export const ALL_PROPERTIES: readonly FuzzProperty[] = [
   ...ADDRESS_PROPERTIES,
   ...PEER_PROPERTIES,
+  ...REDUCER_PROPERTIES,
   ...STORE_PROPERTIES,
 ];
--- a/test/support/counted-steps.ts
+++ b/test/support/counted-steps.ts
@@ -1,8 +1,8 @@
 /** Counts the steps that code of the product takes, by V8's block coverage: each run of a function and of a loop's body is one. */
 import { Session, type Profiler } from 'node:inspector';
 
-/** Modules whose steps are counted. */
-const COUNTED_MODULES = /\/src\/(router|router-runtime)\/|\/platform\//;
+/** Modules whose steps are counted: the product's, and those in which tests plant faults. */
+const COUNTED_MODULES = /\/src\/(router|router-runtime)\/|\/platform\/|\/planted-/;
 
 /** Must be created before the counted code runs for the first time: what is compiled before is counted by whole functions only. */
 export class StepCounter {
