--- a/test/platform/test-malformed-objects.ts
+++ b/test/platform/test-malformed-objects.ts
@@ -3,7 +3,7 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { parseServer } from '../../platform/documents.js';
+import { parseServer, storedObjectSchema } from '../../platform/documents.js';
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
 import type { ServerDescription } from '../../src/router/model/server.js';
 import type { FeedSource, ListOutcome, WatchOutcome } from '../../src/router/ports.js';
@@ -306,4 +306,19 @@
     const blank = ' '.repeat(17 * 1024 * 1024);
     expect(await listedNames(`${blank}${listPage([itemText('a')])}`)).toEqual(['failed']);
   });
+
+  // A schema takes over ten microseconds to reject a value, so that a megabyte of them held a daemon for seconds.
+  it('are rejected without a schema if they are no objects of the store at first sight', async () => {
+    const { safeParse } = storedObjectSchema;
+    let calls = 0;
+    storedObjectSchema.safeParse = (...args) => {
+      calls += 1;
+      return safeParse(...args);
+    };
+    const odd = [...Array<string>(10_000).fill('{}'), '7', '{"metadata":1}', '{"metadata":{"name":"odd"}}'];
+    expect(await listedNames(listPage([...odd, itemText('a')]))).toEqual(['a']);
+    expect(await watchedNames(watchPage([...odd, eventText('a')]))).toEqual(['a']);
+    storedObjectSchema.safeParse = safeParse;
+    expect(calls).toEqual(2);
+  });
 });
