Leave destroyed connections to the store as they are

What callers saw: nothing; a planned stop ended with an error status when a call to the store became overdue just then.

Cause: the overdue call replaced a pool that had been destroyed. Closing that one is a rejected promise that nobody awaits, which ends the process.

A destroyed pool is not replaced any more.

--- a/src/http-client/recycling-pool.ts
+++ b/src/http-client/recycling-pool.ts
@@ -107,6 +107,7 @@
   readonly #origin: string;
   readonly #options: UndiciPool.Options;
   #pool: TrackingPool;
+  #isDestroyed = false;
   /** Replaced pools whose last calls have not ended yet. */
   readonly #retired = new Set<TrackingPool>();
 
@@ -151,6 +152,7 @@
 
   /** Closes all connections, which fails the calls that are in progress. */
   destroy(): void {
+    this.#isDestroyed = true;
     void this.#pool.destroy();
     this.#retired.forEach((pool) => void pool.destroy());
   }
@@ -165,7 +167,7 @@
   }
 
   #retire(pool: TrackingPool): void {
-    if (pool !== this.#pool) {
+    if (pool !== this.#pool || this.#isDestroyed) {
       return;
     }
     this.#pool = new TrackingPool(this.#origin, this.#options);
