Take long lists and incomplete configurations of peers without an exception

What callers would have seen: a daemon that ends by an uncaught exception upon a well-formed message of a peer.

Cause: lists of a report were spread into the arguments of a call, which throws from about 130,000 items on (a frame of 16 MB holds more). A configuration without limits was applied, and the frontend reads them.

A configuration without limits is a malformed message.

--- a/src/router-runtime/peer-codec.ts
+++ b/src/router-runtime/peer-codec.ts
@@ -32,6 +32,12 @@
 /** A configuration in wire form. */
 type WireConfiguration = Omit<Configuration, 'services'> & { readonly services: Service[] };
 
+/** Protobuf leaves out messages that are not set. Returns false for a configuration without the limits on callers. */
+function hasCallerLimits(kind: string, fields: object): boolean {
+  const { configuration } = fields as { configuration?: Partial<Configuration> | null };
+  return kind !== 'configurationNews' || (configuration?.limits ?? null) !== null;
+}
+
 function fromWire(kind: string, fields: object): PeerMessage {
   if (kind !== 'configurationNews') {
     return { ...fields, kind } as unknown as PeerMessage;
@@ -91,7 +97,8 @@
     if (kind === undefined || kind === 'deflated') {
       return err('no payload');
     }
-    return ok(fromWire(kind, router.Frame.toObject(decoded, TO_OBJECT_OPTIONS)[kind] as object));
+    const fields = router.Frame.toObject(decoded, TO_OBJECT_OPTIONS)[kind] as object;
+    return hasCallerLimits(kind, fields) ? ok(fromWire(kind, fields)) : err('a configuration without limits');
   } catch (cause) {
     return err(cause instanceof Error ? cause.message : String(cause));
   }
--- a/src/router/load-view/load-reports.ts
+++ b/src/router/load-view/load-reports.ts
@@ -72,18 +72,18 @@
 ): void {
   const { loadView, configuration, leadership } = context.state;
   const counts: CountsByService = new Map();
-  const spans: Milliseconds[] = [];
+  let longestSpan: Milliseconds | null = null;
   for (const load of report.serviceLoads) {
     const read = readReportedLoad(load);
     if (read === null) {
       recordMalformedLoad(context, load.service, child.daemon, load);
     } else if (configuration?.services.get(load.service)?.keyed === false) {
       counts.set(load.service, read);
-      spans.push(load.span);
+      longestSpan = Math.max(longestSpan ?? 0, load.span);
     }
   }
   child.loadDaemons = report.loadDaemons;
-  child.loadWindow.add(counts, spans.length > 0 ? Math.max(...spans) : sinceLast);
+  child.loadWindow.add(counts, longestSpan ?? sinceLast);
   loadView.workTimes.add(counts, context.now);
   if (leadership === null) {
     addAllLoadCounts(loadView.unreported, counts);
--- a/src/router/tree/children.ts
+++ b/src/router/tree/children.ts
@@ -22,8 +22,8 @@
   for (const { lastAnswerAge, ...times } of report.times) {
     context.state.tree.times.push({ ...times, lastAnsweredAt: context.now - lastAnswerAge });
   }
-  context.state.tree.started.push(...report.started);
-  context.state.tree.rests.push(...report.rests);
+  report.started.forEach((life) => context.state.tree.started.push(life));
+  report.rests.forEach((rest) => context.state.tree.rests.push(rest));
   if (context.state.leadership !== null) {
     comparePeerVersions(context, report);
   }
