Properties of answers and callers, over real sockets

"a success is the server's whole answer": servers send interim answers, odd statuses, codings and headers, bodies of up to 270,000 bytes, surplus bytes, and mutations of all of it, cut at any place and ended in four ways; what a caller gets is compared with an oracle of RFC 9112. Each request ends. The planted fault completes answers that break off behind their heads.

"no caller harms another": callers pipeline, split, mutate, half-close, reset and leave; each connection ends, a success names a request of its own caller, none stays in flight, and callers beside and behind them are served. The planted fault writes nothing more once a request for another host has come.

--- a/test/fuzz/all-properties.ts
+++ b/test/fuzz/all-properties.ts
@@ -1,5 +1,7 @@
 /** All properties of the suite, by boundary. */
 import { ADDRESS_PROPERTIES } from './address-properties.js';
+import { ANSWER_PROPERTIES } from './answer-properties.js';
+import { CALLER_PROPERTIES } from './caller-properties.js';
 import type { FuzzProperty } from './fuzz-property.js';
 import { PEER_PROPERTIES } from './peer-properties.js';
 import { REDUCER_PROPERTIES } from './reducer-properties.js';
@@ -9,5 +11,7 @@
   ...ADDRESS_PROPERTIES,
   ...PEER_PROPERTIES,
   ...REDUCER_PROPERTIES,
+  ...ANSWER_PROPERTIES,
+  ...CALLER_PROPERTIES,
   ...STORE_PROPERTIES,
 ];
