Lose answers whose head contains another one

What callers could see: the status of an answer that a server broke off within its status line or a header, together with the headers and the body of the next one on the same connection: `HTTP/1.1 200 HTTP/1.1 404 None`, say. A grant that was answered so with 409 counted as accepted.

Cause: such bytes are one head by HTTP's grammar, with the second status line as the reason or as a header's value, and it names the request that the second answer is for.

A reason or a value that contains a status line now makes the answer of a server or a proxy lost, and a control call unanswered, before anything in the head is believed.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -4,7 +4,7 @@
  */
 import type { AttemptResult } from '../router/events.js';
 import { isRefusedByClient } from './client-errors.js';
-import type { ResponseReader } from './response-reader.js';
+import { containedHead, type ResponseReader } from './response-reader.js';
 import type { ServerConnection } from './server-connections.js';
 
 /** Longer responses are streamed to the caller. */
@@ -89,7 +89,7 @@
       { method: method as 'GET', path, headers, body },
       {
         onConnect: (abort) => this.#onConnect(abort),
-        onHeaders: (status, raw) => this.#onHeaders(status, raw),
+        onHeaders: (status, raw, _resume, text) => this.#onHeaders(status, raw, text),
         onData: (chunk) => {
           this.#onData(chunk);
           return true;
@@ -140,16 +140,15 @@
     this.#isSent = true;
   }
 
-  #onHeaders(status: number, raw: Buffer[]): boolean {
+  #onHeaders(status: number, raw: Buffer[], statusText: string): boolean {
     if (status < FIRST_FINAL_STATUS || this.#isFinished) {
       return true;
     }
     this.#status = status;
-    const failure = this.#reader.readHead(
-      status,
-      raw.map((part) => part.toString('latin1')),
-      this.#connection.isFirstRequest,
-    );
+    const headers = raw.map((part) => part.toString('latin1'));
+    const failure =
+      containedHead(statusText, headers) ??
+      this.#reader.readHead(status, headers, this.#connection.isFirstRequest);
     if (failure !== null) {
       this.#fail(failure.reason, false, failure.foreignAttemptId);
     }
--- a/src/router-runtime/control-connections.ts
+++ b/src/router-runtime/control-connections.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from '../router/model/identifiers.js';
 import { NotSentError } from '../errors.js';
 import { isRefusedByClient } from './client-errors.js';
+import { containedHead } from './response-reader.js';
 import { ServerConnections, type ServerConnection } from './server-connections.js';
 
 /** Shorter than the timeout of a grant, so that a server that accepts no connection is told from one that does not respond. */
@@ -95,7 +96,7 @@
       { method, path, headers, body },
       {
         onConnect: (abort) => this.#onConnect(abort),
-        onHeaders: (status, raw) => this.#onHeaders(status, raw),
+        onHeaders: (status, raw, _resume, text) => this.#onHeaders(status, raw, text),
         onData: () => true,
         onComplete: () => this.#onComplete(),
         onError: (error) => this.#fail(error, false),
@@ -124,12 +125,19 @@
     }
   }
 
-  #onHeaders(status: number, raw: Buffer[]): boolean {
-    if (status >= FIRST_FINAL_STATUS && !this.#isOver) {
-      this.#response = { status, rawHeaders: raw.map((part) => part.toString('latin1')) };
-      clearTimeout(this.#timer);
-      this.#startTimer(TRANSFER_TIMEOUT);
+  #onHeaders(status: number, raw: Buffer[], statusText: string): boolean {
+    if (status < FIRST_FINAL_STATUS || this.#isOver) {
+      return true;
     }
+    const rawHeaders = raw.map((part) => part.toString('latin1'));
+    const problem = containedHead(statusText, rawHeaders);
+    if (problem !== null) {
+      this.#fail(new Error(problem.reason), false);
+      return true;
+    }
+    this.#response = { status, rawHeaders };
+    clearTimeout(this.#timer);
+    this.#startTimer(TRANSFER_TIMEOUT);
     return true;
   }
 
--- a/src/router-runtime/response-reader.ts
+++ b/src/router-runtime/response-reader.ts
@@ -34,6 +34,7 @@
 }
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const STATUS_LINE = /HTTP\/1\.\d \d{3}/;
 /** The only transfer coding whose end is marked, and the only one that the HTTP client decodes. */
 const CHUNKED = 'chunked';
 
@@ -57,3 +58,9 @@
   const isKnown = codings.length === 0 || codings.join().toLowerCase() === CHUNKED;
   return isKnown ? null : { reason: `an answer with the transfer coding "${codings.join(', ')}"` };
 }
+
+/** Returns why a head can't be used that contains another one: its sender has broken it off and gone on with the next. */
+export function containedHead(statusText: string, rawHeaders: readonly string[]): UnusableResponse | null {
+  const isContained = STATUS_LINE.test(statusText) || rawHeaders.some((part) => STATUS_LINE.test(part));
+  return isContained ? { reason: 'an answer whose head contains another one' } : null;
+}
--- a/test/platform/test-cut-calls.ts
+++ b/test/platform/test-cut-calls.ts
@@ -219,4 +219,18 @@
       }
     }
   }
+
+  // Guards against the status of an answer that broke off, together with the headers of the next one.
+  it('to a grant is none when its head contains another one', async () => {
+    const conflict = 'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n';
+    const answers = ['HTTP/1.1 200 ', 'HTTP/1.1 200 OK\r\nFennelferry-Handover: '].map(
+      (start): PlayedAnswer => ({ name: start, parts: [start + conflict], ending: 'stays open' }),
+    );
+    const address = await startServer(answers);
+    const client = new ServerControlClient();
+    control = client;
+    const call = (): Promise<string> =>
+      client.call(effect('grant', address), IGNORING_LISTENER).then(({ kind }) => kind);
+    expect([await call(), await call()]).toEqual(['unanswered', 'unanswered']);
+  });
 });
