Pass on a long answer in chunks if its server sends chunks

What a caller could see: a daemon that is killed while it passes on an answer of more than 256 KiB leaves 200 with a part of the body, and an orderly end of the connection, which is the end of an answer without a length. So it was framed even if its server marks the end, in chunks. Read in the code and shown by the framing; no kill was played.

Cause: a streamed answer without Content-Length was always passed on as one that ends with its connection, to the caller and by way of a proxy. That is right only if it came so; then chunks would mark an end that the server hasn't.

Now such an answer goes on in chunks, so that the end is marked only when the server has marked it, and the connection stays usable. A broken-off one is still reset, as before: lenient clients take the end of the connection for the end of chunks. Callers of HTTP/1.0 get it as before.

Evidence, test/router-runtime/test-answer-framing.ts, failed before: is passed on in chunks if its server sends chunks: actual false, expected true The tests of broken-off, paused, endless, proxied and cut answers pass. One of them failed once, at load average 47: "does not look complete when the server resets its connection after 262145 bytes", no end within 5 s; not in 18 runs with this change and 18 without it after that. It plays an answer without a length, for which nothing changed; not traced.

--- a/src/router-runtime/attempt.ts
+++ b/src/router-runtime/attempt.ts
@@ -23,6 +23,9 @@
   readonly body: Buffer | null;
 }
 
+/** The head of a long response. `hasLength`: the server has stated its length or marks its end. */
+export type StreamedHead = Pick<ResponseReader, 'rawHeaders'> & { status: number; hasLength: boolean };
+
 /** Writes a server's response to the caller. */
 export interface ResponseSink {
   /** Accounts for bytes that are buffered until the response is complete. */
@@ -31,7 +34,7 @@
   /** Sends a complete response. A response that had no length is sent without one. */
   sendComplete(status: number, rawHeaders: string[], body: Buffer, hasLength: boolean): void;
   /** Sends the head and the first bytes of a long response. Returns false if the writer must wait for `onDrain`. */
-  beginStream(status: number, rawHeaders: string[], body: Buffer, onDrain: () => void): boolean;
+  beginStream(head: StreamedHead, body: Buffer, onDrain: () => void): boolean;
   /** Sends the next bytes of a long response. Returns false if the writer must wait for `onDrain`. */
   more(chunk: Buffer): boolean;
   endStream(): void;
@@ -177,9 +180,10 @@
 
   #beginStream(): void {
     this.#isStreaming = true;
-    const firstBytes = this.#takeBuffered();
+    const { rawHeaders } = this.#reader;
+    const head = { status: this.#status, rawHeaders, hasLength: this.#reader.hasLength() };
     const resume = (): void => this.#connection.resumeReading();
-    this.#pauseUnless(this.#sink.beginStream(this.#status, this.#reader.rawHeaders, firstBytes, resume));
+    this.#pauseUnless(this.#sink.beginStream(head, this.#takeBuffered(), resume));
   }
 
   #pauseUnless(hasRoom: boolean): void {
--- a/src/router-runtime/caller-connection.ts
+++ b/src/router-runtime/caller-connection.ts
@@ -34,7 +34,7 @@
   readonly outgoing: ServerResponse;
   readonly connection: CallerConnection;
   isAdmitted = false;
-  /** The answer has no length: the end of the connection ends it. */
+  /** The answer states no length: the end of the connection ends it, or would for a lenient client. */
   endsWithConnection = false;
   /** Bytes of the request's body that are held. */
   bodyBytes = 0;
--- a/src/router-runtime/response-writers.ts
+++ b/src/router-runtime/response-writers.ts
@@ -38,6 +38,7 @@
 }
 
 const UNKNOWN_LENGTH: StatedLength = { isKnown: false, headers: [] };
+const IN_CHUNKS: StatedLength = { isKnown: true, headers: [] };
 
 function lengthOf(bytes: number | string): StatedLength {
   return { isKnown: true, headers: ['Content-Length', String(bytes)] };
@@ -60,6 +61,15 @@
   return stated === null ? { isKnown: true, headers: [] } : lengthOf(stated);
 }
 
+/** What an answer whose end the server marks says of its length. Callers of HTTP/1.0 know no chunks, which would mark its end. */
+function streamedLength({ outgoing }: RequestSlot, raw: string[]): StatedLength {
+  const stated = headerValue(raw, 'content-length');
+  if (stated !== null) {
+    return lengthOf(Number(stated));
+  }
+  return outgoing.useChunkedEncodingByDefault ? IN_CHUNKS : UNKNOWN_LENGTH;
+}
+
 function createSink(
   slot: RequestSlot,
   writeHead: (status: number, rawHeaders: string[], length: StatedLength) => void,
@@ -76,9 +86,8 @@
       );
       endWith(slot, body);
     },
-    beginStream: (status, rawHeaders, body, onDrain) => {
-      const length = headerValue(rawHeaders, 'content-length');
-      writeHead(status, rawHeaders, length === null ? UNKNOWN_LENGTH : lengthOf(Number(length)));
+    beginStream: ({ status, rawHeaders, hasLength }, body, onDrain) => {
+      writeHead(status, rawHeaders, hasLength ? streamedLength(slot, rawHeaders) : UNKNOWN_LENGTH);
       streamed = new StreamedAnswer(slot, onDrain);
       return streamed.write(body);
     },
@@ -111,8 +120,9 @@
       // A response without a length may have been cut off. A length or chunked framing added here would mark it as complete.
       outgoing.useChunkedEncodingByDefault = false;
       outgoing.shouldKeepAlive = false;
-      slot.endsWithConnection = true;
     }
+    // Lenient clients take the end of the connection for the end of chunks as well.
+    slot.endsWithConnection = !length.isKnown || length === IN_CHUNKS;
     settleClosing();
     outgoing.writeHead(status, headers);
   };
--- a/test/router-runtime/test-answer-framing.ts
+++ b/test/router-runtime/test-answer-framing.ts
@@ -257,6 +257,13 @@
     });
   }
 
+  // An answer whose end its server marks ended with the caller's connection: a part of it looked whole when the daemon was killed.
+  it('is passed on in chunks if its server sends chunks', async () => {
+    const [outcome] = await playAll([{ name: 'chunks', parts: [CHUNKED], ending: 'stays open' }]);
+    expect(outcome?.answer?.head.includes('Transfer-Encoding: chunked\r\n')).toEqual(true);
+    expect(outcome?.answer?.body === FIRST + SECOND).toEqual(true);
+  });
+
   // A long answer that nothing shows to be the server's was passed on, while a short one was not.
   it('is lost without a seal', async () => {
     const seal = 'Fennelferry-Server-Seal: s.1\r\n';
