--- a/test/fuzz/answer-properties.ts
+++ b/test/fuzz/answer-properties.ts
@@ -4,7 +4,7 @@
 import { PollBarrier } from '../../src/event-loop/poll-barrier.js';
 import type { CallerFrontendOptions } from '../../src/router-runtime/caller-frontend-options.js';
 import type { Address } from '../../src/router/model/address.js';
-import { type ServerConnection, ServerConnections } from '../../src/router-runtime/server-connections.js';
+import { ServerConnections } from '../../src/router-runtime/server-connections.js';
 import { wholeAnswerIn } from '../support/answer-oracle.js';
 import {
   AnswerPlayer,
@@ -195,13 +195,15 @@
 
 /** Connections that report an answer as complete when it breaks off behind its head, as the planted fault. */
 class TrustingConnections extends ServerConnections {
-  override acquire(address: Address, attemptId: string | null = null): ServerConnection | null {
-    const connection = super.acquire(address, attemptId);
-    const dispatch = connection?.dispatch.bind(connection);
-    if (connection !== null && dispatch !== undefined) {
+  override acquire(
+    address: Address,
+    attemptId: string | null = null,
+  ): ReturnType<ServerConnections['acquire']> {
+    return super.acquire(address, attemptId).map((connection) => {
+      const dispatch = connection.dispatch.bind(connection);
       connection.dispatch = (options, handler) => dispatch(options, trusting(handler));
-    }
-    return connection;
+      return connection;
+    });
   }
 }
 
