--- a/test/platform/test-list-progress.ts
+++ b/test/platform/test-list-progress.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl';
-import { ok } from 'neverthrow';
+import { ok, type Result } from 'neverthrow';
 import { describe, it } from 'node:test';
 import { FeedItems } from '../../platform/feed-items.js';
 import { ListPages } from '../../platform/list-pages.js';
@@ -15,17 +15,32 @@
   return JSON.stringify({ metadata: { name, revision: 1 }, spec: {} });
 }
 
+/** An item that is no JSON, but shows a name. */
+function oddEntry(name: string): string {
+  return `{"metadata":{"name":"${name}"},"spec":"x\\q"}`;
+}
+
+function startList(): ListPages<string> {
+  const parse = ({ metadata }: { metadata: { name: string } }): Result<string, string> => ok(metadata.name);
+  return new ListPages(new FeedItems('servers', parse, () => undefined));
+}
+
+/** Adds a page that others follow. Returns the name behind which the list continues. */
+function addPage(pages: ListPages<string>, items: readonly string[]): string | null {
+  return pages.add(readPage(page(items, true), LIST_PAGE)._unsafeUnwrap());
+}
+
 describe('a list whose page ends with an item that is not JSON', () => {
   // The list goes on behind the name in its bytes: the same page comes again, and the items behind it are never listed.
   it('goes on behind its last readable item', () => {
-    const items = new FeedItems(
-      'servers',
-      ({ metadata }) => ok(metadata.name),
-      () => undefined,
-    );
-    const pages = new ListPages(items);
-    const odd = '{"metadata":{"name":"a"},"spec":"x\\q"}';
-    const first = readPage(page([entry('b'), entry('c'), odd], true), LIST_PAGE)._unsafeUnwrap();
-    expect(pages.add(first)).toEqual('c');
+    expect(addPage(startList(), [entry('b'), entry('c'), oddEntry('a')])).toEqual('c');
+  });
+
+  // A page that a large unreadable item fills by itself ended the list: a daemon that started then lacked the servers behind it.
+  it('goes on behind an unreadable item where nothing else leads on', () => {
+    const pages = startList();
+    expect(addPage(pages, [entry('b'), oddEntry('c')])).toEqual('b');
+    expect(addPage(pages, [oddEntry('c')])).toEqual('c');
+    expect(addPage(pages, [oddEntry('c')])).toEqual(null);
   });
 });
