--- a/test/router/quarantine/test-quarantine-properties.ts
+++ b/test/router/quarantine/test-quarantine-properties.ts
@@ -186,29 +186,29 @@
   });
 });
 
-/** Ways in which servers end or seem to end with no request at fault, by name. */
+/** Ways in which servers end or seem to end with no request at fault, by the title of their test. */
 const SERVER_FAULTS: Readonly<Record<string, (simulation: Simulation) => void>> = {
-  crashes: ({ routerSimulation, traffic }) => {
+  'cause no quarantine: crashes': ({ routerSimulation, traffic }) => {
     const alive = routerSimulation.servers.filter((server) => server.alive);
     traffic.crash(alive[routerSimulation.random.integerBelow(alive.length)] as (typeof alive)[number]);
   },
-  'a share of all servers at once': ({ routerSimulation, traffic }) => {
+  'cause no quarantine: a share of all servers at once': ({ routerSimulation, traffic }) => {
     const alive = routerSimulation.servers.filter((server) => server.alive);
     alive.filter(() => routerSimulation.random.fraction() < 0.4).forEach((server) => traffic.crash(server));
   },
-  'connection resets': ({ routerSimulation, traffic }) => {
+  'cause no quarantine: connection resets': ({ routerSimulation, traffic }) => {
     const alive = routerSimulation.servers.filter((server) => server.alive);
     alive
       .filter(() => routerSimulation.random.fraction() < 0.5)
       .forEach((server) => traffic.resetConnections(server));
   },
-  'draining servers': ({ routerSimulation, traffic }) => {
+  'cause no quarantine: draining servers': ({ routerSimulation, traffic }) => {
     const alive = routerSimulation.servers.filter((server) => server.alive);
     const draining = alive[routerSimulation.random.integerBelow(alive.length)] as (typeof alive)[number];
     routerSimulation.drain(draining.id);
     routerSimulation.clock.schedule(2_500, () => traffic.crash(draining));
   },
-  'the owner of the hot key, repeatedly': ({ routerSimulation, traffic }) => {
+  'cause no quarantine: the owner of the hot key, repeatedly': ({ routerSimulation, traffic }) => {
     const owner = routerSimulation.servers.find((server) => server.holds(HOT_KEY));
     if (owner !== undefined) {
       traffic.crash(owner);
@@ -218,7 +218,7 @@
 
 describe('servers that crash with no request at fault', () => {
   for (const [name, fault] of Object.entries(SERVER_FAULTS)) {
-    it(`cause no quarantine: ${name}`, () => {
+    it(name, () => {
       for (const seed of SEEDS) {
         const simulation = createSimulation(seed);
         startInnocentCallers(simulation);
